--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := $(sort $(wildcard packages/*/pyproject.toml))
+STAMP := $(VENV)/.installed
+EDITABLE := $(foreach p,$(PACKAGES),-e $(dir $(p)))
+
+.PHONY: setup format lint unit test demo measure capacity clean
+
+setup: $(STAMP)
+
+$(STAMP): constraints.txt $(PACKAGES)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q -c constraints.txt hatchling editables
+	$(BIN)/python -m pip install -q -c constraints.txt --no-build-isolation \
+		$(EDITABLE) pytest pytest-bdd hypothesis ruff
+	touch $(STAMP)
+
+format: setup
+	$(BIN)/ruff format packages
+	$(BIN)/ruff check --fix packages
+
+lint: setup
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+
+unit: setup
+	$(BIN)/python -m pytest
+
+test: lint unit
+
+demo: setup
+	$(BIN)/python -m medlarridge_standins.demo $(ARGS)
+
+measure: setup
+	$(BIN)/python -m medlarridge_standins.measure $(ARGS)
+
+capacity: setup
+	$(BIN)/python -m medlarridge_standins.capacity $(ARGS)
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/medlarridge-router/src/medlarridge_router/__init__.py
@@ -0,0 +1,1 @@
+"""Router of the medlarridge fleet."""
--- /dev/null
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Sidecar of the medlarridge fleet."""
--- /dev/null
+++ b/packages/medlarridge-standins/src/medlarridge_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the medlarridge fleet."""
--- /dev/null
+++ b/packages/medlarridge-standins/src/medlarridge_standins/report.py
@@ -0,0 +1,70 @@
+"""Rows of figures, collected by registered scenarios and printed as a table."""
+
+import importlib
+import pkgutil
+from collections.abc import Callable
+from dataclasses import dataclass
+from types import ModuleType
+
+Scenario = Callable[[], "list[Row]"]
+
+
+@dataclass(frozen=True)
+class Row:
+    """One figure of a report.
+
+    ``met`` says whether the target is met; nothing if the row has no target.
+    """
+
+    name: str
+    value: float
+    unit: str
+    target: str = ""
+    baseline: str = ""
+    met: bool | None = None
+
+
+class Report:
+    """Registry of scenarios that each give rows."""
+
+    def __init__(self, title: str) -> None:
+        self.title = title
+        self.scenarios: dict[str, Scenario] = {}
+
+    def scenario(self, name: str) -> Callable[[Scenario], Scenario]:
+        """Return a decorator that registers a scenario."""
+
+        def decorate(scenario: Scenario) -> Scenario:
+            if name in self.scenarios:
+                raise ValueError(f"scenario {name} is registered twice")
+            self.scenarios[name] = scenario
+            return scenario
+
+        return decorate
+
+    def run(self, names: list[str]) -> list[Row]:
+        """Run the named scenarios, or all, and print their rows."""
+        print(self.title)
+        print(f"{'figure':58} {'value':>12} {'unit':14} {'target':>14}  baseline")
+        rows = []
+        for name in names or list(self.scenarios):
+            for row in self.scenarios[name]():
+                rows.append(row)
+                print(format_row(row), flush=True)
+        return rows
+
+
+def format_row(row: Row) -> str:
+    """Return a row as one line of the table."""
+    mark = {None: " ", True: " ", False: "!"}[row.met]
+    return (
+        f"{row.name:58} {row.value:12.4g} {row.unit:14} {row.target:>14}{mark} "
+        f"{row.baseline}"
+    )
+
+
+def import_modules(package: ModuleType) -> None:
+    """Import all modules of a package so that their scenarios register."""
+    for module in pkgutil.iter_modules(package.__path__):
+        if module.name != "__main__":
+            importlib.import_module(f"{package.__name__}.{module.name}")
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private implementation; import from the public modules instead."""
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decision parts without input or output."""
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, codecs and table models."""
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/state/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform's object store."""
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between processes."""
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/transport/asgi.py
@@ -0,0 +1,236 @@
+"""Small ASGI layer: endpoints in a registry, body limits and streamed answers."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+
+from ..errors import MedlarridgeError
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+DEFAULT_BODY_LIMIT_BYTES = 1024 * 1024
+MAX_HEADER_BYTES = 16 * 1024
+REST = "{rest}"
+
+
+class HttpError(MedlarridgeError):
+    """An error that is answered with an HTTP status."""
+
+    def __init__(self, status: int, message: str, **headers: str) -> None:
+        super().__init__(message, step="handle request")
+        self.status = status
+        self.headers = headers
+
+
+class ClientGone(MedlarridgeError):
+    """The client closed its connection."""
+
+
+@dataclass
+class HttpRequest:
+    """A received request whose body is read on demand."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    raw_headers: list[tuple[str, str]]
+    receive: Receive
+    client: str = ""
+    parameters: dict[str, str] = field(default_factory=dict)
+    body_read: bool = False
+
+    async def body(self, limit_bytes: int = DEFAULT_BODY_LIMIT_BYTES) -> bytes:
+        """Read the whole body, or refuse it when it is above the limit."""
+        parts = bytearray()
+        async for part in self.stream():
+            parts += part
+            if len(parts) > limit_bytes:
+                raise HttpError(413, f"request body exceeds {limit_bytes} bytes")
+        return bytes(parts)
+
+    async def stream(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body."""
+        while True:
+            message = await self.receive()
+            if message["type"] == "http.disconnect":
+                raise ClientGone("client closed the connection", step="read body")
+            yield message.get("body", b"")
+            if not message.get("more_body", False):
+                self.body_read = True
+                return
+
+    async def wait_closed(self) -> None:
+        """Return when the client has closed the connection."""
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
+
+
+class HttpResponse:
+    """Writer of one answer."""
+
+    def __init__(self, send: Send) -> None:
+        self.send = send
+        self.started = False
+        self.ended = False
+
+    async def start(
+        self, status: int, headers: list[tuple[str, str]] | None = None
+    ) -> None:
+        """Send the status and the headers."""
+        self.started = True
+        encoded = [
+            (name.lower().encode("latin-1"), value.encode("latin-1"))
+            for name, value in headers or []
+        ]
+        await self.send(
+            {"type": "http.response.start", "status": status, "headers": encoded}
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body; waits while the client is slow."""
+        await self.send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def end(self) -> None:
+        """Mark the body as complete."""
+        self.ended = True
+        await self.send({"type": "http.response.body", "body": b""})
+
+    async def reply(
+        self, status: int, body: bytes, headers: list[tuple[str, str]] | None = None
+    ) -> None:
+        """Send a whole answer."""
+        await self.start(status, [*(headers or []), ("content-length", str(len(body)))])
+        if body:
+            await self.write(body)
+        await self.end()
+
+    async def reply_json(
+        self,
+        status: int,
+        value: object,
+        headers: list[tuple[str, str]] | None = None,
+    ) -> None:
+        """Send a value as JSON."""
+        await self.reply(
+            status,
+            msgspec.json.encode(value),
+            [("content-type", "application/json"), *(headers or [])],
+        )
+
+
+Handler = Callable[[HttpRequest, HttpResponse], Awaitable[None]]
+
+
+@dataclass(frozen=True)
+class Endpoint:
+    """A handler and the requests that it serves."""
+
+    method: str
+    segments: tuple[str, ...]
+    handler: Handler
+
+    def match(self, method: str, segments: list[str]) -> dict[str, str] | None:
+        """Return the path parameters if the request is for this endpoint."""
+        if self.method not in ("*", method):
+            return None
+        takes_rest = bool(self.segments) and self.segments[-1] == REST
+        fixed = self.segments[:-1] if takes_rest else self.segments
+        if len(segments) < len(fixed) or (
+            not takes_rest and len(segments) != len(fixed)
+        ):
+            return None
+        parameters = {}
+        for pattern, segment in zip(fixed, segments, strict=False):
+            if pattern.startswith("{"):
+                parameters[pattern[1:-1]] = unquote(segment)
+            elif pattern != segment:
+                return None
+        if takes_rest:
+            parameters["rest"] = "/".join(segments[len(fixed) :])
+        return parameters
+
+
+class Endpoints:
+    """Registry of handlers; also the ASGI application that serves them."""
+
+    def __init__(self) -> None:
+        self.endpoints: list[Endpoint] = []
+
+    def register(self, method: str, path: str) -> Callable[[Handler], Handler]:
+        """Return a decorator that serves ``path`` with the handler.
+
+        A segment in braces is a parameter; ``{rest}`` as the last segment takes
+        the remaining path.
+        """
+
+        def decorate(handler: Handler) -> Handler:
+            segments = tuple(path.strip("/").split("/"))
+            self.endpoints.append(Endpoint(method, segments, handler))
+            return handler
+
+        return decorate
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one ASGI connection."""
+        if scope["type"] == "lifespan":
+            await serve_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            raise MedlarridgeError(f"unsupported connection type {scope['type']}")
+        response = HttpResponse(send)
+        try:
+            await self.dispatch(scope, receive, response)
+        except HttpError as error:
+            if response.started:
+                raise
+            await response.reply_json(
+                error.status,
+                {"error": {"message": error.message}},
+                list(error.headers.items()),
+            )
+        except ClientGone:
+            return
+
+    async def dispatch(
+        self, scope: Scope, receive: Receive, response: HttpResponse
+    ) -> None:
+        """Find the endpoint of a request and call its handler."""
+        raw_headers = [
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+            for name, value in scope["headers"]
+        ]
+        if sum(len(n) + len(v) for n, v in raw_headers) > MAX_HEADER_BYTES:
+            raise HttpError(431, f"headers exceed {MAX_HEADER_BYTES} bytes")
+        query = parse_qs(scope["query_string"].decode("latin-1"))
+        request = HttpRequest(
+            scope["method"],
+            scope["path"],
+            {name: values[-1] for name, values in query.items()},
+            dict(raw_headers),
+            raw_headers,
+            receive,
+            (scope.get("client") or ("",))[0],
+        )
+        segments = request.path.strip("/").split("/")
+        for endpoint in self.endpoints:
+            parameters = endpoint.match(request.method, segments)
+            if parameters is not None:
+                request.parameters = parameters
+                await endpoint.handler(request, response)
+                return
+        raise HttpError(404, f"no endpoint {request.method} {request.path}")
+
+
+async def serve_lifespan(receive: Receive, send: Send) -> None:
+    """Acknowledge the start and the end of the server."""
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
--- /dev/null
+++ b/packages/medlarridge/tests/conftest.py
@@ -0,0 +1,6 @@
+import pytest
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
