Key the installed environment on the declared packages

Cause: file times differ between checkouts, so a second checkout reinstalled. Change: the stamp's name is a checksum of the declarations; PYTHONPATH points at the checkout in use. Conclusion: several checkouts can share one environment.

--- a/Makefile
+++ b/Makefile
@@ -2,14 +2,17 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := $(sort $(wildcard packages/*/pyproject.toml))
-STAMP := $(VENV)/.installed
+# The stamp changes with the declared packages, not with file times.
+STAMP := $(VENV)/.installed-$(shell cat constraints.txt $(PACKAGES) | cksum | cut -d' ' -f1)
 EDITABLE := $(foreach p,$(PACKAGES),-e $(dir $(p)))
 
+export PYTHONPATH := $(CURDIR)/$(subst $(eval) ,:$(CURDIR)/,$(strip $(patsubst %/pyproject.toml,%/src,$(PACKAGES))))
+
 .PHONY: setup format lint unit test demo measure capacity clean
 
 setup: $(STAMP)
 
-$(STAMP): constraints.txt $(PACKAGES)
+$(STAMP):
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install -q -c constraints.txt hatchling editables
 	$(BIN)/python -m pip install -q -c constraints.txt --no-build-isolation \
