--- /dev/null
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private implementation of the router."""
--- /dev/null
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/failures.py
@@ -0,0 +1,54 @@
+"""Final answers to callers whose request has no whole answer."""
+
+from dataclasses import dataclass
+
+from medlarridge._internal.coordination.retry import (
+    GiveUp,
+    GiveUpReason,
+    PastAttempt,
+    Refused,
+)
+from medlarridge._internal.errors import MedlarridgeError
+from medlarridge._internal.protocol.messages import Outcome, Refusal
+
+
+class StreamCut(MedlarridgeError):
+    """The answer ended early; the connection is closed without its end."""
+
+
+@dataclass(frozen=True)
+class Failure:
+    """Final answer to a caller whose request has no whole answer."""
+
+    outcome: Outcome
+    status: int
+    message: str
+    retry_after_ms: int = 0
+
+
+REFUSAL_STATUS = {
+    Refusal.ACCOUNT_LIMIT: 429,
+    Refusal.CRASHES_SERVERS: 422,
+    Refusal.INVALID: 400,
+    Refusal.DUPLICATE: 409,
+}
+NOT_RUN_STATUS = 503
+UNKNOWN_STATUS = 502
+DEADLINE_STATUS = 504
+
+
+def failure_of(plan: GiveUp, past: PastAttempt) -> Failure:
+    """Return the answer for a request that is not tried again."""
+    if isinstance(past, Refused):
+        detail = past.reply.detail or past.reply.reason
+    else:
+        detail = past.detail
+    message = f"request {plan.outcome}: {plan.reason}: {detail}"
+    if plan.outcome is Outcome.UNKNOWN:
+        timed_out = plan.reason is GiveUpReason.DEADLINE
+        status = DEADLINE_STATUS if timed_out else UNKNOWN_STATUS
+        return Failure(plan.outcome, status, message)
+    status = NOT_RUN_STATUS
+    if plan.refusal is not None:
+        status = REFUSAL_STATUS.get(plan.refusal, NOT_RUN_STATUS)
+    return Failure(plan.outcome, status, message, plan.retry_after_ms)
--- /dev/null
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/placements.py
@@ -0,0 +1,26 @@
+"""Placement of each pool, rebuilt when its members change."""
+
+from medlarridge._internal.coordination.placement import Placement
+from medlarridge._internal.fleet import FleetView
+
+
+class PoolPlacements:
+    """Cache of one placement per pool."""
+
+    def __init__(self, fleet: FleetView) -> None:
+        self.fleet = fleet
+        self.placements: dict[str, Placement] = {}
+        self.revision = -1
+
+    def of(self, pool: str) -> Placement:
+        """Return the placement of a pool's current members."""
+        if self.revision != self.fleet.revision:
+            self.revision = self.fleet.revision
+            self.placements.clear()
+        placement = self.placements.get(pool)
+        if placement is None:
+            placement = Placement(
+                self.fleet.members_of(pool), self.fleet.held_down(pool)
+            )
+            self.placements[pool] = placement
+        return placement
--- /dev/null
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
@@ -0,0 +1,109 @@
+"""The router: takes callers' requests and finds a sidecar for each."""
+
+from random import Random
+
+import anyio
+import httpx
+
+from medlarridge._internal.clock import MS_PER_S, Clock
+from medlarridge._internal.coordination.drain import Drain
+from medlarridge._internal.coordination.retry import RetryPlanner
+from medlarridge._internal.fleet import FleetView
+from medlarridge._internal.identity import Instance
+from medlarridge._internal.metrics import RouterMetrics
+from medlarridge._internal.protocol.caller import (
+    OUTCOME_HEADER,
+    REQUEST_HEADER,
+    CallerRequest,
+)
+from medlarridge._internal.protocol.messages import Outcome
+from medlarridge._internal.transport.asgi import HttpRequest, HttpResponse
+from medlarridge._internal.transport.auth import SharedKey
+
+from .failures import Failure, StreamCut
+from .placements import PoolPlacements
+from .request_run import RequestRun
+
+REQUEST_ID_BITS = 96
+
+
+class Router:
+    """Process that serves callers."""
+
+    def __init__(
+        self,
+        instance: Instance,
+        fleet: FleetView,
+        client: httpx.AsyncClient,
+        key: SharedKey,
+        clock: Clock,
+        random: Random,
+        metrics: RouterMetrics,
+    ) -> None:
+        self.instance = instance
+        self.fleet = fleet
+        self.client = client
+        self.key = key
+        self.clock = clock
+        self.random = random
+        self.metrics = metrics
+        self.drain = Drain()
+        self.planner = RetryPlanner(clock, random)
+        self.placements = PoolPlacements(fleet)
+
+    async def serve(
+        self, caller: CallerRequest, request: HttpRequest, response: HttpResponse
+    ) -> None:
+        """Answer one request."""
+        request_id = f"{self.random.getrandbits(REQUEST_ID_BITS):024x}"
+        if not self.drain.start_work():
+            failure = Failure(Outcome.NOT_RUN, 503, "this router is leaving", MS_PER_S)
+            await self.reply_failure(response, request_id, failure)
+            return
+        self.metrics.in_flight.set(self.drain.in_flight)
+        try:
+            await self.serve_until_closed(caller, request, response, request_id)
+        finally:
+            self.drain.end_work()
+            self.metrics.in_flight.set(self.drain.in_flight)
+
+    async def serve_until_closed(
+        self,
+        caller: CallerRequest,
+        request: HttpRequest,
+        response: HttpResponse,
+        request_id: str,
+    ) -> None:
+        """Answer one request, or stop its work when the caller goes away."""
+        cut: StreamCut | None = None
+        async with anyio.create_task_group() as tasks:
+
+            async def watch_caller() -> None:
+                await request.wait_closed()
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(watch_caller)
+            try:
+                await RequestRun(self, caller, response, request_id).run()
+            except StreamCut as error:
+                cut = error
+            tasks.cancel_scope.cancel()
+        if cut is not None:
+            raise cut
+
+    async def reply_failure(
+        self, response: HttpResponse, request_id: str, failure: Failure
+    ) -> None:
+        """Send the final answer of a request that has no whole answer."""
+        headers = [(OUTCOME_HEADER, failure.outcome), (REQUEST_HEADER, request_id)]
+        if failure.retry_after_ms:
+            seconds = -(-failure.retry_after_ms // MS_PER_S)
+            headers.append(("retry-after", str(seconds)))
+        body = {
+            "error": {
+                "message": failure.message,
+                "type": failure.outcome,
+                "request": request_id,
+            }
+        }
+        await response.reply_json(failure.status, body, headers)
--- /dev/null
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/call_result.py
@@ -0,0 +1,21 @@
+"""End of a call to the backend server."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class CallState(StrEnum):
+    """What is known about a call at its end."""
+
+    COMPLETE = "complete"
+    NEVER_SENT = "never-sent"
+    BROKEN = "broken"
+    DEADLINE = "deadline"
+
+
+@dataclass(frozen=True)
+class CallResult:
+    """End of a call to the backend server."""
+
+    state: CallState
+    detail: str = ""
--- /dev/null
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/endpoints.py
@@ -0,0 +1,109 @@
+"""Endpoints that the sidecar serves to other processes."""
+
+import anyio
+
+from medlarridge._internal.errors import CodecError
+from medlarridge._internal.protocol.codec import FrameReader, encode_frame
+from medlarridge._internal.protocol.messages import Attempt, NotRun
+from medlarridge._internal.transport.asgi import (
+    Endpoints,
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+)
+from medlarridge._internal.transport.auth import SharedKey
+from medlarridge._internal.transport.links import FRAMES_TYPE, RESUME_HEADER
+
+from .live import Delivery, LiveAttempt, Superseded
+from .sidecar import Sidecar
+
+MAX_ATTEMPT_BYTES = 9 * 1024 * 1024
+
+
+def sidecar_endpoints(sidecar: Sidecar, key: SharedKey) -> Endpoints:
+    """Return the endpoints of a sidecar."""
+    endpoints = Endpoints()
+
+    @endpoints.register("POST", "/attempts")
+    async def post_attempt(request: HttpRequest, response: HttpResponse) -> None:
+        key.check(request)
+        attempt = await read_attempt(request)
+        resume_at = resume_position(request)
+        if resume_at is not None:
+            found = sidecar.live.get((attempt.request_id, attempt.number))
+            if found is None or not found.stream.can_resume(resume_at):
+                raise HttpError(410, "the rest of the answer is not kept")
+        received = sidecar.receive(attempt)
+        await response.start(200, [("content-type", FRAMES_TYPE)])
+        if isinstance(received, NotRun):
+            await response.write(encode_frame(received))
+            await response.end()
+            return
+        await deliver(sidecar, received, request, response, resume_at or 0)
+
+    @endpoints.register("POST", "/attempts/{request}/{number}/cancel")
+    async def cancel(request: HttpRequest, response: HttpResponse) -> None:
+        key.check(request)
+        number = request.parameters["number"]
+        if not number.isdecimal():
+            raise HttpError(400, "the attempt number is not a number")
+        found = sidecar.cancel(request.parameters["request"], int(number))
+        await response.reply(204 if found else 404, b"")
+
+    return endpoints
+
+
+async def read_attempt(request: HttpRequest) -> Attempt:
+    """Decode the one frame of a request body."""
+    body = await request.body(MAX_ATTEMPT_BYTES)
+    try:
+        frames = list(FrameReader(request.client).feed(body))
+    except CodecError as error:
+        raise HttpError(400, str(error)) from error
+    if len(frames) != 1 or not isinstance(frames[0], Attempt):
+        raise HttpError(400, "the body is not one attempt")
+    return frames[0]
+
+
+def resume_position(request: HttpRequest) -> int | None:
+    """Return the chunk number at which the router wants to go on."""
+    text = request.headers.get(RESUME_HEADER)
+    if text is None:
+        return None
+    if not text.isdecimal():
+        raise HttpError(400, f"{RESUME_HEADER} is not a number")
+    return int(text)
+
+
+async def deliver(
+    sidecar: Sidecar,
+    live: LiveAttempt,
+    request: HttpRequest,
+    response: HttpResponse,
+    from_chunk: int,
+) -> None:
+    """Send an attempt's frames until its end or the end of the connection."""
+    if not live.stream.can_resume(from_chunk):
+        raise HttpError(410, "the start of the answer is not kept")
+    delivery = Delivery(live, response, from_chunk)
+    done = False
+
+    async def watch_connection() -> None:
+        await request.wait_closed()
+        tasks.cancel_scope.cancel()
+
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch_connection)
+            await delivery.run(sidecar)
+            last = live.record.refusal or live.stream.end
+            if last is not None:
+                await response.write(encode_frame(last))
+                await response.end()
+                done = True
+            tasks.cancel_scope.cancel()
+    except* Superseded:
+        pass
+    finally:
+        if not done:
+            delivery.detach(sidecar.clock)
--- /dev/null
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
@@ -0,0 +1,217 @@
+"""The sidecar: admits attempts, runs them and delivers their answers."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+import anyio.abc
+
+from medlarridge._internal.clock import MS_PER_S, Clock
+from medlarridge._internal.coordination.attempts import AttemptRegister
+from medlarridge._internal.coordination.drain import Drain
+from medlarridge._internal.fleet import FleetView
+from medlarridge._internal.identity import Instance
+from medlarridge._internal.metrics import SidecarMetrics
+from medlarridge._internal.protocol.messages import (
+    Accepted,
+    Attempt,
+    End,
+    Heartbeat,
+    NotRun,
+    Outcome,
+    Refusal,
+)
+
+from .admission import AdmissionContext, first_refusal
+from .call_result import CallResult, CallState
+from .live import LiveAttempt
+from .server_call import ServerClient
+
+HOUSEKEEPING_MS = 1_000
+
+
+class Gate(Protocol):
+    """Decides whether and when an attempt runs, and is told how it ended."""
+
+    async def enter(self, live: LiveAttempt) -> NotRun | None:
+        """Wait until the attempt may run, or return why it may not."""
+        ...
+
+    async def leave(self, live: LiveAttempt, result: CallResult | None) -> None:
+        """Note the end of an attempt that entered."""
+        ...
+
+
+class Sidecar:
+    """Process beside one backend server that has the last word on its work."""
+
+    def __init__(
+        self,
+        instance: Instance,
+        pool: str,
+        fleet: FleetView,
+        server: ServerClient,
+        clock: Clock,
+        metrics: SidecarMetrics,
+        gates: list[Gate],
+        max_in_flight: int,
+    ) -> None:
+        self.instance = instance
+        self.pool = pool
+        self.fleet = fleet
+        self.server = server
+        self.clock = clock
+        self.metrics = metrics
+        self.gates = gates
+        self.drain = Drain()
+        self.register = AttemptRegister(clock)
+        self.live: dict[tuple[str, int], LiveAttempt] = {}
+        self.context = AdmissionContext(
+            instance, pool, fleet, self.drain, max_in_flight
+        )
+        self.load_hint: Callable[[], float] = lambda: float(len(self.live))
+        self.tasks: anyio.abc.TaskGroup | None = None
+
+    def heartbeat(self) -> Heartbeat:
+        """Return a heartbeat with the load and the generation."""
+        return Heartbeat(self.load_hint(), self.fleet.generation)
+
+    def receive(self, attempt: Attempt) -> LiveAttempt | NotRun:
+        """Take an attempt: a new one starts, a copy finds the earlier one."""
+        key = (attempt.request_id, attempt.number)
+        if attempt.target == self.instance.number:
+            record = self.register.find(*key)
+            if record is not None and record.refusal is not None:
+                return record.refusal
+            if record is not None and key in self.live:
+                return self.live[key]
+        if attempt.generation > self.fleet.generation:
+            self.fleet.saw_generation(attempt.generation, "")
+        refusal = first_refusal(self.context, attempt)
+        if refusal is not None:
+            self.metrics.attempts.labels(refusal.reason).inc()
+            return self.register.refuse(attempt, refusal)
+        return self.start(attempt)
+
+    def start(self, attempt: Attempt) -> LiveAttempt:
+        """Start the task of a new attempt."""
+        if self.tasks is None:
+            raise RuntimeError("the sidecar is not running")
+        stream = self.register.open(attempt)
+        record = self.register.add(attempt)
+        live = LiveAttempt(attempt, record, stream)
+        self.live[(attempt.request_id, attempt.number)] = live
+        self.drain.start_work()
+        self.metrics.in_flight.set(self.drain.in_flight)
+        self.tasks.start_soon(self.run_attempt, live)
+        return live
+
+    async def run_attempt(self, live: LiveAttempt) -> None:
+        """Run one attempt to its end."""
+        try:
+            with live.scope:
+                await self.pass_gates(live, self.gates)
+            if live.scope.cancelled_caught:
+                self.end_cancelled(live)
+        finally:
+            self.drain.end_work()
+            self.metrics.in_flight.set(self.drain.in_flight)
+            live.produced.set()
+
+    async def pass_gates(self, live: LiveAttempt, gates: list[Gate]) -> None:
+        """Enter the gates one after the other, then call the server."""
+        if not gates:
+            await self.call_server(live)
+            return
+        refusal = await gates[0].enter(live)
+        if refusal is not None:
+            self.withdraw(live, refusal)
+            return
+        try:
+            await self.pass_gates(live, gates[1:])
+        finally:
+            with anyio.CancelScope(shield=True):
+                await gates[0].leave(live, live.result)
+
+    async def call_server(self, live: LiveAttempt) -> None:
+        """Call the backend server and record how it ended."""
+        remaining_ms = self.remaining_ms(live)
+        if remaining_ms <= 0:
+            self.withdraw(live, self.refusal(Refusal.DEADLINE, "deadline passed"))
+            return
+        live.stream.accepted = Accepted(self.instance)
+        live.produced.set()
+        self.metrics.attempts.labels("run").inc()
+        live.handed_over = True
+        result = await self.server.call(live, remaining_ms)
+        live.result = result
+        if result.state is CallState.NEVER_SENT:
+            live.handed_over = False
+            self.withdraw(live, self.refusal(Refusal.SERVER_UNREACHABLE, result.detail))
+            return
+        complete = result.state is CallState.COMPLETE
+        self.end(live, Outcome.COMPLETE if complete else Outcome.UNKNOWN, result.detail)
+
+    def remaining_ms(self, live: LiveAttempt) -> int:
+        """Return the time until the attempt's deadline."""
+        elapsed_ms = self.clock.now_ms() - live.stream.started_ms
+        return live.attempt.deadline_ms - elapsed_ms
+
+    def refusal(self, reason: Refusal, detail: str, retry_after_ms: int = 0) -> NotRun:
+        """Return a refusal with the sidecar's generation."""
+        return NotRun(reason, self.fleet.generation, detail, retry_after_ms)
+
+    def withdraw(self, live: LiveAttempt, refusal: NotRun) -> None:
+        """Refuse an attempt that the backend server never saw."""
+        self.metrics.attempts.labels(refusal.reason).inc()
+        self.register.withdraw(live.attempt, refusal)
+        live.produced.set()
+
+    def end(self, live: LiveAttempt, outcome: Outcome, detail: str = "") -> None:
+        """Mark the end of an accepted attempt."""
+        self.metrics.outcomes.labels(outcome).inc()
+        live.stream.end = End(outcome, live.stream.next_number, detail)
+        live.produced.set()
+
+    def end_cancelled(self, live: LiveAttempt) -> None:
+        """Mark the end of an attempt that was cancelled."""
+        if live.stream.end is not None or live.record.refusal is not None:
+            return
+        if live.handed_over:
+            self.end(live, Outcome.UNKNOWN, "cancelled")
+        else:
+            self.withdraw(live, self.refusal(Refusal.DEADLINE, "cancelled"))
+
+    def cancel(self, request_id: str, number: int) -> bool:
+        """Stop an attempt whose caller has gone.
+
+        Work that may not be repeated goes on, so that its result is recorded.
+        """
+        live = self.live.get((request_id, number))
+        if live is None:
+            return False
+        if live.attempt.repeatable or not live.handed_over:
+            live.scope.cancel()
+        return True
+
+    async def run(self, stopped: anyio.Event) -> None:
+        """Run attempts until the process is told to stop and all have ended."""
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            await stopped.wait()
+            self.drain.leave()
+            while self.drain.in_flight:
+                await anyio.sleep(0.02)
+            tasks.cancel_scope.cancel()
+
+    async def keep_house(self) -> None:
+        """Drop what is no longer needed, once a second."""
+        while True:
+            await anyio.sleep(HOUSEKEEPING_MS / MS_PER_S)
+            self.register.purge()
+            now_ms = self.clock.now_ms()
+            for key, live in list(self.live.items()):
+                if live.stream.is_abandoned(now_ms) and live.attempt.repeatable:
+                    live.scope.cancel()
+                if self.register.find(*key) is None:
+                    del self.live[key]
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/answer.py
@@ -0,0 +1,78 @@
+"""Assembly of one whole answer from the frames of an attempt."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from ..errors import MedlarridgeError
+from ..protocol.messages import Chunk, End, Frame, Head, Heartbeat, NotRun
+
+
+class AnswerError(MedlarridgeError):
+    """The frames of an attempt contradict each other."""
+
+
+class AnswerPhase(StrEnum):
+    """How far the answer has come."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    REFUSED = "refused"
+    ENDED = "ended"
+
+
+@dataclass
+class AnswerAssembler:
+    """Puts chunks in order, drops copies and detects what is missing.
+
+    After a broken connection the attempt resumes at ``next_chunk``.
+    """
+
+    peer: str
+    phase: AnswerPhase = AnswerPhase.WAITING
+    head: Head | None = None
+    end: End | None = None
+    refusal: NotRun | None = None
+    next_chunk: int = 0
+    generation: int = 0
+
+    def add(self, frame: Frame) -> bytes:
+        """Take one frame and return the new bytes of the body."""
+        match frame:
+            case NotRun():
+                self.refusal = frame
+                self.phase = AnswerPhase.REFUSED
+                self.generation = max(self.generation, frame.generation)
+            case Head():
+                self.head = self.head or frame
+                self.phase = AnswerPhase.RUNNING
+            case Chunk():
+                return self.add_chunk(frame)
+            case Heartbeat():
+                self.generation = max(self.generation, frame.generation)
+            case End():
+                self.add_end(frame)
+        return b""
+
+    def add_chunk(self, chunk: Chunk) -> bytes:
+        """Return the data of the next chunk; nothing for a copy."""
+        if chunk.number < self.next_chunk:
+            return b""
+        if chunk.number > self.next_chunk:
+            raise AnswerError(
+                f"chunk {chunk.number} arrived, expected {self.next_chunk}",
+                step="assemble answer",
+                peer=self.peer,
+            )
+        self.next_chunk += 1
+        return chunk.data
+
+    def add_end(self, end: End) -> None:
+        """Accept the end only if no chunk is missing."""
+        if end.chunks != self.next_chunk:
+            raise AnswerError(
+                f"answer ended after {end.chunks} chunks, got {self.next_chunk}",
+                step="assemble answer",
+                peer=self.peer,
+            )
+        self.end = end
+        self.phase = AnswerPhase.ENDED
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/fleet.py
@@ -0,0 +1,59 @@
+"""What a daemon needs to know about the fleet."""
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from .identity import Member
+from .protocol.tables import Tables
+
+
+class FleetView(Protocol):
+    """Members and the configuration in force, as one process sees them."""
+
+    @property
+    def generation(self) -> int:
+        """Return the generation of the configuration in force."""
+        ...
+
+    @property
+    def tables(self) -> Tables:
+        """Return the tables in force."""
+        ...
+
+    @property
+    def revision(self) -> int:
+        """Return a number that changes whenever the members change."""
+        ...
+
+    def members_of(self, pool: str) -> list[Member]:
+        """Return the members of a pool that may take work."""
+        ...
+
+    def held_down(self, pool: str) -> set[str]:
+        """Return the addresses that are no chat's home after flapping."""
+        ...
+
+    def saw_generation(self, generation: int, address: str) -> None:
+        """Note that the process at an address knows a generation."""
+        ...
+
+
+@dataclass
+class StaticFleet:
+    """A fleet that does not change by itself, for embedding and tests."""
+
+    tables: Tables
+    members: list[Member] = field(default_factory=list)
+    generation: int = 1
+    revision: int = 0
+
+    def members_of(self, pool: str) -> list[Member]:
+        """Return the members of a pool that are not draining."""
+        return [m for m in self.members if m.pool == pool and not m.draining]
+
+    def saw_generation(self, generation: int, address: str) -> None:
+        """Ignore the generation: this fleet has only one."""
+
+    def held_down(self, pool: str) -> set[str]:
+        """Return no address: members of this fleet do not flap."""
+        return set()
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/protocol/caller.py
@@ -0,0 +1,186 @@
+"""Requests of callers: OpenAI-style chats and plain service calls."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+import xxhash
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from ..errors import UserError
+from .tables import MAX_DEADLINE_MS
+
+ACCOUNT_HEADER = "x-medlarridge-account"
+CHAT_HEADER = "x-medlarridge-chat"
+REGION_HEADER = "x-medlarridge-region"
+DEADLINE_HEADER = "x-medlarridge-deadline-ms"
+IDEMPOTENCY_HEADER = "idempotency-key"
+OUTCOME_HEADER = "x-medlarridge-outcome"
+REQUEST_HEADER = "x-medlarridge-request"
+OUTCOME_EVENT = "medlarridge-outcome"
+OUTCOME_AT_END = "at-end"
+"""Outcome header of a streamed answer, whose outcome stands at its end."""
+
+DEFAULT_ACCOUNT = "anonymous"
+DEFAULT_OUTPUT_TOKENS = 256
+BYTES_PER_TOKEN = 4
+FIRST_MESSAGES = 2
+"""Messages that identify a chat: the script and the first message of the user."""
+
+MAX_ID_LENGTH = 200
+HOP_HEADERS = frozenset(
+    [
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "te",
+        "trailer",
+        "proxy-authorization",
+        "transfer-encoding",
+        "upgrade",
+    ]
+)
+
+
+class ChatMessage(BaseModel):
+    """One message of a chat; unknown keys are passed on."""
+
+    model_config = ConfigDict(extra="allow")
+    role: str = Field(min_length=1, max_length=40)
+    content: object = ""
+
+
+class ChatRequest(BaseModel):
+    """The part of a chat request that routing needs."""
+
+    model_config = ConfigDict(extra="allow")
+    model: str = Field(min_length=1, max_length=63)
+    messages: list[ChatMessage] = Field(min_length=1, max_length=10_000)
+    stream: bool = False
+    max_tokens: int | None = Field(default=None, ge=1, le=1_000_000)
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """A validated request of a caller."""
+
+    route: str
+    account: str
+    method: str
+    path: str
+    body: bytes
+    headers: list[tuple[str, str]]
+    chat: str = ""
+    region: str = ""
+    deadline_ms: int | None = None
+    idempotency_key: str = ""
+    stream: bool = False
+    is_chat: bool = False
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    fingerprint: str = field(default="", compare=False)
+
+
+def parse_chat(body: bytes, headers: dict[str, str]) -> CallerRequest:
+    """Validate a chat request."""
+    try:
+        chat = ChatRequest.model_validate_json(body)
+    except ValidationError as error:
+        first = error.errors()[0]
+        where = ".".join(str(part) for part in first["loc"]) or "body"
+        raise UserError(
+            f"invalid chat request: {where}: {first['msg']}",
+            step="parse request",
+            hint="send a JSON object with model and messages",
+        ) from error
+    account = account_of(headers)
+    return CallerRequest(
+        route=chat.model,
+        account=account,
+        method="POST",
+        path="/v1/chat/completions",
+        body=body,
+        headers=forwarded_headers(headers),
+        chat=chat_key(chat, account, headers),
+        region=bounded(headers.get(REGION_HEADER, ""), REGION_HEADER),
+        deadline_ms=deadline_of(headers),
+        idempotency_key=bounded(headers.get(IDEMPOTENCY_HEADER, ""), "Idempotency-Key"),
+        stream=chat.stream,
+        is_chat=True,
+        prompt_tokens=max(1, len(body) // BYTES_PER_TOKEN),
+        output_tokens=chat.max_tokens or DEFAULT_OUTPUT_TOKENS,
+        fingerprint=fingerprint(account, chat.model, body),
+    )
+
+
+def parse_service_call(
+    route: str, method: str, path: str, body: bytes, headers: dict[str, str]
+) -> CallerRequest:
+    """Validate a call of a plain service."""
+    account = account_of(headers)
+    return CallerRequest(
+        route=route,
+        account=account,
+        method=method,
+        path=path,
+        body=body,
+        headers=forwarded_headers(headers),
+        region=bounded(headers.get(REGION_HEADER, ""), REGION_HEADER),
+        deadline_ms=deadline_of(headers),
+        idempotency_key=bounded(headers.get(IDEMPOTENCY_HEADER, ""), "Idempotency-Key"),
+        prompt_tokens=1,
+        output_tokens=1,
+        fingerprint=fingerprint(account, f"{route} {method} {path}", body),
+    )
+
+
+def chat_key(chat: ChatRequest, account: str, headers: dict[str, str]) -> str:
+    """Return the chat's key: its header, or a hash of the first messages."""
+    named = bounded(headers.get(CHAT_HEADER, ""), CHAT_HEADER)
+    if named:
+        return f"{account}/{named}"
+    first = [message.model_dump() for message in chat.messages[:FIRST_MESSAGES]]
+    digest = xxhash.xxh3_128_hexdigest(msgspec.json.encode(first, order="sorted"))
+    return f"{account}/h-{digest}"
+
+
+def fingerprint(account: str, target: str, body: bytes) -> str:
+    """Return a hash that is equal for copies of the same request."""
+    digest = xxhash.xxh3_128(f"{account}\0{target}\0".encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
+def account_of(headers: dict[str, str]) -> str:
+    """Return the client account that the platform's balancer set."""
+    return bounded(headers.get(ACCOUNT_HEADER, ""), ACCOUNT_HEADER) or DEFAULT_ACCOUNT
+
+
+def deadline_of(headers: dict[str, str]) -> int | None:
+    """Return the caller's deadline in milliseconds, if it set one."""
+    text = headers.get(DEADLINE_HEADER)
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_MS:
+        raise UserError(
+            f"invalid {DEADLINE_HEADER}: {text[:40]!r}",
+            step="parse request",
+            hint=f"send whole milliseconds from 1 to {MAX_DEADLINE_MS}",
+        )
+    return int(text)
+
+
+def bounded(text: str, name: str) -> str:
+    """Return a header value if it is printable and not too long."""
+    if len(text) > MAX_ID_LENGTH or not text.isprintable():
+        raise UserError(
+            f"invalid {name}: more than {MAX_ID_LENGTH} or unprintable characters",
+            step="parse request",
+        )
+    return text
+
+
+def forwarded_headers(headers: dict[str, str]) -> list[tuple[str, str]]:
+    """Return the headers that are passed on to the backend server."""
+    return [(name, value) for name, value in headers.items() if name not in HOP_HEADERS]
--- a/packages/medlarridge/src/medlarridge/_internal/transport/asgi.py
+++ b/packages/medlarridge/src/medlarridge/_internal/transport/asgi.py
@@ -41,6 +41,7 @@
     headers: dict[str, str]
     raw_headers: list[tuple[str, str]]
     receive: Receive
+    query_string: str = ""
     client: str = ""
     parameters: dict[str, str] = field(default_factory=dict)
     body_read: bool = False
@@ -159,8 +160,9 @@
 class Endpoints:
     """Registry of handlers; also the ASGI application that serves them."""
 
-    def __init__(self) -> None:
+    def __init__(self, error_headers: dict[str, str] | None = None) -> None:
         self.endpoints: list[Endpoint] = []
+        self.error_headers = error_headers or {}
 
     def register(self, method: str, path: str) -> Callable[[Handler], Handler]:
         """Return a decorator that serves ``path`` with the handler.
@@ -192,7 +194,7 @@
             await response.reply_json(
                 error.status,
                 {"error": {"message": error.message}},
-                list(error.headers.items()),
+                [*self.error_headers.items(), *error.headers.items()],
             )
         except ClientGone:
             return
@@ -207,14 +209,16 @@
         ]
         if sum(len(n) + len(v) for n, v in raw_headers) > MAX_HEADER_BYTES:
             raise HttpError(431, f"headers exceed {MAX_HEADER_BYTES} bytes")
-        query = parse_qs(scope["query_string"].decode("latin-1"))
+        query_string = scope["query_string"].decode("latin-1")
+        query = parse_qs(query_string)
         request = HttpRequest(
             scope["method"],
-            scope["path"],
+            scope["raw_path"].decode("latin-1"),
             {name: values[-1] for name, values in query.items()},
             dict(raw_headers),
             raw_headers,
             receive,
+            query_string,
             (scope.get("client") or ("",))[0],
         )
         segments = request.path.strip("/").split("/")
