--- /dev/null
+++ b/packages/medlarridge/tests/unit/coordination/test_retry.py
@@ -0,0 +1,145 @@
+from random import Random
+
+import pytest
+
+from medlarridge._internal.clock import ManualClock
+from medlarridge._internal.coordination.retry import (
+    EndedUnknown,
+    GiveUp,
+    GiveUpReason,
+    NeverSent,
+    Refused,
+    RetryPlanner,
+    RetryRequest,
+    Target,
+    TryMember,
+    Unanswered,
+)
+from medlarridge._internal.identity import Instance, Member, Role
+from medlarridge._internal.protocol.messages import (
+    Candidate,
+    NotRun,
+    Outcome,
+    Refusal,
+)
+
+
+def member(name, data_centre, pool="first", draining=False):
+    return Member(
+        Instance(name, 1, data_centre, "r", Role.SIDECAR), pool, draining=draining
+    )
+
+
+RANKED = {
+    "first": [
+        member("a1", "a"),
+        member("b1", "b"),
+        member("a2", "a"),
+        member("a3", "a"),
+        member("b2", "b"),
+    ],
+    "next": [member("n1", "a", "next")],
+}
+A1 = Target("a1", 1, "first", "a")
+
+
+def target(name, pool="first"):
+    return Target(name, 1, pool, "a" if pool == "next" else name[0])
+
+
+def refused(reason, at=A1, candidates=(), retry_after_ms=0):
+    named = [Candidate(name, 1) for name in candidates]
+    return Refused(at, NotRun(reason, 7, "", retry_after_ms, named))
+
+
+def request(*history, remaining_ms=10_000, repeatable=True, ranked=RANKED):
+    return RetryRequest(history, remaining_ms, repeatable, ["first", "next"], ranked, 5)
+
+
+class TestRetryPlanner:
+    def setup_method(self):
+        self.clock = ManualClock()
+        self.planner = RetryPlanner(self.clock, Random(1))
+
+    def test_follows_the_stated_order(self):
+        """Guards against an attempt that skips candidates or leaves the pool early."""
+        history = [refused(Refusal.LOAD_BOUND, candidates=["a3"])]
+        order = []
+        while isinstance(plan := self.planner.plan(request(*history)), TryMember):
+            order.append(plan.target.address)
+            history.append(NeverSent(plan.target))
+        assert order[:4] == ["a3", "b1", "b2", "n1"]
+
+    def test_tries_the_same_data_centre_before_others(self):
+        """Guards against needless traffic between data centres."""
+        plan = self.planner.plan(request(NeverSent(A1)))
+        assert plan.target == target("a2")
+
+    @pytest.mark.parametrize(
+        "past",
+        [Unanswered(A1), EndedUnknown(A1), refused(Refusal.DUPLICATE)],
+    )
+    def test_never_repeats_what_may_have_run(self, past):
+        """Guards against an invoice that is dispatched twice."""
+        history = [past, refused(Refusal.LOAD_BOUND, target("a2"), ["a3"])]
+        plan = self.planner.plan(request(*history, repeatable=False))
+        assert (plan.outcome, plan.reason) == (
+            Outcome.UNKNOWN,
+            GiveUpReason.MAY_HAVE_RUN,
+        )
+        assert isinstance(self.planner.plan(request(*history)), TryMember)
+
+    def test_retries_work_that_was_not_run(self):
+        """Guards against giving up calls that are safe to send again."""
+        history = [NeverSent(A1), refused(Refusal.DRAINING, target("a2"))]
+        plan = self.planner.plan(request(*history, repeatable=False))
+        assert isinstance(plan, TryMember)
+
+    def test_outcome_stays_unknown_after_a_later_refusal(self):
+        """Guards against "not run" for a request whose first attempt may have run."""
+        history = [EndedUnknown(A1), refused(Refusal.CRASHES_SERVERS, target("a2"))]
+        plan = self.planner.plan(request(*history))
+        assert (plan.outcome, plan.refusal) == (
+            Outcome.UNKNOWN,
+            Refusal.CRASHES_SERVERS,
+        )
+
+    def test_passes_on_final_refusals_at_once(self):
+        """Guards against a limit or a suspect that is tried on every server."""
+        plan = self.planner.plan(
+            request(refused(Refusal.ACCOUNT_LIMIT, retry_after_ms=700))
+        )
+        assert plan == GiveUp(
+            Outcome.NOT_RUN, GiveUpReason.REFUSED, 700, Refusal.ACCOUNT_LIMIT
+        )
+
+    def test_waits_for_the_generation_a_sidecar_asks_for(self):
+        """Guards against a stale router that acts on an older configuration."""
+        plan = self.planner.plan(request(refused(Refusal.STALE_CONFIGURATION)))
+        assert (plan.target, plan.needs_generation) == (A1, 7)
+
+    def test_asks_the_only_member_once_more_unless_it_leaves(self):
+        """Guards against giving up a small pool after one broken connection."""
+        ranked = {"first": [RANKED["first"][0]]}
+        plan = self.planner.plan(request(NeverSent(A1), ranked=ranked))
+        assert plan.target == A1
+        plan = self.planner.plan(request(refused(Refusal.DRAINING), ranked=ranked))
+        assert (plan.outcome, plan.reason) == (Outcome.NOT_RUN, GiveUpReason.NO_MEMBER)
+
+    def test_gives_up_when_the_deadline_leaves_no_time(self):
+        """Guards against attempts whose answer nobody waits for."""
+        plan = self.planner.plan(request(NeverSent(A1), remaining_ms=10))
+        assert plan.reason is GiveUpReason.DEADLINE
+
+    def test_budget_bounds_retries_but_not_redirects(self):
+        """Guards against retries that multiply the load of a failing pool."""
+        plans = [self.planner.plan(request(NeverSent(A1))) for _ in range(20)]
+        retried = sum(isinstance(plan, TryMember) for plan in plans)
+        assert (retried, plans[-1].reason) == (10, GiveUpReason.BUDGET)
+        redirect = refused(Refusal.LOAD_BOUND, candidates=["a3"])
+        assert self.planner.plan(request(redirect)) == TryMember(target("a3"), 0)
+        for _ in range(10):
+            self.planner.add_request("first")
+        assert isinstance(self.planner.plan(request(NeverSent(A1))), TryMember)
+        self.clock.advance(5_000)
+        assert isinstance(self.planner.plan(request(NeverSent(A1))), TryMember)
