--- a/packages/medlarridge-router/src/medlarridge_router/_internal/endpoints.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/endpoints.py
@@ -17,11 +17,12 @@
 from .router import Router
 
 NOT_RUN = {OUTCOME_HEADER: Outcome.NOT_RUN}
+UNKNOWN = {OUTCOME_HEADER: Outcome.UNKNOWN}
 
 
 def caller_endpoints(router: Router, max_body_bytes: int) -> Endpoints:
     """Return the endpoints for callers."""
-    endpoints = Endpoints(NOT_RUN)
+    endpoints = Endpoints(NOT_RUN, UNKNOWN)
 
     @endpoints.register("POST", "/v1/chat/completions")
     async def chat(request: HttpRequest, response: HttpResponse) -> None:
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/failures.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/failures.py
@@ -8,14 +8,9 @@
     PastAttempt,
     Refused,
 )
-from medlarridge._internal.errors import MedlarridgeError
 from medlarridge._internal.protocol.messages import Outcome, Refusal
 
 
-class StreamCut(MedlarridgeError):
-    """The answer ended early; the connection is closed without its end."""
-
-
 @dataclass(frozen=True)
 class Failure:
     """Final answer to a caller whose request has no whole answer."""
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
@@ -19,10 +19,10 @@
 from medlarridge._internal.protocol.caller import CallerRequest
 from medlarridge._internal.protocol.messages import Attempt, Outcome
 from medlarridge._internal.protocol.tables import Route
-from medlarridge._internal.transport.asgi import HttpResponse
+from medlarridge._internal.transport.asgi import AnswerCut, HttpResponse
 from medlarridge._internal.transport.links import AttemptLink, LinkResult, LinkState
 
-from .failures import Failure, StreamCut, failure_of
+from .failures import Failure, failure_of
 from .sinks import CallerSink
 
 if TYPE_CHECKING:
@@ -86,7 +86,7 @@
             await self.router.reply_failure(self.response, self.request_id, failure)
             return
         await self.sink.fail_stream(failure.message)
-        raise StreamCut(failure.message, step="serve request")
+        raise AnswerCut(failure.message, step="serve request")
 
     def remaining_ms(self) -> int:
         """Return the time until the request's deadline."""
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
@@ -17,10 +17,10 @@
     CallerRequest,
 )
 from medlarridge._internal.protocol.messages import Outcome
-from medlarridge._internal.transport.asgi import HttpRequest, HttpResponse
+from medlarridge._internal.transport.asgi import AnswerCut, HttpRequest, HttpResponse
 from medlarridge._internal.transport.auth import SharedKey
 
-from .failures import Failure, StreamCut
+from .failures import Failure
 from .placements import PoolPlacements
 from .request_run import RequestRun
 
@@ -75,7 +75,7 @@
         request_id: str,
     ) -> None:
         """Answer one request, or stop its work when the caller goes away."""
-        cut: StreamCut | None = None
+        cut: AnswerCut | None = None
         async with anyio.create_task_group() as tasks:
 
             async def watch_caller() -> None:
@@ -85,7 +85,7 @@
             tasks.start_soon(watch_caller)
             try:
                 await RequestRun(self, caller, response, request_id).run()
-            except StreamCut as error:
+            except AnswerCut as error:
                 cut = error
             tasks.cancel_scope.cancel()
         if cut is not None:
--- a/packages/medlarridge/src/medlarridge/_internal/transport/asgi.py
+++ b/packages/medlarridge/src/medlarridge/_internal/transport/asgi.py
@@ -8,6 +8,10 @@
 import msgspec
 
 from ..errors import MedlarridgeError
+from ..events import register
+from ..log import log_event
+
+HANDLER_FAILED = register(3900, "ERROR", "request handler failed")
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -27,6 +31,10 @@
         self.headers = headers
 
 
+class AnswerCut(MedlarridgeError):
+    """The answer ended early on purpose; the connection is closed without its end."""
+
+
 class ClientGone(MedlarridgeError):
     """The client closed its connection."""
 
@@ -160,9 +168,15 @@
 class Endpoints:
     """Registry of handlers; also the ASGI application that serves them."""
 
-    def __init__(self, error_headers: dict[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        error_headers: dict[str, str] | None = None,
+        failure_headers: dict[str, str] | None = None,
+    ) -> None:
+        """Take headers for refused requests and for failures of a handler."""
         self.endpoints: list[Endpoint] = []
         self.error_headers = error_headers or {}
+        self.failure_headers = failure_headers or {}
 
     def register(self, method: str, path: str) -> Callable[[Handler], Handler]:
         """Return a decorator that serves ``path`` with the handler.
@@ -198,6 +212,18 @@
             )
         except ClientGone:
             return
+        except Exception as error:
+            cut = find_cut(error)
+            if cut is None:
+                log_event(HANDLER_FAILED, path=scope["path"], error=repr(error))
+                if not response.started:
+                    await response.reply_json(
+                        500,
+                        {"error": {"message": "internal error"}},
+                        list(self.failure_headers.items()),
+                    )
+                    return
+            raise AnswerCut(str(cut or error), step="send answer") from None
 
     async def dispatch(
         self, scope: Scope, receive: Receive, response: HttpResponse
@@ -231,6 +257,17 @@
         raise HttpError(404, f"no endpoint {request.method} {request.path}")
 
 
+def find_cut(error: BaseException) -> AnswerCut | None:
+    """Return the deliberate end of an answer, also from inside a group."""
+    if isinstance(error, AnswerCut):
+        return error
+    if isinstance(error, BaseExceptionGroup):
+        for inner in error.exceptions:
+            if (found := find_cut(inner)) is not None:
+                return found
+    return None
+
+
 async def serve_lifespan(receive: Receive, send: Send) -> None:
     """Acknowledge the start and the end of the server."""
     while True:
