--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/pool_mean.py
@@ -0,0 +1,382 @@
+"""Mean load of a pool, summed over a tree of its sidecars.
+
+A round counts all members once: each node asks up to four others to cover a part of
+its hash interval each, adds their sums to its own load and replies; the root sends
+the mean back the same way. Intervals rather than positions are passed on, so nodes
+that disagree on the member list neither count a member twice nor skip a part of the
+pool. Two trees with different orders take turns, so a dead node deprives the nodes
+below it of every other round only.
+"""
+
+import math
+from bisect import bisect_left
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+import msgspec
+from xxhash import xxh32_intdigest
+
+from ..clock import Clock
+from .load_bound import MeanEstimate
+
+FAN_OUT = 4
+TREES = 2
+ROUND_MS = 500
+TREE_PERIOD_MS = TREES * ROUND_MS
+# Members first in a tree's order take over in turn when no round arrives.
+TAKEOVER_STEP_MS = 250
+TAKEOVER_RANKS = 8
+# A parent waits this much longer than its children, so a missing reply at one level
+# does not make the levels above it time out as well.
+LEVEL_WAIT_MS = 40
+MAX_LEVELS = 7
+WINDOW_MS = 2000
+SUSPECT_MS = 10_000
+MAX_ROUNDS = 64
+MAX_LIGHT = 6
+LIGHT_MS = 2000
+POSITION_RANGE = 2**32
+ROUND_BITS = 32
+
+
+class MeanAsk(msgspec.Struct, tag=10, array_like=True, frozen=True):
+    """Ask for the sums over the members in a hash interval."""
+
+    tree: int
+    round: int
+    low: int
+    high: int
+    wait_ms: int
+
+
+class MeanReply(msgspec.Struct, tag=11, array_like=True, frozen=True):
+    """Sums over an interval: load, squares of load per weight, weight, members.
+
+    ``light`` is the member with the lowest load.
+    """
+
+    round: int
+    load: int
+    squares: int
+    weight: float
+    members: int
+    light: str
+    light_load: int
+
+
+class MeanResult(msgspec.Struct, tag=12, array_like=True, frozen=True):
+    """The mean load of the pool ``age_ms`` ago, and a member with a low load."""
+
+    round: int
+    mean: int
+    error: int
+    age_ms: int
+    light: str
+    light_load: int
+
+
+MeanMessage = MeanAsk | MeanReply | MeanResult
+
+
+@dataclass(frozen=True)
+class Outgoing:
+    """A datagram to send."""
+
+    address: str
+    message: MeanMessage
+
+
+@dataclass
+class Round:
+    """A round that this node takes part in."""
+
+    tree: int
+    parent: str
+    started_ms: int
+    due_ms: int
+    children: list[str]
+    own_load: float
+    load: float
+    squares: float
+    weight: float
+    members: int
+    waiting: set[str] = field(default_factory=set)
+    lights: dict[str, tuple[float, str]] = field(default_factory=dict)
+    finished: bool = False
+
+
+@dataclass(frozen=True)
+class Measured:
+    """A mean that a round gave."""
+
+    at_ms: int
+    mean: float
+    error: float
+    own_load: float
+
+
+class PoolMean:
+    """One sidecar's part in the pool mean.
+
+    The owner sets ``tokens`` (outstanding work) and ``weight`` as they change, calls
+    ``tick`` at ``wake_ms`` and ``receive`` per datagram, and sends what they return.
+    """
+
+    def __init__(
+        self, address: str, clock: Clock, random: Random, weight: float = 1.0
+    ) -> None:
+        self.address = address
+        self.clock = clock
+        self.random = random
+        self.weight = weight
+        self.tokens = 0.0
+        self.orders: list[list[tuple[int, str]]] = [[] for _ in range(TREES)]
+        self.ranks = [0] * TREES
+        self.rounds: dict[int, Round] = {}
+        self.measured: deque[Measured] = deque()
+        self.suspects: dict[str, int] = {}
+        self.light: dict[str, tuple[int, float]] = {}
+        now = clock.now_ms()
+        self.last_round_ms = [
+            now + tree * ROUND_MS - TREE_PERIOD_MS for tree in range(TREES)
+        ]
+
+    def set_members(self, addresses: Iterable[str]) -> None:
+        """Replace the list of the pool's sidecars."""
+        members = {self.address, *addresses}
+        for tree in range(TREES):
+            order = sorted((position(tree, a), a) for a in members)
+            self.orders[tree] = order
+            own = (position(tree, self.address), self.address)
+            self.ranks[tree] = bisect_left(order, own)
+        self.suspects = {a: t for a, t in self.suspects.items() if a in members}
+        self.light = {a: v for a, v in self.light.items() if a in members}
+
+    def estimate(self) -> MeanEstimate | None:
+        """Return what is known about the mean, or nothing."""
+        if not self.measured:
+            return None
+        newest = self.measured[-1]
+        means = [m.mean for m in self.measured if m.at_ms >= newest.at_ms - WINDOW_MS]
+        return MeanEstimate(
+            mean=min(newest.mean, sum(means) / len(means)),
+            age_ms=self.clock.now_ms() - newest.at_ms,
+            spread=max(means) - min(means),
+            own_load=newest.own_load,
+            error=newest.error,
+        )
+
+    def light_members(self) -> list[str]:
+        """Return members that recently had a low load, the lowest first."""
+        oldest = self.clock.now_ms() - LIGHT_MS
+        self.light = {a: v for a, v in self.light.items() if v[0] >= oldest}
+        return sorted(self.light, key=lambda a: self.light[a][1])
+
+    def add_light_load(self, address: str, load: float) -> None:
+        """Add load that a referral will bring to a member with a low load."""
+        if address in self.light:
+            at_ms, known = self.light[address]
+            self.light[address] = at_ms, known + load
+
+    @property
+    def wake_ms(self) -> int:
+        """Time at which ``tick`` has something to do."""
+        due = [r.due_ms for r in self.rounds.values() if not r.finished]
+        return min([self.takeover_ms(tree) for tree in range(TREES)] + due)
+
+    def takeover_ms(self, tree: int) -> int:
+        """Return when this node starts a round itself."""
+        rank = self.ranks[tree]
+        if rank >= TAKEOVER_RANKS:
+            return self.clock.now_ms() + TREE_PERIOD_MS
+        delay = TREE_PERIOD_MS + (rank * TAKEOVER_STEP_MS + ROUND_MS if rank else 0)
+        return self.last_round_ms[tree] + delay
+
+    def tick(self) -> list[Outgoing]:
+        """Start rounds that are due and end rounds that have waited long enough."""
+        now = self.clock.now_ms()
+        sent = []
+        for number, current in list(self.rounds.items()):
+            if not current.finished and now >= current.due_ms:
+                for child in current.waiting:
+                    self.suspects[child] = now + SUSPECT_MS
+                sent += self.finish(number, current)
+        for tree in range(TREES):
+            if self.ranks[tree] < TAKEOVER_RANKS and now >= self.takeover_ms(tree):
+                sent += self.start_round(tree)
+        return sent
+
+    def start_round(self, tree: int) -> list[Outgoing]:
+        """Start a round as the root of a tree."""
+        number = self.random.getrandbits(ROUND_BITS)
+        ask = MeanAsk(tree, number, 0, POSITION_RANGE, LEVEL_WAIT_MS * MAX_LEVELS)
+        return self.join(ask, parent="")
+
+    def receive(self, message: MeanMessage, sender: str) -> list[Outgoing]:
+        """Handle a datagram."""
+        self.suspects.pop(sender, None)
+        if isinstance(message, MeanAsk):
+            return self.receive_ask(message, sender)
+        current = self.rounds.get(message.round)
+        if current is None:
+            return []
+        if isinstance(message, MeanReply):
+            return self.receive_reply(message, sender, current)
+        if sender != current.parent:
+            return []
+        return self.publish(current, message)
+
+    def receive_ask(self, ask: MeanAsk, sender: str) -> list[Outgoing]:
+        """Take part in a round, once."""
+        if ask.round in self.rounds or not 0 <= ask.tree < TREES:
+            return [Outgoing(sender, MeanReply(ask.round, 0, 0, 0.0, 0, "", 0))]
+        return self.join(ask, sender)
+
+    def join(self, ask: MeanAsk, parent: str) -> list[Outgoing]:
+        """Count this node and ask the members of the interval."""
+        now = self.clock.now_ms()
+        self.last_round_ms[ask.tree] = now
+        self.drop_old_rounds()
+        asks = self.split(ask) if ask.wait_ms > 0 else []
+        current = Round(
+            tree=ask.tree,
+            parent=parent,
+            started_ms=now,
+            due_ms=now + ask.wait_ms,
+            children=[a.address for a in asks],
+            own_load=self.tokens / self.weight,
+            load=self.tokens,
+            squares=self.tokens * self.tokens / self.weight,
+            weight=self.weight,
+            members=1,
+            waiting={a.address for a in asks},
+        )
+        current.lights[self.address] = current.own_load, self.address
+        self.rounds[ask.round] = current
+        return asks or self.finish(ask.round, current)
+
+    def drop_old_rounds(self) -> None:
+        """Keep the number of remembered rounds bounded."""
+        while len(self.rounds) >= MAX_ROUNDS:
+            del self.rounds[next(iter(self.rounds))]
+
+    def split(self, ask: MeanAsk) -> list[Outgoing]:
+        """Divide the interval among up to four children."""
+        order = self.orders[ask.tree]
+        first = bisect_left(order, (ask.low, ""))
+        last = bisect_left(order, (ask.high, ""))
+        members = [m for m in order[first:last] if m[1] != self.address]
+        parts = min(FAN_OUT, len(members))
+        now = self.clock.now_ms()
+        asks = []
+        for part in range(parts):
+            start = part * len(members) // parts
+            end = (part + 1) * len(members) // parts
+            low = ask.low if part == 0 else members[start][0]
+            high = ask.high if part == parts - 1 else members[end][0]
+            child = self.choose_child(members[start:end], now)
+            message = MeanAsk(
+                ask.tree, ask.round, low, high, max(0, ask.wait_ms - LEVEL_WAIT_MS)
+            )
+            asks.append(Outgoing(child, message))
+        return asks
+
+    def choose_child(self, part: list[tuple[int, str]], now_ms: int) -> str:
+        """Return the first member of a part that is not suspected dead."""
+        for _, address in part:
+            if self.suspects.get(address, 0) <= now_ms:
+                return address
+        return part[0][1]
+
+    def receive_reply(
+        self, reply: MeanReply, sender: str, current: Round
+    ) -> list[Outgoing]:
+        """Add the sums of a child."""
+        if current.finished or sender not in current.waiting:
+            return []
+        current.waiting.discard(sender)
+        current.load += reply.load
+        current.squares += reply.squares
+        current.weight += reply.weight
+        current.members += reply.members
+        if reply.light:
+            current.lights[sender] = reply.light_load, reply.light
+        return [] if current.waiting else self.finish(reply.round, current)
+
+    def finish(self, number: int, current: Round) -> list[Outgoing]:
+        """Reply to the parent, or publish the result as the root."""
+        current.finished = True
+        if not current.parent:
+            return self.publish_root(number, current)
+        light_load, light = min(current.lights.values())
+        reply = MeanReply(
+            number,
+            round(current.load),
+            round(current.squares),
+            current.weight,
+            current.members,
+            light,
+            round(light_load),
+        )
+        return [Outgoing(current.parent, reply)]
+
+    def publish_root(self, number: int, current: Round) -> list[Outgoing]:
+        """Publish the mean unless most of the pool is missing from it."""
+        known = len(self.orders[current.tree])
+        if current.members * 2 < known or current.weight <= 0:
+            return []
+        mean = current.load / current.weight
+        variance = max(0.0, current.squares / current.weight - mean * mean)
+        missing = max(0.0, 1 - current.members / known)
+        error = math.sqrt(variance / current.members * missing)
+        age_ms = self.clock.now_ms() - current.started_ms
+        result = MeanResult(number, round(mean), math.ceil(error), age_ms, "", 0)
+        return self.publish(current, result)
+
+    def publish(self, current: Round, result: MeanResult) -> list[Outgoing]:
+        """Use a result and pass it to the children.
+
+        Each child is told a low-loaded member from the next child's part, so that
+        referrals from different nodes go to different members.
+        """
+        self.note(current, result)
+        sent = []
+        for index, child in enumerate(current.children):
+            following = current.children[(index + 1) % len(current.children)]
+            light = current.lights.get(following)
+            if light is None or light[1] == child or light[0] > result.mean:
+                light = result.light_load, result.light
+            if not light[1]:
+                light = current.lights[self.address]
+            message = msgspec.structs.replace(
+                result,
+                # The time the result spent here is part of its age.
+                age_ms=result.age_ms,
+                light=light[1],
+                light_load=round(light[0]),
+            )
+            sent.append(Outgoing(child, message))
+        return sent
+
+    def note(self, current: Round, result: MeanResult) -> None:
+        """Remember a result in the order of measurement."""
+        now = self.clock.now_ms()
+        at_ms = now - result.age_ms
+        own = current.own_load
+        if not self.measured or at_ms >= self.measured[-1].at_ms:
+            self.measured.append(Measured(at_ms, result.mean, result.error, own))
+        while self.measured[0].at_ms < at_ms - WINDOW_MS:
+            self.measured.popleft()
+        lights = [(result.light_load, result.light), *current.lights.values()]
+        for load, address in lights:
+            if address and address != self.address and load <= result.mean:
+                self.light[address] = now, load
+        while len(self.light) > MAX_LIGHT:
+            del self.light[max(self.light, key=lambda a: self.light[a][1])]
+
+
+def position(tree: int, address: str) -> int:
+    """Return a member's place in the order of a tree."""
+    return xxh32_intdigest(address.encode(), seed=tree)
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
@@ -0,0 +1,574 @@
+"""Admission of requests to one engine, with reuse of cached prompt prefixes.
+
+``ReusePlanner`` is the object that a sidecar wires: it holds the prefix index, the
+load bound and this sidecar's part in the pool mean.
+"""
+
+from collections import deque
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+import msgspec
+
+from ..clock import MS_PER_S, Clock
+from ..events import register
+from ..identity import Member
+from ..protocol.messages import Candidate
+from .load_bound import LoadBound, OverBound
+from .placement import Placement
+from .pool_mean import MeanMessage, Outgoing, PoolMean
+from .prefix_index import CacheEvent, PrefixEntry, PrefixIndex
+
+IMPORT_FAILED = register(2100, "INFO", "KV import gave fewer tokens than expected")
+HAND_OVER = register(2101, "INFO", "handing warm prefixes to the next in the ranking")
+
+MAX_WAIT_MS = 600
+FIRST_TOKEN_MS = 760
+# Time from the first token target that is kept for the way to the caller.
+FIRST_TOKEN_RESERVE_MS = 60
+ASK_PEERS = 2
+ASK_TIMEOUT_MS = 20
+# An import or a question to peers has to save more than its own disturbance.
+MIN_GAIN_MS = 20
+MAX_CANDIDATES = 3
+MAX_FETCHES = 256
+MIN_REMAINING_SHARE = 0.1
+DRAIN_WINDOW_MS = 10_000
+RATE_SMOOTHING = 0.1
+
+
+class PrefixQuery(msgspec.Struct, tag=13, array_like=True, frozen=True):
+    """Ask a peer which prefix of a chat it holds."""
+
+    chat: str
+
+
+class PrefixAnswer(msgspec.Struct, tag=14, array_like=True, frozen=True):
+    """The prefix held by the sender and by another engine it knows of."""
+
+    chat: str
+    tokens: int
+    elsewhere: str = ""
+    elsewhere_tokens: int = 0
+
+
+class Served(msgspec.Struct, tag=15, array_like=True, frozen=True):
+    """Tell a chat's home that the sender served the chat."""
+
+    chat: str
+    tokens: int
+
+
+class HandOver(msgspec.Struct, tag=16, array_like=True, frozen=True):
+    """Tell the next in a chat's ranking that its present holder is leaving."""
+
+    chat: str
+    tokens: int
+    holder: str
+
+
+ReuseMessage = PrefixQuery | PrefixAnswer | Served | HandOver
+
+
+@dataclass(frozen=True)
+class ReuseOutgoing:
+    """A datagram about a prefix to send."""
+
+    address: str
+    message: ReuseMessage
+
+
+@dataclass(frozen=True)
+class Request:
+    """What the planner needs to know of an attempt.
+
+    ``latest_start_ms`` is on the planner's clock. ``ranked`` are addresses, the
+    chat's home first.
+    """
+
+    id: str
+    chat: str
+    route: str
+    prompt_tokens: int
+    output_tokens: int
+    latest_start_ms: int
+    ranked: tuple[str, ...] = ()
+    import_from: str = ""
+
+
+@dataclass(frozen=True)
+class Run:
+    """Run the request here; its work is reserved.
+
+    If ``import_from`` is set, first import the blocks between ``cached_tokens`` and
+    ``import_tokens`` from there. ``work`` is what the request adds to the load.
+    """
+
+    cached_tokens: int
+    work: float
+    import_from: str = ""
+    import_tokens: int = 0
+
+
+@dataclass(frozen=True)
+class Wait:
+    """Send ``queries``, then plan again at ``until_ms`` or when reported ready."""
+
+    until_ms: int
+    queries: tuple[ReuseOutgoing, ...] = ()
+
+
+@dataclass(frozen=True)
+class Refuse:
+    """Refuse the request; candidates are in order of preference."""
+
+    candidates: tuple[Candidate, ...]
+    retry_after_ms: int
+
+
+@dataclass(frozen=True)
+class Fetch:
+    """A background import of a prefix whose holder is leaving."""
+
+    chat: str
+    tokens: int
+    holder: str
+
+
+@dataclass
+class ReuseCosts:
+    """Cost of prefilling and of importing, corrected by what is observed."""
+
+    prefill_tokens_per_s: float = 10_000.0
+    import_tokens_per_s: float = 100_000.0
+    import_overhead_ms: float = 10.0
+    block_tokens: int = 16
+    # Outstanding work of one prompt token to prefill, in generated tokens.
+    prefill_work: float = 0.1
+
+    def prefill_ms(self, tokens: int) -> float:
+        """Return the expected time to prefill."""
+        return MS_PER_S * tokens / self.prefill_tokens_per_s
+
+    def import_ms(self, tokens: int) -> float:
+        """Return the expected time to import."""
+        transfer_ms = MS_PER_S * tokens / self.import_tokens_per_s
+        return self.import_overhead_ms + transfer_ms
+
+    def observe_prefill(self, tokens: int, duration_ms: float) -> None:
+        """Learn from a prefill."""
+        if tokens >= self.block_tokens and duration_ms > 0:
+            rate = MS_PER_S * tokens / duration_ms
+            self.prefill_tokens_per_s += RATE_SMOOTHING * (
+                rate - self.prefill_tokens_per_s
+            )
+
+    def observe_import(self, tokens: int, duration_ms: float) -> None:
+        """Learn from an import."""
+        transfer_ms = duration_ms - self.import_overhead_ms
+        if tokens >= self.block_tokens and transfer_ms > 0:
+            rate = MS_PER_S * tokens / transfer_ms
+            self.import_tokens_per_s += RATE_SMOOTHING * (
+                rate - self.import_tokens_per_s
+            )
+
+
+@dataclass
+class Running:
+    """A request whose work is counted in the load."""
+
+    request: Request
+    work: float
+    remaining: float
+    import_from: str
+    import_tokens: int
+    known: bool
+
+
+@dataclass
+class Waiting:
+    """A request that has been offered but not decided."""
+
+    request: Request
+    since_ms: int
+    work: float
+    asked_until_ms: int = 0
+    unanswered: set[str] = field(default_factory=set)
+    holders: dict[str, int] = field(default_factory=dict)
+
+
+class ReusePlanner:
+    """Decides for one engine whether, when and from which prefix a request runs.
+
+    Use: ``plan`` each request until it returns ``Run`` or ``Refuse``; after ``Run``
+    call ``progress`` and exactly one of ``finish`` and ``abandon``; call ``abandon``
+    for a waiting request that is given up. After each ``receive``, ``finish`` and
+    ``abandon`` plan the requests of ``take_ready`` again.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        bound: float,
+        clock: Clock,
+        random: Random,
+        costs: ReuseCosts | None = None,
+    ) -> None:
+        self.member = member
+        self.address = member.instance.address
+        self.weight = member.weight
+        self.clock = clock
+        self.costs = costs or ReuseCosts()
+        self.bound = LoadBound(bound)
+        self.mean = PoolMean(self.address, clock, random, member.weight)
+        self.index = PrefixIndex()
+        self.placement = Placement()
+        self.members: dict[str, Member] = {}
+        self.running: dict[str, Running] = {}
+        self.waiting: dict[str, Waiting] = {}
+        self.ready: list[str] = []
+        self.fetches: deque[Fetch] = deque()
+        self.finished_work: deque[tuple[int, float]] = deque()
+        self.finished_total = 0.0
+        self.tokens = 0.0
+
+    @property
+    def load(self) -> float:
+        """Outstanding work divided by the engine's weight."""
+        return self.tokens / self.weight
+
+    def set_members(
+        self, members: Iterable[Member], held_down: Collection[str] = ()
+    ) -> None:
+        """Replace the list of the pool's sidecars; this one may be in it."""
+        members = list(members)
+        gone = self.members.keys() - {m.instance.address for m in members}
+        self.members = {m.instance.address: m for m in members}
+        self.mean.set_members(self.members)
+        others = (m for m in members if m.instance.address != self.address)
+        self.placement.update(others, held_down)
+        for address in gone:
+            self.index.forget_holder(address)
+
+    # Decision
+
+    def plan(self, request: Request) -> Run | Wait | Refuse:
+        """Decide about a request; a ``Run`` reserves its work."""
+        now = self.clock.now_ms()
+        waiting = self.waiting.get(request.id) or self.offer(request, now)
+        entry = self.index.get(request.chat)
+        local = self.local_tokens(request, entry)
+        holder, held = self.choose_holder(request, entry, waiting, local)
+        work = self.work(request, max(local, held))
+        waiting.work = work
+        estimate = self.mean.estimate()
+        verdict = self.bound.admit(self.load, work, self.weight, estimate)
+        if isinstance(verdict, OverBound):
+            return self.wait_or_refuse(waiting, entry, local, verdict)
+        if waiting.unanswered and now < waiting.asked_until_ms:
+            return Wait(waiting.asked_until_ms)
+        if not holder and not waiting.asked_until_ms:
+            queries = self.ask_peers(waiting, local)
+            if queries:
+                return Wait(waiting.asked_until_ms, queries)
+        known = entry is not None and entry.tokens > 0
+        self.start(Running(request, work, work, holder, held, known))
+        return Run(local, work, holder, held)
+
+    def offer(self, request: Request, now_ms: int) -> Waiting:
+        """Note a request that is planned for the first time."""
+        self.bound.observe(self.work(request, self.local_tokens(request, None)))
+        waiting = Waiting(request, now_ms, 0.0)
+        self.waiting[request.id] = waiting
+        return waiting
+
+    def work(self, request: Request, reused_tokens: int) -> float:
+        """Return the work of a request that reuses part of its prompt."""
+        missing = max(0, request.prompt_tokens - reused_tokens)
+        return missing * self.costs.prefill_work + max(1, request.output_tokens)
+
+    def local_tokens(self, request: Request, entry: PrefixEntry | None) -> int:
+        """Return the prefix believed to be cached here."""
+        shared = self.index.shared_tokens(request.route)
+        return min(request.prompt_tokens, max(shared, entry.tokens if entry else 0))
+
+    def choose_holder(
+        self,
+        request: Request,
+        entry: PrefixEntry | None,
+        waiting: Waiting,
+        local: int,
+    ) -> tuple[str, int]:
+        """Return the engine to import from and the prefix it holds, if worthwhile."""
+        holders = dict(waiting.holders)
+        if entry is not None and entry.elsewhere:
+            holders[entry.elsewhere] = entry.elsewhere_tokens
+        if request.import_from and not waiting.asked_until_ms:
+            holders.setdefault(request.import_from, request.prompt_tokens)
+        holders.pop(self.address, None)
+        if not holders:
+            return "", 0
+        holder = max(holders, key=lambda a: (holders[a], a))
+        tokens = min(holders[holder], request.prompt_tokens)
+        if self.gain_ms(tokens - local) < MIN_GAIN_MS:
+            return "", 0
+        return holder, tokens
+
+    def gain_ms(self, tokens: int) -> float:
+        """Return the time that importing saves over prefilling."""
+        if tokens < self.costs.block_tokens:
+            return 0.0
+        return self.costs.prefill_ms(tokens) - self.costs.import_ms(tokens)
+
+    def ask_peers(self, waiting: Waiting, local: int) -> tuple[ReuseOutgoing, ...]:
+        """Return questions to the next in the ranking after a local miss."""
+        request = waiting.request
+        if self.gain_ms(request.prompt_tokens - local) < MIN_GAIN_MS:
+            return ()
+        peers = [a for a in request.ranked if a != self.address][:ASK_PEERS]
+        waiting.unanswered = set(peers)
+        waiting.asked_until_ms = self.clock.now_ms() + ASK_TIMEOUT_MS
+        return tuple(ReuseOutgoing(a, PrefixQuery(request.chat)) for a in peers)
+
+    def start(self, running: Running) -> None:
+        """Count the work of a request that runs."""
+        request_id = running.request.id
+        self.waiting.pop(request_id, None)
+        self.running[request_id] = running
+        self.add_tokens(running.work)
+
+    def wait_or_refuse(
+        self,
+        waiting: Waiting,
+        entry: PrefixEntry | None,
+        local: int,
+        verdict: OverBound,
+    ) -> Wait | Refuse:
+        """Wait for room while that costs less than losing the local prefix."""
+        now = self.clock.now_ms()
+        request = waiting.request
+        until_ms = min(
+            waiting.since_ms + self.patience_ms(request, local),
+            request.latest_start_ms,
+        )
+        ahead = 0.0
+        for other in self.waiting.values():
+            if other is waiting:
+                break
+            ahead += other.work
+        expected_ms = self.drain_ms(verdict.excess * self.weight + ahead)
+        if now < until_ms and now + expected_ms <= until_ms:
+            return Wait(until_ms)
+        del self.waiting[request.id]
+        return Refuse(self.candidates(waiting, entry), round(expected_ms))
+
+    def patience_ms(self, request: Request, local: int) -> int:
+        """Return how long a request may wait here for its prefix."""
+        value = local - self.index.shared_tokens(request.route)
+        if value < self.costs.block_tokens:
+            return 0
+        missing_ms = self.costs.prefill_ms(request.prompt_tokens - local)
+        slack_ms = FIRST_TOKEN_MS - FIRST_TOKEN_RESERVE_MS - missing_ms
+        loss_ms = self.costs.prefill_ms(value)
+        return max(0, round(min(MAX_WAIT_MS, slack_ms, loss_ms)))
+
+    def drain_ms(self, work: float) -> float:
+        """Return the expected time until that much work has finished."""
+        now = self.clock.now_ms()
+        self.drop_old_work(now)
+        rate = max(self.finished_total, 1.0) / DRAIN_WINDOW_MS
+        return work / rate
+
+    def candidates(
+        self, waiting: Waiting, entry: PrefixEntry | None
+    ) -> tuple[Candidate, ...]:
+        """Return where the chat was last served, then members with a low load."""
+        request = waiting.request
+        chosen: dict[str, bool] = {}
+        if entry is not None and entry.elsewhere in self.members:
+            chosen[entry.elsewhere] = True
+        for address in [*self.mean.light_members(), *request.ranked]:
+            if len(chosen) == MAX_CANDIDATES:
+                break
+            if address != self.address and address in self.members:
+                if not any(not warm for warm in chosen.values()):
+                    weight = self.members[address].weight
+                    self.mean.add_light_load(address, waiting.work / weight)
+                chosen.setdefault(address, False)
+        return tuple(
+            Candidate(a, self.members[a].instance.number, warm)
+            for a, warm in chosen.items()
+        )
+
+    # Running work
+
+    def progress(self, request_id: str, generated_tokens: int) -> None:
+        """Note how many tokens a request has generated so far.
+
+        A share of the work stays counted until the end, since answers may be longer
+        than expected.
+        """
+        running = self.running.get(request_id)
+        if running is None:
+            return
+        least = running.work * MIN_REMAINING_SHARE
+        remaining = max(least, running.work - generated_tokens)
+        if remaining < running.remaining:
+            self.add_tokens(remaining - running.remaining)
+            running.remaining = remaining
+
+    def finish(
+        self,
+        request_id: str,
+        cached_tokens: int,
+        imported_tokens: int,
+        total_tokens: int,
+    ) -> list[ReuseOutgoing]:
+        """Note the end of a request, with what the engine reported about it.
+
+        ``cached_tokens`` is the prefix found here without the import,
+        ``imported_tokens`` what an import added, ``total_tokens`` the length of the
+        prefix now cached.
+        """
+        running = self.release(request_id)
+        if running is None:
+            return []
+        request = running.request
+        if running.import_from and cached_tokens + imported_tokens < min(
+            running.import_tokens, request.prompt_tokens
+        ):
+            self.index.forget_elsewhere(request.chat, running.import_from)
+        if not running.known and not imported_tokens:
+            self.index.observe_new_chat(request.route, cached_tokens)
+        self.index.record(request.chat, total_tokens, self.clock.now_ms())
+        home = request.ranked[0] if request.ranked else self.address
+        if home == self.address:
+            return []
+        return [ReuseOutgoing(home, Served(request.chat, total_tokens))]
+
+    def abandon(self, request_id: str) -> None:
+        """Note that a waiting or running request ended without an answer."""
+        if self.waiting.pop(request_id, None) is None:
+            self.release(request_id)
+
+    def release(self, request_id: str) -> Running | None:
+        """Take a request's work out of the load."""
+        running = self.running.pop(request_id, None)
+        if running is None:
+            return None
+        self.add_tokens(-running.remaining)
+        now = self.clock.now_ms()
+        self.finished_work.append((now, running.work))
+        self.finished_total += running.work
+        self.drop_old_work(now)
+        self.ready = list(self.waiting)
+        return running
+
+    def drop_old_work(self, now_ms: int) -> None:
+        """Forget finished work outside the window of the drain rate."""
+        while (
+            self.finished_work and self.finished_work[0][0] < now_ms - DRAIN_WINDOW_MS
+        ):
+            self.finished_total -= self.finished_work.popleft()[1]
+
+    def add_tokens(self, tokens: float) -> None:
+        """Change the outstanding work."""
+        self.tokens = max(0.0, self.tokens + tokens) if self.running else 0.0
+        self.mean.tokens = self.tokens
+
+    def take_ready(self) -> list[str]:
+        """Return waiting requests to plan again now, the longest waiting first."""
+        ready, self.ready = self.ready, []
+        return [request_id for request_id in ready if request_id in self.waiting]
+
+    # Messages and cache events
+
+    def receive(
+        self, message: MeanMessage | ReuseMessage, sender: str
+    ) -> list[Outgoing | ReuseOutgoing]:
+        """Handle a datagram from another sidecar."""
+        match message:
+            case PrefixQuery():
+                return [ReuseOutgoing(sender, self.answer(message))]
+            case PrefixAnswer():
+                self.receive_answer(message, sender)
+            case Served():
+                self.index.record_elsewhere(message.chat, sender, message.tokens)
+            case HandOver():
+                self.receive_hand_over(message)
+            case _:
+                return list(self.mean.receive(message, sender))
+        return []
+
+    def answer(self, query: PrefixQuery) -> PrefixAnswer:
+        """Answer a question about a chat."""
+        entry = self.index.get(query.chat)
+        if entry is None:
+            return PrefixAnswer(query.chat, 0)
+        return PrefixAnswer(
+            query.chat, entry.tokens, entry.elsewhere, entry.elsewhere_tokens
+        )
+
+    def receive_answer(self, answer: PrefixAnswer, sender: str) -> None:
+        """Note who holds the prefix of a waiting chat."""
+        for waiting in self.waiting.values():
+            if waiting.request.chat != answer.chat or sender not in waiting.unanswered:
+                continue
+            waiting.unanswered.discard(sender)
+            if answer.tokens:
+                waiting.holders[sender] = answer.tokens
+            if answer.elsewhere in self.members:
+                waiting.holders[answer.elsewhere] = answer.elsewhere_tokens
+            if not waiting.unanswered:
+                self.ready.append(waiting.request.id)
+
+    def apply(self, event: CacheEvent) -> None:
+        """Apply a cache event of the engine."""
+        self.index.apply(event)
+
+    # Leaving engines
+
+    def hand_over(self) -> list[ReuseOutgoing]:
+        """Return a notice per warm chat to the next in its ranking.
+
+        The last used chats come first, since the time before the engine leaves may
+        not suffice for all.
+        """
+        notices = []
+        for chat, entry in self.index.warmest():
+            following = self.placement.rank(
+                chat, 1, self.member.instance.region, other_regions=True
+            )
+            if following:
+                holder, tokens = self.address, entry.tokens
+                if entry.elsewhere_tokens > tokens:
+                    holder, tokens = entry.elsewhere, entry.elsewhere_tokens
+                notices.append(
+                    ReuseOutgoing(
+                        following[0].instance.address, HandOver(chat, tokens, holder)
+                    )
+                )
+        return notices
+
+    def receive_hand_over(self, notice: HandOver) -> None:
+        """Queue the import of a prefix whose holder is leaving."""
+        if notice.holder == self.address:
+            return
+        entry = self.index.get(notice.chat)
+        if entry is not None and entry.tokens >= notice.tokens:
+            return
+        self.index.record_elsewhere(notice.chat, notice.holder, notice.tokens)
+        if len(self.fetches) < MAX_FETCHES:
+            self.fetches.append(Fetch(notice.chat, notice.tokens, notice.holder))
+
+    def take_fetch(self) -> Fetch | None:
+        """Return the next background import, one at a time."""
+        return self.fetches.popleft() if self.fetches else None
+
+    def fetched(self, fetch: Fetch, tokens: int) -> None:
+        """Note the end of a background import; no tokens if it failed."""
+        if tokens > 0:
+            self.index.record(fetch.chat, tokens, self.clock.now_ms())
+        else:
+            self.index.forget_elsewhere(fetch.chat, fetch.holder)
