--- /dev/null
+++ b/packages/medlarridge-standins/src/medlarridge_standins/loop_transport.py
@@ -0,0 +1,142 @@
+"""HTTP between applications of one process, without sockets, with faults."""
+
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import anyio.abc
+import httpx
+
+from medlarridge._internal.transport.asgi import Endpoints
+
+
+@dataclass
+class Fault:
+    """Fault of one connection.
+
+    The answer breaks with ``error`` after ``pieces`` pieces of its body. ``lost``
+    breaks the connection before the application sees the request.
+    """
+
+    pieces: int = 0
+    error: type[httpx.TransportError] = httpx.ReadError
+    lost: bool = False
+
+
+FaultPlan = Callable[[httpx.Request], Fault | None]
+
+
+def no_faults(request: httpx.Request) -> Fault | None:
+    """Plan that lets every request pass."""
+    return None
+
+
+@dataclass
+class LoopTransport(httpx.AsyncBaseTransport):
+    """Connects clients to the applications registered under their addresses."""
+
+    tasks: anyio.abc.TaskGroup
+    applications: dict[str, Endpoints] = field(default_factory=dict)
+    plan: FaultPlan = no_faults
+    requests: list[str] = field(default_factory=list)
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        """Run one request against its application."""
+        address = request.url.netloc.decode()
+        self.requests.append(f"{request.method} {address}{request.url.path}")
+        application = self.applications.get(address)
+        if application is None:
+            raise httpx.ConnectError(f"nothing listens at {address}")
+        fault = self.plan(request)
+        if fault is not None and fault.lost:
+            raise fault.error("connection lost before the request")
+        exchange = Exchange(await request.aread(), fault)
+        scope = scope_of(request)
+        self.tasks.start_soon(exchange.serve, application, scope)
+        await exchange.started.wait()
+        if exchange.status is None:
+            raise httpx.RemoteProtocolError("connection closed without an answer")
+        return httpx.Response(
+            exchange.status, headers=exchange.headers, stream=exchange
+        )
+
+
+class Exchange(httpx.AsyncByteStream):
+    """One request and its answer."""
+
+    def __init__(self, body: bytes, fault: Fault | None) -> None:
+        self.body: bytes | None = body
+        self.fault = fault
+        self.started = anyio.Event()
+        self.closed = anyio.Event()
+        self.status: int | None = None
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.ended = False
+        self.sender, self.receiver = anyio.create_memory_object_stream[bytes](0)
+
+    async def serve(self, application: Endpoints, scope: dict[str, Any]) -> None:
+        """Run the application."""
+        try:
+            await application(scope, self.receive, self.send)
+        except Exception:  # A server closes the connection on any failure.
+            self.ended = False
+        finally:
+            self.sender.close()
+            self.started.set()
+
+    async def receive(self) -> dict[str, Any]:
+        """Give the application the request, then the end of the connection."""
+        if self.body is not None:
+            body, self.body = self.body, None
+            return {"type": "http.request", "body": body, "more_body": False}
+        await self.closed.wait()
+        return {"type": "http.disconnect"}
+
+    async def send(self, message: dict[str, Any]) -> None:
+        """Take a piece of the answer; waits until the client reads it."""
+        if message["type"] == "http.response.start":
+            self.status = message["status"]
+            self.headers = message["headers"]
+            self.started.set()
+            return
+        if message.get("body"):
+            try:
+                await self.sender.send(message["body"])
+            except anyio.BrokenResourceError:
+                return
+        if not message.get("more_body", False):
+            self.ended = True
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yield the body as the client reads it."""
+        pieces = 0
+        while True:
+            if self.fault is not None and pieces >= self.fault.pieces:
+                raise self.fault.error("connection lost")
+            try:
+                piece = await self.receiver.receive()
+            except anyio.EndOfStream:
+                break
+            yield piece
+            pieces += 1
+        if not self.ended:
+            raise httpx.RemoteProtocolError("incomplete answer")
+
+    async def aclose(self) -> None:
+        """Close the connection from the client's side."""
+        self.closed.set()
+        self.receiver.close()
+
+
+def scope_of(request: httpx.Request) -> dict[str, Any]:
+    """Return the ASGI scope of a request."""
+    return {
+        "type": "http",
+        "method": request.method,
+        "path": request.url.path,
+        "raw_path": request.url.raw_path.split(b"?")[0],
+        "query_string": request.url.query,
+        "headers": [(name.lower(), value) for name, value in request.headers.raw],
+        "client": ("127.0.0.1", 0),
+    }
