Add the at-most-once ledger: shard decisions and store exchange

Cause: calls with an idempotency key need one durable intent before they run. Change: Shard decides about one shard without I/O (group commit, read-back after ambiguous writes, sealed segments, ledger time); Ledger performs its store calls.

--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/ledger.py
@@ -0,0 +1,820 @@
+"""At-most-once ledger: decisions about one shard, without input or output.
+
+A shard is a head object and sealed segments in the store. ``Shard`` gives the next
+store call to make and takes its answer; ``state.ledger_exchange`` performs the calls.
+The argument for at most once is in docs/decisions/at-most-once.md.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from random import Random
+
+from result import Err, Ok, Result
+
+from ..clock import MS_PER_S, Clock
+from ..errors import StoreError, StoreErrorKind
+from ..state.store import CREATE, StoredObject
+from .ledger_records import (
+    KEY_RETENTION_MS,
+    CallResult,
+    Entry,
+    Head,
+    SegmentRef,
+    call_key,
+    decode_head,
+    decode_segment,
+    encode_head,
+    encode_segment,
+    fingerprint_digest,
+    limited,
+)
+
+SHARDS_PER_ROUTE = 16
+"""Part of the store layout: must be equal in all processes of a fleet."""
+INSTANCE_BYTES = 6
+COUNTER_BYTES = 6
+
+
+@dataclass(frozen=True)
+class Call:
+    """A call with an idempotency key; ``deadline_ms`` is on the local clock."""
+
+    route: str
+    account: str
+    key: str
+    fingerprint: str
+    deadline_ms: int
+
+    @property
+    def digest(self) -> bytes:
+        """Return the digest under which the call is recorded."""
+        return call_key(self.route, self.account, self.key)
+
+    @property
+    def shard_key(self) -> str:
+        """Return the key of the head object of the call's shard.
+
+        The shard depends on the route, not on the pool: a repeated call may reach
+        another pool of the same route and must still find its entry.
+        """
+        number = int.from_bytes(self.digest[:4], "big") % SHARDS_PER_ROUTE
+        return f"ledger/{self.route}/{number}"
+
+
+@dataclass(frozen=True)
+class Token:
+    """Right to run one call once; only the process that got it can use it."""
+
+    shard_key: str
+    entry: Entry
+    run_before_ms: int
+
+
+class UnknownReason(StrEnum):
+    """Why it is not known whether a call ran."""
+
+    IN_PROGRESS = "in-progress"
+    NO_RESULT = "no-result"
+
+
+class RefusedReason(StrEnum):
+    """Why a call was not run."""
+
+    STORE_UNAVAILABLE = "store-unavailable"
+    KEY_REUSED = "key-reused"
+    SHARD_FULL = "shard-full"
+    PAUSED = "paused"
+
+
+@dataclass(frozen=True)
+class Run:
+    """The intent is durable; the call may run once."""
+
+    token: Token
+
+
+@dataclass(frozen=True)
+class Repeat:
+    """The call has run; ``result.kept`` tells whether its answer is still there."""
+
+    result: CallResult
+
+
+@dataclass(frozen=True)
+class Unknown:
+    """The call may have run or may still be running."""
+
+    reason: UnknownReason
+
+
+@dataclass(frozen=True)
+class Refused:
+    """This copy of the call has not run and never will."""
+
+    reason: RefusedReason
+
+
+Decision = Run | Repeat | Unknown | Refused
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Limits and rates of the ledger of one process."""
+
+    flush_interval_ms: int = 20
+    result_delay_ms: int = 500
+    wait_limit_ms: int = 2000
+    seal_bytes: int = 32 * 1024
+    head_bytes: int = 96 * 1024
+    segment_bytes: int = 512 * 1024
+    segments: int = 64
+    batch_calls: int = 256
+    abandoned_after_ms: int = 15 * 60 * 1000
+    conflict_backoff_ms: int = 5
+    max_conflict_backoff_ms: int = 200
+    outage_backoff_ms: int = 50
+    max_outage_backoff_ms: int = 1000
+    writes_per_s: float = 20.0
+    write_burst: int = 20
+
+
+class WriteBudget:
+    """Token bucket over the store writes of one process."""
+
+    def __init__(self, limits: Limits, now_ms: int) -> None:
+        self.limits = limits
+        self.tokens = float(limits.write_burst)
+        self.updated_ms = now_ms
+
+    def ready_at(self, now_ms: int) -> int:
+        """Return when the next write may start."""
+        rate = self.limits.writes_per_s / MS_PER_S
+        self.tokens += (now_ms - self.updated_ms) * rate
+        self.tokens = min(self.tokens, float(self.limits.write_burst))
+        self.updated_ms = now_ms
+        if self.tokens >= 1:
+            return now_ms
+        return now_ms + int((1 - self.tokens) / rate) + 1
+
+    def take(self) -> None:
+        """Account for one write."""
+        self.tokens -= 1
+
+
+MAX_PAUSE_MS = 30_000
+PAUSE_GRACE_MS = 15_000
+
+
+class PauseGuard:
+    """Detects that the process was paused.
+
+    After a pause the sockets may hold copies of calls that are older than the
+    retention of their keys. They are refused until all have been read.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.last_tick_ms = clock.now_ms()
+        self.refuse_until_ms = self.last_tick_ms
+
+    def tick(self) -> None:
+        """Note that the process is running; call at least every few seconds."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self.last_tick_ms > MAX_PAUSE_MS:
+            self.refuse_until_ms = now_ms + PAUSE_GRACE_MS
+        self.last_tick_ms = now_ms
+
+    def recently_paused(self) -> bool:
+        """Tell whether received calls may be older than they seem."""
+        self.tick()
+        return self.last_tick_ms < self.refuse_until_ms
+
+
+class Ticket:
+    """A call that waits for its decision.
+
+    ``unresolved`` is the head version that a write of this intent expected, as
+    long as it is open whether that write took effect.
+    """
+
+    def __init__(self, call: Call, token: bytes, arrived_ms: int) -> None:
+        self.call = call
+        self.key = call.digest
+        self.fingerprint = fingerprint_digest(call.fingerprint)
+        self.token = token
+        self.arrived_ms = arrived_ms
+        self.decision: Decision | None = None
+        self.unresolved: int | None = None
+        self.listener: Callable[[], None] | None = None
+
+    def decide(self, decision: Decision) -> None:
+        """Set the decision once and tell the listener."""
+        if self.decision is not None:
+            return
+        self.decision = decision
+        if self.listener is not None:
+            self.listener()
+
+    def entry(self, at_ms: int) -> Entry:
+        """Return the intent to record."""
+        return Entry(self.key, self.fingerprint, self.token, at_ms)
+
+
+@dataclass(frozen=True)
+class Change:
+    """Pending change of an own entry: its result, or its release if there is none."""
+
+    entry: Entry
+    result: CallResult | None
+    since_ms: int
+
+
+@dataclass(frozen=True)
+class Get:
+    """Read an object."""
+
+    key: str
+
+
+@dataclass(frozen=True)
+class Put:
+    """Write an object if its version is as expected."""
+
+    key: str
+    value: bytes
+    expected_version: int
+
+
+@dataclass(frozen=True)
+class Delete:
+    """Delete a segment that no head refers to."""
+
+    key: str
+    version: int
+
+
+@dataclass(frozen=True)
+class Wait:
+    """Do nothing until a time, or until there is new work."""
+
+    until_ms: int
+
+
+Step = Get | Put | Delete | Wait
+
+
+@dataclass(frozen=True)
+class Flight:
+    """The head write in flight and what depends on it."""
+
+    head: Head
+    expected_version: int
+    tickets: list[Ticket]
+    changes: list[Change]
+    dropped: list[str]
+
+
+@dataclass(frozen=True)
+class Seal:
+    """A segment that was created for one head version."""
+
+    ref: SegmentRef
+    entries: list[Entry]
+    base_version: int
+    moved: frozenset[bytes]
+    merged: frozenset[str]
+
+
+@dataclass
+class ShardView:
+    """What a process knows of a shard."""
+
+    head: Head = field(default_factory=Head)
+    version: int | None = None
+    confirmed_ms: int = 0
+    index: dict[bytes, Entry] = field(default_factory=dict)
+    tokens: set[bytes] = field(default_factory=set)
+    segments: dict[str, dict[bytes, Entry]] = field(default_factory=dict)
+
+    def set_head(self, head: Head, version: int, now_ms: int) -> None:
+        """Take over a head that was in force at or before the given time."""
+        self.head = head
+        self.version = version
+        self.confirmed_ms = now_ms
+        self.index = {entry.key: entry for entry in head.entries}
+        self.tokens = {entry.token for entry in head.entries}
+        names = {ref.name for ref in head.segments}
+        for name in self.segments.keys() - names:
+            del self.segments[name]
+
+    def time_ms(self, now_ms: int) -> int:
+        """Return the ledger time if the known version is still in force."""
+        return self.head.time_ms + max(0, now_ms - self.confirmed_ms)
+
+    def find(self, key: bytes, time_ms: int) -> Entry | None:
+        """Return the newest entry of the key that has not expired."""
+        sources = [self.index]
+        for ref in reversed(self.head.segments):
+            sources.append(self.segments.get(ref.name, {}))
+        for source in sources:
+            entry = source.get(key)
+            if entry is not None and (entry := entry.aged(time_ms)) is not None:
+                return entry
+        return None
+
+    def missing_segment(self) -> str | None:
+        """Return a segment that has not been read yet."""
+        for ref in self.head.segments:
+            if ref.name not in self.segments:
+                return ref.name
+        return None
+
+
+class Shard:
+    """Ledger of one shard as one process sees it.
+
+    Call ``next_step``, perform the step and pass its answer to ``on_answer``; one
+    store call at a time. New work may arrive in between.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        instance_number: int,
+        clock: Clock,
+        random: Random,
+        limits: Limits,
+        budget: WriteBudget,
+        counter: Callable[[], int],
+    ) -> None:
+        self.key = key
+        self.instance_number = instance_number
+        self.clock = clock
+        self.random = random
+        self.limits = limits
+        self.budget = budget
+        self.counter = counter
+        self.view = ShardView()
+        self.highest_version = 0
+        self.waiting: list[Ticket] = []
+        self.local: dict[bytes, Entry] = {}
+        self.changes: dict[bytes, Change] = {}
+        self.flight: Flight | None = None
+        self.seal: Seal | None = None
+        self.garbage: list[tuple[str, int]] = []
+        self.segment_versions: dict[str, int] = {}
+        self.failures = 0
+        self.retry_at_ms = 0
+        self.last_put_ms = clock.now_ms() - limits.flush_interval_ms
+
+    # Calls of the sidecar
+
+    def begin(self, call: Call) -> Ticket:
+        """Take a call; its ticket is decided now or after further steps."""
+        now_ms = self.clock.now_ms()
+        ticket = Ticket(call, self.new_token(), now_ms)
+        if not self.decide_local(ticket) and not self.decide_finished(ticket, now_ms):
+            self.waiting.append(ticket)
+        return ticket
+
+    def give_up(self, ticket: Ticket, reason: RefusedReason) -> None:
+        """Refuse a ticket for good.
+
+        Its token is discarded, so the call cannot run even if the intent is or
+        becomes durable; in that case the intent is removed later.
+        """
+        if ticket.decision is not None:
+            return
+        in_flight = self.flight is not None and ticket in self.flight.tickets
+        if ticket in self.waiting:
+            self.waiting.remove(ticket)
+        if in_flight or ticket.unresolved is not None:
+            self.change(ticket.entry(0), None)
+        ticket.decide(Refused(reason))
+
+    def discard(self, ticket: Ticket) -> None:
+        """Withdraw a ticket whose caller is gone."""
+        if isinstance(ticket.decision, Run):
+            self.release(ticket.decision.token)
+        self.give_up(ticket, RefusedReason.STORE_UNAVAILABLE)
+
+    def finish(self, token: Token, result: CallResult) -> None:
+        """Record the result of a call that ran."""
+        if self.local.get(token.entry.key) is not token.entry:
+            return
+        kept = limited(result)
+        self.local[token.entry.key] = token.entry.finished(kept, token.entry.at_ms)
+        self.change(token.entry, kept)
+
+    def release(self, token: Token) -> None:
+        """Record that a call provably never reached the server."""
+        if self.local.get(token.entry.key) is not token.entry:
+            return
+        del self.local[token.entry.key]
+        self.change(token.entry, None)
+
+    def start(self, token: Token) -> bool:
+        """Tell whether the call may be sent to the server now.
+
+        After the deadline the answer is no and the token is released.
+        """
+        if self.local.get(token.entry.key) is not token.entry:
+            return False
+        if self.clock.now_ms() >= token.run_before_ms:
+            self.release(token)
+            return False
+        return True
+
+    # Steps
+
+    def next_step(self) -> Step | None:
+        """Return the next store call or wait, or nothing if there is no work."""
+        now_ms = self.clock.now_ms()
+        if not self.has_work():
+            return self.delete_step()
+        if now_ms < self.retry_at_ms:
+            return Wait(self.retry_at_ms)
+        if self.view.version is None:
+            return Get(self.key)
+        if self.waiting and (name := self.view.missing_segment()) is not None:
+            return Get(name)
+        self.decide_known(now_ms)
+        if self.view.version is None:
+            return Get(self.key)
+        if not self.has_work():
+            return self.delete_step()
+        due_ms = self.due_ms(now_ms)
+        if now_ms < due_ms:
+            return Wait(due_ms)
+        return self.write_step(now_ms)
+
+    def on_answer(self, step: Step, answer: Result) -> None:
+        """Take the answer of a store call."""
+        if isinstance(step, Delete):
+            return
+        if isinstance(step, Get):
+            if step.key == self.key:
+                self.on_head_read(answer)
+            else:
+                self.on_segment_read(step, answer)
+        elif step.key == self.key:
+            self.on_head_written(answer)
+        else:
+            self.on_segment_written(answer)
+
+    def has_work(self) -> bool:
+        """Tell whether calls or changes wait for the store."""
+        return bool(self.waiting or self.changes)
+
+    def due_ms(self, now_ms: int) -> int:
+        """Return when the next batch may be written."""
+        due_ms = self.last_put_ms + self.limits.flush_interval_ms
+        if not self.waiting:
+            first_ms = min(change.since_ms for change in self.changes.values())
+            due_ms = max(due_ms, first_ms + self.limits.result_delay_ms)
+        return max(due_ms, self.budget.ready_at(now_ms))
+
+    def delete_step(self) -> Step | None:
+        """Return the deletion of an unreferenced segment, if there is one."""
+        if not self.garbage:
+            return None
+        return Delete(*self.garbage.pop())
+
+    # Decisions from what is known
+
+    def decide_local(self, ticket: Ticket) -> bool:
+        """Decide from calls that run or ran in this process."""
+        entry = self.local.get(ticket.key)
+        if entry is not None:
+            self.decide_entry(ticket, entry, UnknownReason.IN_PROGRESS)
+        return entry is not None
+
+    def decide_finished(self, ticket: Ticket, now_ms: int) -> bool:
+        """Decide from a finished entry of a possibly old head.
+
+        A result never changes, so it may be repeated without asking the store.
+        """
+        entry = self.view.find(ticket.key, self.view.time_ms(now_ms))
+        if entry is None or entry.result is None:
+            return False
+        self.decide_entry(ticket, entry, UnknownReason.NO_RESULT)
+        return True
+
+    def decide_entry(self, ticket: Ticket, entry: Entry, reason: UnknownReason) -> None:
+        """Decide a ticket whose key is recorded."""
+        if entry.fingerprint != ticket.fingerprint:
+            ticket.decide(Refused(RefusedReason.KEY_REUSED))
+        elif entry.result is not None:
+            ticket.decide(Repeat(entry.result))
+        else:
+            ticket.decide(Unknown(reason))
+
+    def decide_known(self, now_ms: int) -> None:
+        """Decide the waiting tickets whose key is recorded."""
+        time_ms = self.view.time_ms(now_ms)
+        for ticket in list(self.waiting):
+            if not self.decide_local(ticket):
+                entry = self.view.find(ticket.key, time_ms)
+                if entry is None or self.is_released(entry):
+                    continue
+                if entry.result is None and self.view.confirmed_ms < ticket.arrived_ms:
+                    # The holder may have finished or released the call meanwhile.
+                    self.view.version = None
+                    continue
+                self.decide_entry(ticket, entry, UnknownReason.NO_RESULT)
+            self.waiting.remove(ticket)
+
+    def is_released(self, entry: Entry) -> bool:
+        """Tell whether this process is about to remove its own intent."""
+        change = self.changes.get(entry.token)
+        in_head = entry.token in self.view.tokens
+        return change is not None and change.result is None and in_head
+
+    # Writing
+
+    def write_step(self, now_ms: int) -> Step | None:
+        """Return the write of the next batch, or of a segment that must precede it."""
+        assert self.view.version is not None
+        seal = self.seal
+        if seal is not None and seal.base_version != self.view.version:
+            self.drop_seal()
+        flight = self.build(now_ms)
+        value = encode_head(flight.head)
+        if len(value) > self.limits.seal_bytes and self.seal is None:
+            step = self.seal_step(flight.head.time_ms)
+            if step is not None:
+                self.budget.take()
+                return step
+        if len(value) > self.limits.head_bytes and flight.tickets:
+            for ticket in flight.tickets:
+                self.give_up(ticket, RefusedReason.SHARD_FULL)
+            return self.next_step()
+        self.flight = flight
+        self.last_put_ms = now_ms
+        self.budget.take()
+        return Put(self.key, value, flight.expected_version)
+
+    def build(self, now_ms: int) -> Flight:
+        """Return the next head and what depends on its write."""
+        assert self.view.version is not None
+        time_ms = self.view.time_ms(now_ms)
+        changes = list(self.changes.values())
+        entries, segments, dropped = self.carried_over(time_ms)
+        present = {entry.token for entry in entries}
+        for change in changes:
+            if change.result is not None and change.entry.token not in present:
+                entries.append(change.entry.finished(change.result, time_ms))
+        tickets = self.batch()
+        entries += [ticket.entry(time_ms) for ticket in tickets]
+        head = Head(time_ms, entries, segments)
+        return Flight(head, self.view.version, tickets, changes, dropped)
+
+    def carried_over(
+        self, time_ms: int
+    ) -> tuple[list[Entry], list[SegmentRef], list[str]]:
+        """Return what the next head keeps of the known one, and dropped segments."""
+        entries, segments, dropped = [], [], []
+        moved = self.seal.moved if self.seal else frozenset()
+        merged = self.seal.merged if self.seal else frozenset()
+        for ref in self.view.head.segments:
+            if ref.name in merged:
+                dropped.append(ref.name)
+            elif self.is_expired(ref, time_ms):
+                dropped.append(ref.name)
+                entries += self.open_entries(ref)
+            else:
+                segments.append(ref)
+        if self.seal:
+            segments.append(self.seal.ref)
+        for entry in self.view.head.entries:
+            if entry.token not in moved:
+                kept = self.changed(entry, time_ms).aged(time_ms)
+                if kept is not None and not self.is_released(entry):
+                    entries.append(kept)
+        return entries, segments, dropped
+
+    def changed(self, entry: Entry, time_ms: int) -> Entry:
+        """Return the entry with its pending result, if there is one."""
+        change = self.changes.get(entry.token)
+        if change is None or change.result is None or entry.result is not None:
+            return entry
+        return entry.finished(change.result, time_ms)
+
+    def is_expired(self, ref: SegmentRef, time_ms: int) -> bool:
+        """Tell whether all finished entries of a segment that was read expired."""
+        old = time_ms - ref.newest_ms >= KEY_RETENTION_MS
+        return old and ref.name in self.view.segments
+
+    def open_entries(self, ref: SegmentRef) -> list[Entry]:
+        """Return the open entries of an expired segment; they never expire."""
+        return [
+            entry
+            for entry in self.view.segments[ref.name].values()
+            if entry.result is None and entry.key not in self.view.index
+        ]
+
+    def batch(self) -> list[Ticket]:
+        """Return the tickets of the next write, at most one per key."""
+        chosen: dict[bytes, Ticket] = {}
+        for ticket in self.waiting:
+            chosen.setdefault(ticket.key, ticket)
+        return list(chosen.values())[: self.limits.batch_calls]
+
+    # Sealing
+
+    def seal_step(self, time_ms: int) -> Step | None:
+        """Return the creation of a segment with entries that the head may drop."""
+        moved = [entry for entry in self.view.head.entries if self.may_move(entry)]
+        if not moved or self.view.version is None:
+            return None
+        merged, older = self.merge_candidates(moved)
+        if len(self.view.head.segments) - len(merged) >= self.limits.segments:
+            return None
+        entries = []
+        for entry in older + moved:
+            if (kept := entry.aged(time_ms)) is not None:
+                entries.append(kept)
+        value = encode_segment(entries)
+        newest_ms = max(entry.at_ms for entry in entries) if entries else 0
+        name = f"{self.key}/segments/{self.view.version}-{self.new_token().hex()}"
+        self.seal = Seal(
+            SegmentRef(name, len(value), newest_ms),
+            entries,
+            self.view.version,
+            frozenset(entry.token for entry in moved),
+            frozenset(merged),
+        )
+        return Put(name, value, CREATE)
+
+    def may_move(self, entry: Entry) -> bool:
+        """Tell whether an entry of the head may move to a segment."""
+        if entry.token in self.changes:
+            return False
+        age_ms = self.view.head.time_ms - entry.at_ms
+        return entry.result is not None or age_ms >= self.limits.abandoned_after_ms
+
+    def merge_candidates(self, moved: list[Entry]) -> tuple[list[str], list[Entry]]:
+        """Return newer segments of similar size to merge, with their entries."""
+        size_bytes = len(encode_segment(moved))
+        names: list[str] = []
+        older: list[Entry] = []
+        for ref in reversed(self.view.head.segments):
+            total_bytes = size_bytes + ref.size_bytes
+            fits = total_bytes <= self.limits.segment_bytes
+            if not fits or ref.size_bytes > 2 * size_bytes:
+                break
+            if ref.name not in self.view.segments:
+                break
+            size_bytes = total_bytes
+            names.append(ref.name)
+            older = list(self.view.segments[ref.name].values()) + older
+        return names, older
+
+    def drop_seal(self) -> None:
+        """Forget a segment that no head can refer to any more.
+
+        Only a head write that expected the base version could have referred to it.
+        """
+        assert self.seal is not None
+        name = self.seal.ref.name
+        if name in self.segment_versions:
+            self.garbage.append((name, self.segment_versions.pop(name)))
+        self.seal = None
+
+    # Answers
+
+    def on_head_read(self, answer: Result[StoredObject | None, StoreError]) -> None:
+        """Take the head that was read and settle writes with an open outcome."""
+        now_ms = self.clock.now_ms()
+        if isinstance(answer, Err):
+            self.back_off(answer.err_value.kind)
+            return
+        stored = answer.ok_value
+        version = stored.version if stored else CREATE
+        if version < self.highest_version:
+            self.back_off(StoreErrorKind.UNAVAILABLE)
+            return
+        self.highest_version = version
+        head = decode_head(stored.value) if stored else Head()
+        self.view.set_head(head, version, now_ms)
+        if self.seal is not None and self.seal.ref in head.segments:
+            self.adopt_seal()
+        for ticket in list(self.waiting):
+            self.settle(ticket, version)
+
+    def settle(self, ticket: Ticket, version: int) -> None:
+        """Decide whether the ticket's intent took effect, if the head tells."""
+        if ticket.unresolved is None:
+            return
+        if ticket.token in self.view.tokens:
+            self.waiting.remove(ticket)
+            self.allow(ticket)
+        elif version != ticket.unresolved:
+            # The write expected a version that is gone, so it cannot land later.
+            ticket.unresolved = None
+
+    def on_segment_read(self, step: Get, answer: Result) -> None:
+        """Take a segment; without it the head may be old and is read again."""
+        if isinstance(answer, Err):
+            self.back_off(answer.err_value.kind)
+        elif answer.ok_value is None:
+            self.view.version = None
+            self.back_off(StoreErrorKind.CONFLICT)
+        else:
+            stored = answer.ok_value
+            entries = decode_segment(stored.value)
+            self.view.segments[step.key] = {entry.key: entry for entry in entries}
+            self.segment_versions[step.key] = stored.version
+
+    def on_head_written(self, answer: Result[int, StoreError]) -> None:
+        """Take the outcome of the head write in flight."""
+        flight = self.flight
+        assert flight is not None
+        self.flight = None
+        now_ms = self.clock.now_ms()
+        if isinstance(answer, Ok):
+            self.on_head_durable(flight, answer.ok_value, now_ms)
+            return
+        kind = answer.err_value.kind
+        if kind in (StoreErrorKind.AMBIGUOUS, StoreErrorKind.CONFLICT):
+            # A conflict can hide an own write that a lower layer repeated, so it
+            # is settled by reading back as well.
+            self.view.version = None
+            for ticket in flight.tickets:
+                ticket.unresolved = flight.expected_version
+        elif kind is StoreErrorKind.TOO_LARGE:
+            for ticket in flight.tickets:
+                self.give_up(ticket, RefusedReason.SHARD_FULL)
+        self.back_off(kind)
+
+    def on_head_durable(self, flight: Flight, version: int, now_ms: int) -> None:
+        """Take over the written head, allow its calls and forget its changes."""
+        self.failures = 0
+        self.highest_version = max(self.highest_version, version)
+        if self.seal is not None:
+            self.adopt_seal()
+        self.view.set_head(flight.head, version, now_ms)
+        for name in flight.dropped:
+            if name in self.segment_versions:
+                self.garbage.append((name, self.segment_versions.pop(name)))
+        for change in flight.changes:
+            self.forget(change)
+        for ticket in flight.tickets:
+            if ticket.decision is None:
+                self.waiting.remove(ticket)
+                self.allow(ticket)
+
+    def adopt_seal(self) -> None:
+        """Keep the entries of the own segment that a head now refers to."""
+        assert self.seal is not None
+        entries = {entry.key: entry for entry in self.seal.entries}
+        self.view.segments[self.seal.ref.name] = entries
+        self.seal = None
+
+    def forget(self, change: Change) -> None:
+        """Drop a change that is durable."""
+        if self.changes.get(change.entry.token) is change:
+            del self.changes[change.entry.token]
+        local = self.local.get(change.entry.key)
+        if local is not None and local.token == change.entry.token:
+            del self.local[change.entry.key]
+
+    def allow(self, ticket: Ticket) -> None:
+        """Let the call run."""
+        entry = self.view.index[ticket.key]
+        self.local[ticket.key] = entry
+        ticket.decide(Run(Token(self.key, entry, ticket.call.deadline_ms)))
+
+    def on_segment_written(self, answer: Result[int, StoreError]) -> None:
+        """Take the outcome of creating a segment."""
+        assert self.seal is not None
+        if isinstance(answer, Ok):
+            self.segment_versions[self.seal.ref.name] = answer.ok_value
+        else:
+            self.seal = None
+            self.back_off(answer.err_value.kind)
+
+    # Small helpers
+
+    def change(self, entry: Entry, result: CallResult | None) -> None:
+        """Note a change for the next batch."""
+        self.changes[entry.token] = Change(entry, result, self.clock.now_ms())
+
+    def back_off(self, kind: StoreErrorKind) -> None:
+        """Wait with jitter before the next store call."""
+        limits = self.limits
+        if kind in (StoreErrorKind.CONFLICT, StoreErrorKind.AMBIGUOUS):
+            base_ms, max_ms = limits.conflict_backoff_ms, limits.max_conflict_backoff_ms
+        else:
+            base_ms, max_ms = limits.outage_backoff_ms, limits.max_outage_backoff_ms
+        delay_ms = min(max_ms, base_ms << min(self.failures, 10))
+        self.failures += 1
+        jittered_ms = int(delay_ms * self.random.uniform(0.5, 1.0))
+        self.retry_at_ms = self.clock.now_ms() + jittered_ms
+
+    def new_token(self) -> bytes:
+        """Return bytes that no other intent or segment has."""
+        return self.instance_number.to_bytes(
+            INSTANCE_BYTES, "big"
+        ) + self.counter().to_bytes(COUNTER_BYTES, "big")
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/state/ledger_exchange.py
@@ -0,0 +1,171 @@
+"""At-most-once ledger of a process: performs the store calls of its shards."""
+
+from itertools import count
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Result
+
+from ..clock import MS_PER_S, Clock
+from ..coordination.ledger import (
+    Call,
+    Decision,
+    Delete,
+    Get,
+    Limits,
+    PauseGuard,
+    Put,
+    Refused,
+    RefusedReason,
+    Shard,
+    Step,
+    Token,
+    Wait,
+    WriteBudget,
+)
+from ..coordination.ledger_records import CallResult
+from ..identity import Instance
+from .store import ObjectStore
+
+TICK_INTERVAL_MS = 1000
+
+
+class Ledger:
+    """Runs calls with an idempotency key at most once.
+
+    ``run`` must be active while the ledger is used.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        instance: Instance,
+        clock: Clock,
+        random: Random,
+        limits: Limits | None = None,
+    ) -> None:
+        self.store = store
+        self.instance = instance
+        self.clock = clock
+        self.random = random
+        self.limits = limits or Limits()
+        self.budget = WriteBudget(self.limits, clock.now_ms())
+        self.pauses = PauseGuard(clock)
+        self.shards: dict[str, Shard] = {}
+        self.wakes: dict[str, anyio.Event] = {}
+        self.active: set[str] = set()
+        self.tasks: TaskGroup | None = None
+        self.counter = count(1)
+
+    async def run(
+        self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Perform store calls until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            self.pauses.tick()
+            task_status.started()
+            while True:
+                await anyio.sleep(TICK_INTERVAL_MS / MS_PER_S)
+                self.pauses.tick()
+
+    async def begin(self, call: Call) -> Decision:
+        """Decide about a call; it may run only if the decision is ``Run``."""
+        if self.pauses.recently_paused():
+            return Refused(RefusedReason.PAUSED)
+        shard = self.shard(call.shard_key)
+        ticket = shard.begin(call)
+        if ticket.decision is not None:
+            return ticket.decision
+        decided = anyio.Event()
+        ticket.listener = decided.set
+        self.wake(shard)
+        left_ms = max(0, call.deadline_ms - self.clock.now_ms())
+        wait_ms = min(self.limits.wait_limit_ms, left_ms)
+        try:
+            with anyio.move_on_after(wait_ms / MS_PER_S):
+                await decided.wait()
+        except BaseException:
+            shard.discard(ticket)
+            self.wake(shard)
+            raise
+        shard.give_up(ticket, RefusedReason.STORE_UNAVAILABLE)
+        assert ticket.decision is not None
+        return ticket.decision
+
+    def start(self, token: Token) -> bool:
+        """Tell whether the call may be sent now; ask right before the first byte."""
+        allowed = self.shard(token.shard_key).start(token)
+        if not allowed:
+            self.wake(self.shard(token.shard_key))
+        return allowed
+
+    async def finish(self, token: Token, result: CallResult) -> None:
+        """Journal the result with the next batch."""
+        self.shard(token.shard_key).finish(token, result)
+        self.wake(self.shard(token.shard_key))
+
+    async def release(self, token: Token) -> None:
+        """Free the key of a call that provably never reached the server."""
+        self.shard(token.shard_key).release(token)
+        self.wake(self.shard(token.shard_key))
+
+    async def drain(self, timeout_ms: int) -> bool:
+        """Wait until all results are journalled; tell whether they are."""
+        with anyio.move_on_after(timeout_ms / MS_PER_S):
+            while any(shard.has_work() for shard in self.shards.values()):
+                await anyio.sleep(self.limits.flush_interval_ms / MS_PER_S)
+            return True
+        return False
+
+    def shard(self, key: str) -> Shard:
+        """Return the shard with the given head object."""
+        if key not in self.shards:
+            self.shards[key] = Shard(
+                key,
+                self.instance.number,
+                self.clock,
+                self.random,
+                self.limits,
+                self.budget,
+                self.counter.__next__,
+            )
+        return self.shards[key]
+
+    def wake(self, shard: Shard) -> None:
+        """Make sure that the steps of the shard are performed."""
+        if shard.key in self.wakes:
+            self.wakes[shard.key].set()
+        if shard.key not in self.active and self.tasks is not None:
+            self.active.add(shard.key)
+            self.tasks.start_soon(self.work, shard)
+
+    async def work(self, shard: Shard) -> None:
+        """Perform the steps of a shard until there is nothing left to do."""
+        try:
+            while (step := shard.next_step()) is not None:
+                if isinstance(step, Wait):
+                    await self.wait(shard, step)
+                else:
+                    shard.on_answer(step, await self.perform(step))
+        finally:
+            self.active.discard(shard.key)
+
+    async def wait(self, shard: Shard, step: Wait) -> None:
+        """Wait until a time or until the shard has new work."""
+        wake = self.wakes[shard.key] = anyio.Event()
+        delay_ms = max(1, step.until_ms - self.clock.now_ms())
+        with anyio.move_on_after(delay_ms / MS_PER_S):
+            await wake.wait()
+
+    async def perform(self, step: Step) -> Result:
+        """Perform a store call."""
+        match step:
+            case Get(key):
+                return await self.store.get(key)
+            case Put(key, value, expected_version):
+                return await self.store.put(key, value, expected_version)
+            case Delete(key, version):
+                return await self.store.delete(key, version)
+        raise TypeError(f"unknown step {step!r}")
