--- a/packages/medlarridge/src/medlarridge/_internal/coordination/ledger.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/ledger.py
@@ -10,11 +10,14 @@
 from enum import StrEnum
 from random import Random
 
+from msgspec import MsgspecError
 from result import Err, Ok, Result
 
 from ..clock import MS_PER_S, Clock
 from ..errors import StoreError, StoreErrorKind
-from ..state.store import CREATE, StoredObject
+from ..events import register
+from ..log import log_event
+from ..state.store import CREATE, ObjectName, StoredObject
 from .ledger_records import (
     KEY_RETENTION_MS,
     CallResult,
@@ -30,6 +33,7 @@
     limited,
 )
 
+MALFORMED = register(3000, "ERROR", "ledger object is malformed")
 SHARDS_PER_ROUTE = 16
 """Part of the store layout: must be equal in all processes of a fleet."""
 INSTANCE_BYTES = 6
@@ -84,6 +88,7 @@
     STORE_UNAVAILABLE = "store-unavailable"
     KEY_REUSED = "key-reused"
     SHARD_FULL = "shard-full"
+    DEADLINE = "deadline"
     PAUSED = "paused"
 
 
@@ -254,6 +259,13 @@
     version: int
 
 
+@dataclass(frozen=True)
+class ListSegments:
+    """List the segments of a shard."""
+
+    prefix: str
+
+
 @dataclass(frozen=True)
 class Wait:
     """Do nothing until a time, or until there is new work."""
@@ -261,7 +273,8 @@
     until_ms: int
 
 
-Step = Get | Put | Delete | Wait
+StoreStep = Get | Put | Delete | ListSegments
+Step = StoreStep | Wait
 
 
 @dataclass(frozen=True)
@@ -272,7 +285,6 @@
     expected_version: int
     tickets: list[Ticket]
     changes: list[Change]
-    dropped: list[str]
 
 
 @dataclass(frozen=True)
@@ -362,8 +374,8 @@
         self.changes: dict[bytes, Change] = {}
         self.flight: Flight | None = None
         self.seal: Seal | None = None
-        self.garbage: list[tuple[str, int]] = []
-        self.segment_versions: dict[str, int] = {}
+        self.sweep_due = True
+        self.garbage: list[ObjectName] = []
         self.failures = 0
         self.retry_at_ms = 0
         self.last_put_ms = clock.now_ms() - limits.flush_interval_ms
@@ -391,7 +403,12 @@
             self.waiting.remove(ticket)
         if in_flight or ticket.unresolved is not None:
             self.change(ticket.entry(0), None)
-        ticket.decide(Refused(reason))
+        entry = self.view.find(ticket.key, self.view.head.time_ms)
+        if entry is None or entry.token == ticket.token or self.is_released(entry):
+            ticket.decide(Refused(reason))
+        else:
+            # An earlier copy is recorded, although the record may be old.
+            self.decide_entry(ticket, entry, UnknownReason.NO_RESULT)
 
     def discard(self, ticket: Ticket) -> None:
         """Withdraw a ticket whose caller is gone."""
@@ -432,7 +449,7 @@
         """Return the next store call or wait, or nothing if there is no work."""
         now_ms = self.clock.now_ms()
         if not self.has_work():
-            return self.delete_step()
+            return self.clean_up_step()
         if now_ms < self.retry_at_ms:
             return Wait(self.retry_at_ms)
         if self.view.version is None:
@@ -443,7 +460,7 @@
         if self.view.version is None:
             return Get(self.key)
         if not self.has_work():
-            return self.delete_step()
+            return self.clean_up_step()
         due_ms = self.due_ms(now_ms)
         if now_ms < due_ms:
             return Wait(due_ms)
@@ -453,7 +470,9 @@
         """Take the answer of a store call."""
         if isinstance(step, Delete):
             return
-        if isinstance(step, Get):
+        if isinstance(step, ListSegments):
+            self.on_segments_listed(answer)
+        elif isinstance(step, Get):
             if step.key == self.key:
                 self.on_head_read(answer)
             else:
@@ -475,11 +494,15 @@
             due_ms = max(due_ms, first_ms + self.limits.result_delay_ms)
         return max(due_ms, self.budget.ready_at(now_ms))
 
-    def delete_step(self) -> Step | None:
-        """Return the deletion of an unreferenced segment, if there is one."""
-        if not self.garbage:
-            return None
-        return Delete(*self.garbage.pop())
+    def clean_up_step(self) -> Step | None:
+        """Return the next step that removes unreferenced segments, if any."""
+        if self.garbage:
+            name = self.garbage.pop()
+            return Delete(name.key, name.version)
+        if self.sweep_due and self.view.version is not None:
+            self.sweep_due = False
+            return ListSegments(f"{self.key}/segments/")
+        return None
 
     # Decisions from what is known
 
@@ -538,7 +561,8 @@
         assert self.view.version is not None
         seal = self.seal
         if seal is not None and seal.base_version != self.view.version:
-            self.drop_seal()
+            self.seal = None
+            self.sweep_due = True
         flight = self.build(now_ms)
         value = encode_head(flight.head)
         if len(value) > self.limits.seal_bytes and self.seal is None:
@@ -560,7 +584,7 @@
         assert self.view.version is not None
         time_ms = self.view.time_ms(now_ms)
         changes = list(self.changes.values())
-        entries, segments, dropped = self.carried_over(time_ms)
+        entries, segments = self.carried_over(time_ms)
         present = {entry.token for entry in entries}
         for change in changes:
             if change.result is not None and change.entry.token not in present:
@@ -568,21 +592,19 @@
         tickets = self.batch()
         entries += [ticket.entry(time_ms) for ticket in tickets]
         head = Head(time_ms, entries, segments)
-        return Flight(head, self.view.version, tickets, changes, dropped)
+        return Flight(head, self.view.version, tickets, changes)
 
-    def carried_over(
-        self, time_ms: int
-    ) -> tuple[list[Entry], list[SegmentRef], list[str]]:
-        """Return what the next head keeps of the known one, and dropped segments."""
-        entries, segments, dropped = [], [], []
+    def carried_over(self, time_ms: int) -> tuple[list[Entry], list[SegmentRef]]:
+        """Return the entries and segments that the next head keeps."""
+        entries, segments = [], []
         moved = self.seal.moved if self.seal else frozenset()
         merged = self.seal.merged if self.seal else frozenset()
         for ref in self.view.head.segments:
             if ref.name in merged:
-                dropped.append(ref.name)
-            elif self.is_expired(ref, time_ms):
-                dropped.append(ref.name)
+                continue
+            if self.is_expired(ref, time_ms):
                 entries += self.open_entries(ref)
+                self.sweep_due = True
             else:
                 segments.append(ref)
         if self.seal:
@@ -592,7 +614,7 @@
                 kept = self.changed(entry, time_ms).aged(time_ms)
                 if kept is not None and not self.is_released(entry):
                     entries.append(kept)
-        return entries, segments, dropped
+        return entries, segments
 
     def changed(self, entry: Entry, time_ms: int) -> Entry:
         """Return the entry with its pending result, if there is one."""
@@ -671,17 +693,6 @@
             older = list(self.view.segments[ref.name].values()) + older
         return names, older
 
-    def drop_seal(self) -> None:
-        """Forget a segment that no head can refer to any more.
-
-        Only a head write that expected the base version could have referred to it.
-        """
-        assert self.seal is not None
-        name = self.seal.ref.name
-        if name in self.segment_versions:
-            self.garbage.append((name, self.segment_versions.pop(name)))
-        self.seal = None
-
     # Answers
 
     def on_head_read(self, answer: Result[StoredObject | None, StoreError]) -> None:
@@ -696,7 +707,12 @@
             self.back_off(StoreErrorKind.UNAVAILABLE)
             return
         self.highest_version = version
-        head = decode_head(stored.value) if stored else Head()
+        try:
+            head = decode_head(stored.value) if stored else Head()
+        except MsgspecError as error:
+            log_event(MALFORMED, key=self.key, error=error)
+            self.back_off(StoreErrorKind.UNAVAILABLE)
+            return
         self.view.set_head(head, version, now_ms)
         if self.seal is not None and self.seal.ref in head.segments:
             self.adopt_seal()
@@ -722,10 +738,29 @@
             self.view.version = None
             self.back_off(StoreErrorKind.CONFLICT)
         else:
-            stored = answer.ok_value
-            entries = decode_segment(stored.value)
+            try:
+                entries = decode_segment(answer.ok_value.value)
+            except MsgspecError as error:
+                log_event(MALFORMED, key=step.key, error=error)
+                self.back_off(StoreErrorKind.UNAVAILABLE)
+                return
             self.view.segments[step.key] = {entry.key: entry for entry in entries}
-            self.segment_versions[step.key] = stored.version
+
+    def on_segments_listed(self, answer: Result[list[ObjectName], StoreError]) -> None:
+        """Choose the segments to delete.
+
+        A segment can only be referred to by the successor of the head version in
+        its name. If that version is gone and the head does not refer to the
+        segment, no head ever will.
+        """
+        version = self.view.version
+        if isinstance(answer, Err) or version is None:
+            return
+        used = {ref.name for ref in self.view.head.segments}
+        for name in answer.ok_value:
+            base = name.key.rpartition("/")[2].partition("-")[0]
+            if name.key not in used and base.isdigit() and int(base) < version:
+                self.garbage.append(name)
 
     def on_head_written(self, answer: Result[int, StoreError]) -> None:
         """Take the outcome of the head write in flight."""
@@ -755,9 +790,6 @@
         if self.seal is not None:
             self.adopt_seal()
         self.view.set_head(flight.head, version, now_ms)
-        for name in flight.dropped:
-            if name in self.segment_versions:
-                self.garbage.append((name, self.segment_versions.pop(name)))
         for change in flight.changes:
             self.forget(change)
         for ticket in flight.tickets:
@@ -771,6 +803,7 @@
         entries = {entry.key: entry for entry in self.seal.entries}
         self.view.segments[self.seal.ref.name] = entries
         self.seal = None
+        self.sweep_due = True
 
     def forget(self, change: Change) -> None:
         """Drop a change that is durable."""
@@ -789,10 +822,9 @@
     def on_segment_written(self, answer: Result[int, StoreError]) -> None:
         """Take the outcome of creating a segment."""
         assert self.seal is not None
-        if isinstance(answer, Ok):
-            self.segment_versions[self.seal.ref.name] = answer.ok_value
-        else:
+        if isinstance(answer, Err):
             self.seal = None
+            self.sweep_due = True
             self.back_off(answer.err_value.kind)
 
     # Small helpers
--- a/packages/medlarridge/src/medlarridge/_internal/state/ledger_exchange.py
+++ b/packages/medlarridge/src/medlarridge/_internal/state/ledger_exchange.py
@@ -5,7 +5,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from result import Result
+from result import Err, Result
 
 from ..clock import MS_PER_S, Clock
 from ..coordination.ledger import (
@@ -14,21 +14,24 @@
     Delete,
     Get,
     Limits,
+    ListSegments,
     PauseGuard,
     Put,
     Refused,
     RefusedReason,
     Shard,
-    Step,
+    StoreStep,
     Token,
     Wait,
     WriteBudget,
 )
 from ..coordination.ledger_records import CallResult
+from ..errors import StoreError, StoreErrorKind
 from ..identity import Instance
 from .store import ObjectStore
 
 TICK_INTERVAL_MS = 1000
+STORE_TIMEOUT_MS = 2000
 
 
 class Ledger:
@@ -74,6 +77,8 @@
         """Decide about a call; it may run only if the decision is ``Run``."""
         if self.pauses.recently_paused():
             return Refused(RefusedReason.PAUSED)
+        if self.clock.now_ms() >= call.deadline_ms:
+            return Refused(RefusedReason.DEADLINE)
         shard = self.shard(call.shard_key)
         ticket = shard.begin(call)
         if ticket.decision is not None:
@@ -159,8 +164,15 @@
         with anyio.move_on_after(delay_ms / MS_PER_S):
             await wake.wait()
 
-    async def perform(self, step: Step) -> Result:
-        """Perform a store call."""
+    async def perform(self, step: StoreStep) -> Result:
+        """Perform a store call; one without an answer may have taken effect."""
+        with anyio.move_on_after(STORE_TIMEOUT_MS / MS_PER_S):
+            return await self.call(step)
+        kind = StoreErrorKind.AMBIGUOUS
+        return Err(StoreError(kind, "ledger", "store", "no answer in time"))
+
+    async def call(self, step: StoreStep) -> Result:
+        """Pass a step to the store."""
         match step:
             case Get(key):
                 return await self.store.get(key)
@@ -168,4 +180,6 @@
                 return await self.store.put(key, value, expected_version)
             case Delete(key, version):
                 return await self.store.delete(key, version)
+            case ListSegments(prefix):
+                return await self.store.list(prefix)
         raise TypeError(f"unknown step {step!r}")
