--- /dev/null
+++ b/packages/medlarridge-standins/src/medlarridge_standins/ledger_trial.py
@@ -0,0 +1,494 @@
+"""Trials of the at-most-once ledger with interleaved sidecars and store faults.
+
+Nothing here waits: a trial chooses which process makes its next step, so each store
+call can be issued, applied and answered at any time, or never.
+"""
+
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from enum import StrEnum
+from itertools import count
+from random import Random
+from typing import Any
+
+from result import Err, Result
+
+from medlarridge._internal.clock import ManualClock
+from medlarridge._internal.coordination.ledger import (
+    Call,
+    Delete,
+    Get,
+    Limits,
+    ListSegments,
+    PauseGuard,
+    Put,
+    Refused,
+    Repeat,
+    Run,
+    Shard,
+    StoreStep,
+    Ticket,
+    Token,
+    Wait,
+    WriteBudget,
+)
+from medlarridge._internal.coordination.ledger_records import (
+    KEY_RETENTION_MS,
+    CallResult,
+)
+from medlarridge._internal.errors import StoreError, StoreErrorKind
+from medlarridge._internal.state.memory import MemoryStore
+
+SHARD_KEY = "ledger/invoices/0"
+DEADLINE_MS = 60_000
+GIVE_UP_MS = 2000
+
+
+class Fault(StrEnum):
+    """What happens to a store call."""
+
+    NONE = "none"
+    UNAVAILABLE = "unavailable"
+    LOST_BEFORE = "lost-before"
+    LOST_AFTER = "lost-after"
+    LATE = "late"
+    CRASH_BEFORE = "crash-before"
+    CRASH_AFTER = "crash-after"
+
+
+class Ending(StrEnum):
+    """What happens to a call that may run."""
+
+    FINISH = "finish"
+    NO_RESULT = "no-result"
+    UNREACHABLE = "unreachable"
+
+
+class Outcome(StrEnum):
+    """What a caller was told."""
+
+    COMPLETE = "complete"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@dataclass
+class Copy:
+    """One copy of a call, sent to one sidecar."""
+
+    number: int
+    key: str
+    sent_ms: int
+    outcome: Outcome | None = None
+    executions: int = 0
+    finished_ms: int | None = None
+
+
+@dataclass
+class Granted:
+    """A call that a sidecar may run."""
+
+    token: Token
+    copy: Copy
+    started: bool = False
+
+
+@dataclass
+class InFlight:
+    """A store call of a sidecar."""
+
+    step: StoreStep
+    answer: Result | None = None
+
+
+def finish_now(coroutine: Coroutine[Any, Any, Result]) -> Result:
+    """Run a coroutine that never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise RuntimeError("the store call waits")
+
+
+class Sidecar:
+    """One process with its view of the shard."""
+
+    def __init__(self, trial: "Trial", number: int) -> None:
+        self.trial = trial
+        budget = WriteBudget(trial.limits, trial.clock.now_ms())
+        self.shard = Shard(
+            SHARD_KEY,
+            number,
+            trial.clock,
+            trial.random,
+            trial.limits,
+            budget,
+            count(1).__next__,
+        )
+        self.tickets: list[tuple[Ticket, Copy]] = []
+        self.granted: list[Granted] = []
+        self.call: InFlight | None = None
+        self.guard = PauseGuard(trial.clock)
+        self.inbox: list[Copy] = []
+        self.paused = False
+
+    def begin(self, copy: Copy) -> None:
+        """Take a copy of a call, or leave it in the socket during a pause.
+
+        The deadline counts from when the copy is read, because messages carry the
+        time left and the time spent in the socket is not known.
+        """
+        if self.paused:
+            self.inbox.append(copy)
+            return
+        if self.guard.recently_paused():
+            copy.outcome = Outcome.NOT_RUN
+            return
+        deadline_ms = self.trial.clock.now_ms() + DEADLINE_MS
+        call = Call("invoices", "account", copy.key, copy.key, deadline_ms)
+        self.tickets.append((self.shard.begin(call), copy))
+        self.collect()
+
+    def resume(self) -> None:
+        """Continue after a pause and read the socket."""
+        self.paused = False
+        inbox, self.inbox = self.inbox, []
+        for copy in inbox:
+            self.begin(copy)
+
+    def collect(self) -> None:
+        """Answer the callers whose tickets are decided."""
+        now_ms = self.trial.clock.now_ms()
+        for ticket, copy in list(self.tickets):
+            if ticket.decision is None and now_ms >= ticket.arrived_ms + GIVE_UP_MS:
+                self.shard.discard(ticket)
+            if ticket.decision is None:
+                continue
+            self.tickets.remove((ticket, copy))
+            match ticket.decision:
+                case Run(token):
+                    self.granted.append(Granted(token, copy))
+                case Repeat(result):
+                    copy.outcome = Outcome.COMPLETE
+                    self.trial.check_repeat(copy, result)
+                case Refused():
+                    copy.outcome = Outcome.NOT_RUN
+                case _:
+                    copy.outcome = Outcome.UNKNOWN
+
+    def advance_call(self, fault: Fault = Fault.NONE) -> bool:
+        """Issue, apply or answer the next store call; false if there is none."""
+        if self.call is None:
+            step = self.shard.next_step()
+            if step is None or isinstance(step, Wait):
+                self.collect()
+                return False
+            self.call = InFlight(step)
+        elif self.call.answer is None:
+            self.call.answer = self.trial.apply(self.call.step, fault)
+        else:
+            call, self.call = self.call, None
+            self.shard.on_answer(call.step, call.answer)
+        self.collect()
+        return True
+
+    def advance_run(self, granted: Granted, ending: Ending) -> None:
+        """Start a granted call, or send it to the server and end it."""
+        if not granted.started:
+            granted.started = self.shard.start(granted.token)
+            if not granted.started:
+                self.granted.remove(granted)
+                granted.copy.outcome = Outcome.NOT_RUN
+            return
+        self.granted.remove(granted)
+        if ending is Ending.UNREACHABLE:
+            self.shard.release(granted.token)
+            granted.copy.outcome = Outcome.NOT_RUN
+            return
+        self.trial.execute(granted.copy)
+        if ending is Ending.FINISH:
+            self.shard.finish(granted.token, result_of(granted.copy))
+            granted.copy.finished_ms = self.trial.clock.now_ms()
+            granted.copy.outcome = Outcome.COMPLETE
+        else:
+            granted.copy.outcome = Outcome.UNKNOWN
+
+
+def result_of(copy: Copy) -> CallResult:
+    """Return the answer of the server to a copy."""
+    return CallResult(200, [], f"{copy.key} {copy.number}".encode())
+
+
+@dataclass
+class Trial:
+    """Sidecars of one shard, the store, the server and the checks."""
+
+    random: Random
+    sidecar_count: int = 2
+    limits: Limits = field(default_factory=Limits)
+    clock: ManualClock = field(default_factory=ManualClock)
+    store: MemoryStore = field(default_factory=MemoryStore)
+    copies: list[Copy] = field(default_factory=list)
+    late: list[StoreStep] = field(default_factory=list)
+    on_the_wire: list[Copy] = field(default_factory=list)
+    executed: dict[str, list[Copy]] = field(default_factory=dict)
+    duplicates: int = 0
+    wrong_repeats: int = 0
+
+    def __post_init__(self) -> None:
+        self.numbers = count(1)
+        self.sidecars = [self.new_sidecar() for _ in range(self.sidecar_count)]
+
+    def new_sidecar(self) -> Sidecar:
+        """Start a process with a new instance number."""
+        return Sidecar(self, next(self.numbers))
+
+    def send(self, index: int, key: str) -> Copy:
+        """Send a copy of a call to a sidecar."""
+        copy = Copy(len(self.copies), key, self.clock.now_ms())
+        self.copies.append(copy)
+        self.sidecars[index].begin(copy)
+        return copy
+
+    def crash(self, index: int) -> None:
+        """Replace a sidecar; what it had sent may still arrive."""
+        sidecar = self.sidecars[index]
+        for granted in sidecar.granted:
+            if granted.started:
+                self.on_the_wire.append(granted.copy)
+        if sidecar.call is not None and sidecar.call.answer is None:
+            self.late.append(sidecar.call.step)
+        for copy in (
+            [copy for _, copy in sidecar.tickets]
+            + [granted.copy for granted in sidecar.granted]
+            + sidecar.inbox
+        ):
+            copy.outcome = Outcome.UNKNOWN
+        self.sidecars[index] = self.new_sidecar()
+
+    def apply(self, step: StoreStep, fault: Fault) -> Result:
+        """Apply a store call under a fault and return its answer."""
+        if fault is Fault.UNAVAILABLE:
+            return Err(StoreError(StoreErrorKind.UNAVAILABLE, "trial", "store"))
+        if fault is Fault.LATE:
+            self.late.append(step)
+        if fault in (Fault.LOST_AFTER, Fault.NONE):
+            answer = finish_now(self.store_call(step))
+            if fault is Fault.NONE:
+                return answer
+        return Err(StoreError(StoreErrorKind.AMBIGUOUS, "trial", "store"))
+
+    def store_call(self, step: StoreStep) -> Coroutine[Any, Any, Result]:
+        """Return the store call of a step."""
+        match step:
+            case Get(key):
+                return self.store.get(key)
+            case Put(key, value, expected_version):
+                return self.store.put(key, value, expected_version)
+            case Delete(key, version):
+                return self.store.delete(key, version)
+            case ListSegments(prefix):
+                return self.store.list(prefix)
+
+    def execute(self, copy: Copy) -> None:
+        """Run a copy at the server and check that it may run."""
+        copy.executions += 1
+        for earlier in self.executed.setdefault(copy.key, []):
+            finished_ms = earlier.finished_ms
+            if finished_ms is None or copy.sent_ms < finished_ms + KEY_RETENTION_MS:
+                self.duplicates += 1
+        self.executed[copy.key].append(copy)
+
+    def check_repeat(self, copy: Copy, result: CallResult) -> None:
+        """Check that a repeated result is one that the server gave."""
+        given = [result_of(earlier) for earlier in self.executed.get(copy.key, [])]
+        if not given or (result.kept and result not in given):
+            self.wrong_repeats += 1
+
+    def untrue_not_run(self) -> int:
+        """Return how many callers were told not run although their copy ran."""
+        return sum(
+            copy.outcome is Outcome.NOT_RUN and copy.executions > 0
+            for copy in self.copies
+        )
+
+    def settle(self, rounds: int = 200) -> None:
+        """Let all sidecars work without faults until the callers are answered."""
+        for _ in range(rounds):
+            while self.late:
+                finish_now(self.store_call(self.late.pop()))
+            for sidecar in self.sidecars:
+                sidecar.resume()
+                while sidecar.advance_call():
+                    pass
+                for granted in list(sidecar.granted):
+                    sidecar.advance_run(granted, Ending.FINISH)
+            self.advance(25)
+
+    def advance(self, delta_ms: int) -> None:
+        """Let time pass; processes that are not paused see their timers."""
+        self.clock.advance(delta_ms)
+        for sidecar in self.sidecars:
+            if not sidecar.paused:
+                sidecar.guard.last_tick_ms = self.clock.now_ms()
+
+
+@dataclass
+class Tally:
+    """Sums over many trials."""
+
+    runs: int = 0
+    copies: int = 0
+    executions: int = 0
+    duplicates: int = 0
+    untrue_not_run: int = 0
+    wrong_repeats: int = 0
+    unanswered: int = 0
+    outcomes: dict[Outcome, int] = field(default_factory=dict)
+
+    def add(self, trial: Trial) -> None:
+        """Add a finished trial."""
+        self.runs += 1
+        self.copies += len(trial.copies)
+        self.executions += sum(copy.executions for copy in trial.copies)
+        self.duplicates += trial.duplicates
+        self.untrue_not_run += trial.untrue_not_run()
+        self.wrong_repeats += trial.wrong_repeats
+        for copy in trial.copies:
+            if copy.outcome is None:
+                self.unanswered += 1
+            else:
+                self.outcomes[copy.outcome] = self.outcomes.get(copy.outcome, 0) + 1
+
+
+@dataclass(frozen=True)
+class CrashPoint:
+    """A fault at one store call of a run with two competing sidecars."""
+
+    ordinal: int
+    fault: Fault
+    ending: Ending
+    second_after: int
+
+
+def run_crash_point(point: CrashPoint) -> tuple[Trial, bool]:
+    """Run one crash point; tell whether its store call was reached."""
+    trial = Trial(Random(point.ordinal))
+    trial.send(0, "key")
+    applied = 0
+    reached = False
+    for turn in range(60):
+        if turn == point.second_after:
+            trial.send(1, "key")
+        for index in (0, 1):
+            sidecar = trial.sidecars[index]
+            fault = Fault.NONE
+            if sidecar.call is not None and sidecar.call.answer is None:
+                applied += 1
+                if applied == point.ordinal:
+                    fault, reached = point.fault, True
+            if fault in (Fault.CRASH_BEFORE, Fault.CRASH_AFTER):
+                if fault is Fault.CRASH_AFTER:
+                    sidecar.advance_call()
+                trial.crash(index)
+                # The caller repeats the call through the surviving sidecar.
+                trial.send(1 - index, "key")
+                continue
+            sidecar.advance_call(fault)
+            for granted in list(sidecar.granted):
+                sidecar.advance_run(granted, point.ending)
+        trial.advance(10)
+    trial.settle()
+    for index in (0, 1):
+        trial.send(index, "key")
+    trial.settle()
+    return trial, reached
+
+
+def run_crash_points() -> Tally:
+    """Run all faults at all store calls, with all endings and arrival times."""
+    tally = Tally()
+    for fault in Fault:
+        for ending in Ending:
+            for second_after in range(0, 16, 3):
+                for ordinal in count(1):
+                    point = CrashPoint(ordinal, fault, ending, second_after)
+                    trial, reached = run_crash_point(point)
+                    if not reached:
+                        break
+                    tally.add(trial)
+    return tally
+
+
+ADVANCES_MS = [1, 5, 25, 25, 50] * 6 + [500, 2500, 61_000, 11 * 60_000, 70 * 60_000]
+
+
+class Fuzz:
+    """Random interleaving of steps, faults, crashes, pauses and repeated calls."""
+
+    def __init__(self, seed: int, keys: int = 3, limits: Limits | None = None) -> None:
+        self.random = Random(seed)
+        self.trial = Trial(self.random, sidecar_count=3, limits=limits or Limits())
+        self.keys = keys
+
+    def run(self, steps: int) -> Trial:
+        """Make random steps, then let the trial settle."""
+        actions = [self.step] * 60 + [self.run_call] * 12 + [self.advance] * 8
+        actions += [self.send] * 8 + [self.pause] * 2 + [self.crash] * 2
+        actions += [self.arrive_late] * 3
+        for _ in range(steps):
+            self.random.choice(actions)()
+        self.trial.settle()
+        return self.trial
+
+    def sidecar(self) -> Sidecar | None:
+        """Return a random sidecar unless it is paused."""
+        sidecar = self.random.choice(self.trial.sidecars)
+        return None if sidecar.paused else sidecar
+
+    def step(self) -> None:
+        """Advance the store call of a sidecar, sometimes with a fault."""
+        if (sidecar := self.sidecar()) is not None:
+            faults = [Fault.NONE] * 12 + [
+                Fault.UNAVAILABLE,
+                Fault.LOST_BEFORE,
+                Fault.LOST_AFTER,
+                Fault.LATE,
+            ]
+            sidecar.advance_call(self.random.choice(faults))
+
+    def run_call(self) -> None:
+        """Advance a granted call."""
+        sidecar = self.sidecar()
+        if sidecar is not None and sidecar.granted:
+            granted = self.random.choice(sidecar.granted)
+            sidecar.advance_run(granted, self.random.choice(list(Ending)))
+
+    def send(self) -> None:
+        """Send a copy of a call to a sidecar."""
+        index = self.random.randrange(len(self.trial.sidecars))
+        self.trial.send(index, f"key {self.random.randrange(self.keys)}")
+
+    def pause(self) -> None:
+        """Pause a sidecar or let it continue."""
+        sidecar = self.random.choice(self.trial.sidecars)
+        if sidecar.paused:
+            sidecar.resume()
+        else:
+            sidecar.paused = True
+
+    def crash(self) -> None:
+        """Crash a sidecar."""
+        self.trial.crash(self.random.randrange(len(self.trial.sidecars)))
+
+    def advance(self) -> None:
+        """Let time pass, sometimes more than the retention."""
+        self.trial.advance(self.random.choice(ADVANCES_MS))
+
+    def arrive_late(self) -> None:
+        """Let a delayed write or a call of a dead sidecar arrive."""
+        if self.trial.late:
+            index = self.random.randrange(len(self.trial.late))
+            finish_now(self.trial.store_call(self.trial.late.pop(index)))
+        if self.trial.on_the_wire:
+            self.trial.execute(self.trial.on_the_wire.pop())
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/ledger.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/ledger.py
@@ -232,7 +232,8 @@
 
     entry: Entry
     result: CallResult | None
-    since_ms: int
+    due_ms: int
+    listener: Callable[[], None] | None = None
 
 
 @dataclass(frozen=True)
@@ -424,12 +425,17 @@
         self.local[token.entry.key] = token.entry.finished(kept, token.entry.at_ms)
         self.change(token.entry, kept)
 
-    def release(self, token: Token) -> None:
-        """Record that a call provably never reached the server."""
+    def release(self, token: Token, listener: Callable[[], None] | None = None) -> bool:
+        """Record that a call provably never reached the server.
+
+        Returns false if the token was used up before. The listener is told when
+        other processes may run the call.
+        """
         if self.local.get(token.entry.key) is not token.entry:
-            return
+            return False
         del self.local[token.entry.key]
-        self.change(token.entry, None)
+        self.change(token.entry, None, listener)
+        return True
 
     def start(self, token: Token) -> bool:
         """Tell whether the call may be sent to the server now.
@@ -490,8 +496,8 @@
         """Return when the next batch may be written."""
         due_ms = self.last_put_ms + self.limits.flush_interval_ms
         if not self.waiting:
-            first_ms = min(change.since_ms for change in self.changes.values())
-            due_ms = max(due_ms, first_ms + self.limits.result_delay_ms)
+            first_ms = min(change.due_ms for change in self.changes.values())
+            due_ms = max(due_ms, first_ms)
         return max(due_ms, self.budget.ready_at(now_ms))
 
     def clean_up_step(self) -> Step | None:
@@ -809,6 +815,8 @@
         """Drop a change that is durable."""
         if self.changes.get(change.entry.token) is change:
             del self.changes[change.entry.token]
+            if change.listener is not None:
+                change.listener()
         local = self.local.get(change.entry.key)
         if local is not None and local.token == change.entry.token:
             del self.local[change.entry.key]
@@ -829,9 +837,19 @@
 
     # Small helpers
 
-    def change(self, entry: Entry, result: CallResult | None) -> None:
-        """Note a change for the next batch."""
-        self.changes[entry.token] = Change(entry, result, self.clock.now_ms())
+    def change(
+        self,
+        entry: Entry,
+        result: CallResult | None,
+        listener: Callable[[], None] | None = None,
+    ) -> None:
+        """Note a change for the next batch.
+
+        A result may wait for the next intent, a release makes a retry possible.
+        """
+        delay_ms = self.limits.result_delay_ms if result is not None else 0
+        due_ms = self.clock.now_ms() + delay_ms
+        self.changes[entry.token] = Change(entry, result, due_ms, listener)
 
     def back_off(self, kind: StoreErrorKind) -> None:
         """Wait with jitter before the next store call."""
--- a/packages/medlarridge/src/medlarridge/_internal/state/ledger_exchange.py
+++ b/packages/medlarridge/src/medlarridge/_internal/state/ledger_exchange.py
@@ -111,10 +111,19 @@
         self.shard(token.shard_key).finish(token, result)
         self.wake(self.shard(token.shard_key))
 
-    async def release(self, token: Token) -> None:
-        """Free the key of a call that provably never reached the server."""
-        self.shard(token.shard_key).release(token)
-        self.wake(self.shard(token.shard_key))
+    async def release(self, token: Token) -> bool:
+        """Free the key of a call that provably never reached the server.
+
+        Waits for a bounded time until another sidecar may run the call and tells
+        whether that is so. Until then others answer unknown.
+        """
+        shard = self.shard(token.shard_key)
+        released = anyio.Event()
+        if shard.release(token, released.set):
+            self.wake(shard)
+            with anyio.move_on_after(self.limits.wait_limit_ms / MS_PER_S):
+                await released.wait()
+        return released.is_set()
 
     async def drain(self, timeout_ms: int) -> bool:
         """Wait until all results are journalled; tell whether they are."""
