Ask several peers for their lists when a whole fleet starts at once

In a trial with 460 processes started together, lists held 268 members or more only after 30 s, because the first peer asked knew nobody either. A process now asks further peers until it knows 90% of the VM list.

--- a/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
@@ -44,7 +44,9 @@
 MAX_PAYLOAD_BYTES = MAX_DATAGRAM_BYTES - DATAGRAM_OVERHEAD_BYTES
 PROBE_INTERVAL_MS = 1000
 SUSPICION_MS = 5000
-RELAYS = 3
+RELAYS_OF = {Purpose.ROUTINE: 3, Purpose.RECOVERY: 1, Purpose.VERIFY: 1}
+"""Peers asked for an indirect probe. A verification already probes several members of
+the data centre, so one each is enough."""
 PUSH_PEERS = 3
 HOLD_DOWN_MS = 30_000
 FLAP_WINDOW_MS = 60_000
@@ -55,11 +57,19 @@
 then only delay a verdict."""
 TOMBSTONE_MS = 600_000
 SWEEP_INTERVAL_MS = 60_000
+FIRST_SYNC_INTERVAL_MS = 2000
+"""Lists are compared often after a start and after a separation, when many processes
+lack many records, and then ever more rarely."""
 SYNC_INTERVAL_MS = 30_000
 FULL_SYNC_INTERVAL_MS = 300_000
 MAX_SYNC_BUCKETS = 8
 CONTACTS = 3
+CONTACT_INTERVAL_MS = 1000
 MAX_CONTACT_INTERVAL_MS = 8000
+MAX_EXTRA_CONTACT_ROUNDS = 16
+COMPLETE_PERCENT = 90
+"""When a whole fleet starts at once, the first peer knows nobody yet. A process asks
+more peers until it knows this share of the VM list, in a bounded number of rounds."""
 URGENT_BURST = 4
 URGENT_INTERVAL_MS = 1000
 
@@ -161,16 +171,17 @@
         self.suspects_in: Counter[str] = Counter()
         self.failures_in_row = 0
         self.vms: dict[str, ListedVm] = {}
-        self.joined = False
         self.synchronised = False
-        self.contact_interval_ms = PROBE_INTERVAL_MS
+        self.fetching = False
+        self.contact_rounds = 0
+        self.contact_interval_ms = CONTACT_INTERVAL_MS
+        self.size_at_contact = 0
         now_ms = clock.now_ms()
         self.last_tick_ms = now_ms
         self.next_contact_ms = now_ms
         self.next_probe_ms = now_ms + random.randrange(PROBE_INTERVAL_MS)
         self.next_sweep_ms = now_ms + SWEEP_INTERVAL_MS
-        self.next_sync_ms = now_ms + SYNC_INTERVAL_MS
-        self.next_full_sync_ms = now_ms
+        self.hasten_sync(now_ms)
         self.urgent_tokens = float(URGENT_BURST)
         self.urgent_refill_ms = now_ms
         self.flap_hold_ms: dict[str, int] = {}
@@ -283,7 +294,7 @@
             self.next_probe_ms = max(self.next_probe_ms, now_ms - PROBE_INTERVAL_MS)
             self.next_probe_ms += PROBE_INTERVAL_MS
             actions += self.probe_next(now_ms)
-        if not self.joined and now_ms >= self.next_contact_ms:
+        if now_ms >= self.next_contact_ms and self.lacks_members():
             actions += self.contact(now_ms)
         if now_ms >= self.next_sweep_ms:
             self.sweep(now_ms)
@@ -431,8 +442,7 @@
 
     def probe_indirectly(self, probe: Probe) -> list[Action]:
         """Ask peers to probe a member that has not answered."""
-        if probe.purpose in (Purpose.RELAY, Purpose.CONTACT):
-            return []
+        relays = RELAYS_OF.get(probe.purpose, 0)
         return [
             Send(
                 relay.address,
@@ -447,7 +457,7 @@
                     [],
                 ),
             )
-            for relay in self.prober.random_members(RELAYS, probe.address)
+            for relay in self.prober.random_members(relays, probe.address)
         ]
 
     def probe_failed(self, probe: Probe, now_ms: int) -> list[Action]:
@@ -516,8 +526,8 @@
         if record is not None:
             self.set_link(record, failed=False)
         actions += self.probe_answered(probe, now_ms)
-        if probe.purpose is Purpose.CONTACT and not self.joined:
-            self.joined = True
+        if probe.purpose is Purpose.CONTACT and not self.fetching:
+            self.fetching = True
             actions.append(Fetch(source, MemberPageRequest()))
         return actions
 
@@ -826,7 +836,7 @@
         if reachable:
             self.table.down.discard(name)
             self.flap_hold_ms[name] = now_ms + HOLD_DOWN_MS
-            self.restart_suspicions(now_ms)
+            self.withdraw(self.suspects_of(name))
             log_event(DATA_CENTRE_UP, data_centre=name)
         else:
             self.table.down.add(name)
@@ -839,22 +849,30 @@
 
     def drop_single_news(self, name: str) -> None:
         """Stop spreading suspicions that the summary entry replaces."""
-        for record in self.table.data_centres[name].values():
-            if record.status is Status.SUSPECT:
-                self.queue.discard(verdict_of(record))
+        for address in self.suspects_of(name):
+            self.queue.discard_subject(address)
 
-    def reconnect(self) -> None:
-        """Take back the suspicions raised while this process was cut off."""
-        own = [a for a, suspicion in self.suspicions.items() if suspicion.own]
-        log_event(RECONNECTED, withdrawn=len(own))
+    def suspects_of(self, name: str) -> list[str]:
+        """Return the suspected members of a data centre."""
+        return [a for a, s in self.suspicions.items() if s.data_centre == name]
+
+    def withdraw(self, addresses: list[str]) -> None:
+        """End suspicions without a verdict; probes raise those that hold again."""
         now_ms = self.clock.now_ms()
-        for address in own:
+        for address in addresses:
             record = self.table.get(address)
             if record is not None and record.status is Status.SUSPECT:
-                self.queue.discard(verdict_of(record))
+                self.queue.discard_subject(address)
                 self.table.set_status(record, Status.ALIVE, record.incarnation, now_ms)
             self.end_suspicion(address)
 
+    def reconnect(self) -> None:
+        """Take back the suspicions raised while this process was cut off."""
+        own = [a for a, suspicion in self.suspicions.items() if suspicion.own]
+        log_event(RECONNECTED, withdrawn=len(own))
+        self.hasten_sync(self.clock.now_ms())
+        self.withdraw(own)
+
     def resume_after_pause(self, now_ms: int) -> None:
         """Forget timers that ran out while the process stood still."""
         log_event(LATE_TICK, pause_ms=now_ms - self.last_tick_ms)
@@ -865,8 +883,25 @@
 
     # Joining and anti-entropy.
 
+    def lacks_members(self) -> bool:
+        """Return whether this process should ask more peers for their lists."""
+        if not self.synchronised:
+            return True
+        return (
+            self.contact_rounds < MAX_EXTRA_CONTACT_ROUNDS
+            and 100 * self.size < COMPLETE_PERCENT * len(self.vms)
+        )
+
     def contact(self, now_ms: int) -> list[Action]:
-        """Ping a few addresses of the VM list until one answers."""
+        """Ping a few addresses of the VM list to fetch a member list."""
+        self.contact_rounds += 1
+        if self.size > self.size_at_contact:
+            self.contact_interval_ms = CONTACT_INTERVAL_MS
+        else:
+            self.contact_interval_ms = min(
+                2 * self.contact_interval_ms, MAX_CONTACT_INTERVAL_MS
+            )
+        self.size_at_contact = self.size
         self.next_contact_ms = now_ms + self.contact_interval_ms
         region = self.own.member.instance.region
         listed = [
@@ -876,9 +911,6 @@
         ]
         if not listed:
             return []
-        self.contact_interval_ms = min(
-            2 * self.contact_interval_ms, MAX_CONTACT_INTERVAL_MS
-        )
         chosen = self.random.sample(listed, min(CONTACTS, len(listed)))
         near = [vm for vm in listed if vm.region == region]
         if near:
@@ -892,17 +924,16 @@
         self, address: str, request: MemberPageRequest, reply: ExchangeReply | None
     ) -> list[Action]:
         """Take in a page of the member list and ask for the next one."""
+        self.fetching = False
         if not isinstance(reply, MemberPage):
-            others = self.random_peers(1)
-            if others and not self.synchronised:
-                return [Fetch(others[0], request)]
-            self.joined = self.joined and bool(others)
             return []
         actions = self.apply_page(address, reply)
         if reply.next_after > request.after:
+            self.fetching = True
             return [*actions, Fetch(address, MemberPageRequest(reply.next_after))]
         if not self.synchronised:
             self.synchronised = True
+            self.hasten_sync(self.clock.now_ms())
             self.queue.put(self.own.announcement())
             actions += self.urgent(self.own.announcement())
             log_event(JOINED, members=self.size)
@@ -915,22 +946,34 @@
             actions += self.apply(record, address, spread=False)
         return actions
 
+    def hasten_sync(self, now_ms: int) -> None:
+        """Compare member lists often for a while."""
+        self.sync_interval_ms = FIRST_SYNC_INTERVAL_MS
+        self.full_sync_interval_ms = FIRST_SYNC_INTERVAL_MS
+        self.next_sync_ms = now_ms + FIRST_SYNC_INTERVAL_MS
+        self.next_full_sync_ms = now_ms
+
     def compare_digest(self, source: str, digest: int, now_ms: int) -> list[Action]:
         """Start a comparison of member lists if they differ, at a low rate."""
         if digest == self.table.digest or now_ms < self.next_sync_ms:
             return []
-        jitter_ms = self.random.randrange(SYNC_INTERVAL_MS)
-        self.next_sync_ms = now_ms + SYNC_INTERVAL_MS // 2 + jitter_ms
+        interval_ms = self.sync_interval_ms
+        self.next_sync_ms = (
+            now_ms + interval_ms // 2 + self.random.randrange(interval_ms)
+        )
+        self.sync_interval_ms = min(2 * interval_ms, SYNC_INTERVAL_MS)
         return [Fetch(source, DigestRequest())]
 
     def receive_digests(self, address: str, reply: DigestReply) -> list[Action]:
         """Ask for the records of some differing buckets, or for all pages."""
         differing = self.table.differing_buckets(reply.digests)
         now_ms = self.clock.now_ms()
-        if len(differing) > len(self.table.digests) // 2 and (
-            now_ms >= self.next_full_sync_ms
-        ):
-            self.next_full_sync_ms = now_ms + FULL_SYNC_INTERVAL_MS
+        many = len(differing) > 4 * MAX_SYNC_BUCKETS
+        if many and now_ms >= self.next_full_sync_ms:
+            self.next_full_sync_ms = now_ms + self.full_sync_interval_ms
+            self.full_sync_interval_ms = min(
+                2 * self.full_sync_interval_ms, FULL_SYNC_INTERVAL_MS
+            )
             return [Fetch(address, MemberPageRequest())]
         if not differing:
             return []
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/updates.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/updates.py
@@ -45,9 +45,9 @@
         data = encode(update)
         self.queued[key] = QueuedUpdate(key, msgspec.Raw(data), len(data))
 
-    def discard(self, update: Update) -> None:
-        """Stop spreading news about the subject of the update."""
-        self.queued.pop(subject_of(update), None)
+    def discard_subject(self, subject: str) -> None:
+        """Stop spreading news about an address."""
+        self.queued.pop(subject, None)
 
     def take(self, budget: int, members: int) -> list[msgspec.Raw]:
         """Return the least-sent news that fits into the budget of bytes."""
