Run non-repeatable calls through the ledger

Cause: the sidecar called its server without an intent, and noted a call as handed over before its first byte was written. Change: gates around the server call; a ledger gate; the HTTP client's trace tells when the first byte goes out and can still refuse it; a refusal is told after the gates are left. Conclusion: next, a scenario that sends a dispatch twice through two routers.

--- /dev/null
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/gates.py
@@ -0,0 +1,28 @@
+"""Gates that an attempt passes before its backend server is called."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from medlarridge._internal.protocol.messages import NotRun, Outcome
+
+from .live import LiveAttempt
+
+
+@dataclass(frozen=True)
+class Answered:
+    """The gate has written the whole answer to the stream of the attempt."""
+
+    outcome: Outcome
+    detail: str = ""
+
+
+class Gate(Protocol):
+    """Decides whether and when an attempt runs, and is told how it ended."""
+
+    async def enter(self, live: LiveAttempt) -> NotRun | Answered | None:
+        """Wait until the attempt may run; otherwise return how it ends."""
+        ...
+
+    async def leave(self, live: LiveAttempt) -> None:
+        """Note the end of an attempt that entered; ``live.result`` tells how."""
+        ...
--- /dev/null
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/ledger_gate.py
@@ -0,0 +1,109 @@
+"""Gate that runs calls with an idempotency key at most once."""
+
+from medlarridge._internal.clock import Clock
+from medlarridge._internal.coordination.ledger import (
+    Call,
+    Refused,
+    RefusedReason,
+    Repeat,
+    Run,
+    Token,
+    Unknown,
+)
+from medlarridge._internal.coordination.ledger_records import CallResult
+from medlarridge._internal.fleet import FleetView
+from medlarridge._internal.protocol.messages import Head, NotRun, Outcome, Refusal
+from medlarridge._internal.state.ledger_exchange import Ledger
+
+from .gates import Answered
+from .live import LiveAttempt
+from .server_result import CallState
+
+RETRY_AFTER_MS = 2_000
+REPEATED_HEADER = ("x-medlarridge-repeated", "1")
+REFUSALS = {
+    RefusedReason.KEY_REUSED: Refusal.INVALID,
+    RefusedReason.DEADLINE: Refusal.DEADLINE,
+}
+
+
+class LedgerGate:
+    """Asks the ledger before a call and journals the result after it.
+
+    Applies to attempts that have an idempotency key and may not be repeated.
+    """
+
+    def __init__(self, ledger: Ledger, fleet: FleetView, clock: Clock) -> None:
+        self.ledger = ledger
+        self.fleet = fleet
+        self.clock = clock
+        self.tokens: dict[tuple[str, int], Token] = {}
+
+    async def enter(self, live: LiveAttempt) -> NotRun | Answered | None:
+        """Ask whether the call may run."""
+        attempt = live.attempt
+        if attempt.repeatable or not attempt.idempotency_key:
+            return None
+        left_ms = attempt.deadline_ms + live.stream.started_ms - self.clock.now_ms()
+        call = Call(
+            attempt.route,
+            attempt.account,
+            attempt.idempotency_key,
+            attempt.fingerprint,
+            self.clock.now_ms() + left_ms,
+        )
+        decision = await self.ledger.begin(call)
+        match decision:
+            case Run(token):
+                self.tokens[(attempt.request_id, attempt.number)] = token
+                live.may_send = lambda: self.ledger.start(token)
+                return None
+            case Repeat(result):
+                return answer_again(live, result)
+            case Unknown(reason):
+                return Answered(Outcome.UNKNOWN, f"an earlier copy: {reason}")
+            case Refused(reason):
+                return NotRun(
+                    REFUSALS.get(reason, Refusal.LEDGER_UNAVAILABLE),
+                    self.fleet.generation,
+                    f"the ledger does not admit the call: {reason}",
+                    RETRY_AFTER_MS,
+                )
+
+    async def leave(self, live: LiveAttempt) -> None:
+        """Journal the result, or free the key of a call that was never sent.
+
+        A call that may have reached the server keeps its intent without a result,
+        so copies of it are answered as unknown.
+        """
+        key = (live.attempt.request_id, live.attempt.number)
+        token = self.tokens.pop(key, None)
+        if token is None:
+            return
+        if not live.handed_over:
+            await self.ledger.release(token)
+        elif live.result is not None and live.result.state is CallState.COMPLETE:
+            await self.ledger.finish(token, result_of(live))
+
+
+def result_of(live: LiveAttempt) -> CallResult:
+    """Return the answer as it is journalled."""
+    stream = live.stream
+    status = stream.head.status if stream.head else 0
+    if stream.head is None or stream.first_number > 0:
+        return CallResult(status, kept=False)
+    body = b"".join(chunk.data for chunk in stream.chunks)
+    return CallResult(status, stream.head.headers, body)
+
+
+def answer_again(live: LiveAttempt, result: CallResult) -> Answered:
+    """Write the journalled answer to the stream."""
+    stream = live.stream
+    stream.head = Head(result.status, [*result.headers, REPEATED_HEADER])
+    if result.kept:
+        if result.body:
+            stream.append(result.body)
+        return Answered(Outcome.COMPLETE)
+    stream.head = Head(result.status, [("content-type", "text/plain"), REPEATED_HEADER])
+    stream.append(b"the call has run; its answer is no longer kept\n")
+    return Answered(Outcome.COMPLETE)
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/live.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/live.py
@@ -1,5 +1,6 @@
 """An attempt in progress: its record, its task and its current connection."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -12,7 +13,7 @@
 from medlarridge._internal.transport.asgi import HttpResponse
 from medlarridge._internal.transport.signal import Signal
 
-from .call_result import CallResult
+from .server_result import ServerResult
 
 HEARTBEAT_MS = 1_000
 FRAMES_PER_WRITE = 16
@@ -41,9 +42,23 @@
     consumed: Signal = field(default_factory=Signal)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     connection: int = 0
-    result: CallResult | None = None
+    result: ServerResult | None = None
     handed_over: bool = False
     """The backend server may have seen the call."""
+    may_send: Callable[[], bool] = lambda: True
+    """Asked right before the first byte goes to the backend server."""
+
+    @property
+    def ended(self) -> bool:
+        """Return whether the router has been or will be told the end."""
+        return self.record.refusal is not None or self.stream.end is not None
+
+    def allow_send(self) -> bool:
+        """Return whether the call may be sent, and note that it now is."""
+        if not self.may_send():
+            return False
+        self.handed_over = True
+        return True
 
     async def write(self, data: bytes) -> None:
         """Add a piece of the answer; waits while the router is slow."""
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_call.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_call.py
@@ -7,10 +7,16 @@
 from medlarridge._internal.protocol.caller import HOP_HEADERS
 from medlarridge._internal.protocol.messages import Attempt, Head
 
-from .call_result import CallResult, CallState
 from .live import LiveAttempt
+from .server_result import CallState, ServerResult
 
 CONNECT_TIMEOUT_MS = 2_000
+FIRST_BYTE_STEP = "http11.send_request_headers.started"
+"""Step that the HTTP client reports right before the first byte of a request."""
+
+
+class SendRefused(Exception):
+    """The call must not be sent any more."""
 
 
 class ServerClient:
@@ -33,29 +39,38 @@
         await self.pooled.aclose()
         await self.fresh.aclose()
 
-    async def call(self, live: LiveAttempt, deadline_ms: int) -> CallResult:
+    async def call(self, live: LiveAttempt, deadline_ms: int) -> ServerResult:
         """Run the attempt and write the answer to its stream."""
+        detail = "deadline passed"
         with anyio.move_on_after(deadline_ms / MS_PER_S):
             try:
                 await self.exchange(live)
-            except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-                return CallResult(CallState.NEVER_SENT, f"cannot connect: {error}")
+                return ServerResult(CallState.COMPLETE)
+            except SendRefused:
+                detail = "the right to run the call has lapsed"
             except httpx.TransportError as error:
-                return CallResult(CallState.BROKEN, f"server failed: {error!r}")
-            return CallResult(CallState.COMPLETE)
-        return CallResult(CallState.DEADLINE, "deadline passed while running")
+                detail = f"{type(error).__name__}: {error}"
+            if live.handed_over:
+                return ServerResult(CallState.BROKEN, f"server failed: {detail}")
+        state = CallState.DEADLINE if live.handed_over else CallState.NEVER_SENT
+        return ServerResult(state, detail)
 
     async def exchange(self, live: LiveAttempt) -> None:
         """Send the call and copy the answer."""
         attempt = live.attempt
         client = self.pooled if attempt.repeatable else self.fresh
+
+        async def before_step(step: str, info: object) -> None:
+            if step == FIRST_BYTE_STEP and not live.allow_send():
+                raise SendRefused
+
         async with client.stream(
             attempt.method,
             self.url + attempt.path,
             content=attempt.body,
             headers=attempt.headers,
+            extensions={"trace": before_step},
         ) as reply:
-            live.handed_over = True
             live.stream.head = head_of(reply, attempt)
             live.produced.set()
             async for piece in reply.aiter_raw():
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/call_result.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_result.py
@@ -14,7 +14,7 @@
 
 
 @dataclass(frozen=True)
-class CallResult:
+class ServerResult:
     """End of a call to the backend server."""
 
     state: CallState
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
@@ -1,7 +1,6 @@
 """The sidecar: admits attempts, runs them and delivers their answers."""
 
 from collections.abc import Callable
-from typing import Protocol
 
 import anyio
 import anyio.abc
@@ -23,25 +22,14 @@
 )
 
 from .admission import AdmissionContext, first_refusal
-from .call_result import CallResult, CallState
+from .gates import Answered, Gate
 from .live import LiveAttempt
 from .server_call import ServerClient
+from .server_result import CallState, ServerResult
 
 HOUSEKEEPING_MS = 1_000
 
 
-class Gate(Protocol):
-    """Decides whether and when an attempt runs, and is told how it ended."""
-
-    async def enter(self, live: LiveAttempt) -> NotRun | None:
-        """Wait until the attempt may run, or return why it may not."""
-        ...
-
-    async def leave(self, live: LiveAttempt, result: CallResult | None) -> None:
-        """Note the end of an attempt that entered."""
-        ...
-
-
 class Sidecar:
     """Process beside one backend server that has the last word on its work."""
 
@@ -111,7 +99,8 @@
         try:
             with live.scope:
                 await self.pass_gates(live, self.gates)
-            if live.scope.cancelled_caught:
+                self.conclude(live)
+            if live.scope.cancelled_caught and not live.ended:
                 self.end_cancelled(live)
         finally:
             self.drain.end_work()
@@ -123,31 +112,37 @@
         if not gates:
             await self.call_server(live)
             return
-        refusal = await gates[0].enter(live)
-        if refusal is not None:
-            self.withdraw(live, refusal)
-            return
-        try:
-            await self.pass_gates(live, gates[1:])
-        finally:
-            with anyio.CancelScope(shield=True):
-                await gates[0].leave(live, live.result)
+        entered = await gates[0].enter(live)
+        if isinstance(entered, NotRun):
+            self.withdraw(live, entered)
+        elif isinstance(entered, Answered):
+            self.end(live, entered.outcome, entered.detail)
+        else:
+            try:
+                await self.pass_gates(live, gates[1:])
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await gates[0].leave(live)
 
     async def call_server(self, live: LiveAttempt) -> None:
-        """Call the backend server and record how it ended."""
+        """Call the backend server."""
         remaining_ms = self.remaining_ms(live)
         if remaining_ms <= 0:
-            self.withdraw(live, self.refusal(Refusal.DEADLINE, "deadline passed"))
+            live.result = ServerResult(CallState.NEVER_SENT, "deadline passed")
             return
         live.stream.accepted = Accepted(self.instance)
         live.produced.set()
-        self.metrics.attempts.labels("run").inc()
-        live.handed_over = True
-        result = await self.server.call(live, remaining_ms)
-        live.result = result
+        live.result = await self.server.call(live, remaining_ms)
+
+    def conclude(self, live: LiveAttempt) -> None:
+        """Tell the router how the call to the server ended."""
+        result = live.result
+        if result is None or live.ended:
+            return
         if result.state is CallState.NEVER_SENT:
-            live.handed_over = False
-            self.withdraw(live, self.refusal(Refusal.SERVER_UNREACHABLE, result.detail))
+            expired = self.remaining_ms(live) <= 0
+            reason = Refusal.DEADLINE if expired else Refusal.SERVER_UNREACHABLE
+            self.withdraw(live, self.refusal(reason, result.detail))
             return
         complete = result.state is CallState.COMPLETE
         self.end(live, Outcome.COMPLETE if complete else Outcome.UNKNOWN, result.detail)
@@ -163,6 +158,7 @@
 
     def withdraw(self, live: LiveAttempt, refusal: NotRun) -> None:
         """Refuse an attempt that the backend server never saw."""
+        live.stream.accepted = None
         self.metrics.attempts.labels(refusal.reason).inc()
         self.register.withdraw(live.attempt, refusal)
         live.produced.set()
@@ -175,8 +171,6 @@
 
     def end_cancelled(self, live: LiveAttempt) -> None:
         """Mark the end of an attempt that was cancelled."""
-        if live.stream.end is not None or live.record.refusal is not None:
-            return
         if live.handed_over:
             self.end(live, Outcome.UNKNOWN, "cancelled")
         else:
--- a/packages/medlarridge-standins/src/medlarridge_standins/local_fleet.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/local_fleet.py
@@ -18,8 +18,9 @@
 from medlarridge_router._internal.endpoints import caller_endpoints
 from medlarridge_router._internal.router import Router
 from medlarridge_sidecar._internal.endpoints import sidecar_endpoints
+from medlarridge_sidecar._internal.gates import Gate
 from medlarridge_sidecar._internal.server_call import ServerClient
-from medlarridge_sidecar._internal.sidecar import Gate, Sidecar
+from medlarridge_sidecar._internal.sidecar import Sidecar
 
 from .loop_transport import LoopTransport
 
--- a/packages/medlarridge-standins/src/medlarridge_standins/loop_transport.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/loop_transport.py
@@ -10,6 +10,8 @@
 
 from medlarridge._internal.transport.asgi import Endpoints
 
+FIRST_BYTE_STEP = "http11.send_request_headers.started"
+
 
 @dataclass
 class Fault:
@@ -48,6 +50,8 @@
         application = self.applications.get(address)
         if application is None:
             raise httpx.ConnectError(f"nothing listens at {address}")
+        if (trace := request.extensions.get("trace")) is not None:
+            await trace(FIRST_BYTE_STEP, {})
         fault = self.plan(request)
         if fault is not None and fault.lost:
             raise fault.error("connection lost before the request")
