Add the platform client, object keys and audit trail

Processes need the platform's store over HTTP with the same contract as the memory store. A write is ambiguous once a part of it may have been sent; a read never is. put_confirmed reads back after a lost answer and repeats with the same expected version, so at most one attempt takes effect.

An audit entry's key holds the version that the change made: entries cannot be written twice, and the history is read without listing the whole trail.

--- a/packages/medlarridge-standins/src/medlarridge_standins/common.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/common.py
@@ -119,15 +119,16 @@
     endpoints: Endpoints,
     bind: str,
     background: Callable[[], Awaitable[None]] | None = None,
+    shutdown: Callable[[], Awaitable[None]] = wait_for_signal,
 ) -> None:
     """Serve a stand-in until the process is told to end."""
     if background is None:
-        await serve_http(endpoints, bind, wait_for_signal)
+        await serve_http(endpoints, bind, shutdown)
         return
     async with anyio.create_task_group() as tasks:
 
         async def serve_then_stop() -> None:
-            await serve_http(endpoints, bind, wait_for_signal)
+            await serve_http(endpoints, bind, shutdown)
             tasks.cancel_scope.cancel()
 
         tasks.start_soon(background)
--- /dev/null
+++ b/packages/medlarridge-standins/src/medlarridge_standins/loopback.py
@@ -0,0 +1,31 @@
+"""Servers on the loopback interface, for tests and the demo."""
+
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+
+from medlarridge._internal.transport.asgi import Endpoints
+
+from .common import serve
+
+
+@asynccontextmanager
+async def serve_on_loopback(
+    endpoints: Endpoints, background: Callable[[], Awaitable[None]] | None = None
+) -> AsyncIterator[str]:
+    """Serve endpoints on a free port for the duration of the block; give the URL."""
+    # The server gets a listening socket, so that clients can connect at once.
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+        # The server closes the descriptor that it is given.
+        bind = f"fd://{listener.dup().detach()}"
+    # Hypercorn does not clean up when it is cancelled, so it is told to end.
+    shutdown = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(serve, endpoints, bind, background, shutdown.wait)
+        try:
+            yield f"http://{host}:{port}"
+        finally:
+            shutdown.set()
--- a/packages/medlarridge-standins/src/medlarridge_standins/platform.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/platform.py
@@ -13,6 +13,7 @@
 from medlarridge._internal.state.memory import MemoryStore, StoreFault
 from medlarridge._internal.state.store import MAX_VALUE_BYTES, StoredObject
 from medlarridge._internal.transport.asgi import (
+    ClientGone,
     Endpoints,
     HttpError,
     HttpRequest,
@@ -130,18 +131,18 @@
 
     async def list_objects(self, request: HttpRequest, response: HttpResponse) -> None:
         """Answer with the keys and versions below a prefix."""
-        await self.start_call(response, self.reads)
+        await self.start_call(request, response, self.reads)
         listed = await self.store.list(request.query.get("prefix", ""))
         if isinstance(listed, Err):
-            return await self.reply_error(response, listed.unwrap_err())
+            return await self.reply_error(request, response, listed.unwrap_err())
         return await response.reply_json(200, listed.unwrap())
 
     async def get_object(self, request: HttpRequest, response: HttpResponse) -> None:
         """Answer with an object."""
-        await self.start_call(response, self.reads)
+        await self.start_call(request, response, self.reads)
         found = await self.store.get(request.parameters["rest"])
         if isinstance(found, Err):
-            return await self.reply_error(response, found.unwrap_err())
+            return await self.reply_error(request, response, found.unwrap_err())
         stored = found.unwrap()
         if stored is None:
             raise HttpError(404, "the object does not exist")
@@ -151,33 +152,33 @@
         """Write an object if its version is as expected."""
         version = expected_version(request)
         value = await request.body(MAX_VALUE_BYTES)
-        await self.start_call(response, self.writes)
+        await self.start_call(request, response, self.writes)
         self.inject_lost_write()
         written = await self.store.put(request.parameters["rest"], value, version)
         if isinstance(written, Err):
-            return await self.reply_error(response, written.unwrap_err())
+            return await self.reply_error(request, response, written.unwrap_err())
         return await reply_empty(response, [("etag", f'"{written.unwrap()}"')])
 
     async def delete_object(self, request: HttpRequest, response: HttpResponse) -> None:
         """Delete an object if its version is as expected."""
         version = expected_version(request)
-        await self.start_call(response, self.writes)
+        await self.start_call(request, response, self.writes)
         self.inject_lost_write()
         deleted = await self.store.delete(request.parameters["rest"], version)
         if isinstance(deleted, Err):
-            return await self.reply_error(response, deleted.unwrap_err())
+            return await self.reply_error(request, response, deleted.unwrap_err())
         return await reply_empty(response)
 
     async def watch_object(self, request: HttpRequest, response: HttpResponse) -> None:
         """Answer when an object has a newer version, or with nothing."""
         after = read_int(request, "after", 0)
         timeout_ms = min(read_int(request, "timeout_ms", MAX_WATCH_MS), MAX_WATCH_MS)
-        await self.start_call(response, self.reads)
+        await self.start_call(request, response, self.reads)
         found = await self.store.watch(request.parameters["rest"], after, timeout_ms)
         if isinstance(found, Err):
-            return await self.reply_error(response, found.unwrap_err())
+            return await self.reply_error(request, response, found.unwrap_err())
         # An outage may have begun while the watch was waiting.
-        await self.meet_outage(response)
+        await self.meet_outage(request, response)
         stored = found.unwrap()
         if stored is None:
             return await reply_empty(response)
@@ -186,7 +187,7 @@
     async def list_vms(self, request: HttpRequest, response: HttpResponse) -> None:
         """Answer with the lagging list if it is newer than the version given."""
         self.store.calls["vms"] += 1
-        await self.start_call(response, self.reads)
+        await self.start_call(request, response, self.reads)
         listed = self.vms.read(self.faults.vm_lag_ms)
         if listed.version <= read_int(request, "after", -1):
             return await reply_empty(response)
@@ -216,7 +217,7 @@
     async def get_weights(self, request: HttpRequest, response: HttpResponse) -> None:
         """Answer with weights, whose content depends on the name alone."""
         self.store.calls["weights"] += 1
-        await self.start_call(response, self.weights)
+        await self.start_call(request, response, self.weights)
         name = request.parameters["name"].encode()
         size = self.settings.weight_bytes
         await response.reply(200, (name * (size // max(len(name), 1) + 1))[:size])
@@ -236,24 +237,29 @@
         self.faults = self.faults.model_copy(update=named)
         await self.get_faults(request, response)
 
-    async def start_call(self, response: HttpResponse, limit: RateLimit) -> None:
+    async def start_call(
+        self, request: HttpRequest, response: HttpResponse, limit: RateLimit
+    ) -> None:
         """Apply slowness, an outage and the rate limit to a call."""
         await anyio.sleep(self.faults.slow_ms / MS_PER_S)
-        await self.meet_outage(response)
+        await self.meet_outage(request, response)
         if not limit.admit():
             self.store.calls["rate_limited"] += 1
             raise HttpError(429, "rate limit exceeded", **{"retry-after": "1"})
 
-    async def meet_outage(self, response: HttpResponse) -> None:
+    async def meet_outage(self, request: HttpRequest, response: HttpResponse) -> None:
         """Fail the call if there is an outage."""
         if self.faults.outage is not Broken.NONE:
             self.store.calls["outage"] += 1
-            await self.fail(response, self.faults.outage)
+            await self.fail(request, response, self.faults.outage)
 
-    async def fail(self, response: HttpResponse, how: Broken) -> None:
+    async def fail(
+        self, request: HttpRequest, response: HttpResponse, how: Broken
+    ) -> None:
         """Fail a call in one of the ways."""
         if how is Broken.SILENT:
-            await anyio.sleep_forever()
+            await request.wait_closed()
+            raise ClientGone("client gave up", step="answer")
         if how is Broken.CLOSE:
             await abort(response)
         raise HttpError(503, "the platform is unavailable")
@@ -270,10 +276,12 @@
                 self.faults = self.faults.model_copy(update={name: left - 1})
                 return
 
-    async def reply_error(self, response: HttpResponse, error: StoreError) -> None:
+    async def reply_error(
+        self, request: HttpRequest, response: HttpResponse, error: StoreError
+    ) -> None:
         """Answer a failed call, or break the connection if the answer is lost."""
         if error.kind is StoreErrorKind.AMBIGUOUS:
-            await self.fail(response, self.faults.lost_answers)
+            await self.fail(request, response, self.faults.lost_answers)
         raise HttpError(STATUS_OF_ERROR[error.kind], error.kind)
 
 
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/state/audit.py
@@ -0,0 +1,124 @@
+"""Audit trail: one immutable object for each change of an object."""
+
+import zlib
+
+import msgspec
+from result import Err, Ok, Result
+
+from ..clock import Clock
+from ..errors import StoreError, StoreErrorKind
+from .confirm import put_confirmed
+from .keys import audit_key, audit_prefix
+from .store import CREATE, MAX_VALUE_BYTES, ObjectStore, StoredObject
+
+MAX_ENTRY_BYTES = 4 * MAX_VALUE_BYTES
+"""Limit of a decompressed entry, which holds two values of an object."""
+
+
+class AuditEntry(msgspec.Struct, frozen=True):
+    """Who changed which object, when, and its content before and after.
+
+    Version 0 means that the object did not exist.
+    """
+
+    who: str
+    what: str
+    time_ms: int
+    before_version: int
+    before: bytes
+    after_version: int
+    after: bytes
+
+
+class AuditTrail:
+    """Reads and writes audit entries.
+
+    The key of an entry holds the version that the change made. So a repeated
+    record is not a second entry, and an entry names its predecessor by the version
+    before the change, which saves listing a trail that grows for years.
+    """
+
+    def __init__(self, store: ObjectStore, clock: Clock) -> None:
+        self.store = store
+        self.clock = clock
+
+    async def record(
+        self,
+        who: str,
+        what: str,
+        before: StoredObject | None,
+        after: StoredObject,
+    ) -> Result[AuditEntry, StoreError]:
+        """Write the entry of a change that has been made."""
+        entry = AuditEntry(
+            who,
+            what,
+            self.clock.now_ms(),
+            before.version if before else CREATE,
+            before.value if before else b"",
+            after.version,
+            after.value,
+        )
+        key = audit_key(what, after.version)
+        written = await put_confirmed(self.store, key, encode_entry(entry), CREATE)
+        if isinstance(written, Err):
+            error = written.unwrap_err()
+            # The entry of this version exists already.
+            if error.kind is not StoreErrorKind.CONFLICT:
+                return Err(error)
+        return Ok(entry)
+
+    async def list(
+        self, what: str, version: int, limit: int
+    ) -> Result[list[AuditEntry], StoreError]:
+        """Return the entries that led to a version, the newest first."""
+        entries: list[AuditEntry] = []
+        while version != CREATE and len(entries) < limit:
+            found = await self.entry(what, version)
+            if isinstance(found, Err):
+                return found
+            entry = found.unwrap()
+            if entry is not None:
+                entries.append(entry)
+                version = entry.before_version
+                continue
+            # A writer that died after its change left no entry.
+            older = await self.version_before(what, version)
+            if isinstance(older, Err):
+                return older
+            version = older.unwrap()
+        return Ok(entries)
+
+    async def entry(
+        self, what: str, version: int
+    ) -> Result[AuditEntry | None, StoreError]:
+        """Return the entry of the change that made a version."""
+        read = await self.store.get(audit_key(what, version))
+        if isinstance(read, Err) or read.unwrap() is None:
+            return read
+        return decode_entry(read.unwrap())
+
+    async def version_before(self, what: str, version: int) -> Result[int, StoreError]:
+        """Return the newest recorded version below a version, 0 without one."""
+        prefix = audit_prefix(what)
+        listed = await self.store.list(prefix)
+        if isinstance(listed, Err):
+            return listed
+        suffixes = [name.key.removeprefix(prefix) for name in listed.unwrap()]
+        versions = [int(suffix) for suffix in suffixes if suffix.isdigit()]
+        return Ok(max((v for v in versions if v < version), default=CREATE))
+
+
+def encode_entry(entry: AuditEntry) -> bytes:
+    """Encode an entry; compressed because it holds two whole values."""
+    return zlib.compress(msgspec.msgpack.encode(entry))
+
+
+def decode_entry(stored: StoredObject) -> Result[AuditEntry, StoreError]:
+    """Decode an entry."""
+    try:
+        data = zlib.decompressobj().decompress(stored.value, MAX_ENTRY_BYTES)
+        return Ok(msgspec.msgpack.decode(data, type=AuditEntry))
+    except (zlib.error, msgspec.DecodeError) as error:
+        kind = StoreErrorKind.UNAVAILABLE
+        return Err(StoreError(kind, "decode audit entry", stored.key, str(error)))
--- /dev/null
+++ b/packages/medlarridge/tests/unit/state/test_keys.py
@@ -0,0 +1,34 @@
+import pytest
+
+from medlarridge._internal.state import keys
+
+
+class TestKeys:
+    def test_all_keys_differ(self):
+        """Guards against two kinds of objects that overwrite each other."""
+        all_keys = [
+            keys.routes_key(),
+            keys.pools_key(),
+            keys.tables_status_key(),
+            keys.accepted_configuration_key(),
+            keys.audit_key(keys.routes_key(), 1),
+            keys.audit_key(keys.pools_key(), 1),
+            keys.ledger_head_key("libro-enchufes", 1),
+            keys.ledger_segment_key("libro-enchufes", 1, 1),
+            keys.suspects_key(1),
+            keys.lease_key("acceptance"),
+            keys.orders_key("10.0.0.1:7000"),
+        ]
+        assert len(set(all_keys)) == len(all_keys)
+
+    @pytest.mark.parametrize("part", ["", "..", "a/b", "a b", "a?x", "a%2fb", "a\n"])
+    def test_refuses_a_part_that_names_another_object(self, part):
+        """Guards against a name from outside that reaches a foreign object."""
+        for key_of in (keys.lease_key, keys.orders_key):
+            with pytest.raises(ValueError, match="object key"):
+                key_of(part)
+
+    def test_audit_keys_sort_by_version(self):
+        """Guards against a history out of order."""
+        ordered = [keys.audit_key("tables/routes", v) for v in (2, 10, 123_456)]
+        assert ordered == sorted(ordered)
