Test the engine and service stand-ins

The stand-ins are the measure of later tests, so whole answers, the prefix cache, priorities, cancellation, crashes, KV transfer, lag and fencing are covered.

--- /dev/null
+++ b/packages/medlarridge/tests/unit/standins/test_engine_standin.py
@@ -0,0 +1,188 @@
+from contextlib import asynccontextmanager
+
+import anyio
+import httpx
+import pytest
+
+from medlarridge._internal.clock import ManualClock
+from medlarridge_standins.engine import Crash, Engine, EngineSettings, expected_answer
+from medlarridge_standins.loopback import serve_on_loopback
+
+QUESTION = [{"role": "user", "content": "Which plugs does the night shift need?"}]
+MARKER = "crash the engine"
+
+
+def new_engine(**settings):
+    instant = {"prefill_tokens_per_s": 0, "token_ms": 0, "kv_tokens_per_s": 0}
+    exact = {"load_lag_ms": 0, "events_lag_ms": 0, "events_loss": 0}
+    return Engine(EngineSettings("", **{**instant, **exact, **settings}), ManualClock())
+
+
+@asynccontextmanager
+async def client_of(engine):
+    async with (
+        serve_on_loopback(engine.endpoints, engine.run_batches) as url,
+        httpx.AsyncClient(base_url=url, timeout=30, trust_env=False) as client,
+    ):
+        yield client
+
+
+def body(messages=QUESTION, **fields):
+    return {"messages": messages, **fields}
+
+
+async def ask(client, chat="c", **fields):
+    headers = {"x-medlarridge-chat": chat}
+    return await client.post(
+        "/v1/chat/completions", json=body(**fields), headers=headers
+    )
+
+
+def returning(count):
+    messages = list(QUESTION)
+    for turn in range(count):
+        answer = expected_answer(messages, 5)
+        messages.append({"role": "assistant", "content": answer})
+        messages.append({"role": "user", "content": f"And at gate {turn}?"})
+    return messages
+
+
+class TestEngineStandin:
+    async def test_stream_and_json_carry_the_same_answer(self):
+        """Guards against tests that cannot tell a whole answer from a part."""
+        async with client_of(new_engine()) as client:
+            whole = (await ask(client, max_tokens=5)).json()
+            streamed = await ask(client, max_tokens=5, stream=True)
+        text = expected_answer(QUESTION, 5)
+        assert whole["choices"][0]["message"]["content"] == text
+        events = streamed.text.split("\n\n")
+        assert events[5:] == ["data: [DONE]", ""]
+        assert len(events[:5]) == len(text.split())
+
+    async def test_returning_chat_finds_its_prefix_until_it_is_evicted(self):
+        """Guards against measuring reuse with a cache that forgets nothing."""
+        async with client_of(new_engine(cache_tokens=60)) as client:
+            cached = [
+                int(
+                    (await ask(client, chat, messages=m, max_tokens=5)).headers[
+                        "x-cached-tokens"
+                    ]
+                )
+                for chat, m in (
+                    ("c", QUESTION),
+                    ("c", returning(1)),
+                    ("other", returning(4)),
+                    ("c", returning(2)),
+                )
+            ]
+        assert cached[0] == 0
+        assert cached[1] > 0
+        assert cached[2:] == [0, 0]
+
+    async def test_urgent_requests_run_first(self):
+        """Guards against an engine that ignores priorities."""
+        engine = new_engine(batch=1)
+        order = []
+
+        async def ask_and_note(client, priority):
+            await ask(client, priority=priority, max_tokens=2)
+            order.append(priority)
+
+        async with client_of(engine) as client:
+            engine.batches.settings.batch = 0
+            async with anyio.create_task_group() as tasks:
+                for priority in (0, 5, 9):
+                    tasks.start_soon(ask_and_note, client, priority)
+                while len(engine.batches.waiting) < 3:
+                    await anyio.sleep(0.001)
+                engine.batches.settings.batch = 1
+        assert order == [9, 5, 0]
+
+    async def test_closed_connection_cancels_the_work(self):
+        """Guards against an engine that works on for a caller that has left."""
+        engine = new_engine(token_ms=1)
+        async with client_of(engine) as client:
+            request = body(max_tokens=100_000, stream=True)
+            async with client.stream(
+                "POST", "/v1/chat/completions", json=request
+            ) as answer:
+                await anext(answer.aiter_lines())
+            while engine.batches.running:
+                await anyio.sleep(0.001)
+        assert engine.batches.load.current().outstanding_tokens == 0
+
+    @pytest.mark.parametrize("stream", [True, False])
+    async def test_crash_ends_all_streams_abnormally(self, stream):
+        """Guards against a crash that a client takes for the end of an answer."""
+        engine = new_engine(token_ms=1, crash_marker=MARKER, crash=Crash.STREAMS)
+        async with client_of(engine) as client:
+
+            async def meet_crash(**fields):
+                with pytest.raises(httpx.RemoteProtocolError):
+                    await ask(client, **fields)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lambda: meet_crash(max_tokens=100_000, stream=stream))
+                while not engine.batches.running:
+                    await anyio.sleep(0.001)
+                crashing = [{"role": "user", "content": f"please {MARKER} now"}]
+                await meet_crash(messages=crashing, stream=stream)
+            assert (await ask(client, max_tokens=1)).status_code == 200
+
+    async def test_import_transfers_only_the_missing_blocks(self):
+        """Guards against imports that copy, or claim, more than they do."""
+        source, target = new_engine(), new_engine()
+        chat = {"messages": returning(1), "max_tokens": 5}
+        async with client_of(source) as client:
+            await ask(client, **chat)
+            exported = (await client.post("/kv/export", json={"chat": "c"})).json()
+            tail = {"chat": "c", "after_tokens": exported["blocks"][0]["tokens"]}
+            missing = (await client.post("/kv/export", json=tail)).json()
+        async with client_of(target) as client:
+            refused = await client.post("/kv/import", json=missing)
+            exported["blocks"] = exported["blocks"][:1]
+            for part in (exported, missing):
+                imported = await client.post("/kv/import", json=part)
+            again = await ask(client, messages=returning(2), max_tokens=5)
+        assert refused.status_code == 409
+        assert int(again.headers["x-cached-tokens"]) == imported.json()["tokens"]
+
+    async def test_cache_events_are_late_and_have_gaps(self):
+        """Guards against an index that relies on complete, prompt events."""
+        engine = new_engine(events_lag_ms=100, events_loss=0.5, seed=3)
+        for chat in range(20):
+            engine.events.publish(f"chat {chat}", 1)
+        assert engine.events.after(0) == []
+        engine.events.clock.advance(100)
+        numbers = [event.number for event in engine.events.after(4)]
+        assert 0 < len(numbers) < 16
+        assert numbers == sorted(set(numbers))
+        assert numbers[0] > 4
+
+    async def test_load_lags(self):
+        """Guards against balancing that needs a load without delay."""
+        engine = new_engine(load_lag_ms=100)
+        async with client_of(engine) as client:
+            engine.batches.settings.batch = 0
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lambda: ask(client))
+                while not engine.batches.waiting:
+                    await anyio.sleep(0.001)
+                early = (await client.get("/load")).json()
+                engine.batches.load.clock.advance(100)
+                late = (await client.get("/load")).json()
+                tasks.cancel_scope.cancel()
+        assert (early["waiting"], late["waiting"]) == (0, 1)
+
+    @pytest.mark.parametrize(("checks", "statuses"), [(True, 409), (False, 204)])
+    async def test_old_fencing_number(self, checks, statuses):
+        """Guards against relying on engines that ignore fencing numbers."""
+        engine = new_engine(checks_fencing=checks)
+        order = {"kind": "load-model", "name": "asistente-frio"}
+        async with client_of(engine) as client:
+            for number in (2, 1):
+                sent = {**order, "fencing_number": number}
+                answer = await client.post("/orders", json=sent)
+            done = (await client.get("/orders")).json()
+        assert answer.status_code == statuses
+        assert len(done) == (1 if checks else 2)
--- a/packages/medlarridge/tests/unit/state/test_platform.py
+++ b/packages/medlarridge/tests/unit/state/test_platform.py
@@ -13,7 +13,8 @@
 from medlarridge_standins.platform import Broken, Faults, Platform, PlatformSettings
 from medlarridge_standins.platform import Vm as ListedVm
 
-SHORT_TIMEOUT_MS = 100
+SHORT_TIMEOUT_MS = 250
+LONG_TIMEOUT_MS = 10_000
 
 
 def new_platform(**settings):
@@ -26,7 +27,7 @@
 
 
 @asynccontextmanager
-async def store_over_tcp(platform, timeout_ms=5_000):
+async def store_over_tcp(platform, timeout_ms=LONG_TIMEOUT_MS):
     async with (
         serve_on_loopback(platform.endpoints) as url,
         PlatformStore(url, timeout_ms) as store,
@@ -107,13 +108,14 @@
         """Guards against taking a failed write for one that did not happen."""
         platform = new_platform()
         platform.faults = Faults(outage=outage)
-        async with store_over_tcp(platform, SHORT_TIMEOUT_MS) as store:
-            write = (await store.put("a", b"1", 0)).unwrap_err()
-            assert write.kind is write_kind
-            assert (await store.delete("a", 1)).unwrap_err().kind is write_kind
-            read = (await store.get("a")).unwrap_err()
-            assert read.kind is StoreErrorKind.UNAVAILABLE
-            assert (await store.watch("a", 0, 1)).is_err()
+        silent = outage is Broken.SILENT
+        timeout_ms = SHORT_TIMEOUT_MS if silent else LONG_TIMEOUT_MS
+        async with store_over_tcp(platform, timeout_ms) as store:
+            for write in (store.put("a", b"1", 0), store.delete("a", 1)):
+                assert (await write).unwrap_err().kind is write_kind
+            for read in (store.get("a"), store.watch("a", 0, 1)):
+                error = (await read).unwrap_err()
+                assert error.kind is StoreErrorKind.UNAVAILABLE
 
     @pytest.mark.parametrize("how", [Broken.CLOSE, Broken.SILENT])
     async def test_lost_answer_is_ambiguous_and_the_write_in_force(self, how):
