--- a/packages/medlarridge/src/medlarridge/_internal/protocol/tables.py
+++ b/packages/medlarridge/src/medlarridge/_internal/protocol/tables.py
@@ -1,6 +1,7 @@
 """Validated models of the operators' two tables."""
 
 import hashlib
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Annotated, Self
 
@@ -59,6 +60,37 @@
     adapters: list[str] = Field(default=[], max_length=256)
 
 
+@dataclass(frozen=True)
+class Problem:
+    """A mistake in a table, with its key and what is allowed there."""
+
+    key: str
+    message: str
+    allowed: str = ""
+
+
+def find_reference_problems(
+    routes: dict[str, Route], pools: dict[str, Pool]
+) -> list[Problem]:
+    """Return the routes that point to missing pools or to pools of two kinds."""
+    problems = []
+    for name, route in routes.items():
+        key = f"routes.{name}.pools"
+        missing = [pool for pool in route.pools if pool not in pools]
+        problems += [
+            Problem(
+                key,
+                f"route {name!r} points to pool {pool!r}, which does not exist",
+                "names of the pools table",
+            )
+            for pool in missing
+        ]
+        if not missing and len({pools[pool].kind for pool in route.pools}) > 1:
+            message = f"route {name!r} mixes engine and service pools"
+            problems.append(Problem(key, message, "pools of one kind"))
+    return problems
+
+
 class Tables(Model):
     """Both tables, validated together."""
 
@@ -68,15 +100,8 @@
     @model_validator(mode="after")
     def check_references(self) -> Self:
         """Require that each route points to pools that exist."""
-        for name, route in self.routes.items():
-            for pool in route.pools:
-                if pool not in self.pools:
-                    raise ValueError(
-                        f"route {name!r} points to pool {pool!r}, which does not exist"
-                    )
-            kinds = {self.pools[pool].kind for pool in route.pools}
-            if len(kinds) > 1:
-                raise ValueError(f"route {name!r} mixes engine and service pools")
+        for problem in find_reference_problems(self.routes, self.pools):
+            raise ValueError(problem.message)
         return self
 
     def digest(self) -> str:
