Test repeated writes after a lost answer and long watches

Changing the code on a scratch copy showed that no test noticed a definite error after a lost first attempt, or a watch cut off by the timeout of other calls.

--- a/packages/medlarridge/tests/unit/state/test_audit.py
+++ b/packages/medlarridge/tests/unit/state/test_audit.py
@@ -82,3 +82,13 @@
         )
         error = (await put_confirmed(store, "a", b"1", 0)).unwrap_err()
         assert error.kind is StoreErrorKind.AMBIGUOUS
+
+    async def test_failed_repetition_does_not_settle_the_first_attempt(self):
+        """Guards against "not done" for a write that may still arrive."""
+        reads = {4, 6}
+        for answered in (set(), reads):
+            # Calls alternate between writes and reads.
+            down = {n: StoreFault.UNAVAILABLE for n in range(3, 8) if n not in answered}
+            store = MemoryStore(faults={1: StoreFault.LOST_BEFORE, **down})
+            error = (await put_confirmed(store, "a", b"1", 0)).unwrap_err()
+            assert error.kind is StoreErrorKind.AMBIGUOUS
--- a/packages/medlarridge/tests/unit/state/test_platform.py
+++ b/packages/medlarridge/tests/unit/state/test_platform.py
@@ -156,6 +156,19 @@
         assert (await store.get("a")).is_err()
         assert (await store.list("a")).is_err()
 
+    async def test_a_watch_may_last_longer_than_other_calls(self):
+        """Guards against watches that all end as errors when nothing changes."""
+        timeouts = []
+
+        def answer(request):
+            timeouts.append(request.extensions["timeout"]["read"])
+            return httpx.Response(204)
+
+        transport = httpx.MockTransport(answer)
+        store = PlatformStore("http://platform", 2_000, transport)
+        assert (await store.watch("a", 0, 5_000)).unwrap() is None
+        assert timeouts == [7.0]
+
 
 class TestPlatformLists:
     async def test_list_of_vms_lags(self):
