Map undecodable answers of the platform to typed errors

An answer with a damaged content encoding raised out of the platform client; httpx reports it outside its transport errors.

--- a/packages/medlarridge/src/medlarridge/_internal/state/platform.py
+++ b/packages/medlarridge/src/medlarridge/_internal/state/platform.py
@@ -192,7 +192,7 @@
             return Ok(await self.client.send(request))
         except NEVER_SENT as error:
             return Err(self.error(StoreErrorKind.UNAVAILABLE, step, describe(error)))
-        except httpx.TransportError as error:
+        except httpx.RequestError as error:
             return Err(self.error(lost, step, describe(error)))
 
     def refused(
--- a/packages/medlarridge/tests/unit/standins/test_engine_standin.py
+++ b/packages/medlarridge/tests/unit/standins/test_engine_standin.py
@@ -1,12 +1,25 @@
+import os
+import socket
+import subprocess
+import sys
 from contextlib import asynccontextmanager
+from pathlib import Path
 
 import anyio
 import httpx
 import pytest
 
+import medlarridge_standins
 from medlarridge._internal.clock import ManualClock
-from medlarridge_standins.engine import Crash, Engine, EngineSettings, expected_answer
+from medlarridge_standins.engine import (
+    CRASH_STATUS,
+    Crash,
+    Engine,
+    EngineSettings,
+    expected_answer,
+)
 from medlarridge_standins.loopback import serve_on_loopback
+from medlarridge_standins.prefix_cache import CHARACTERS_PER_TOKEN
 
 QUESTION = [{"role": "user", "content": "Which plugs does the night shift need?"}]
 MARKER = "crash the engine"
@@ -79,6 +92,16 @@
         assert cached[1] > 0
         assert cached[2:] == [0, 0]
 
+    async def test_changed_message_ends_the_cached_prefix(self):
+        """Guards against reuse of a prefix that belongs to another text."""
+        edited = returning(2)
+        edited[1] = {"role": "assistant", "content": "none"}
+        async with client_of(new_engine()) as client:
+            await ask(client, messages=returning(1), max_tokens=5)
+            answer = await ask(client, messages=edited, max_tokens=5)
+        first = len(QUESTION[0]["content"]) // CHARACTERS_PER_TOKEN + 1
+        assert int(answer.headers["x-cached-tokens"]) == first
+
     async def test_urgent_requests_run_first(self):
         """Guards against an engine that ignores priorities."""
         engine = new_engine(batch=1)
@@ -129,6 +152,27 @@
                 await meet_crash(messages=crashing, stream=stream)
             assert (await ask(client, max_tokens=1)).status_code == 200
 
+    def test_crash_can_end_the_process(self):
+        """Guards against crash tests in which nothing dies."""
+        module = [sys.executable, "-m", "medlarridge_standins", "engine"]
+        package = Path(medlarridge_standins.__file__).parents[1]
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port, fd = listener.getsockname()[1], listener.fileno()
+            process = subprocess.Popen(
+                [*module, "--bind", f"fd://{fd}", "--crash-marker", MARKER],
+                pass_fds=[fd],
+                env={"PYTHONPATH": os.pathsep.join([str(package), *sys.path])},
+            )
+        url = f"http://127.0.0.1:{port}/v1/chat/completions"
+        crashing = body([{"role": "user", "content": MARKER}])
+        try:
+            with pytest.raises(httpx.TransportError):
+                httpx.post(url, json=crashing, timeout=60, trust_env=False)
+            assert process.wait(timeout=60) == CRASH_STATUS
+        finally:
+            process.kill()
+            process.wait()
+
     async def test_import_transfers_only_the_missing_blocks(self):
         """Guards against imports that copy, or claim, more than they do."""
         source, target = new_engine(), new_engine()
--- a/packages/medlarridge/tests/unit/state/test_platform.py
+++ b/packages/medlarridge/tests/unit/state/test_platform.py
@@ -146,10 +146,24 @@
         assert error.kind is StoreErrorKind.RATE_LIMITED
         assert "b" not in platform.store.objects
 
-    @pytest.mark.parametrize("status", [200, 500])
-    async def test_answer_without_sense_is_ambiguous(self, status):
+    @pytest.mark.parametrize(
+        ("status", "headers"),
+        [
+            (200, {}),
+            (200, {"etag": "x"}),
+            (500, {}),
+            (200, {"content-encoding": "gzip"}),
+        ],
+    )
+    async def test_answer_without_sense_is_ambiguous(self, status, headers):
         """Guards against trusting a server that fails in an unknown way."""
-        transport = httpx.MockTransport(lambda request: httpx.Response(status))
+
+        async def content():
+            yield b"no sense"
+
+        transport = httpx.MockTransport(
+            lambda request: httpx.Response(status, headers=headers, content=content())
+        )
         store = PlatformStore("http://platform", transport=transport)
         error = (await store.put("a", b"1", 0)).unwrap_err()
         assert error.kind is StoreErrorKind.AMBIGUOUS
--- a/packages/medlarridge/tests/unit/test_tables_admin.py
+++ b/packages/medlarridge/tests/unit/test_tables_admin.py
@@ -122,6 +122,16 @@
         assert not store.objects
 
 
+class TestReadStatus:
+    async def test_result_of_acceptance(self, admin, store):
+        """Guards against an operator who is not told why an edit is not in force."""
+        assert (await admin.read_status()).unwrap() == b""
+        (await store.put("status/tables", b"{}", 0)).unwrap()
+        assert (await admin.read_status()).unwrap() == b"{}"
+        store.available = False
+        assert (await admin.read_status()).is_err()
+
+
 class TestUndo:
     async def test_older_content_is_a_new_edit(self, admin):
         """Guards against an undo that rewrites the history."""
