--- a/packages/medlarridge/src/medlarridge/_internal/coordination/fair_queue.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/fair_queue.py
@@ -5,7 +5,7 @@
 inside a class the accounts take turns by deficit round robin. The cost of an entry
 is its work in tokens.
 
-An account that holds more than its share of the running work is *heavy*. Heavy
+An account that holds much of the running work is *heavy*. Heavy
 accounts may only fill the server up to a reserve below the load bound. Without
 this reserve a light account would always find the server full during a surge and
 wait for a running request to end, however fair the order of the queue is.
@@ -23,15 +23,18 @@
 PRIORITIES = 10
 QUANTUM_TOKENS = 4_000
 """Work of a usual request, so that one pass over an account nearly always suffices."""
-HEAVY_SHARE_FACTOR = 1.5
-"""Multiple of the mean running work per account above which an account is heavy."""
+BECOMES_HEAVY_SHARE = 0.95
+STAYS_HEAVY_SHARE = 0.5
+"""Shares of the largest account's running work. An account becomes heavy when it
+is about the largest. While its backlog lasts it stays heavy down to half of the
+largest, otherwise several surging accounts would take turns in using the reserve."""
 RESERVE_MISS_RATE = 0.02
 """Aim for the share of light entries that find the reserve used up. It stays below
 5% so that waiting for the reserve does not show in the 95th percentile."""
+RESERVE_GAIN_PLACES = 0.5
+MAX_CORRECTION_PLACES = 32.0
 MAX_RESERVE_SHARE = 0.25
 """Largest share of the running work that the reserve may withhold."""
-MIN_SHARING_ACCOUNTS = 2
-"""An account that is alone still leaves the reserve free for the next one."""
 AVERAGING_WEIGHT = 0.05
 EXPIRY_TICK_MS = 10
 RETRY_AFTER_JITTER = 0.25
@@ -72,6 +75,7 @@
     queued_ms: int = 0
     started_ms: int = 0
     expires_ms: int = 0
+    queued_as_light: bool = False
 
 
 @dataclass(frozen=True)
@@ -183,28 +187,37 @@
 class ReserveEstimate:
     """Size of the reserve that keeps light accounts from finding a full server.
 
-    While the reserve is in use only light entries start, so the number of free
-    places is a birth-death process: it falls with each light start and rises with
-    each end. With a share s of the work being light, all of r places are in use
-    for about s ** r of the time.
+    The reserve starts from a model and is corrected by what light entries see.
+    Model: while the reserve is in use only light entries start, so the number of
+    free places is a birth-death process that falls with each light start and rises
+    with each end. With a share s of the work being light, all of r places are in
+    use for about s ** r of the time. Requests differ in size, so the model alone
+    is too low; each light entry that had to wait raises the correction and each
+    that started at once lowers it, in balance at ``RESERVE_MISS_RATE``.
     """
 
     def __init__(self) -> None:
         self.light_share = 0.5
         self.light_tokens = float(QUANTUM_TOKENS)
+        self.correction_places = 0.0
 
-    def add(self, work_tokens: int, light: bool) -> None:
+    def add(self, entry: QueueEntry) -> None:
         """Count one entry that starts."""
         weight = AVERAGING_WEIGHT
+        light = entry.queued_as_light
         self.light_share += weight * (float(light) - self.light_share)
         if light:
-            self.light_tokens += weight * (work_tokens - self.light_tokens)
+            self.light_tokens += weight * (entry.work_tokens - self.light_tokens)
+            waited = entry.started_ms > entry.queued_ms
+            step = RESERVE_GAIN_PLACES * (float(waited) - RESERVE_MISS_RATE)
+            corrected = max(0.0, self.correction_places + step)
+            self.correction_places = min(corrected, MAX_CORRECTION_PLACES)
 
     def tokens(self) -> int:
         """Return the work that heavy accounts must leave free."""
         share = min(max(self.light_share, 0.01), 0.99)
-        places = math.ceil(math.log(RESERVE_MISS_RATE) / math.log(share))
-        return int(places * self.light_tokens)
+        places = math.log(RESERVE_MISS_RATE) / math.log(share)
+        return int((places + self.correction_places) * self.light_tokens)
 
 
 class FairQueue:
@@ -232,6 +245,7 @@
         self.running_by_account: dict[str, int] = {}
         self.queued_by_account: dict[str, int] = {}
         self.queued_tokens = 0
+        self.largest_tokens = 0
         self.mean_run_ms = 0.0
         self.virtual_time = 0.0
         self.expiry = ExpiryIndex(clock.now_ms())
@@ -294,12 +308,11 @@
         entry = self.running.pop(key, None)
         if entry is None:
             return
-        self.running_tokens -= entry.work_tokens
-        subtract(self.running_by_account, entry.account, entry.work_tokens)
+        self.change_running(entry.account, -entry.work_tokens)
         run_ms = self.clock.now_ms() - entry.started_ms
         weight = AVERAGING_WEIGHT if self.mean_run_ms else 1.0
         self.mean_run_ms += weight * (run_ms - self.mean_run_ms)
-        if not self.is_heavy(entry.account):
+        if not self.is_heavy(entry.account, STAYS_HEAVY_SHARE):
             self.move_to_light(entry.account)
 
     def expected_wait_ms(self, entry: QueueEntry) -> int:
@@ -316,11 +329,21 @@
             return 0
         return int(ahead * self.mean_run_ms / self.running_tokens)
 
-    def is_heavy(self, account: str) -> bool:
-        """Return whether an account holds more than its share of running work."""
+    def is_heavy(self, account: str, share: float = BECOMES_HEAVY_SHARE) -> bool:
+        """Return whether an account runs at least a share of the largest one."""
         own = self.running_by_account.get(account, 0)
-        accounts = max(len(self.running_by_account), MIN_SHARING_ACCOUNTS)
-        return own * accounts > HEAVY_SHARE_FACTOR * self.running_tokens
+        return own > 0 and own >= share * self.largest_tokens
+
+    def change_running(self, account: str, tokens: int) -> None:
+        """Add work to the running total of an account, or subtract it."""
+        before = self.running_by_account.get(account, 0)
+        self.running_tokens += tokens
+        add(self.running_by_account, account, tokens)
+        if tokens > 0:
+            self.largest_tokens = max(self.largest_tokens, before + tokens)
+        elif before == self.largest_tokens:
+            # Costs one step per account with running work, which are few.
+            self.largest_tokens = max(self.running_by_account.values(), default=0)
 
     def fits_when_idle(self, entry: QueueEntry) -> bool:
         """Return whether an entry could start if nothing else ran here."""
@@ -376,9 +399,8 @@
         self.remove_waiting(entry)
         entry.started_ms = self.clock.now_ms()
         self.running[entry.key] = entry
-        self.running_tokens += entry.work_tokens
-        add(self.running_by_account, entry.account, entry.work_tokens)
-        self.reserve.add(entry.work_tokens, light)
+        self.change_running(entry.account, entry.work_tokens)
+        self.reserve.add(entry)
         if queue.entries and light and self.is_heavy(entry.account):
             priority_class.place(queue, heavy=True)
         return entry
@@ -389,10 +411,12 @@
         if not priority_class.backlogged:
             # A class that was idle does not claim the time in which it was idle.
             priority_class.served = max(priority_class.served, self.virtual_time)
+        heavy = self.is_heavy(entry.account)
+        entry.queued_as_light = not heavy
         queue = priority_class.find(entry.account)
         if queue is None:
             queue = AccountQueue(entry.account)
-            priority_class.place(queue, self.is_heavy(entry.account))
+            priority_class.place(queue, heavy)
         queue.entries[entry.key] = entry
         queue.queued_tokens += entry.work_tokens
         priority_class.queued_tokens += entry.work_tokens
@@ -411,7 +435,7 @@
         queue.queued_tokens -= entry.work_tokens
         priority_class.queued_tokens -= entry.work_tokens
         self.queued_tokens -= entry.work_tokens
-        subtract(self.queued_by_account, entry.account, entry.work_tokens)
+        add(self.queued_by_account, entry.account, -entry.work_tokens)
         self.expiry.remove(entry)
         if not queue.entries:
             priority_class.remove(entry.account)
@@ -439,14 +463,9 @@
 
 
 def add(totals: dict[str, int], account: str, tokens: int) -> None:
-    """Add work to the total of an account."""
-    totals[account] = totals.get(account, 0) + tokens
-
-
-def subtract(totals: dict[str, int], account: str, tokens: int) -> None:
-    """Subtract work from the total of an account; drop it when nothing is left."""
-    left = totals[account] - tokens
-    if left:
-        totals[account] = left
+    """Change the total of an account; drop it when nothing is left."""
+    total = totals.get(account, 0) + tokens
+    if total:
+        totals[account] = total
     else:
         del totals[account]
