Detect servers that are alive but slow

Cause: a slow server answers probes, so membership keeps sending it work. Change: OutlierDetector compares averages with the pool's median, with two ratios, a cap of 20% of the pool and re-probing at a bounded rate. It runs at a router or, with a view of the pool, at the sidecar itself.

--- /dev/null
+++ b/packages/medlarridge/tests/unit/coordination/test_outlier.py
@@ -0,0 +1,100 @@
+import math
+from random import Random
+
+import pytest
+
+from medlarridge._internal.clock import ManualClock
+from medlarridge._internal.coordination.outlier import (
+    FIRST_PROBE_MS,
+    LatencyHistogram,
+    OutlierDetector,
+    PoolView,
+    ServerState,
+    Signal,
+)
+
+
+class TestOutlierDetector:
+    def setup_method(self):
+        self.clock = ManualClock()
+        self.detector = OutlierDetector(self.clock, Random(1))
+        self.servers = [f"s{number}" for number in range(10)]
+
+    def run(self, seconds, slow, factor=4.0, signal=Signal.BETWEEN_TOKENS):
+        changes = []
+        for _ in range(seconds):
+            self.clock.advance(1_000)
+            for server in self.servers:
+                ratio = factor if server in slow else 1.0
+                first = 200 * (ratio if signal is Signal.FIRST_TOKEN else 1.0)
+                between = 26 * (ratio if signal is Signal.BETWEEN_TOKENS else 1.0)
+                for _ in range(2):
+                    if self.detector.accepts(server):
+                        self.detector.record(server, first, between)
+            changes += self.detector.evaluate()
+        return changes
+
+    @pytest.mark.parametrize("signal", list(Signal))
+    def test_ejects_probes_and_takes_back(self, signal):
+        """Guards against a slow server that keeps its share of the work."""
+        changes = self.run(15, {"s3"}, signal=signal)
+        assert [(each.server, each.state) for each in changes] == [
+            ("s3", ServerState.EJECTED)
+        ]
+        assert changes[0].signal is signal
+        assert not self.detector.accepts("s3")
+        self.clock.advance(FIRST_PROBE_MS)
+        states = [each.state for each in self.run(400, set())]
+        assert states == [ServerState.PROBING, ServerState.HEALTHY]
+
+    def test_probes_a_server_that_stays_slow_less_often(self):
+        """Guards against a slow server that returns because time has passed."""
+        changes = self.run(1_500, {"s3"})
+        assert ServerState.HEALTHY not in {each.state for each in changes}
+        # Waits of 10, 20, 40, 80 and then 120 s give 14 cycles of two changes in
+        # 1,500 s; without doubling there would be about 75 cycles.
+        assert 20 <= len(changes) <= 30
+        assert self.detector.records["s3"].probe_after_ms > FIRST_PROBE_MS
+
+    def test_never_ejects_more_than_the_cap(self):
+        """Guards against an overloaded rest when several servers are slow."""
+        self.run(30, {"s1", "s2", "s3", "s4"})
+        out = [each for each in self.servers if not self.detector.accepts(each)]
+        assert len(out) == 2
+
+    @pytest.mark.parametrize("factor", [1.0, 2.0])
+    def test_leaves_usual_variation_alone(self, factor):
+        """Guards against ejection of servers within the hysteresis band."""
+        assert self.run(60, {"s1", "s2"}, factor) == []
+
+    def test_a_short_hiccup_does_not_eject(self):
+        """Guards against one long prefill that takes a server out."""
+        self.run(20, set())
+        assert self.run(2, {"s1"}) + self.run(20, set()) == []
+
+    def test_sidecar_judges_itself_against_the_pool(self):
+        """Guards against routers that see too few answers at the target size."""
+        histogram = LatencyHistogram()
+        for _ in range(400):
+            histogram.add(math.log(26))
+        other = LatencyHistogram()
+        other.add(math.log(104))
+        histogram.merge(other.counts)
+        median = histogram.median()
+        assert math.exp(median) == pytest.approx(26, rel=0.1)
+        self.servers = ["own"]
+        for out, expected in ((80, []), (79, [ServerState.EJECTED])):
+            pool = PoolView({Signal.BETWEEN_TOKENS: median}, 401, out)
+            states = []
+            for _ in range(10):
+                self.clock.advance(1_000)
+                for _ in range(4):
+                    self.detector.record("own", None, 104)
+                states += [each.state for each in self.detector.evaluate(pool)]
+            assert states == expected
+
+    def test_forgets_servers_that_left(self):
+        """Guards against an instance that inherits the state of its predecessor."""
+        self.run(20, {"s3"})
+        self.detector.keep({"s1"})
+        assert self.detector.accepts("s3") and set(self.detector.records) == {"s1"}
