--- /dev/null
+++ b/packages/medlarridge/tests/unit/coordination/test_ledger.py
@@ -0,0 +1,279 @@
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from medlarridge._internal.coordination.ledger import (
+    Call,
+    Limits,
+    PauseGuard,
+    Put,
+    Refused,
+    RefusedReason,
+    Wait,
+    WriteBudget,
+)
+from medlarridge._internal.coordination.ledger_records import (
+    KEY_RETENTION_MS,
+    MAX_RESULT_BODY_BYTES,
+    RESULT_RETENTION_MS,
+    CallResult,
+    Entry,
+    decode_head,
+    limited,
+)
+from medlarridge._internal.state.store import CREATE
+from medlarridge_standins.ledger_trial import (
+    SHARD_KEY,
+    SMALL_LIMITS,
+    Ending,
+    Fault,
+    Fuzz,
+    Outcome,
+    Trial,
+    finish_now,
+    run_crash_points,
+)
+
+MAX_LEGAL_PAUSE_MS = 30_000
+
+
+def assert_promises(tally):
+    assert tally.duplicates == 0
+    assert tally.wrong_repeats == 0
+
+
+def run_until_granted(trial, index, faults=()):
+    """Make the steps of a sidecar, with the given faults of its head writes."""
+    faults = list(faults)
+    sidecar = trial.sidecars[index]
+    for _ in range(50):
+        call = sidecar.call
+        is_write = call and call.answer is None and isinstance(call.step, Put)
+        fault = faults.pop(0) if is_write and faults else Fault.NONE
+        if not sidecar.advance_call(fault):
+            trial.advance(5)
+        if sidecar.granted:
+            return sidecar.granted[0]
+    return None
+
+
+def stored_head(trial):
+    return decode_head(trial.store.objects[SHARD_KEY].value)
+
+
+class TestShard:
+    def test_every_fault_at_every_store_call(self):
+        """Guards against a second run or an untrue answer at any crash point."""
+        tally = run_crash_points()
+        assert tally.runs > 500
+        assert_promises(tally)
+        assert tally.untrue_not_run == tally.unanswered == 0
+
+    @settings(derandomize=True, max_examples=150, deadline=None, database=None)
+    @given(random=st.randoms(use_true_random=False), keys=st.integers(1, 12))
+    def test_interleavings(self, random, keys):
+        """Guards against orders of steps, pauses and faults nobody thought of."""
+        trial = Fuzz(random, keys, SMALL_LIMITS).run(150)
+        assert_promises(trial)
+        assert trial.untrue_not_run() == 0
+        assert all(copy.outcome is not None for copy in trial.copies)
+
+    def test_long_interleavings(self):
+        """Guards against faults that need many calls, segments and retentions."""
+        for seed in range(120):
+            limits = SMALL_LIMITS if seed % 2 else Limits()
+            trial = Fuzz(Random(seed), 3 + seed % 20, limits).run(400)
+            assert_promises(trial)
+            assert trial.untrue_not_run() == 0
+
+    def test_intent_is_durable_before_the_call_may_run(self):
+        """Guards against a run that a crash would make the ledger forget."""
+        trial = Trial(Random(1))
+        trial.send(0, "key")
+        granted = run_until_granted(trial, 0)
+        assert granted.token.entry in stored_head(trial).entries
+
+    def test_lost_answers_are_settled_by_reading_back(self):
+        """Guards against refusing, or running twice, after an ambiguous write."""
+        for fault in (Fault.LOST_AFTER, Fault.LOST_BEFORE, Fault.LATE):
+            trial = Trial(Random(1))
+            trial.send(0, "key")
+            granted = run_until_granted(trial, 0, [fault])
+            assert [entry.token for entry in stored_head(trial).entries] == [
+                granted.token.entry.token
+            ]
+
+    def test_late_write_of_a_refused_call_never_runs(self):
+        """Guards against an intent that lands after its caller heard not run."""
+        trial = Trial(Random(1))
+        copy = trial.send(0, "key")
+        sidecar = trial.sidecars[0]
+        while not (sidecar.call and isinstance(sidecar.call.step, Put)):
+            sidecar.advance_call() or trial.advance(5)
+        sidecar.advance_call(Fault.LATE)
+        trial.advance(2500)
+        sidecar.advance_call()
+        assert copy.outcome is Outcome.NOT_RUN
+        trial.settle()
+        assert copy.executions == 0
+        assert stored_head(trial).entries == []
+        repeat = trial.send(1, "key")
+        trial.settle()
+        assert repeat.outcome is Outcome.COMPLETE
+
+    def test_waking_holder_after_its_deadline_cannot_run(self):
+        """Guards against a paused sidecar that runs what was given up."""
+        trial = Trial(Random(1))
+        copy = trial.send(0, "key")
+        granted = run_until_granted(trial, 0)
+        trial.advance(2 * KEY_RETENTION_MS)
+        trial.sidecars[0].advance_run(granted, Ending.FINISH)
+        assert (copy.outcome, copy.executions) == (Outcome.NOT_RUN, 0)
+
+    def test_token_is_good_for_one_end_only(self):
+        """Guards against a release after the call ran."""
+        trial = Trial(Random(1))
+        trial.send(0, "key")
+        token = run_until_granted(trial, 0).token
+        shard = trial.sidecars[0].shard
+        shard.finish(token, CallResult(200))
+        assert not shard.release(token)
+        assert not shard.start(token)
+
+    def test_other_request_with_the_same_key_is_an_error(self):
+        """Guards against answering a request with the result of another one."""
+        trial = Trial(Random(1))
+        trial.send(0, "key")
+        run_until_granted(trial, 0)
+        call = Call("invoices", "account", "key", "other", 60_000)
+        decision = trial.sidecars[0].shard.begin(call).decision
+        assert decision == Refused(RefusedReason.KEY_REUSED)
+
+    def test_calls_share_one_write(self):
+        """Guards against one store write per call, which the store cannot carry."""
+        trial = Trial(Random(1))
+        for number in range(50):
+            trial.send(0, f"key {number}")
+        run_until_granted(trial, 0)
+        assert len(trial.sidecars[0].granted) == 50
+        assert trial.store.calls["put"] == 1
+
+    def test_full_shard_refuses_as_not_run(self):
+        """Guards against a head that outgrows the store's values."""
+        trial = Trial(Random(1), limits=Limits(seal_bytes=500, head_bytes=1000))
+        for number in range(100):
+            trial.send(0, f"key {number}")
+        trial.settle()
+        assert {copy.outcome for copy in trial.copies} == {Outcome.NOT_RUN}
+        assert all(copy.executions == 0 for copy in trial.copies)
+        assert trial.send(0, "key") and run_until_granted(trial, 0)
+
+    def test_ledger_time_is_never_ahead_of_real_time(self):
+        """Guards against early expiry when several writers add up their time."""
+        trial = Trial(Random(1), sidecar_count=3)
+        for number in range(60):
+            trial.send(number % 3, f"key {number}")
+            trial.advance(100 + number)
+            run_until_granted(trial, number % 3)
+            assert stored_head(trial).time_ms <= trial.clock.now_ms()
+        assert stored_head(trial).time_ms > 0
+
+    def test_entries_in_segments_are_found_by_others(self):
+        """Guards against a repeated run once an entry has left the head."""
+        trial = Trial(Random(1), limits=SMALL_LIMITS)
+        for number in range(20):
+            trial.send(0, f"key {number}")
+            trial.settle(40)
+        assert stored_head(trial).segments
+        repeats = [trial.send(1, f"key {number}") for number in range(20)]
+        trial.settle()
+        assert [copy.outcome for copy in repeats] == [Outcome.COMPLETE] * 20
+        assert all(copy.executions == 0 for copy in repeats)
+
+    def test_clean_up_spares_a_segment_whose_head_write_is_open(self):
+        """Guards against deleting a segment that another sidecar is about to use."""
+        trial = Trial(Random(1))
+        trial.send(0, "key")
+        run_until_granted(trial, 0)
+        version = trial.store.version_of(SHARD_KEY)
+        prefix = f"{SHARD_KEY}/segments/"
+        for base in (version - 1, version):
+            finish_now(trial.store.put(f"{prefix}{base}-aa", b"\x90", CREATE))
+        trial.settle(5)
+        names = [name.key for name in finish_now(trial.store.list(prefix)).ok()]
+        assert names == [f"{prefix}{version}-aa"]
+
+    def test_malformed_head_refuses(self):
+        """Guards against running without the record of earlier calls."""
+        trial = Trial(Random(1))
+        finish_now(trial.store.put(SHARD_KEY, b"\xc1", CREATE))
+        copy = trial.send(0, "key")
+        trial.settle()
+        assert (copy.outcome, copy.executions) == (Outcome.NOT_RUN, 0)
+
+    def test_outage_keeps_the_answer_that_is_known(self):
+        """Guards against not run for a call whose earlier copy is recorded."""
+        trial = Trial(Random(1))
+        trial.send(0, "key")
+        run_until_granted(trial, 0)
+        trial.send(1, "other")
+        run_until_granted(trial, 1)
+        trial.store.available = False
+        trial.advance(10)
+        copy = trial.send(1, "key")
+        trial.settle(100)
+        assert copy.outcome is Outcome.UNKNOWN
+
+
+class TestEntry:
+    def test_retention(self):
+        """Guards against expiry of an open intent and against endless growth."""
+        entry = Entry(b"key", b"print", b"token", 0)
+        assert entry.aged(10**12) is entry
+        done = entry.finished(CallResult(200, [], b"body"), 0)
+        assert done.aged(RESULT_RETENTION_MS - 1) is done
+        assert done.aged(RESULT_RETENTION_MS).result == CallResult(200, kept=False)
+        assert done.aged(KEY_RETENTION_MS) is None
+
+    def test_large_results_are_not_kept(self):
+        """Guards against bodies that fill the shard."""
+        body = b"x" * (MAX_RESULT_BODY_BYTES + 1)
+        assert limited(CallResult(200, [], body)) == CallResult(200, kept=False)
+        assert limited(CallResult(200, [], body[1:])).kept
+
+
+class TestWriteBudget:
+    def test_bounds_the_rate(self):
+        """Guards against a stampede on the store after an outage."""
+        budget = WriteBudget(Limits(writes_per_s=10, write_burst=5), 0)
+        writes = 0
+        for now_ms in range(2000):
+            while budget.ready_at(now_ms) <= now_ms:
+                budget.take()
+                writes += 1
+        assert 20 <= writes <= 5 + 20
+
+    def test_shard_waits_for_the_budget(self):
+        """Guards against a shard that writes without budget."""
+        trial = Trial(Random(1), limits=Limits(writes_per_s=1, write_burst=1))
+        trial.send(0, "first")
+        run_until_granted(trial, 0)
+        trial.send(0, "second")
+        trial.advance(100)
+        assert isinstance(trial.sidecars[0].shard.next_step(), Wait)
+
+
+class TestPauseGuard:
+    def test_refuses_for_a_while_after_a_pause(self):
+        """Guards against old copies that waited in the socket of a paused process."""
+        clock = Trial(Random(1)).clock
+        guard = PauseGuard(clock)
+        clock.advance(MAX_LEGAL_PAUSE_MS)
+        assert not guard.recently_paused()
+        clock.advance(KEY_RETENTION_MS)
+        assert guard.recently_paused()
+        clock.advance(10_000)
+        assert guard.recently_paused()
+        clock.advance(10_000)
+        assert not guard.recently_paused()
