Add leases with fencing numbers, engine orders and ledger measurements

Change: lease.py judges lapses by an unchanged version on the local clock; orders.py holds the controller and the sidecar's guard; write slots are reserved in order so that no shard starves.

--- /dev/null
+++ b/packages/medlarridge-standins/src/medlarridge_standins/measure/ledger.py
@@ -0,0 +1,183 @@
+"""Promises and store writes of the at-most-once ledger."""
+
+import heapq
+from itertools import count
+from random import Random
+
+from medlarridge._internal.clock import MS_PER_S, ManualClock
+from medlarridge._internal.coordination.ledger import (
+    Call,
+    Limits,
+    Run,
+    Shard,
+    Ticket,
+    WriteBudget,
+)
+from medlarridge._internal.coordination.ledger_records import CallResult
+from medlarridge._internal.coordination.steps import StoreStep, Wait
+from medlarridge._internal.state.memory import MemoryStore
+
+from ..ledger_trial import (
+    SMALL_LIMITS,
+    Fuzz,
+    Tally,
+    finish_now,
+    run_crash_points,
+    store_call,
+)
+from ..report import Row
+from . import measure
+
+FUZZ_SEEDS = range(1000)
+FUZZ_STEPS = 400
+RATES_PER_S = (1, 10, 50, 150)
+RATE_SEED = 11
+DURATION_MS = 60_000
+STORE_LATENCY_MS = 5
+MEAN_CALL_MS = 300
+OWNED_SHARDS = 5
+"""Shards of a route that one of three sidecars owns."""
+BASELINE = "2 (create, update)"
+
+
+@measure.scenario("ledger-crash-points")
+def crash_points() -> list[Row]:
+    """Run every fault at every store call with two competing sidecars."""
+    return promise_rows("all crash points", run_crash_points())
+
+
+@measure.scenario("ledger-interleavings")
+def interleavings() -> list[Row]:
+    """Run random interleavings with crashes, pauses and faults."""
+    tally = Tally()
+    for seed in FUZZ_SEEDS:
+        limits = SMALL_LIMITS if seed % 2 else Limits()
+        tally.add(Fuzz(Random(seed), 3 + seed % 20, limits).run(FUZZ_STEPS))
+    return promise_rows(f"interleavings, seeds 0-{FUZZ_SEEDS[-1]}", tally)
+
+
+def promise_rows(title: str, tally: Tally) -> list[Row]:
+    """Return the rows for the promises of the ledger."""
+
+    def row(name: str, value: int) -> Row:
+        return Row(f"ledger {title}: {name}", value, "", "0", met=value == 0)
+
+    return [
+        Row(f"ledger {title}: runs", tally.runs, "runs"),
+        Row(f"ledger {title}: executions", tally.executions, "calls"),
+        row("duplicate executions", tally.duplicates),
+        row("untrue not run answers", tally.untrue_not_run),
+        row("wrong or unanswered", tally.wrong_repeats + tally.unanswered),
+    ]
+
+
+@measure.scenario("ledger-writes")
+def writes_per_call() -> list[Row]:
+    """Count store writes per call of one sidecar at several call rates."""
+    rows = []
+    for rate in RATES_PER_S:
+        load = Load(rate)
+        load.run()
+        name = f"ledger, {rate} calls/s at one sidecar, seed {RATE_SEED}"
+        writes = load.store.calls["put"] / load.answered
+        rows.append(Row(f"{name}: writes", writes, "per call", baseline=BASELINE))
+        waits = sorted(load.waits_ms)
+        p95 = waits[int(len(waits) * 0.95)]
+        rows.append(Row(f"{name}: wait p95", p95, "ms", baseline=STORE_TEXT))
+        refused = load.answered - load.allowed
+        rows.append(Row(f"{name}: refused", refused, "calls", "0", met=not refused))
+    return rows
+
+
+STORE_TEXT = f"{STORE_LATENCY_MS} (one create)"
+
+
+class Load:
+    """Poisson arrivals at one sidecar that owns some shards of a route."""
+
+    def __init__(self, rate_per_s: float) -> None:
+        self.rate_per_ms = rate_per_s / MS_PER_S
+        self.random = Random(RATE_SEED)
+        self.clock = ManualClock()
+        self.store = MemoryStore()
+        self.limits = Limits()
+        budget = WriteBudget(self.limits, 0)
+        counter = count(1).__next__
+        self.shards = [
+            Shard(f"s/{n}", 1, self.clock, self.random, self.limits, budget, counter)
+            for n in range(OWNED_SHARDS)
+        ]
+        self.events: list[tuple[int, int, object]] = []
+        self.order = count()
+        self.busy: set[str] = set()
+        self.waiting: list[tuple[Shard, Ticket]] = []
+        self.waits_ms: list[int] = []
+        self.answered = 0
+        self.allowed = 0
+
+    def run(self) -> None:
+        """Run the load on a manual clock."""
+        next_ms = 0.0
+        number = 0
+        while self.clock.now_ms() < DURATION_MS:
+            now_ms = self.clock.now_ms()
+            while next_ms <= now_ms:
+                self.arrive(f"key {number}")
+                number += 1
+                next_ms += self.random.expovariate(self.rate_per_ms)
+            while self.events and self.events[0][0] <= now_ms:
+                heapq.heappop(self.events)[2]()
+            for shard in self.shards:
+                self.step(shard)
+            self.collect()
+            self.clock.advance(1)
+
+    def arrive(self, key: str) -> None:
+        """Take a new call."""
+        shard = self.random.choice(self.shards)
+        now_ms = self.clock.now_ms()
+        call = Call("route", "account", key, key, now_ms + 60_000)
+        self.waiting.append((shard, shard.begin(call)))
+
+    def step(self, shard: Shard) -> None:
+        """Start the next store call of a shard that has none."""
+        if shard.key in self.busy:
+            return
+        step = shard.next_step()
+        if step is None or isinstance(step, Wait):
+            return
+        self.busy.add(shard.key)
+        self.after(STORE_LATENCY_MS, lambda: self.answer(shard, step))
+
+    def answer(self, shard: Shard, step: StoreStep) -> None:
+        """Perform the store call and pass its answer on."""
+        self.busy.discard(shard.key)
+        shard.on_answer(step, finish_now(store_call(self.store, step)))
+
+    def collect(self) -> None:
+        """Run the calls that were allowed and give up those that waited too long."""
+        now_ms = self.clock.now_ms()
+        undecided = []
+        for shard, ticket in self.waiting:
+            if now_ms - ticket.arrived_ms >= self.limits.wait_limit_ms:
+                shard.discard(ticket)
+            if ticket.decision is None:
+                undecided.append((shard, ticket))
+                continue
+            self.answered += 1
+            self.waits_ms.append(now_ms - ticket.arrived_ms)
+            if isinstance(ticket.decision, Run):
+                self.allowed += 1
+                self.finish_later(shard, ticket.decision)
+        self.waiting = undecided
+
+    def finish_later(self, shard: Shard, run: Run) -> None:
+        """Finish a call after a random duration."""
+        delay_ms = int(self.random.expovariate(1 / MEAN_CALL_MS))
+        result = CallResult(200, [], b"x" * 200)
+        self.after(delay_ms, lambda: shard.finish(run.token, result))
+
+    def after(self, delay_ms: int, action: object) -> None:
+        """Schedule an action."""
+        at_ms = self.clock.now_ms() + delay_ms
+        heapq.heappush(self.events, (at_ms, next(self.order), action))
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/ledger.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/ledger.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
+from math import ceil
 from random import Random
 
 from msgspec import MsgspecError
@@ -32,6 +33,7 @@
     fingerprint_digest,
     limited,
 )
+from .steps import Delete, Get, ListNames, Put, Step, Wait
 
 MALFORMED = register(3000, "ERROR", "ledger object is malformed")
 SHARDS_PER_ROUTE = 16
@@ -152,19 +154,16 @@
         self.tokens = float(limits.write_burst)
         self.updated_ms = now_ms
 
-    def ready_at(self, now_ms: int) -> int:
-        """Return when the next write may start."""
+    def reserve(self, now_ms: int) -> int:
+        """Reserve one write and return when it may start.
+
+        Reservations are served in order, so that no shard starves.
+        """
         rate = self.limits.writes_per_s / MS_PER_S
         self.tokens += (now_ms - self.updated_ms) * rate
-        self.tokens = min(self.tokens, float(self.limits.write_burst))
+        self.tokens = min(self.tokens, float(self.limits.write_burst)) - 1
         self.updated_ms = now_ms
-        if self.tokens >= 1:
-            return now_ms
-        return now_ms + int((1 - self.tokens) / rate) + 1
-
-    def take(self) -> None:
-        """Account for one write."""
-        self.tokens -= 1
+        return now_ms + max(0, ceil(-self.tokens / rate))
 
 
 MAX_PAUSE_MS = 30_000
@@ -236,48 +235,6 @@
     listener: Callable[[], None] | None = None
 
 
-@dataclass(frozen=True)
-class Get:
-    """Read an object."""
-
-    key: str
-
-
-@dataclass(frozen=True)
-class Put:
-    """Write an object if its version is as expected."""
-
-    key: str
-    value: bytes
-    expected_version: int
-
-
-@dataclass(frozen=True)
-class Delete:
-    """Delete a segment that no head refers to."""
-
-    key: str
-    version: int
-
-
-@dataclass(frozen=True)
-class ListSegments:
-    """List the segments of a shard."""
-
-    prefix: str
-
-
-@dataclass(frozen=True)
-class Wait:
-    """Do nothing until a time, or until there is new work."""
-
-    until_ms: int
-
-
-StoreStep = Get | Put | Delete | ListSegments
-Step = StoreStep | Wait
-
-
 @dataclass(frozen=True)
 class Flight:
     """The head write in flight and what depends on it."""
@@ -379,6 +336,7 @@
         self.garbage: list[ObjectName] = []
         self.failures = 0
         self.retry_at_ms = 0
+        self.slot_ms: int | None = None
         self.last_put_ms = clock.now_ms() - limits.flush_interval_ms
 
     # Calls of the sidecar
@@ -476,7 +434,7 @@
         """Take the answer of a store call."""
         if isinstance(step, Delete):
             return
-        if isinstance(step, ListSegments):
+        if isinstance(step, ListNames):
             self.on_segments_listed(answer)
         elif isinstance(step, Get):
             if step.key == self.key:
@@ -498,7 +456,9 @@
         if not self.waiting:
             first_ms = min(change.due_ms for change in self.changes.values())
             due_ms = max(due_ms, first_ms)
-        return max(due_ms, self.budget.ready_at(now_ms))
+        if now_ms >= due_ms and self.slot_ms is None:
+            self.slot_ms = self.budget.reserve(now_ms)
+        return due_ms if self.slot_ms is None else max(due_ms, self.slot_ms)
 
     def clean_up_step(self) -> Step | None:
         """Return the next step that removes unreferenced segments, if any."""
@@ -507,7 +467,7 @@
             return Delete(name.key, name.version)
         if self.sweep_due and self.view.version is not None:
             self.sweep_due = False
-            return ListSegments(f"{self.key}/segments/")
+            return ListNames(f"{self.key}/segments/")
         return None
 
     # Decisions from what is known
@@ -574,7 +534,7 @@
         if len(value) > self.limits.seal_bytes and self.seal is None:
             step = self.seal_step(flight.head.time_ms)
             if step is not None:
-                self.budget.take()
+                self.slot_ms = None
                 return step
         if len(value) > self.limits.head_bytes and flight.tickets:
             for ticket in flight.tickets:
@@ -582,7 +542,7 @@
             return self.next_step()
         self.flight = flight
         self.last_put_ms = now_ms
-        self.budget.take()
+        self.slot_ms = None
         return Put(self.key, value, flight.expected_version)
 
     def build(self, now_ms: int) -> Flight:
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/state/lease_exchange.py
@@ -0,0 +1,40 @@
+"""Performs the store calls of a lease."""
+
+import anyio
+
+from ..clock import MS_PER_S
+from ..coordination.lease import Lease
+from ..coordination.steps import Wait
+from .perform import perform
+from .store import ObjectStore
+
+RESIGN_TIMEOUT_MS = 2000
+
+
+class LeaseKeeper:
+    """Keeps contending for a lease, renews it, and resigns at the end."""
+
+    def __init__(self, store: ObjectStore, lease: Lease) -> None:
+        self.store = store
+        self.lease = lease
+
+    async def run(self) -> None:
+        """Contend and renew until cancelled."""
+        while True:
+            await self.advance()
+
+    async def resign(self) -> None:
+        """Free the lease so that another process need not wait for its lapse."""
+        self.lease.resign()
+        with anyio.move_on_after(RESIGN_TIMEOUT_MS / MS_PER_S):
+            while self.lease.is_own():
+                await self.advance()
+
+    async def advance(self) -> None:
+        """Perform one step."""
+        step = self.lease.next_step()
+        if isinstance(step, Wait):
+            delay_ms = max(1, step.until_ms - self.lease.clock.now_ms())
+            await anyio.sleep(delay_ms / MS_PER_S)
+        else:
+            self.lease.on_answer(step, await perform(self.store, step))
--- a/packages/medlarridge/src/medlarridge/_internal/state/ledger_exchange.py
+++ b/packages/medlarridge/src/medlarridge/_internal/state/ledger_exchange.py
@@ -5,33 +5,26 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from result import Err, Result
 
 from ..clock import MS_PER_S, Clock
 from ..coordination.ledger import (
     Call,
     Decision,
-    Delete,
-    Get,
     Limits,
-    ListSegments,
     PauseGuard,
-    Put,
     Refused,
     RefusedReason,
     Shard,
-    StoreStep,
     Token,
-    Wait,
     WriteBudget,
 )
 from ..coordination.ledger_records import CallResult
-from ..errors import StoreError, StoreErrorKind
+from ..coordination.steps import Wait
 from ..identity import Instance
+from .perform import perform
 from .store import ObjectStore
 
 TICK_INTERVAL_MS = 1000
-STORE_TIMEOUT_MS = 2000
 
 
 class Ledger:
@@ -162,7 +155,7 @@
                 if isinstance(step, Wait):
                     await self.wait(shard, step)
                 else:
-                    shard.on_answer(step, await self.perform(step))
+                    shard.on_answer(step, await perform(self.store, step))
         finally:
             self.active.discard(shard.key)
 
@@ -172,23 +165,3 @@
         delay_ms = max(1, step.until_ms - self.clock.now_ms())
         with anyio.move_on_after(delay_ms / MS_PER_S):
             await wake.wait()
-
-    async def perform(self, step: StoreStep) -> Result:
-        """Perform a store call; one without an answer may have taken effect."""
-        with anyio.move_on_after(STORE_TIMEOUT_MS / MS_PER_S):
-            return await self.call(step)
-        kind = StoreErrorKind.AMBIGUOUS
-        return Err(StoreError(kind, "ledger", "store", "no answer in time"))
-
-    async def call(self, step: StoreStep) -> Result:
-        """Pass a step to the store."""
-        match step:
-            case Get(key):
-                return await self.store.get(key)
-            case Put(key, value, expected_version):
-                return await self.store.put(key, value, expected_version)
-            case Delete(key, version):
-                return await self.store.delete(key, version)
-            case ListSegments(prefix):
-                return await self.store.list(prefix)
-        raise TypeError(f"unknown step {step!r}")
--- a/packages/medlarridge/tests/features/test_at_most_once.py
+++ b/packages/medlarridge/tests/features/test_at_most_once.py
@@ -3,7 +3,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from medlarridge._internal.coordination.ledger import Put
+from medlarridge._internal.coordination.steps import Put
 from medlarridge_standins.ledger_trial import Ending, Fault, Outcome, Trial
 
 scenarios("at_most_once.feature")
--- /dev/null
+++ b/packages/medlarridge/tests/unit/coordination/test_lease.py
@@ -0,0 +1,156 @@
+from random import Random
+
+import pytest
+from result import Err, Ok
+
+from medlarridge._internal.clock import ManualClock
+from medlarridge._internal.coordination.lease import LEASE_MS, Lease, LeaseRecord
+from medlarridge._internal.coordination.steps import Get, Put, Wait
+from medlarridge._internal.errors import StoreErrorKind
+from medlarridge._internal.identity import Instance, Role
+from medlarridge._internal.state.memory import MemoryStore, StoreFault
+from medlarridge_standins.ledger_trial import finish_now
+
+KEY = "leases/orders"
+
+
+class Contest:
+    """Processes that contend for one lease, each with a clock of its own."""
+
+    def __init__(self, count=2):
+        self.store = MemoryStore()
+        self.clocks = [ManualClock(1_000_000 * number) for number in range(count)]
+        self.leases = [
+            Lease(
+                "orders",
+                Instance("127.0.0.1:1", number + 1, "anfa", "west", Role.SIDECAR),
+                clock,
+                Random(number),
+            )
+            for number, clock in enumerate(self.clocks)
+        ]
+
+    def step(self, index):
+        lease = self.leases[index]
+        match step := lease.next_step():
+            case Get(key):
+                lease.on_answer(step, finish_now(self.store.get(key)))
+            case Put(key, value, version):
+                answer = finish_now(self.store.put(key, value, version))
+                lease.on_answer(step, answer)
+            case Wait():
+                return False
+        return True
+
+    def run(self, duration_ms, paused=()):
+        for _ in range(duration_ms // 100):
+            for clock in self.clocks:
+                clock.advance(100)
+            for index in range(len(self.leases)):
+                while index not in paused and self.step(index):
+                    pass
+
+    def holders(self):
+        return [lease.fencing for lease in self.leases if lease.is_held()]
+
+
+class TestLease:
+    def test_one_of_two_contenders_holds_and_keeps_it(self):
+        """Guards against two holders and against a lease that changes hands."""
+        contest = Contest()
+        contest.run(1000)
+        assert contest.holders() == [1]
+        for _ in range(120):
+            contest.run(1000)
+            assert contest.holders() == [1]
+
+    def test_lapses_while_the_holder_is_paused(self):
+        """Guards against a duty that nobody does, and against an equal number."""
+        contest = Contest()
+        contest.run(1000)
+        contest.run(3 * LEASE_MS, paused=[0])
+        assert not contest.leases[0].is_held()
+        assert contest.leases[1].is_held()
+        assert contest.leases[1].fencing == 2
+        contest.run(2 * LEASE_MS)
+        assert contest.leases[0].fencing == 0
+        assert contest.holders() == [2]
+
+    def test_takes_over_no_earlier_than_the_lease_time(self):
+        """Guards against a takeover while the holder still believes it holds it."""
+        contest = Contest()
+        contest.run(1000)
+        for _ in range(3 * LEASE_MS // 100):
+            contest.run(100, paused=[0])
+            assert len(contest.holders()) <= 1
+        assert contest.holders() == [2]
+
+    @pytest.mark.parametrize("fault", list(StoreFault))
+    def test_every_fault_of_every_call(self, fault):
+        """Guards against a second holder or a falling number after a lost answer."""
+        for ordinal in range(1, 20):
+            contest = Contest()
+            contest.store.faults = {ordinal: fault}
+            highest = 0
+            for _ in range(60):
+                contest.run(500)
+                holders = contest.holders()
+                assert len(holders) <= 1
+                assert all(fencing >= highest for fencing in holders)
+                highest = max([highest, *holders])
+            assert contest.holders() == [1]
+
+    def test_survives_an_outage_without_a_second_holder(self):
+        """Guards against two holders when the store returns after a long outage."""
+        contest = Contest(3)
+        contest.run(1000)
+        contest.store.available = False
+        contest.run(4 * LEASE_MS)
+        assert contest.holders() == []
+        contest.store.available = True
+        contest.run(2 * LEASE_MS)
+        assert len(contest.holders()) == 1
+
+    def test_resigned_lease_is_taken_at_once_with_a_higher_number(self):
+        """Guards against waiting for a lapse after a graceful shutdown."""
+        contest = Contest()
+        contest.run(1000)
+        contest.leases[0].resign()
+        contest.run(7000)
+        assert contest.holders() == [2]
+
+    def test_new_start_at_the_same_address_is_not_the_holder(self):
+        """Guards against an old start's term being continued by its successor."""
+        contest = Contest(1)
+        contest.run(1000)
+        instance = contest.leases[0].instance
+        successor = Instance(instance.address, 99, "anfa", "west", Role.SIDECAR)
+        lease = Lease("orders", successor, contest.clocks[0], Random(1))
+        contest.leases[0] = lease
+        contest.run(1000)
+        assert lease.fencing == 0
+        contest.run(2 * LEASE_MS)
+        assert lease.fencing == 2
+
+    def test_paused_holder_cannot_overwrite_its_successor(self):
+        """Guards against a renewal in flight that lands after a takeover."""
+        contest = Contest()
+        contest.run(1000)
+        lease = contest.leases[0]
+        contest.clocks[0].advance(10_000)
+        late = lease.next_step()
+        contest.run(3 * LEASE_MS, paused=[0])
+        answer = finish_now(contest.store.put(KEY, late.value, late.expected_version))
+        assert isinstance(answer, Err)
+        assert answer.err_value.kind is StoreErrorKind.CONFLICT
+        lease.on_answer(late, answer)
+        contest.run(2000)
+        assert contest.holders() == [2]
+
+    def test_malformed_object_is_left_alone(self):
+        """Guards against restarting the number when the object cannot be read."""
+        contest = Contest(1)
+        assert isinstance(finish_now(contest.store.put(KEY, b"\xc1", 0)), Ok)
+        contest.run(LEASE_MS)
+        assert contest.leases[0].record == LeaseRecord()
+        assert contest.store.objects[KEY].value == b"\xc1"
