--- a/packages/medlarridge/src/medlarridge/_internal/state/perform.py
+++ b/packages/medlarridge/src/medlarridge/_internal/state/perform.py
@@ -11,9 +11,11 @@
 STORE_TIMEOUT_MS = 2000
 
 
-async def perform(store: ObjectStore, step: StoreStep) -> Result:
+async def perform(
+    store: ObjectStore, step: StoreStep, timeout_ms: int = STORE_TIMEOUT_MS
+) -> Result:
     """Perform a store call; one without an answer may have taken effect."""
-    with anyio.move_on_after(STORE_TIMEOUT_MS / MS_PER_S):
+    with anyio.move_on_after(timeout_ms / MS_PER_S):
         return await call(store, step)
     kind = StoreErrorKind.AMBIGUOUS
     return Err(StoreError(kind, "store call", "store", "no answer in time"))
--- a/packages/medlarridge/tests/unit/coordination/test_ledger.py
+++ b/packages/medlarridge/tests/unit/coordination/test_ledger.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from result import Ok
 
 from medlarridge._internal.coordination.ledger import (
     Call,
@@ -20,9 +21,11 @@
     decode_head,
     limited,
 )
-from medlarridge._internal.coordination.steps import Put, Wait
-from medlarridge._internal.state.store import CREATE
+from medlarridge._internal.coordination.steps import Get, Put, Wait
+from medlarridge._internal.protocol.tables import MAX_DEADLINE_MS
+from medlarridge._internal.state.store import CREATE, StoredObject
 from medlarridge_standins.ledger_trial import (
+    GIVE_UP_MS,
     SHARD_KEY,
     SMALL_LIMITS,
     Ending,
@@ -191,6 +194,35 @@
         assert [copy.outcome for copy in repeats] == [Outcome.COMPLETE] * 20
         assert all(copy.executions == 0 for copy in repeats)
 
+    def test_open_intent_outlives_its_segment(self):
+        """Guards against a second run by or after a holder paused for very long."""
+        trial = Trial(Random(1), limits=SMALL_LIMITS)
+        trial.send(0, "key")
+        run_until_granted(trial, 0)
+        trial.sidecars[0].granted.clear()
+        for number in range(40):
+            trial.advance(3 * 60_000)
+            trial.send(1, f"key {number}")
+            trial.settle(40)
+        repeat = trial.send(1, "key")
+        trial.settle()
+        assert repeat.outcome is Outcome.UNKNOWN
+
+    def test_old_read_is_not_believed(self):
+        """Guards against settling a write by the answer of a replica that lags."""
+        trial = Trial(Random(1))
+        trial.send(0, "key")
+        run_until_granted(trial, 0)
+        shard = trial.sidecars[0].shard
+        version = shard.view.version
+        shard.view.version = None
+        shard.on_answer(
+            Get(SHARD_KEY), Ok(StoredObject(SHARD_KEY, 0, b"\x93\0\x90\x90"))
+        )
+        assert shard.view.version is None
+        shard.on_answer(Get(SHARD_KEY), Ok(trial.store.objects[SHARD_KEY]))
+        assert shard.view.version == version
+
     def test_clean_up_spares_a_segment_whose_head_write_is_open(self):
         """Guards against deleting a segment that another sidecar is about to use."""
         trial = Trial(Random(1))
@@ -241,8 +273,14 @@
         done = entry.finished(CallResult(200, [], b"body"), 0)
         assert done.aged(RESULT_RETENTION_MS - 1) is done
         assert done.aged(RESULT_RETENTION_MS).result == CallResult(200, kept=False)
+        assert done.aged(KEY_RETENTION_MS - 1) is not None
         assert done.aged(KEY_RETENTION_MS) is None
 
+    def test_key_outlives_late_copies(self):
+        """Guards against a key that expires before the last copy of its call."""
+        late_ms = MAX_DEADLINE_MS + MAX_LEGAL_PAUSE_MS + GIVE_UP_MS
+        assert late_ms < KEY_RETENTION_MS
+
     def test_large_results_are_not_kept(self):
         """Guards against bodies that fill the shard."""
         body = b"x" * (MAX_RESULT_BODY_BYTES + 1)
--- a/packages/medlarridge/tests/unit/coordination/test_orders.py
+++ b/packages/medlarridge/tests/unit/coordination/test_orders.py
@@ -58,6 +58,13 @@
         done = report(models=["souk@2"], adapters=["fes"], mark=second.mark)
         assert setting.plan(done) == []
 
+    def test_busy_engine_gets_no_order(self):
+        """Guards against a new controller that orders over a running order."""
+        reports = [report(index, busy=index == 1) for index in range(1, 21)]
+        orders = Setting().plan(*reports)
+        assert len(orders) == 4
+        assert SERVER not in {item.server for item in orders}
+
     def test_weight_loads_respect_the_rate(self):
         """Guards against overloading the weight store after a table edit."""
         setting = Setting(loads_per_min=6, burst=2)
