Add acceptance of the tables and the configuration view of a node

Edits of the operators' tables become one accepted configuration with a generation; each node holds the newest one it has seen and says when it must refresh it.

--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/acceptance.py
@@ -0,0 +1,233 @@
+"""Acceptance of the operators' tables into the configuration."""
+
+from dataclasses import dataclass, replace
+
+import msgspec
+from pydantic import ValidationError
+from result import Err, Ok, Result
+
+from ..errors import CodecError, StoreError, StoreErrorKind
+from ..events import register
+from ..log import log_event
+from ..protocol.tables import Tables
+from ..state.keys import (
+    ACCEPTED_CONFIGURATION,
+    POOLS_TABLE,
+    ROUTES_TABLE,
+    TABLE_PREFIX,
+    TABLE_STATUS,
+)
+from ..state.store import CREATE, MAX_VALUE_BYTES, ObjectStore, StoredObject
+from .accepted import POOLS, ROUTES, Configuration, TableStatus
+
+MAX_ROUNDS = 3
+MAX_REASON_CHARACTERS = 2000
+
+CONFIGURATION_ACCEPTED = register(3100, "INFO", "tables are accepted")
+TABLES_REJECTED = register(3101, "WARNING", "tables are rejected")
+ACCEPTED_UNREADABLE = register(3102, "ERROR", "accepted configuration is unreadable")
+
+
+@dataclass(frozen=True)
+class TableObjects:
+    """The objects that acceptance works on, as read."""
+
+    accepted: StoredObject | None
+    routes: StoredObject | None
+    pools: StoredObject | None
+    status: StoredObject | None
+
+
+@dataclass(frozen=True)
+class Decision:
+    """What acceptance writes; nothing where it has nothing to write."""
+
+    configuration: Configuration | None = None
+    status: TableStatus | None = None
+
+
+def decide(objects: TableObjects) -> Decision:
+    """Decide what becomes of the tables as they stand."""
+    current = Configuration()
+    if objects.accepted is not None:
+        current = Configuration.from_json(
+            objects.accepted.value, ACCEPTED_CONFIGURATION
+        )
+    routes_version, pools_version = (
+        version_of(objects.routes),
+        version_of(objects.pools),
+    )
+    if routes_version == pools_version == CREATE and objects.accepted is None:
+        return Decision()
+    if is_lagging(objects, current):
+        return Decision()
+    status = TableStatus(routes_version, pools_version, True, current.generation)
+    tables = read_tables(objects, current)
+    if isinstance(tables, str):
+        status.accepted, status.reason = False, tables[:MAX_REASON_CHARACTERS]
+        return Decision(status=changed_status(objects, status))
+    if objects.accepted is not None and tables.digest() == current.digest:
+        return Decision(status=changed_status(objects, status))
+    successor = current.successor(tables, routes_version, pools_version)
+    if len(successor.to_json()) > MAX_VALUE_BYTES:
+        status.accepted = False
+        status.reason = f"both tables together exceed {MAX_VALUE_BYTES} bytes"
+        return Decision(status=changed_status(objects, status))
+    status.generation = successor.generation
+    return Decision(successor, changed_status(objects, status))
+
+
+def is_lagging(objects: TableObjects, current: Configuration) -> bool:
+    """Return whether a table was read at a version older than the accepted one."""
+    return any(
+        stored is not None and stored.version < accepted_version
+        for stored, accepted_version in (
+            (objects.routes, current.routes_version),
+            (objects.pools, current.pools_version),
+        )
+    )
+
+
+def read_tables(objects: TableObjects, current: Configuration) -> Tables | str:
+    """Return both tables, or the reason why they are not acceptable."""
+    parts: dict[str, object] = {}
+    for name, key, stored, accepted_version in (
+        (ROUTES, ROUTES_TABLE, objects.routes, current.routes_version),
+        (POOLS, POOLS_TABLE, objects.pools, current.pools_version),
+    ):
+        if stored is None:
+            if accepted_version != CREATE:
+                return f"{key} was deleted; write an empty map to remove all entries"
+            parts[name] = {}
+            continue
+        try:
+            parts[name] = msgspec.json.decode(stored.value, type=dict[str, dict])
+        except (msgspec.MsgspecError, RecursionError) as error:
+            return f"{key} is not a JSON map of entries: {error}"
+    try:
+        return Tables.model_validate(parts)
+    except ValidationError as error:
+        return "; ".join(
+            f"{'.'.join(str(part) for part in problem['loc'])}: {problem['msg']}"
+            for problem in error.errors(include_url=False, include_input=False)
+        )
+
+
+def changed_status(objects: TableObjects, status: TableStatus) -> TableStatus | None:
+    """Return the status if it differs from the one that was read."""
+    if objects.status is not None and objects.status.value == encode_status(status):
+        return None
+    return status
+
+
+def encode_status(status: TableStatus) -> bytes:
+    """Return the object ``status/tables``."""
+    return msgspec.json.encode(status)
+
+
+def version_of(stored: StoredObject | None) -> int:
+    """Return the version of an object, 0 if it does not exist."""
+    return CREATE if stored is None else stored.version
+
+
+@dataclass
+class Acceptor:
+    """Runs acceptance against the store.
+
+    Safe with any number of acceptors at once: the accepted configuration is read
+    before the tables and written under the condition that it has not changed, so
+    the tables in a write are never older than those it replaces. Holding the lease
+    only avoids wasted work.
+    """
+
+    store: ObjectStore
+    handled: dict[str, int] | None = None
+
+    async def run_if_changed(self) -> Result[Configuration | None, StoreError]:
+        """Run acceptance if a table changed; costs one call otherwise."""
+        listing = await self.store.list(TABLE_PREFIX)
+        if isinstance(listing, Err):
+            return listing
+        versions = {name.key: name.version for name in listing.ok_value}
+        if versions == self.handled:
+            return Ok(None)
+        outcome = await self.run()
+        if outcome.is_ok():
+            self.handled = versions
+        return outcome
+
+    async def run(self) -> Result[Configuration | None, StoreError]:
+        """Accept or reject the tables; return the configuration if it is new."""
+        error = StoreError(
+            StoreErrorKind.CONFLICT, "accept tables", ACCEPTED_CONFIGURATION
+        )
+        for _ in range(MAX_ROUNDS):
+            objects = await self.read()
+            if isinstance(objects, Err):
+                return objects
+            try:
+                decision = decide(objects.ok_value)
+            except CodecError as problem:
+                # Overwriting it would restart the generations and let nodes keep an
+                # older configuration.
+                log_event(ACCEPTED_UNREADABLE, reason=str(problem))
+                return Err(replace(error, detail=str(problem)))
+            if decision.configuration is not None:
+                written = await self.write(objects.ok_value, decision.configuration)
+                if isinstance(written, Err):
+                    return written
+                if not written.ok_value:
+                    continue
+            if decision.status is not None:
+                status = await self.write_status(objects.ok_value, decision.status)
+                if isinstance(status, Err):
+                    return status
+            return Ok(decision.configuration)
+        return Err(error)
+
+    async def read(self) -> Result[TableObjects, StoreError]:
+        """Read the objects, the accepted configuration first."""
+        values = []
+        for key in (ACCEPTED_CONFIGURATION, ROUTES_TABLE, POOLS_TABLE, TABLE_STATUS):
+            answer = await self.store.get(key)
+            if isinstance(answer, Err):
+                return answer
+            values.append(answer.ok_value)
+        return Ok(TableObjects(*values))
+
+    async def write(
+        self, objects: TableObjects, configuration: Configuration
+    ) -> Result[bool, StoreError]:
+        """Write the configuration; false means that the objects must be read again."""
+        value = configuration.to_json()
+        answer = await self.store.put(
+            ACCEPTED_CONFIGURATION, value, version_of(objects.accepted)
+        )
+        if isinstance(answer, Err):
+            if answer.err_value.kind is StoreErrorKind.CONFLICT:
+                return Ok(False)
+            if answer.err_value.kind is not StoreErrorKind.AMBIGUOUS:
+                return answer
+            found = await self.store.get(ACCEPTED_CONFIGURATION)
+            if isinstance(found, Err):
+                return found
+            if found.ok_value is None or found.ok_value.value != value:
+                return Ok(False)
+        log_event(CONFIGURATION_ACCEPTED, generation=configuration.generation)
+        return Ok(True)
+
+    async def write_status(
+        self, objects: TableObjects, status: TableStatus
+    ) -> Result[None, StoreError]:
+        """Write the outcome; a conflict means that another acceptor has done so."""
+        if not status.accepted:
+            log_event(TABLES_REJECTED, reason=status.reason)
+        answer = await self.store.put(
+            TABLE_STATUS, encode_status(status), version_of(objects.status)
+        )
+        if isinstance(answer, Err) and answer.err_value.kind not in (
+            StoreErrorKind.CONFLICT,
+            StoreErrorKind.AMBIGUOUS,
+        ):
+            return answer
+        return Ok(None)
--- a/packages/medlarridge/src/medlarridge/_internal/protocol/gossip.py
+++ b/packages/medlarridge/src/medlarridge/_internal/protocol/gossip.py
@@ -170,15 +170,19 @@
 class ConfigurationDelta(msgspec.Struct, array_like=True, tag=3):
     """Entries that changed after ``since``, as JSON by entry key, and removals.
 
-    ``since`` is 0 for the whole configuration. Values are generations.
+    ``since`` is 0 for the whole configuration. ``changed`` and ``removed`` map entry
+    keys to generations. ``confirmed`` is false if the sender does not yet know
+    whether its configuration is current.
     """
 
     generation: Generation
     digest: Name
     since: Generation
-    entries: dict[str, msgspec.Raw]
+    entries: dict[str, bytes]
     changed: dict[str, Generation]
     removed: dict[str, Generation]
+    removals_from: Generation = 0
+    confirmed: bool = True
 
 
 class ExchangeFailure(msgspec.Struct, array_like=True, tag=4):
