--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/cluster.py
@@ -0,0 +1,323 @@
+"""Shell of membership and configuration that every daemon runs."""
+
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from dataclasses import dataclass, field
+from random import Random, SystemRandom
+from typing import Protocol
+
+import anyio
+import anyio.abc
+from result import Err, Result
+
+from .clock import MS_PER_S, Clock, SystemClock, WallClock
+from .coordination.acceptance import Acceptor
+from .coordination.configuration import (
+    AskPeers,
+    ConfigurationAction,
+    ConfigurationView,
+    FetchDelta,
+    ReadStore,
+)
+from .coordination.membership import (
+    Action,
+    Fetch,
+    ListedVm,
+    Membership,
+    NewerGeneration,
+    Send,
+)
+from .errors import CodecError, StoreError, StoreErrorKind, TransportError
+from .events import register
+from .identity import Member
+from .log import log_event
+from .protocol.gossip import (
+    ConfigurationDelta,
+    ConfigurationRequest,
+    ExchangeFailure,
+    ExchangeReply,
+    ExchangeRequest,
+    decode_gossip,
+    encode,
+)
+from .state.keys import ACCEPTED_CONFIGURATION
+from .state.store import ObjectStore, StoredObject
+from .transport.datagrams import DatagramEndpoint, Handler
+from .transport.exchange import ExchangeClient, ExchangeServer
+
+GOSSIP_KIND = 1
+TICK_INTERVAL_MS = 250
+ACCEPT_INTERVAL_MS = 1000
+MIN_VM_INTERVAL_MS = 2000
+VM_READS_PER_S = 20
+FIRST_VM_RETRY_MS = 500
+LEAVE_TIMEOUT_S = 1
+STORE_TIMEOUT_S = 2
+TIMED_OUT = StoreError(StoreErrorKind.UNAVAILABLE, "read", "platform", "no answer")
+
+VM_LIST_FAILED = register(4052, "WARNING", "VM list cannot be read")
+ACCEPTANCE_FAILED = register(3103, "WARNING", "acceptance of the tables failed")
+CONFIGURATION_READ_FAILED = register(3104, "WARNING", "configuration cannot be read")
+
+
+class PlatformVm(Protocol):
+    """A process address in the platform's list of VMs."""
+
+    @property
+    def address(self) -> str:
+        """Return ``ip:port`` of the process."""
+        ...
+
+    @property
+    def data_centre(self) -> str:
+        """Return the data centre."""
+        ...
+
+    @property
+    def region(self) -> str:
+        """Return the region."""
+        ...
+
+    @property
+    def role(self) -> str:
+        """Return ``router`` or ``sidecar``."""
+        ...
+
+    @property
+    def state(self) -> str:
+        """Return ``live`` or ``leaving``."""
+        ...
+
+
+class VmSource(Protocol):
+    """Source of the platform's lagging list of VMs."""
+
+    async def vms(self) -> Result[Sequence[PlatformVm], StoreError]:
+        """Return all live and leaving VMs."""
+        ...
+
+
+def no_lease() -> bool:
+    """Return that this process does not hold the acceptance lease."""
+    return False
+
+
+@dataclass
+class ClusterNode:
+    """Runs membership and configuration of one process.
+
+    ``holds_lease`` says whether this process should accept table edits; a wrong
+    answer wastes store calls but breaks nothing. ``run`` lives in the task group of
+    the daemon: ``await task_group.start(node.run)`` returns when the sockets are
+    bound.
+    """
+
+    member: Member
+    key: bytes
+    store: ObjectStore
+    vm_source: VmSource
+    clock: Clock = field(default_factory=SystemClock)
+    random: Random = field(default_factory=SystemRandom)
+    holds_lease: Callable[[], bool] = no_lease
+    incarnation: int = 0
+
+    def __post_init__(self) -> None:
+        address = self.member.instance.address
+        started = self.incarnation or WallClock().now_ms() // MS_PER_S
+        self.membership = Membership(self.member, self.clock, self.random, started)
+        self.configuration = ConfigurationView(self.clock, self.random)
+        self.datagrams = DatagramEndpoint(address, self.key)
+        self.datagrams.register(GOSSIP_KIND, self.receive_gossip)
+        self.server = ExchangeServer(address, self.key, self.answer)
+        self.client = ExchangeClient(self.key, self.clock)
+        self.acceptor = Acceptor(self.store)
+        self.tasks: anyio.abc.TaskGroup | None = None
+        self.reading = False
+
+    # What the daemons use.
+
+    def register(self, kind: int, handler: Handler) -> None:
+        """Register the handler of another kind of datagram."""
+        self.datagrams.register(kind, handler)
+
+    async def send(self, address: str, kind: int, payload: bytes) -> None:
+        """Send a datagram of any kind."""
+        await self.datagrams.send(address, kind, payload)
+
+    async def set_self(
+        self, draining: bool | None = None, weight: float | None = None
+    ) -> None:
+        """Announce a change of this process to the fleet."""
+        await self.perform(self.membership.set_self(draining, weight))
+
+    async def leave(self) -> None:
+        """Tell peers that this process ends."""
+        await self.perform(self.membership.leave())
+
+    async def mention_generation(self, generation: int, address: str) -> None:
+        """Handle a generation seen in a request or response of a process."""
+        await self.refresh(self.configuration.mentioned(generation, address))
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run until cancelled, then say goodbye to peers."""
+        await self.datagrams.open()
+        try:
+            self.server.open()
+            async with anyio.create_task_group() as tasks:
+                self.tasks = tasks
+                for loop in (
+                    self.datagrams.run,
+                    self.server.run,
+                    self.run_timers,
+                    self.run_vm_list,
+                    self.run_acceptance,
+                ):
+                    tasks.start_soon(loop)
+                task_status.started()
+        finally:
+            with anyio.move_on_after(LEAVE_TIMEOUT_S, shield=True):
+                await self.leave()
+            self.server.close()
+            self.client.close()
+            with anyio.CancelScope(shield=True):
+                await self.datagrams.close()
+
+    # Loops.
+
+    async def run_timers(self) -> None:
+        """Drive the decision objects."""
+        while True:
+            await self.perform(self.membership.tick())
+            self.configuration.nodes = self.membership.size
+            if self.membership.synchronised:
+                self.configuration.peers = self.membership.size - 1
+            await self.refresh(self.configuration.tick())
+            self.client.close_idle()
+            await anyio.sleep(TICK_INTERVAL_MS / MS_PER_S)
+
+    async def run_vm_list(self) -> None:
+        """Read the VM list, at a constant total rate of the fleet."""
+        known = False
+        while True:
+            answer: Result[Sequence[PlatformVm], StoreError] = Err(TIMED_OUT)
+            with anyio.move_on_after(STORE_TIMEOUT_S):
+                answer = await self.vm_source.vms()
+            if isinstance(answer, Err):
+                log_event(VM_LIST_FAILED, error=answer.err_value)
+            else:
+                known = True
+                self.membership.vm_list(
+                    ListedVm(v.address, v.data_centre, v.region, v.role, v.state)
+                    for v in answer.ok_value
+                )
+            interval_ms = max(
+                MIN_VM_INTERVAL_MS if known else FIRST_VM_RETRY_MS,
+                self.membership.size * MS_PER_S // VM_READS_PER_S,
+            )
+            await self.sleep_jittered(interval_ms)
+
+    async def run_acceptance(self) -> None:
+        """Accept table edits while this process holds the lease."""
+        while True:
+            if self.holds_lease():
+                outcome = await self.acceptor.run_if_changed()
+                if isinstance(outcome, Err):
+                    log_event(ACCEPTANCE_FAILED, error=outcome.err_value)
+                elif outcome.ok_value is not None:
+                    await self.refresh(self.configuration.offer(outcome.ok_value))
+            await self.sleep_jittered(ACCEPT_INTERVAL_MS)
+
+    async def sleep_jittered(self, interval_ms: int) -> None:
+        """Sleep for the interval times a random factor between 0.5 and 1.5."""
+        await anyio.sleep(interval_ms * (0.5 + self.random.random()) / MS_PER_S)
+
+    # Membership.
+
+    async def receive_gossip(self, source: str, payload: bytes) -> None:
+        """Handle a datagram of membership."""
+        await self.perform(
+            self.membership.receive(source, decode_gossip(payload, source))
+        )
+
+    async def perform(self, actions: list[Action]) -> None:
+        """Carry out what membership decided."""
+        for action in actions:
+            if isinstance(action, Send):
+                await self.datagrams.send(
+                    action.address, GOSSIP_KIND, encode(action.message)
+                )
+            elif isinstance(action, Fetch):
+                self.spawn(self.fetch, action)
+            elif isinstance(action, NewerGeneration):
+                await self.mention_generation(action.generation, action.address)
+
+    async def fetch(self, action: Fetch) -> None:
+        """Send a request about members and handle its reply."""
+        reply = await self.exchange(action.address, action.request)
+        await self.perform(self.membership.fetched(action, reply))
+
+    async def exchange(
+        self, address: str, request: ExchangeRequest
+    ) -> ExchangeReply | None:
+        """Return the reply of a peer, nothing if it failed."""
+        with suppress(TransportError, CodecError):
+            return await self.client.request(address, request)
+        return None
+
+    def spawn(self, function: Callable, *arguments: object) -> None:
+        """Run a function beside the loops, if they still run."""
+        if self.tasks is not None and not self.tasks.cancel_scope.cancel_called:
+            self.tasks.start_soon(function, *arguments)
+
+    # Configuration.
+
+    async def refresh(self, actions: list[ConfigurationAction]) -> None:
+        """Carry out what the configuration view decided."""
+        self.membership.generation = self.configuration.generation
+        for action in actions:
+            if isinstance(action, ReadStore):
+                self.spawn(self.read_store)
+            elif isinstance(action, AskPeers):
+                for address in self.membership.random_peers(action.count):
+                    self.spawn(self.fetch_delta, address, action.since)
+            elif isinstance(action, FetchDelta):
+                self.spawn(self.fetch_delta, action.address, action.since)
+            else:
+                await self.perform(self.membership.push())
+
+    async def read_store(self) -> None:
+        """Read the accepted configuration."""
+        if self.reading:
+            return
+        self.reading = True
+        answer: Result[StoredObject | None, StoreError] = Err(TIMED_OUT)
+        try:
+            with anyio.move_on_after(STORE_TIMEOUT_S):
+                answer = await self.store.get(ACCEPTED_CONFIGURATION)
+        finally:
+            self.reading = False
+        if isinstance(answer, Err):
+            log_event(CONFIGURATION_READ_FAILED, error=answer.err_value)
+            await self.refresh(self.configuration.store_failed())
+            return
+        found = answer.ok_value
+        await self.refresh(
+            self.configuration.store_replied(found.value if found else None)
+        )
+
+    async def fetch_delta(self, address: str, since: int) -> None:
+        """Ask a peer for its configuration."""
+        reply = await self.exchange(address, ConfigurationRequest(since))
+        delta = reply if isinstance(reply, ConfigurationDelta) else None
+        await self.refresh(self.configuration.peer_replied(address, delta))
+
+    def answer(self, request: ExchangeRequest) -> ExchangeReply:
+        """Answer a request of a peer."""
+        if isinstance(request, ConfigurationRequest):
+            return self.configuration.delta_since(request.since)
+        reply = self.membership.serve(request)
+        return reply or ExchangeFailure("unknown request")
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/acceptance.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/acceptance.py
@@ -40,10 +40,14 @@
 
 @dataclass(frozen=True)
 class Decision:
-    """What acceptance writes; nothing where it has nothing to write."""
+    """What acceptance writes; nothing where it has nothing to write.
+
+    ``settled`` is false if the tables were read at too old a version to decide.
+    """
 
     configuration: Configuration | None = None
     status: TableStatus | None = None
+    settled: bool = True
 
 
 def decide(objects: TableObjects) -> Decision:
@@ -60,7 +64,7 @@
     if routes_version == pools_version == CREATE and objects.accepted is None:
         return Decision()
     if is_lagging(objects, current):
-        return Decision()
+        return Decision(settled=False)
     status = TableStatus(routes_version, pools_version, True, current.generation)
     tables = read_tables(objects, current)
     if isinstance(tables, str):
@@ -125,6 +129,15 @@
     return msgspec.json.encode(status)
 
 
+def versions_of(objects: TableObjects) -> dict[str, int]:
+    """Return the versions of the tables that exist."""
+    return {
+        stored.key: stored.version
+        for stored in (objects.pools, objects.routes)
+        if stored is not None
+    }
+
+
 def version_of(stored: StoredObject | None) -> int:
     """Return the version of an object, 0 if it does not exist."""
     return CREATE if stored is None else stored.version
@@ -151,10 +164,7 @@
         versions = {name.key: name.version for name in listing.ok_value}
         if versions == self.handled:
             return Ok(None)
-        outcome = await self.run()
-        if outcome.is_ok():
-            self.handled = versions
-        return outcome
+        return await self.run()
 
     async def run(self) -> Result[Configuration | None, StoreError]:
         """Accept or reject the tables; return the configuration if it is new."""
@@ -172,6 +182,7 @@
                 # older configuration.
                 log_event(ACCEPTED_UNREADABLE, reason=str(problem))
                 return Err(replace(error, detail=str(problem)))
+            self.handled = None
             if decision.configuration is not None:
                 written = await self.write(objects.ok_value, decision.configuration)
                 if isinstance(written, Err):
@@ -182,6 +193,8 @@
                 status = await self.write_status(objects.ok_value, decision.status)
                 if isinstance(status, Err):
                     return status
+            elif decision.settled:
+                self.handled = versions_of(objects.ok_value)
             return Ok(decision.configuration)
         return Err(error)
 
@@ -219,7 +232,10 @@
     async def write_status(
         self, objects: TableObjects, status: TableStatus
     ) -> Result[None, StoreError]:
-        """Write the outcome; a conflict means that another acceptor has done so."""
+        """Write the outcome.
+
+        After a conflict or a lost answer the next run reads the status again.
+        """
         if not status.accepted:
             log_event(TABLES_REJECTED, reason=status.reason)
         answer = await self.store.put(
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/accepted.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/accepted.py
@@ -157,11 +157,15 @@
         base = Configuration() if whole else self
         entries = base.entries | delta.entries
         changed = base.changed | delta.changed
-        removed = base.removed | delta.removed
+        removals_from = max(base.removals_from, delta.removals_from)
+        removed = {
+            key: generation
+            for key, generation in (base.removed | delta.removed).items()
+            if generation > removals_from and key not in delta.entries
+        }
         for key in delta.removed:
             entries.pop(key, None)
             changed.pop(key, None)
-        removed = {key: value for key, value in removed.items() if key not in entries}
         return Configuration(
             delta.generation,
             verified_tables(entries, delta.digest, peer),
@@ -169,9 +173,7 @@
             entries,
             changed,
             removed,
-            delta.removals_from
-            if whole
-            else max(base.removals_from, delta.removals_from),
+            removals_from,
         )
 
 
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/configuration.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/configuration.py
@@ -20,6 +20,7 @@
 CONFIRMING_PEERS = 3
 RETRY_INTERVAL_MS = 1000
 MAX_RETRY_INTERVAL_MS = 30_000
+MENTION_TIMEOUT_MS = 60_000
 UNCONFIRMED_GRACE_MS = 10_000
 """After this time without the store, answers of peers that are themselves unconfirmed
 count too: when all processes were paused together, nobody is confirmed."""
@@ -28,6 +29,7 @@
 CONFIGURATION_REFUSED = register(3111, "WARNING", "configuration is refused")
 CONFIRMATION_NEEDED = register(3112, "WARNING", "configuration must be confirmed")
 CONFIGURATION_CONFIRMED = register(3113, "INFO", "configuration is confirmed")
+MENTION_DROPPED = register(3114, "WARNING", "mentioned generation does not exist")
 
 
 @dataclass(frozen=True)
@@ -69,15 +71,20 @@
     """
 
     def __init__(self, clock: Clock, random: Random) -> None:
+        """Start without a configuration.
+
+        The shell keeps ``nodes`` (size of the fleet) and ``peers`` (known peers,
+        once the member list is complete) up to date.
+        """
         self.clock = clock
         self.random = random
         self.current = Configuration()
         self.wanted = 0
+        self.wanted_since_ms = 0
         self.confirmed = False
         self.nodes = 1
-        self.peers = 0
+        self.peers = CONFIRMING_PEERS
         self.listeners: list[Listener] = []
-        self.fetching = False
         self.answers: set[str] = set()
         self.unconfirmed_answers: set[str] = set()
         now_ms = clock.now_ms()
@@ -132,12 +139,13 @@
 
     def mentioned(self, generation: int, address: str) -> list[ConfigurationAction]:
         """Handle a message from a process with a given generation."""
-        if generation <= self.wanted:
+        now_ms = self.clock.now_ms()
+        if generation <= self.generation:
             return []
-        self.wanted = max(generation, self.generation)
-        if not self.is_behind:
+        if generation <= self.wanted and now_ms < self.next_retry_ms:
             return []
-        now_ms = self.clock.now_ms()
+        self.wanted = max(generation, self.wanted)
+        self.wanted_since_ms = now_ms
         self.retry_interval_ms = RETRY_INTERVAL_MS
         self.next_retry_ms = now_ms + self.jittered(RETRY_INTERVAL_MS)
         return [FetchDelta(address, self.generation)]
@@ -153,6 +161,7 @@
                 return []
             actions = self.offer(read)
         self.confirm("store")
+        self.drop_unfounded_mention()
         return actions
 
     def store_failed(self) -> list[ConfigurationAction]:
@@ -238,6 +247,13 @@
         )
         self.next_poll_ms = now_ms + self.jittered(interval_ms)
 
+    def drop_unfounded_mention(self) -> None:
+        """Stop looking for a generation that the store has not had for a while."""
+        waited_ms = self.clock.now_ms() - self.wanted_since_ms
+        if self.is_behind and waited_ms >= MENTION_TIMEOUT_MS:
+            log_event(MENTION_DROPPED, generation=self.wanted)
+            self.wanted = self.generation
+
     def jittered(self, interval_ms: int) -> int:
         """Return the interval times a random factor between 0.5 and 1.5."""
         return interval_ms // 2 + self.random.randrange(interval_ms)
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
@@ -70,6 +70,7 @@
 COMPLETE_PERCENT = 90
 """When a whole fleet starts at once, the first peer knows nobody yet. A process asks
 more peers until it knows this share of the VM list, in a bounded number of rounds."""
+LEAVING = "leaving"
 URGENT_BURST = 4
 URGENT_INTERVAL_MS = 1000
 
@@ -94,7 +95,12 @@
     data_centre: str = ""
     region: str = ""
     role: str = ""
-    leaving: bool = False
+    state: str = "live"
+
+    @property
+    def leaving(self) -> bool:
+        """Return whether the platform is removing the VM."""
+        return self.state == LEAVING
 
 
 class Observation(StrEnum):
@@ -331,9 +337,11 @@
         """
         previous, self.vms = self.vms, {vm.address: vm for vm in vms}
         for address, vm in self.vms.items():
+            if address == self.address:
+                continue
             record = self.table.get(address)
             if record is None:
-                if address != self.address and not vm.leaving:
+                if not vm.leaving:
                     self.prober.uncontacted[address] = None
                 continue
             before = previous.get(address)
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/transport/exchange.py
@@ -0,0 +1,237 @@
+"""Authenticated request and reply over pynng, for messages beyond a datagram."""
+
+import hashlib
+import hmac
+import secrets
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import pynng
+
+from ..clock import MS_PER_S, Clock
+from ..errors import CodecError, TransportError
+from ..events import register
+from ..log import log_event
+from ..protocol.gossip import (
+    ExchangeFailure,
+    ExchangeReply,
+    ExchangeRequest,
+    decode_reply,
+    decode_request,
+    encode,
+)
+from .datagrams import split_address
+
+NONCE_BYTES = 8
+DIGEST_BYTES = 16
+MAX_REQUEST_BYTES = 4096
+MAX_REPLY_BYTES = 2 * 1024 * 1024
+REQUEST_TIMEOUT_MS = 3000
+IDLE_MS = 10_000
+MAX_IDLE_CONNECTIONS = 8
+
+EXCHANGE_FAILED = register(4051, "DEBUG", "exchange with a peer failed")
+
+Answer = Callable[[ExchangeRequest], ExchangeReply]
+
+
+def exchange_url(address: str) -> str:
+    """Return where the exchange of the process at ``ip:port`` listens."""
+    host, port = split_address(address)
+    return f"tcp://{host}:{port + 1}"
+
+
+class ExchangeSeal:
+    """Adds and checks keyed digests of requests and replies.
+
+    The digest of a reply covers the nonce of its request, so an old reply cannot
+    answer a new request.
+    """
+
+    def __init__(self, key: bytes) -> None:
+        self.base = hashlib.blake2b(
+            key=hashlib.blake2b(key, digest_size=32).digest(), digest_size=DIGEST_BYTES
+        )
+
+    def digest(self, direction: bytes, nonce: bytes, body: bytes) -> bytes:
+        """Return the digest of one message."""
+        state = self.base.copy()
+        state.update(direction + nonce + body)
+        return state.digest()
+
+    def close_request(self, nonce: bytes, body: bytes) -> bytes:
+        """Return a request on the wire."""
+        return nonce + body + self.digest(b"request", nonce, body)
+
+    def open_request(self, data: bytes) -> tuple[bytes, bytes] | None:
+        """Return nonce and body, or nothing if the digest does not match."""
+        if len(data) < NONCE_BYTES + DIGEST_BYTES:
+            return None
+        nonce, body = data[:NONCE_BYTES], data[NONCE_BYTES:-DIGEST_BYTES]
+        expected = self.digest(b"request", nonce, body)
+        if not hmac.compare_digest(data[-DIGEST_BYTES:], expected):
+            return None
+        return nonce, body
+
+    def close_reply(self, nonce: bytes, body: bytes) -> bytes:
+        """Return a reply on the wire."""
+        return body + self.digest(b"reply", nonce, body)
+
+    def open_reply(self, nonce: bytes, data: bytes) -> bytes | None:
+        """Return the body, or nothing if the digest does not match."""
+        body = data[:-DIGEST_BYTES]
+        expected = self.digest(b"reply", nonce, body)
+        if not hmac.compare_digest(data[-DIGEST_BYTES:], expected):
+            return None
+        return body
+
+
+class ExchangeServer:
+    """Answers the requests of peers, one at a time."""
+
+    def __init__(self, address: str, key: bytes, answer: Answer) -> None:
+        self.address = address
+        self.seal = ExchangeSeal(key)
+        self.answer = answer
+        self.served = 0
+        self.dropped: Counter[str] = Counter()
+        self.socket: pynng.Rep0 | None = None
+
+    def open(self) -> None:
+        """Listen."""
+        self.socket = pynng.Rep0(
+            recv_max_size=MAX_REQUEST_BYTES, send_timeout=REQUEST_TIMEOUT_MS
+        )
+        try:
+            self.socket.listen(exchange_url(self.address))
+        except pynng.NNGException as error:
+            self.close()
+            raise TransportError(
+                f"cannot listen for exchanges: {error}", step="bind", peer=self.address
+            ) from error
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self.socket is not None:
+            self.socket.close()
+            self.socket = None
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        assert self.socket is not None, "open() comes first"
+        while True:
+            data = await self.socket.arecv()
+            reply = self.reply_to(data)
+            if reply is None:
+                continue
+            try:
+                await self.socket.asend(reply)
+            except pynng.NNGException:
+                self.dropped["peer gone"] += 1
+
+    def reply_to(self, data: bytes) -> bytes | None:
+        """Return the reply to a request; nothing if it is not authentic."""
+        opened = self.seal.open_request(data)
+        if opened is None:
+            self.dropped["unauthenticated"] += 1
+            return None
+        nonce, body = opened
+        try:
+            reply = self.answer(decode_request(body, "exchange"))
+        except CodecError as error:
+            self.dropped["malformed"] += 1
+            reply = ExchangeFailure(error.message)
+        self.served += 1
+        return self.seal.close_reply(nonce, encode(reply))
+
+
+@dataclass
+class IdleConnection:
+    """A connection kept for the next request to the same peer."""
+
+    socket: pynng.Req0
+    since_ms: int
+
+
+class ExchangeClient:
+    """Sends requests to peers; keeps a few connections for a short time."""
+
+    def __init__(self, key: bytes, clock: Clock) -> None:
+        self.seal = ExchangeSeal(key)
+        self.clock = clock
+        self.idle: dict[str, IdleConnection] = {}
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    async def request(self, address: str, request: ExchangeRequest) -> ExchangeReply:
+        """Return the reply of the process at ``address`` or raise an error."""
+        kept = self.idle.pop(address, None)
+        socket = kept.socket if kept else None
+        try:
+            if socket is None:
+                socket = self.connect(address)
+            with anyio.fail_after(REQUEST_TIMEOUT_MS / MS_PER_S):
+                reply = await self.transfer(socket, address, request)
+        except (TimeoutError, pynng.NNGException, OSError, ValueError) as error:
+            log_event(EXCHANGE_FAILED, peer=address, error=repr(error))
+            raise TransportError(
+                f"exchange failed: {error!r}", step="exchange", peer=address
+            ) from error
+        else:
+            self.keep(address, socket)
+            socket = None
+            return reply
+        finally:
+            if socket is not None:
+                socket.close()
+
+    def connect(self, address: str) -> pynng.Req0:
+        """Open a connection without waiting for it."""
+        socket = pynng.Req0(recv_max_size=MAX_REPLY_BYTES)
+        try:
+            socket.dial(exchange_url(address), block=False)
+        except BaseException:
+            socket.close()
+            raise
+        return socket
+
+    async def transfer(
+        self, socket: pynng.Req0, address: str, request: ExchangeRequest
+    ) -> ExchangeReply:
+        """Send a request and return its reply."""
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        data = self.seal.close_request(nonce, encode(request))
+        await socket.asend(data)
+        self.sent_bytes += len(data)
+        answer = await socket.arecv()
+        self.received_bytes += len(answer)
+        body = self.seal.open_reply(nonce, answer)
+        if body is None:
+            raise CodecError("reply is not authentic", step="exchange", peer=address)
+        return decode_reply(body, address)
+
+    def keep(self, address: str, socket: pynng.Req0) -> None:
+        """Keep a connection for a while."""
+        replaced = self.idle.pop(address, None)
+        if replaced is not None:
+            replaced.socket.close()
+        if len(self.idle) >= MAX_IDLE_CONNECTIONS:
+            oldest = next(iter(self.idle))
+            self.idle.pop(oldest).socket.close()
+        self.idle[address] = IdleConnection(socket, self.clock.now_ms())
+
+    def close_idle(self) -> None:
+        """Close connections without use for a while."""
+        limit_ms = self.clock.now_ms() - IDLE_MS
+        for address, kept in list(self.idle.items()):
+            if kept.since_ms <= limit_ms:
+                del self.idle[address]
+                kept.socket.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for kept in self.idle.values():
+            kept.socket.close()
+        self.idle.clear()
--- /dev/null
+++ b/packages/medlarridge/tests/unit/test_cluster.py
@@ -0,0 +1,100 @@
+import socket
+from random import Random
+
+import anyio
+import msgspec
+from result import Ok
+
+from medlarridge._internal.cluster import ClusterNode
+from medlarridge._internal.coordination.membership import ListedVm
+from medlarridge._internal.identity import Instance, Member, Role
+from medlarridge._internal.state.keys import POOLS_TABLE, ROUTES_TABLE
+from medlarridge._internal.state.memory import MemoryStore
+
+KEY = b"a shared key of the test fleet"
+LIMIT_S = 30
+
+
+class VmList:
+    def __init__(self, addresses):
+        self.addresses = addresses
+
+    async def vms(self):
+        return Ok([ListedVm(address, "a", "r") for address in self.addresses])
+
+
+def free_addresses(count):
+    """Return loopback addresses whose port and next port are free."""
+    found = []
+    while len(found) < count:
+        with socket.socket() as first, socket.socket() as second:
+            first.bind(("127.0.0.1", 0))
+            port = first.getsockname()[1]
+            try:
+                second.bind(("127.0.0.1", port + 1))
+            except OSError:
+                continue
+            if all(abs(port - other) > 1 for other in found):
+                found.append(port)
+    return [f"127.0.0.1:{port}" for port in found]
+
+
+async def until(condition):
+    with anyio.fail_after(LIMIT_S):
+        while not condition():
+            await anyio.sleep(0.02)
+
+
+class TestClusterNode:
+    async def test_processes_share_members_configuration_and_goodbyes(self):
+        """Guards against shells that do not connect decisions and sockets."""
+        addresses = free_addresses(3)
+        store = MemoryStore()
+        pools = {"p": {"kind": "engine", "data_centres": ["a"]}}
+        await store.put(POOLS_TABLE, msgspec.json.encode(pools), 0)
+        await store.put(ROUTES_TABLE, msgspec.json.encode({"r": {"pools": ["p"]}}), 0)
+        nodes = []
+        received = []
+        for seed, address in enumerate(addresses):
+            instance = Instance(address, seed + 1, "a", "r", Role.SIDECAR)
+            member = Member(instance, "p")
+            node = ClusterNode(
+                member, KEY, store, VmList(addresses), random=Random(seed)
+            )
+            nodes.append(node)
+        nodes[0].holds_lease = lambda: True
+
+        async def handle(source, payload):
+            received.append((source, payload))
+
+        nodes[0].register(9, handle)
+        async with anyio.create_task_group() as tasks:
+            scopes = []
+            for node in nodes:
+                scope = anyio.CancelScope()
+                scopes.append(scope)
+
+                async def run(node=node, scope=scope):
+                    with scope:
+                        await node.run()
+
+                tasks.start_soon(run)
+            await until(lambda: all(n.membership.size == 3 for n in nodes))
+            await until(lambda: all(n.configuration.generation == 1 for n in nodes))
+            assert all(n.configuration.ready for n in nodes)
+            await nodes[1].send(addresses[0], 9, b"report")
+            await until(lambda: received)
+            assert received == [(addresses[1], b"report")]
+            await nodes[1].set_self(draining=True)
+            others = (nodes[0], nodes[2])
+            await until(
+                lambda: (
+                    not any(
+                        n.membership.is_usable(nodes[1].membership.own.member)
+                        for n in others
+                    )
+                )
+            )
+            scopes[1].cancel()
+            await until(lambda: all(n.membership.size == 2 for n in others))
+            tasks.cancel_scope.cancel()
