--- /dev/null
+++ b/packages/medlarridge-standins/src/medlarridge_standins/fleet.py
@@ -0,0 +1,346 @@
+"""Membership and configuration of many nodes on a simulated network."""
+
+import heapq
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from medlarridge._internal.clock import ManualClock
+from medlarridge._internal.coordination.accepted import Configuration
+from medlarridge._internal.coordination.configuration import (
+    AskPeers,
+    ConfigurationAction,
+    ConfigurationView,
+    FetchDelta,
+    ReadStore,
+)
+from medlarridge._internal.coordination.membership import (
+    Action,
+    Fetch,
+    ListedVm,
+    Membership,
+    NewerGeneration,
+    Send,
+)
+from medlarridge._internal.identity import (
+    Instance,
+    Member,
+    Role,
+    new_instance_number,
+)
+from medlarridge._internal.protocol.gossip import (
+    ConfigurationDelta,
+    ConfigurationRequest,
+    ExchangeReply,
+    ExchangeRequest,
+    decode_gossip,
+    decode_reply,
+    encode,
+)
+
+TICK_MS = 250
+POOL = "p"
+DATAGRAM_OVERHEAD_BYTES = 9 + 28
+"""Kind, keyed digest, and the headers of UDP and IP."""
+EXCHANGE_OVERHEAD_BYTES = 500
+"""Digests, nonce, and TCP and IP headers of a connection with one exchange."""
+
+
+@dataclass
+class Traffic:
+    """What all nodes together sent and spent."""
+
+    datagrams: int = 0
+    exchanges: int = 0
+    bytes: int = 0
+    largest: int = 0
+    cpu_ns: int = 0
+    store_reads: int = 0
+
+
+class Node:
+    """One simulated process."""
+
+    def __init__(self, fleet: "Fleet", member: Member, incarnation: int) -> None:
+        seed = fleet.random.getrandbits(64)
+        self.address = member.instance.address
+        self.membership = Membership(member, fleet.clock, Random(seed), incarnation)
+        self.configuration = ConfigurationView(fleet.clock, Random(seed + 1))
+        self.resumes_at_ms = 0
+
+    @property
+    def member(self) -> Member:
+        """Return what the node announces."""
+        return self.membership.own.member
+
+
+@dataclass
+class Fleet:
+    """Nodes, links with latency and faults, one clock and one store object.
+
+    ``blocked`` holds directed links on which everything is lost.
+    """
+
+    seed: int
+    loss: float = 0.0
+    latency_ms: int = 1
+    region_latency_ms: int = 40
+    store_up: bool = True
+    store_value: bytes | None = None
+    blocked: Callable[[Member, Member], bool] = lambda source, target: False
+    clock: ManualClock = field(default_factory=ManualClock)
+    nodes: dict[str, Node] = field(default_factory=dict)
+    traffic: Traffic = field(default_factory=Traffic)
+
+    def __post_init__(self) -> None:
+        self.random = Random(self.seed)
+        self.events: list[tuple[int, int, Callable[[], None]]] = []
+        self.order = 0
+
+    # Nodes.
+
+    def add(
+        self,
+        index: int,
+        data_centre: str = "a",
+        region: str = "r",
+        role: Role = Role.SIDECAR,
+        incarnation: int = 1,
+    ) -> Node:
+        """Start a process at the address with the given index."""
+        address = f"10.{index // 62500}.{index // 250 % 250}.{index % 250}:8000"
+        number = new_instance_number(self.random)
+        instance = Instance(address, number, data_centre, region, role)
+        pool = POOL if role is Role.SIDECAR else ""
+        node = Node(self, Member(instance, pool), incarnation)
+        self.nodes[address] = node
+        self.after(self.random.randrange(TICK_MS), lambda: self.tick(node))
+        return node
+
+    def grow(self, count: int, data_centres: int = 4, regions: int = 2) -> None:
+        """Start processes spread over data centres and regions."""
+        for index in range(count):
+            place = index % data_centres
+            self.add(index, f"dc{place}", f"region{place % regions}")
+
+    def acquaint(self) -> None:
+        """Give every node the records of all others, as after a long run."""
+        announcements = [n.membership.own.announcement() for n in self.nodes.values()]
+        for node in self.nodes.values():
+            membership = node.membership
+            for announcement in announcements:
+                if announcement.member.instance.address != node.address:
+                    membership.apply(announcement, "", spread=False)
+            membership.synchronised = True
+            membership.queue.queued.clear()
+
+    def vm_list(self, leaving: tuple[str, ...] = ()) -> list[ListedVm]:
+        """Return the platform's list of the nodes that run now."""
+        return [
+            ListedVm(
+                node.address,
+                node.member.instance.data_centre,
+                node.member.instance.region,
+                node.member.instance.role,
+                "leaving" if node.address in leaving else "live",
+            )
+            for node in self.nodes.values()
+        ]
+
+    def tell_vm_list(self, leaving: tuple[str, ...] = ()) -> None:
+        """Give every node the current VM list."""
+        vms = self.vm_list(leaving)
+        for node in self.nodes.values():
+            node.membership.vm_list(vms)
+
+    def stop(self, *nodes: Node) -> None:
+        """End processes without a word."""
+        for node in nodes:
+            del self.nodes[node.address]
+
+    def within(self, data_centre: str) -> list[Node]:
+        """Return the nodes of a data centre."""
+        return [
+            node
+            for node in self.nodes.values()
+            if node.member.instance.data_centre == data_centre
+        ]
+
+    def pause(self, node: Node, duration_ms: int) -> None:
+        """Stop a process for a while; its datagrams are lost."""
+        node.resumes_at_ms = self.clock.now_ms() + duration_ms
+
+    # Time.
+
+    def after(self, delay_ms: int, action: Callable[[], None]) -> None:
+        """Plan an action."""
+        self.order += 1
+        due_ms = self.clock.now_ms() + delay_ms
+        heapq.heappush(self.events, (due_ms, self.order, action))
+
+    def run(self, duration_ms: int) -> None:
+        """Let time pass."""
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.events and self.events[0][0] <= end_ms:
+            due_ms, _, action = heapq.heappop(self.events)
+            self.clock.advance(due_ms - self.clock.now_ms())
+            action()
+        self.clock.advance(end_ms - self.clock.now_ms())
+
+    def run_until(self, condition: Callable[[], bool], limit_ms: int) -> int | None:
+        """Let time pass until a condition holds; return how long that took."""
+        start_ms = self.clock.now_ms()
+        while self.clock.now_ms() - start_ms < limit_ms:
+            if condition():
+                return self.clock.now_ms() - start_ms
+            self.run(TICK_MS // 5)
+        return None
+
+    def tick(self, node: Node) -> None:
+        """Drive the timers of a node."""
+        if self.nodes.get(node.address) is not node:
+            return
+        now_ms = self.clock.now_ms()
+        if now_ms < node.resumes_at_ms:
+            self.after(node.resumes_at_ms - now_ms, lambda: self.tick(node))
+            return
+        self.after(TICK_MS, lambda: self.tick(node))
+        self.act(node, node.membership.tick)
+        node.configuration.nodes = node.membership.size
+        if node.membership.synchronised:
+            node.configuration.peers = node.membership.size - 1
+        self.configure(node, node.configuration.tick)
+
+    # Network.
+
+    def act(self, node: Node, event: Callable[[], list[Action]]) -> None:
+        """Handle an event of membership at a node and perform its actions."""
+        started = time.perf_counter_ns()
+        actions = event()
+        sends = [(a.address, encode(a.message)) for a in actions if type(a) is Send]
+        self.traffic.cpu_ns += time.perf_counter_ns() - started
+        for address, data in sends:
+            self.transmit(node, address, data)
+        for action in actions:
+            if isinstance(action, Fetch):
+                self.exchange(node, action.address, action.request, fetch=action)
+            elif isinstance(action, NewerGeneration):
+                self.mention(node, action.generation, action.address)
+
+    def mention(self, node: Node, generation: int, address: str) -> None:
+        """Let a node see a generation in a message of another process."""
+        self.configure(node, lambda: node.configuration.mentioned(generation, address))
+
+    def transmit(self, node: Node, address: str, data: bytes) -> None:
+        """Send a datagram."""
+        size = len(data) + DATAGRAM_OVERHEAD_BYTES
+        self.traffic.datagrams += 1
+        self.traffic.bytes += size
+        self.traffic.largest = max(self.traffic.largest, len(data))
+        if self.random.random() < self.loss or not self.is_open(node, address):
+            return
+        delay_ms = self.delay(node, address)
+        self.after(delay_ms, lambda: self.deliver(node.address, address, data))
+
+    def deliver(self, source: str, address: str, data: bytes) -> None:
+        """Hand a datagram to its receiver."""
+        node = self.nodes.get(address)
+        if node is None or self.clock.now_ms() < node.resumes_at_ms:
+            return
+        self.act(
+            node,
+            lambda: node.membership.receive(source, decode_gossip(data, source)),
+        )
+
+    def is_open(self, node: Node, address: str) -> bool:
+        """Return whether a message would arrive."""
+        peer = self.nodes.get(address)
+        return peer is not None and not self.blocked(node.member, peer.member)
+
+    def delay(self, node: Node, address: str) -> int:
+        """Return the one-way latency."""
+        own, peer = node.member.instance, self.nodes[address].member.instance
+        same = own.region == peer.region
+        return self.latency_ms if same else self.region_latency_ms
+
+    def exchange(
+        self, node: Node, address: str, request: ExchangeRequest, fetch: Fetch | None
+    ) -> None:
+        """Send a request over the exchange."""
+        reply = None
+        peer = self.nodes.get(address)
+        if (
+            peer is not None
+            and self.clock.now_ms() >= peer.resumes_at_ms
+            and self.is_open(node, address)
+            and self.is_open(peer, node.address)
+        ):
+            started = time.perf_counter_ns()
+            data = encode(self.answer(peer, request))
+            self.traffic.cpu_ns += time.perf_counter_ns() - started
+            self.traffic.exchanges += 1
+            self.traffic.bytes += len(data) + EXCHANGE_OVERHEAD_BYTES
+            reply = decode_reply(data, address)
+        delay_ms = 3 * self.delay(node, address) if reply else 3000
+        self.after(delay_ms, lambda: self.receive_reply(node, address, reply, fetch))
+
+    def receive_reply(
+        self,
+        node: Node,
+        address: str,
+        reply: ExchangeReply | None,
+        fetch: Fetch | None,
+    ) -> None:
+        """Hand a reply to the node that asked."""
+        if self.nodes.get(node.address) is not node:
+            return
+        if fetch is not None:
+            self.act(node, lambda: node.membership.fetched(fetch, reply))
+            return
+        delta = reply if isinstance(reply, ConfigurationDelta) else None
+        self.configure(node, lambda: node.configuration.peer_replied(address, delta))
+
+    def answer(self, peer: Node, request: ExchangeRequest) -> ExchangeReply:
+        """Answer a request at a node."""
+        if isinstance(request, ConfigurationRequest):
+            return peer.configuration.delta_since(request.since)
+        reply = peer.membership.serve(request)
+        assert reply is not None
+        return reply
+
+    # Configuration.
+
+    def accept(self, configuration: Configuration) -> None:
+        """Put a configuration into the store."""
+        self.store_value = configuration.to_json()
+
+    def configure(
+        self, node: Node, event: Callable[[], list[ConfigurationAction]]
+    ) -> None:
+        """Handle an event of configuration at a node and perform its actions."""
+        started = time.perf_counter_ns()
+        actions = event()
+        self.traffic.cpu_ns += time.perf_counter_ns() - started
+        node.membership.generation = node.configuration.generation
+        for action in actions:
+            if isinstance(action, ReadStore):
+                self.traffic.store_reads += 1
+                self.after(self.latency_ms, lambda: self.read_store(node))
+            elif isinstance(action, AskPeers):
+                for address in node.membership.random_peers(action.count):
+                    request = ConfigurationRequest(action.since)
+                    self.exchange(node, address, request, None)
+            elif isinstance(action, FetchDelta):
+                request = ConfigurationRequest(action.since)
+                self.exchange(node, action.address, request, None)
+            else:
+                self.act(node, node.membership.push)
+
+    def read_store(self, node: Node) -> None:
+        """Hand the store's answer to a node."""
+        view = node.configuration
+        if self.store_up:
+            self.configure(node, lambda: view.store_replied(self.store_value))
+        else:
+            self.configure(node, view.store_failed)
