--- a/packages/medlarridge/src/medlarridge/_internal/transport/exchange.py
+++ b/packages/medlarridge/src/medlarridge/_internal/transport/exchange.py
@@ -7,10 +7,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import anyio
 import pynng
 
-from ..clock import MS_PER_S, Clock
+from ..clock import Clock
 from ..errors import CodecError, TransportError
 from ..events import register
 from ..log import log_event
@@ -172,9 +171,8 @@
         try:
             if socket is None:
                 socket = self.connect(address)
-            with anyio.fail_after(REQUEST_TIMEOUT_MS / MS_PER_S):
-                reply = await self.transfer(socket, address, request)
-        except (TimeoutError, pynng.NNGException, OSError, ValueError) as error:
+            reply = await self.transfer(socket, address, request)
+        except (pynng.NNGException, ValueError) as error:
             log_event(EXCHANGE_FAILED, peer=address, error=repr(error))
             raise TransportError(
                 f"exchange failed: {error!r}", step="exchange", peer=address
@@ -188,8 +186,16 @@
                 socket.close()
 
     def connect(self, address: str) -> pynng.Req0:
-        """Open a connection without waiting for it."""
-        socket = pynng.Req0(recv_max_size=MAX_REPLY_BYTES)
+        """Open a connection without waiting for it.
+
+        pynng answers the cancellation of a call with a cancellation error of its
+        own, which anyio's timeouts do not recognise; hence the socket's timeouts.
+        """
+        socket = pynng.Req0(
+            recv_max_size=MAX_REPLY_BYTES,
+            send_timeout=REQUEST_TIMEOUT_MS,
+            recv_timeout=REQUEST_TIMEOUT_MS,
+        )
         try:
             socket.dial(exchange_url(address), block=False)
         except BaseException:
--- /dev/null
+++ b/packages/medlarridge/tests/unit/coordination/test_membership.py
@@ -0,0 +1,287 @@
+from random import Random
+
+import msgspec
+
+from medlarridge._internal.clock import ManualClock
+from medlarridge._internal.coordination.member_table import BUCKETS, MemberTable, Record
+from medlarridge._internal.coordination.membership import (
+    MAX_PAYLOAD_BYTES,
+    Membership,
+    NewerGeneration,
+    Observation,
+    Send,
+)
+from medlarridge._internal.coordination.updates import UpdateQueue
+from medlarridge._internal.identity import Instance, Member, Role
+from medlarridge._internal.protocol.gossip import (
+    MAX_ADDRESS_BYTES,
+    MAX_NAME_BYTES,
+    Announcement,
+    Ping,
+    Push,
+    Status,
+    Verdict,
+    decode_gossip,
+    encode,
+)
+from medlarridge_standins.fleet import POOL, Fleet
+
+
+def member(index, number=None, **fields):
+    instance = Instance(f"10.0.0.{index}:80", number or index, "a", "r", Role.SIDECAR)
+    return Member(instance, POOL, **fields)
+
+
+def observer(others=(), incarnation=5):
+    clock = ManualClock()
+    membership = Membership(member(1), clock, Random(1), incarnation)
+    for other in others:
+        membership.apply(Announcement(other, 5), "", spread=False)
+    return membership, clock
+
+
+def verdict(target, incarnation, status):
+    address, number = target.instance.address, target.instance.number
+    return Verdict(address, number, incarnation, status)
+
+
+class TestRefutation:
+    def test_suspicion_of_this_process_is_contradicted_at_once(self):
+        """Guards against the death of a process that works."""
+        membership, _ = observer([member(2), member(3)])
+        actions = membership.apply(
+            verdict(membership.own.member, 5, Status.SUSPECT), "10.0.0.2:80"
+        )
+        assert membership.own.incarnation == 6
+        assert {a.address for a in actions} == {"10.0.0.2:80", "10.0.0.3:80"}
+        assert all(a.message.updates for a in actions)
+
+    def test_record_of_an_earlier_instance_at_the_own_address_is_overridden(self):
+        """Guards against a replaced VM whose clock is behind its predecessor's."""
+        membership, _ = observer()
+        membership.apply(Announcement(member(1, number=99), 70), "10.0.0.2:80")
+        assert membership.own.incarnation == 71
+        assert membership.find("10.0.0.1:80") == membership.own.member
+
+    def test_old_news_about_this_process_is_ignored(self):
+        """Guards against endless refutations."""
+        membership, _ = observer()
+        assert not membership.apply(
+            verdict(membership.own.member, 4, Status.DEAD), "10.0.0.2:80"
+        )
+        assert membership.own.incarnation == 5
+
+    def test_own_goodbye_is_not_contradicted(self):
+        """Guards against a process that comes back to life while it ends."""
+        membership, _ = observer()
+        membership.leave()
+        membership.apply(verdict(membership.own.member, 5, Status.LEFT), "x:1")
+        assert membership.own.incarnation == 5
+
+
+class TestStatements:
+    def test_order_of_arrival_does_not_matter(self):
+        """Guards against lists that differ for good between processes."""
+        second = member(2)
+        restarted = member(2, number=77)
+        statements = [
+            Announcement(second, 5),
+            verdict(second, 5, Status.SUSPECT),
+            Announcement(msgspec.structs.replace(second, draining=True), 6),
+            verdict(second, 6, Status.DEAD),
+            Announcement(restarted, 9),
+        ]
+        random = Random(3)
+        for _ in range(50):
+            membership, _ = observer()
+            for statement in random.sample(statements, len(statements)):
+                membership.apply(statement, "10.0.0.3:80")
+            assert membership.find("10.0.0.2:80") == restarted
+
+    def test_dead_on_hearsay_is_only_suspected_after_recent_contact(self):
+        """Guards against a cut-off observer that buries members for others."""
+        second = member(2)
+        membership, clock = observer([second])
+        membership.receive("10.0.0.2:80", Push(2, 0))
+        membership.apply(verdict(second, 5, Status.DEAD), "10.0.0.3:80")
+        record = membership.table.get("10.0.0.2:80")
+        assert record.status is Status.SUSPECT
+        clock.advance(6000)
+        membership.apply(verdict(second, 5, Status.DEAD), "10.0.0.3:80")
+        assert record.status is Status.DEAD
+
+    def test_newer_generation_is_reported(self):
+        """Guards against a node that misses an accepted configuration."""
+        membership, _ = observer()
+        actions = membership.receive("10.0.0.2:80", Push(2, 7))
+        assert NewerGeneration("10.0.0.2:80", 7) in actions
+
+    def test_ping_to_an_earlier_instance_gets_the_new_record(self):
+        """Guards against messages that reach the wrong instance."""
+        membership, _ = observer()
+        (answer,) = membership.receive(
+            "10.0.0.2:80", Ping(1, 2, 5, target=42, generation=0, digest=0)
+        )
+        message = decode_gossip(encode(answer.message), "peer")
+        assert message.number == membership.number
+        assert message.updates[0].member == membership.own.member
+        assert not message.known
+
+
+class TestUse:
+    def test_lists_are_cached_until_something_changes(self):
+        """Guards against a request path whose cost grows with the fleet."""
+        second = member(2)
+        membership, _ = observer([second, member(3)])
+        before, revision = membership.members_of(POOL), membership.revision
+        membership.observe(second, Observation.ANSWERED)
+        assert membership.members_of(POOL) is before
+        assert membership.revision == revision
+        membership.observe(second, Observation.DRAINING)
+        assert membership.revision > revision
+
+    def test_refused_connection_stops_use_and_is_probed_next(self):
+        """Guards against work for a server that refuses connections."""
+        others = [member(index) for index in range(2, 9)]
+        membership, clock = observer(others)
+        membership.observe(others[4], Observation.REFUSED)
+        assert not membership.is_usable(others[4])
+        clock.advance(1000)
+        sends = [a for a in membership.tick() if isinstance(a, Send)]
+        assert sends[0].address == others[4].instance.address
+        membership.observe(others[4], Observation.ANSWERED)
+        assert membership.is_usable(others[4])
+
+    def test_observation_of_an_earlier_instance_changes_nothing(self):
+        """Guards against a late answer that taints the next instance."""
+        membership, _ = observer([member(2, number=8), member(3), member(4)])
+        membership.observe(member(2, number=7), Observation.DRAINING)
+        assert membership.is_usable(member(2, number=8))
+        assert not membership.is_usable(member(2, number=7))
+
+    def test_pool_keeps_half_of_its_members(self):
+        """Guards against an empty pool after a mass false alarm."""
+        others = [member(index) for index in range(2, 21)]
+        membership, _ = observer(others)
+        for other in others:
+            membership.apply(verdict(other, 5, Status.DEAD), "10.0.0.99:80")
+        assert len(membership.members_of(POOL)) == 10
+        assert len(membership.usable_members_of(POOL)) >= 5
+
+    def test_members_that_the_platform_removed_do_not_count_for_the_floor(self):
+        """Guards against work for servers that were taken away on purpose."""
+        others = [member(index) for index in range(2, 21)]
+        fleet = Fleet(1)
+        fleet.add(0)
+        membership, _ = observer(others)
+        membership.vm_list(fleet.vm_list())
+        for other in others:
+            membership.apply(verdict(other, 5, Status.DEAD), "10.0.0.99:80")
+        assert membership.members_of(POOL) == [membership.own.member]
+
+    def test_leaving_state_of_a_vm_does_not_stick_to_the_next_instance(self):
+        """Guards against a lagging VM list after an address is reused."""
+        fleet = Fleet(1)
+        old = fleet.add(2)
+        membership, _ = observer([old.member])
+        membership.vm_list(fleet.vm_list())
+        membership.vm_list(fleet.vm_list(leaving=(old.address,)))
+        assert not membership.is_usable(old.member)
+        new = msgspec.structs.replace(
+            old.member, instance=msgspec.structs.replace(old.member.instance, number=9)
+        )
+        membership.apply(Announcement(new, 8), "")
+        membership.vm_list(fleet.vm_list(leaving=(old.address,)))
+        assert membership.is_usable(new)
+
+
+class TestBudget:
+    def test_every_datagram_fits_whatever_the_news(self):
+        """Guards against datagrams above 400 bytes that get dropped."""
+        long = "x" * MAX_NAME_BYTES
+        clock = ManualClock()
+        address = "1" * (MAX_ADDRESS_BYTES - 3)
+        membership = Membership(
+            Member(Instance(address + ":80", 2**47, long, long, Role.SIDECAR), long),
+            clock,
+            Random(1),
+            2**47,
+        )
+        for index in range(10, 99):
+            instance = Instance(f"{address}:{index}", 2**47, long, long, Role.ROUTER)
+            membership.apply(Announcement(Member(instance, long), 2**47), "")
+        sizes = []
+        for _ in range(200):
+            clock.advance(250)
+            sizes += [len(encode(a.message)) for a in membership.tick()]
+        assert len(sizes) > 100
+        assert max(sizes) <= MAX_PAYLOAD_BYTES
+
+    def test_news_is_sent_a_bounded_number_of_times(self):
+        """Guards against news that circulates for ever."""
+        queue = UpdateQueue()
+        for index in range(2, 40):
+            queue.put(verdict(member(index), 1, Status.DEAD))
+        sent = 0
+        while taken := queue.take(100, 50):
+            sent += len(taken)
+        assert sent == 38 * 8
+
+    def test_urgent_news_is_rate_limited(self):
+        """Guards against a flapping member that uses up the byte budget."""
+        membership, clock = observer([member(index) for index in range(2, 9)])
+        sent = 0
+        for round_number in range(100):
+            actions = membership.set_self(draining=round_number % 2 == 0)
+            sent += len(actions)
+            clock.advance(10)
+        assert 0 < sent <= 3 * 5
+
+    def test_probe_rate_does_not_depend_on_the_number_of_members(self):
+        """Guards against control traffic that grows with the fleet."""
+        counts = []
+        for size in (10, 200):
+            fleet = Fleet(4)
+            fleet.grow(size)
+            fleet.acquaint()
+            fleet.run(20_000)
+            counts.append(fleet.traffic.datagrams / size / 20)
+        assert max(counts) < 1.2 * min(counts)
+
+
+class TestMemberTable:
+    def test_digest_is_equal_exactly_for_equal_lists(self):
+        """Guards against differences that no comparison ever finds."""
+        random = Random(5)
+        tables = []
+        for _ in range(2):
+            table = MemberTable()
+            order = list(range(2, 200))
+            random.shuffle(order)
+            for index in order:
+                table.store(Record(member(index), 1, Status.SUSPECT, 0))
+                record = table.get(f"10.0.0.{index}:80")
+                table.set_status(record, Status.ALIVE, 3, 0)
+            tables.append(table)
+        one, two = tables
+        assert one.digest == two.digest
+        assert not one.differing_buckets(two.digest_bytes())
+        two.set_status(two.get("10.0.0.7:80"), Status.DEAD, 3, 0)
+        assert one.digest != two.digest
+        (bucket,) = one.differing_buckets(two.digest_bytes())
+        assert "10.0.0.7:80" in one.buckets[bucket]
+        assert one.differing_buckets(b"\0" * (4 * BUCKETS + 1)) == []
+
+    def test_pages_cover_all_members_once(self):
+        """Guards against members that a new process never learns of."""
+        table = MemberTable()
+        for index in range(700):
+            table.store(Record(member(index, number=index + 1), 1, Status.ALIVE, 0))
+        seen, after = [], ""
+        while True:
+            page = table.page(after)
+            seen += [r.member.instance.address for r in page.records]
+            after = page.next_after
+            if not after:
+                break
+        assert sorted(seen) == sorted(table.records)
