--- a/packages/medlarridge/src/medlarridge/_internal/state/keys.py
+++ b/packages/medlarridge/src/medlarridge/_internal/state/keys.py
@@ -5,6 +5,12 @@
 VERSION_DIGITS = 16
 """Width of versions in keys, so that keys sort like the versions."""
 
+TABLE_PREFIX = "tables/"
+ROUTES_TABLE = TABLE_PREFIX + "routes"
+POOLS_TABLE = TABLE_PREFIX + "pools"
+ACCEPTED_CONFIGURATION = "config/accepted"
+TABLE_STATUS = "status/tables"
+
 PART = re.compile(r"[A-Za-z0-9][A-Za-z0-9.:_-]*")
 
 
@@ -22,26 +28,6 @@
     return number
 
 
-def routes_key() -> str:
-    """Return the key of the routes table as edited."""
-    return "tables/routes"
-
-
-def pools_key() -> str:
-    """Return the key of the pools table as edited."""
-    return "tables/pools"
-
-
-def tables_status_key() -> str:
-    """Return the key of the result of accepting the tables."""
-    return "status/tables"
-
-
-def accepted_configuration_key() -> str:
-    """Return the key of the configuration in force."""
-    return "config/accepted"
-
-
 def audit_prefix(what: str) -> str:
     """Return the prefix of the audit entries of an object."""
     parts = [check_part(part) for part in what.split("/")]
--- a/packages/medlarridge/src/medlarridge/_internal/tables_admin.py
+++ b/packages/medlarridge/src/medlarridge/_internal/tables_admin.py
@@ -15,7 +15,7 @@
 from .protocol.tables import Name, Pool, Problem, Route, find_reference_problems
 from .state.audit import AuditEntry, AuditTrail
 from .state.confirm import put_confirmed
-from .state.keys import pools_key, routes_key, tables_status_key
+from .state.keys import POOLS_TABLE, ROUTES_TABLE, TABLE_STATUS
 from .state.store import CREATE, ObjectStore, StoredObject
 from .tables_file import TablesFile
 
@@ -38,7 +38,7 @@
     @property
     def key(self) -> str:
         """Return the key of the table in the store."""
-        return routes_key() if self is TableName.ROUTES else pools_key()
+        return ROUTES_TABLE if self is TableName.ROUTES else POOLS_TABLE
 
 
 ADAPTERS: dict[TableName, TypeAdapter[Entries]] = {
@@ -125,7 +125,7 @@
 
     async def read_status(self) -> Result[bytes, EditError]:
         """Return the result of accepting the last edit, or nothing."""
-        read = await self.store.get(tables_status_key())
+        read = await self.store.get(TABLE_STATUS)
         if isinstance(read, Err):
             return Err(store_failed(read.unwrap_err(), "read the acceptance result"))
         stored = read.unwrap()
--- a/packages/medlarridge/tests/unit/state/test_keys.py
+++ b/packages/medlarridge/tests/unit/state/test_keys.py
@@ -7,12 +7,12 @@
     def test_all_keys_differ(self):
         """Guards against two kinds of objects that overwrite each other."""
         all_keys = [
-            keys.routes_key(),
-            keys.pools_key(),
-            keys.tables_status_key(),
-            keys.accepted_configuration_key(),
-            keys.audit_key(keys.routes_key(), 1),
-            keys.audit_key(keys.pools_key(), 1),
+            keys.ROUTES_TABLE,
+            keys.POOLS_TABLE,
+            keys.TABLE_STATUS,
+            keys.ACCEPTED_CONFIGURATION,
+            keys.audit_key(keys.ROUTES_TABLE, 1),
+            keys.audit_key(keys.POOLS_TABLE, 1),
             keys.ledger_head_key("libro-enchufes", 1),
             keys.ledger_segment_key("libro-enchufes", 1, 1),
             keys.suspects_key(1),
