--- a/packages/medlarridge/src/medlarridge/_internal/coordination/load_bound.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/load_bound.py
@@ -47,17 +47,18 @@
 class LoadBound:
     """Limit of an engine's load as a multiple of the pool's mean load.
 
-    The floor is two requests of the usual work, an average over the work offered
-    to this engine, or the request alone on an idle engine.
+    The limit is never below a floor: two requests of the usual work, one such request
+    above the mean, or the offered request alone. Without the second, a pool could not
+    grow past three requests an engine at a bound of 1.25, since a fourth is more than
+    the bound times three. Above four requests an engine the floor has no effect.
     """
 
-    def __init__(self, bound: float, floor_requests: int = FLOOR_REQUESTS) -> None:
+    def __init__(self, bound: float) -> None:
         self.bound = bound
-        self.floor_requests = floor_requests
         self.usual_work = 0.0
 
     def observe(self, work: float) -> None:
-        """Update the usual work with the work of an offered request."""
+        """Update the usual work, an average over the work offered to this engine."""
         if self.usual_work == 0.0:
             self.usual_work = work
         else:
@@ -68,20 +69,29 @@
     ) -> Admitted | OverBound:
         """Decide about work in tokens; ``own_load`` is the load before it."""
         load = own_load + work / weight
-        floor = max(work, self.floor_requests * self.usual_work) / weight
-        limit = max(floor, self.limit(mean))
+        limit = self.limit(work, weight, mean)
         if load <= limit:
             return Admitted(load)
         return OverBound(load, limit, load - limit)
 
-    def limit(self, mean: MeanEstimate | None) -> float:
-        """Return the highest load that the estimate allows."""
+    def limit(self, work: float, weight: float, mean: MeanEstimate | None) -> float:
+        """Return the highest load after admission of the work."""
+        least = self.least(work, weight)
         if mean is None:
-            return 0.0
-        limit = self.bound * reduced_mean(mean)
+            return least
+        known = reduced_mean(mean)
+        limit = self.scale(known, weight)
         if mean.age_ms > STALE_AFTER_MS:
-            return min(limit, mean.own_load)
-        return limit
+            limit = min(limit, mean.own_load)
+        return max(least, limit)
+
+    def least(self, work: float, weight: float) -> float:
+        """Return the part of the floor that needs no mean."""
+        return max(work, FLOOR_REQUESTS * self.usual_work) / weight
+
+    def scale(self, mean: float, weight: float) -> float:
+        """Return the limit that belongs to a mean load."""
+        return max(self.bound * mean, mean + self.usual_work / weight)
 
 
 def reduced_mean(mean: MeanEstimate) -> float:
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/pool_mean.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/pool_mean.py
@@ -35,8 +35,6 @@
 WINDOW_MS = 2000
 SUSPECT_MS = 10_000
 MAX_ROUNDS = 64
-MAX_LIGHT = 6
-LIGHT_MS = 2000
 POSITION_RANGE = 2**32
 ROUND_BITS = 32
 
@@ -52,29 +50,22 @@
 
 
 class MeanReply(msgspec.Struct, tag=11, array_like=True, frozen=True):
-    """Sums over an interval: load, squares of load per weight, weight, members.
-
-    ``light`` is the member with the lowest load.
-    """
+    """Sums over an interval: load, squares of load per weight, weight, members."""
 
     round: int
     load: int
     squares: int
     weight: float
     members: int
-    light: str
-    light_load: int
 
 
 class MeanResult(msgspec.Struct, tag=12, array_like=True, frozen=True):
-    """The mean load of the pool ``age_ms`` ago, and a member with a low load."""
+    """The mean load of the pool ``age_ms`` ago and its standard error."""
 
     round: int
     mean: int
     error: int
     age_ms: int
-    light: str
-    light_load: int
 
 
 MeanMessage = MeanAsk | MeanReply | MeanResult
@@ -103,8 +94,6 @@
     weight: float
     members: int
     waiting: set[str] = field(default_factory=set)
-    lights: dict[str, tuple[float, str]] = field(default_factory=dict)
-    finished: bool = False
 
 
 @dataclass(frozen=True)
@@ -135,9 +124,9 @@
         self.orders: list[list[tuple[int, str]]] = [[] for _ in range(TREES)]
         self.ranks = [0] * TREES
         self.rounds: dict[int, Round] = {}
+        self.open_rounds: dict[int, Round] = {}
         self.measured: deque[Measured] = deque()
         self.suspects: dict[str, int] = {}
-        self.light: dict[str, tuple[int, float]] = {}
         now = clock.now_ms()
         self.last_round_ms = [
             now + tree * ROUND_MS - TREE_PERIOD_MS for tree in range(TREES)
@@ -152,7 +141,6 @@
             own = (position(tree, self.address), self.address)
             self.ranks[tree] = bisect_left(order, own)
         self.suspects = {a: t for a, t in self.suspects.items() if a in members}
-        self.light = {a: v for a, v in self.light.items() if a in members}
 
     def estimate(self) -> MeanEstimate | None:
         """Return what is known about the mean, or nothing."""
@@ -161,29 +149,17 @@
         newest = self.measured[-1]
         means = [m.mean for m in self.measured if m.at_ms >= newest.at_ms - WINDOW_MS]
         return MeanEstimate(
-            mean=min(newest.mean, sum(means) / len(means)),
+            mean=newest.mean,
             age_ms=self.clock.now_ms() - newest.at_ms,
             spread=max(means) - min(means),
             own_load=newest.own_load,
             error=newest.error,
         )
 
-    def light_members(self) -> list[str]:
-        """Return members that recently had a low load, the lowest first."""
-        oldest = self.clock.now_ms() - LIGHT_MS
-        self.light = {a: v for a, v in self.light.items() if v[0] >= oldest}
-        return sorted(self.light, key=lambda a: self.light[a][1])
-
-    def add_light_load(self, address: str, load: float) -> None:
-        """Add load that a referral will bring to a member with a low load."""
-        if address in self.light:
-            at_ms, known = self.light[address]
-            self.light[address] = at_ms, known + load
-
     @property
     def wake_ms(self) -> int:
         """Time at which ``tick`` has something to do."""
-        due = [r.due_ms for r in self.rounds.values() if not r.finished]
+        due = [r.due_ms for r in self.open_rounds.values()]
         return min([self.takeover_ms(tree) for tree in range(TREES)] + due)
 
     def takeover_ms(self, tree: int) -> int:
@@ -198,8 +174,8 @@
         """Start rounds that are due and end rounds that have waited long enough."""
         now = self.clock.now_ms()
         sent = []
-        for number, current in list(self.rounds.items()):
-            if not current.finished and now >= current.due_ms:
+        for number, current in list(self.open_rounds.items()):
+            if now >= current.due_ms:
                 for child in current.waiting:
                     self.suspects[child] = now + SUSPECT_MS
                 sent += self.finish(number, current)
@@ -231,7 +207,7 @@
     def receive_ask(self, ask: MeanAsk, sender: str) -> list[Outgoing]:
         """Take part in a round, once."""
         if ask.round in self.rounds or not 0 <= ask.tree < TREES:
-            return [Outgoing(sender, MeanReply(ask.round, 0, 0, 0.0, 0, "", 0))]
+            return [Outgoing(sender, MeanReply(ask.round, 0, 0, 0.0, 0))]
         return self.join(ask, sender)
 
     def join(self, ask: MeanAsk, parent: str) -> list[Outgoing]:
@@ -253,14 +229,15 @@
             members=1,
             waiting={a.address for a in asks},
         )
-        current.lights[self.address] = current.own_load, self.address
-        self.rounds[ask.round] = current
+        self.rounds[ask.round] = self.open_rounds[ask.round] = current
         return asks or self.finish(ask.round, current)
 
     def drop_old_rounds(self) -> None:
         """Keep the number of remembered rounds bounded."""
         while len(self.rounds) >= MAX_ROUNDS:
-            del self.rounds[next(iter(self.rounds))]
+            number = next(iter(self.rounds))
+            del self.rounds[number]
+            self.open_rounds.pop(number, None)
 
     def split(self, ask: MeanAsk) -> list[Outgoing]:
         """Divide the interval among up to four children."""
@@ -294,31 +271,26 @@
         self, reply: MeanReply, sender: str, current: Round
     ) -> list[Outgoing]:
         """Add the sums of a child."""
-        if current.finished or sender not in current.waiting:
+        if reply.round not in self.open_rounds or sender not in current.waiting:
             return []
         current.waiting.discard(sender)
         current.load += reply.load
         current.squares += reply.squares
         current.weight += reply.weight
         current.members += reply.members
-        if reply.light:
-            current.lights[sender] = reply.light_load, reply.light
         return [] if current.waiting else self.finish(reply.round, current)
 
     def finish(self, number: int, current: Round) -> list[Outgoing]:
         """Reply to the parent, or publish the result as the root."""
-        current.finished = True
+        self.open_rounds.pop(number, None)
         if not current.parent:
             return self.publish_root(number, current)
-        light_load, light = min(current.lights.values())
         reply = MeanReply(
             number,
             round(current.load),
             round(current.squares),
             current.weight,
             current.members,
-            light,
-            round(light_load),
         )
         return [Outgoing(current.parent, reply)]
 
@@ -332,33 +304,13 @@
         missing = max(0.0, 1 - current.members / known)
         error = math.sqrt(variance / current.members * missing)
         age_ms = self.clock.now_ms() - current.started_ms
-        result = MeanResult(number, round(mean), math.ceil(error), age_ms, "", 0)
+        result = MeanResult(number, round(mean), math.ceil(error), age_ms)
         return self.publish(current, result)
 
     def publish(self, current: Round, result: MeanResult) -> list[Outgoing]:
-        """Use a result and pass it to the children.
-
-        Each child is told a low-loaded member from the next child's part, so that
-        referrals from different nodes go to different members.
-        """
+        """Use a result and pass it to the children."""
         self.note(current, result)
-        sent = []
-        for index, child in enumerate(current.children):
-            following = current.children[(index + 1) % len(current.children)]
-            light = current.lights.get(following)
-            if light is None or light[1] == child or light[0] > result.mean:
-                light = result.light_load, result.light
-            if not light[1]:
-                light = current.lights[self.address]
-            message = msgspec.structs.replace(
-                result,
-                # The time the result spent here is part of its age.
-                age_ms=result.age_ms,
-                light=light[1],
-                light_load=round(light[0]),
-            )
-            sent.append(Outgoing(child, message))
-        return sent
+        return [Outgoing(child, result) for child in current.children]
 
     def note(self, current: Round, result: MeanResult) -> None:
         """Remember a result in the order of measurement."""
@@ -369,12 +321,6 @@
             self.measured.append(Measured(at_ms, result.mean, result.error, own))
         while self.measured[0].at_ms < at_ms - WINDOW_MS:
             self.measured.popleft()
-        lights = [(result.light_load, result.light), *current.lights.values()]
-        for load, address in lights:
-            if address and address != self.address and load <= result.mean:
-                self.light[address] = now, load
-        while len(self.light) > MAX_LIGHT:
-            del self.light[max(self.light, key=lambda a: self.light[a][1])]
 
 
 def position(tree: int, address: str) -> int:
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/prefix_index.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/prefix_index.py
@@ -39,6 +39,8 @@
     used_ms: int = 0
     elsewhere: str = ""
     elsewhere_tokens: int = 0
+    # The chat's home is another engine, so this copy is a duplicate in the long run.
+    guest: bool = False
 
 
 class PrefixIndex:
@@ -57,9 +59,10 @@
         """Return what is believed about a chat."""
         return self.entries.get(chat)
 
-    def record(self, chat: str, tokens: int, now_ms: int) -> None:
+    def record(self, chat: str, tokens: int, now_ms: int, guest: bool = False) -> None:
         """Note the prefix that the engine holds after it ran the chat."""
         entry = self.touch(chat)
+        entry.guest = guest
         entry.tokens = tokens
         entry.used_ms = now_ms
         if entry.elsewhere_tokens <= tokens:
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
@@ -4,6 +4,7 @@
 load bound and this sidecar's part in the pool mean.
 """
 
+import math
 from collections import deque
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
@@ -32,6 +33,8 @@
 # An import or a question to peers has to save more than its own disturbance.
 MIN_GAIN_MS = 20
 MAX_CANDIDATES = 3
+PROBE_PEERS = 3
+FULL_SHARE = 1000
 MAX_FETCHES = 256
 MIN_REMAINING_SHARE = 0.1
 DRAIN_WINDOW_MS = 10_000
@@ -68,7 +71,30 @@
     holder: str
 
 
-ReuseMessage = PrefixQuery | PrefixAnswer | Served | HandOver
+class Release(msgspec.Struct, tag=17, array_like=True, frozen=True):
+    """Tell a spill target that the chat's home now holds the prefix as well."""
+
+    chat: str
+    tokens: int
+
+
+class LoadQuery(msgspec.Struct, tag=18, array_like=True, frozen=True):
+    """Ask a peer whether it would admit a request of that much work."""
+
+    number: int
+    work: int
+
+
+class LoadAnswer(msgspec.Struct, tag=19, array_like=True, frozen=True):
+    """The sender's load with the work, in thousandths of its limit."""
+
+    number: int
+    share: int
+
+
+ReuseMessage = (
+    PrefixQuery | PrefixAnswer | Served | HandOver | Release | LoadQuery | LoadAnswer
+)
 
 
 @dataclass(frozen=True)
@@ -129,9 +155,10 @@
 
 @dataclass(frozen=True)
 class Fetch:
-    """A background import of a prefix whose holder is leaving."""
+    """A background import of the blocks of a prefix after ``cached_tokens``."""
 
     chat: str
+    cached_tokens: int
     tokens: int
     holder: str
 
@@ -144,8 +171,9 @@
     import_tokens_per_s: float = 100_000.0
     import_overhead_ms: float = 10.0
     block_tokens: int = 16
-    # Outstanding work of one prompt token to prefill, in generated tokens.
-    prefill_work: float = 0.1
+    # Tokens that the engine generates in the time it prefills one prompt token: 8
+    # requests at 50 tokens/s against 10,000 tokens/s.
+    prefill_work: float = 0.04
 
     def prefill_ms(self, tokens: int) -> float:
         """Return the expected time to prefill."""
@@ -196,6 +224,10 @@
     asked_until_ms: int = 0
     unanswered: set[str] = field(default_factory=set)
     holders: dict[str, int] = field(default_factory=dict)
+    probe_number: int = 0
+    probed_until_ms: int = 0
+    probed: set[str] = field(default_factory=set)
+    shares: dict[str, int] = field(default_factory=dict)
 
 
 class ReusePlanner:
@@ -219,16 +251,19 @@
         self.address = member.instance.address
         self.weight = member.weight
         self.clock = clock
+        self.random = random
         self.costs = costs or ReuseCosts()
         self.bound = LoadBound(bound)
         self.mean = PoolMean(self.address, clock, random, member.weight)
         self.index = PrefixIndex()
         self.placement = Placement()
         self.members: dict[str, Member] = {}
+        self.peers: list[str] = []
         self.running: dict[str, Running] = {}
         self.waiting: dict[str, Waiting] = {}
         self.ready: list[str] = []
         self.fetches: deque[Fetch] = deque()
+        self.releases: list[str] = []
         self.finished_work: deque[tuple[int, float]] = deque()
         self.finished_total = 0.0
         self.tokens = 0.0
@@ -248,6 +283,9 @@
         self.mean.set_members(self.members)
         others = (m for m in members if m.instance.address != self.address)
         self.placement.update(others, held_down)
+        region = self.member.instance.region
+        near = [m for m in self.placement.members if m.instance.region == region]
+        self.peers = [m.instance.address for m in near or self.placement.members]
         for address in gone:
             self.index.forget_holder(address)
 
@@ -360,9 +398,33 @@
         expected_ms = self.drain_ms(verdict.excess * self.weight + ahead)
         if now < until_ms and now + expected_ms <= until_ms:
             return Wait(until_ms)
+        if not waiting.probed_until_ms:
+            queries = self.probe_peers(waiting, entry)
+            if queries:
+                return Wait(waiting.probed_until_ms, queries)
+        elif waiting.probed and now < waiting.probed_until_ms:
+            return Wait(waiting.probed_until_ms)
         del self.waiting[request.id]
         return Refuse(self.candidates(waiting, entry), round(expected_ms))
 
+    def probe_peers(
+        self, waiting: Waiting, entry: PrefixEntry | None
+    ) -> tuple[ReuseOutgoing, ...]:
+        """Return questions about load to where the chat was served and to others.
+
+        The answers are fresh when the router uses them. Loads known in advance send
+        the spills of many engines to the same few targets.
+        """
+        count = min(PROBE_PEERS, len(self.peers))
+        peers = set(self.random.sample(self.peers, count))
+        if entry is not None and entry.elsewhere in self.members:
+            peers.add(entry.elsewhere)
+        waiting.probed = peers
+        waiting.probe_number = self.random.getrandbits(32)
+        waiting.probed_until_ms = self.clock.now_ms() + ASK_TIMEOUT_MS
+        query = LoadQuery(waiting.probe_number, round(waiting.work))
+        return tuple(ReuseOutgoing(a, query) for a in sorted(peers))
+
     def patience_ms(self, request: Request, local: int) -> int:
         """Return how long a request may wait here for its prefix."""
         value = local - self.index.shared_tokens(request.route)
@@ -383,40 +445,42 @@
     def candidates(
         self, waiting: Waiting, entry: PrefixEntry | None
     ) -> tuple[Candidate, ...]:
-        """Return where the chat was last served, then members with a low load."""
-        request = waiting.request
-        chosen: dict[str, bool] = {}
-        if entry is not None and entry.elsewhere in self.members:
-            chosen[entry.elsewhere] = True
-        for address in [*self.mean.light_members(), *request.ranked]:
-            if len(chosen) == MAX_CANDIDATES:
-                break
-            if address != self.address and address in self.members:
-                if not any(not warm for warm in chosen.values()):
-                    weight = self.members[address].weight
-                    self.mean.add_light_load(address, waiting.work / weight)
-                chosen.setdefault(address, False)
+        """Return where the chat was last served, then members with a low load.
+
+        Members that would refuse come after all that did not say so.
+        """
+        warm = entry.elsewhere if entry is not None else ""
+        shares = waiting.shares
+
+        def order(address: str) -> tuple[bool, bool, int]:
+            share = shares.get(address, FULL_SHARE)
+            return share > FULL_SHARE, address != warm, share
+
+        known = dict.fromkeys([*shares, warm, *waiting.request.ranked])
+        chosen = [a for a in known if a in self.members and a != self.address]
+        chosen.sort(key=order)
         return tuple(
-            Candidate(a, self.members[a].instance.number, warm)
-            for a, warm in chosen.items()
+            Candidate(a, self.members[a].instance.number, a == warm)
+            for a in chosen[:MAX_CANDIDATES]
         )
 
     # Running work
 
     def progress(self, request_id: str, generated_tokens: int) -> None:
-        """Note how many tokens a request has generated so far.
+        """Note how many tokens a request has generated so far, at least one.
 
-        A share of the work stays counted until the end, since answers may be longer
-        than expected.
+        With the first token the prefill is done. A share of the output stays counted
+        until the end, since answers may be longer than expected.
         """
         running = self.running.get(request_id)
         if running is None:
             return
-        least = running.work * MIN_REMAINING_SHARE
-        remaining = max(least, running.work - generated_tokens)
+        output = max(1, running.request.output_tokens)
+        remaining = max(output * MIN_REMAINING_SHARE, output - generated_tokens)
         if remaining < running.remaining:
             self.add_tokens(remaining - running.remaining)
             running.remaining = remaining
+            self.ready = list(self.waiting)
 
     def finish(
         self,
@@ -441,11 +505,16 @@
             self.index.forget_elsewhere(request.chat, running.import_from)
         if not running.known and not imported_tokens:
             self.index.observe_new_chat(request.route, cached_tokens)
-        self.index.record(request.chat, total_tokens, self.clock.now_ms())
         home = request.ranked[0] if request.ranked else self.address
-        if home == self.address:
-            return []
-        return [ReuseOutgoing(home, Served(request.chat, total_tokens))]
+        guest = home != self.address
+        now = self.clock.now_ms()
+        self.index.record(request.chat, total_tokens, now, guest)
+        if guest:
+            return [ReuseOutgoing(home, Served(request.chat, total_tokens))]
+        if imported_tokens:
+            release = Release(request.chat, total_tokens)
+            return [ReuseOutgoing(running.import_from, release)]
+        return []
 
     def abandon(self, request_id: str) -> None:
         """Note that a waiting or running request ended without an answer."""
@@ -493,10 +562,16 @@
                 return [ReuseOutgoing(sender, self.answer(message))]
             case PrefixAnswer():
                 self.receive_answer(message, sender)
+            case LoadQuery():
+                return [ReuseOutgoing(sender, self.answer_load(message))]
+            case LoadAnswer():
+                self.receive_load(message, sender)
             case Served():
-                self.index.record_elsewhere(message.chat, sender, message.tokens)
+                self.queue_fetch(message.chat, message.tokens, sender)
             case HandOver():
-                self.receive_hand_over(message)
+                self.queue_fetch(message.chat, message.tokens, message.holder)
+            case Release():
+                self.receive_release(message, sender)
             case _:
                 return list(self.mean.receive(message, sender))
         return []
@@ -523,6 +598,21 @@
             if not waiting.unanswered:
                 self.ready.append(waiting.request.id)
 
+    def answer_load(self, query: LoadQuery) -> LoadAnswer:
+        """Answer whether work would be admitted here."""
+        limit = self.bound.limit(query.work, self.weight, self.mean.estimate())
+        share = FULL_SHARE * (self.load + query.work / self.weight) / max(limit, 1.0)
+        return LoadAnswer(query.number, math.ceil(share))
+
+    def receive_load(self, answer: LoadAnswer, sender: str) -> None:
+        """Note a peer's answer about its load."""
+        for waiting in self.waiting.values():
+            if waiting.probe_number == answer.number and sender in waiting.probed:
+                waiting.probed.discard(sender)
+                waiting.shares[sender] = answer.share
+                if not waiting.probed:
+                    self.ready.append(waiting.request.id)
+
     def apply(self, event: CacheEvent) -> None:
         """Apply a cache event of the engine."""
         self.index.apply(event)
@@ -551,24 +641,51 @@
                 )
         return notices
 
-    def receive_hand_over(self, notice: HandOver) -> None:
-        """Queue the import of a prefix whose holder is leaving."""
-        if notice.holder == self.address:
-            return
-        entry = self.index.get(notice.chat)
-        if entry is not None and entry.tokens >= notice.tokens:
+    # Background imports
+
+    def queue_fetch(self, chat: str, tokens: int, holder: str) -> None:
+        """Queue the import of a prefix that this engine is the home of.
+
+        After a spill the home fetches the blocks that the spill target added, and
+        the target may then drop its copy: caches are too small for duplicates. When
+        an engine leaves, the next in the ranking fetches its prefixes.
+        """
+        entry = self.index.get(chat)
+        cached = entry.tokens if entry else 0
+        if holder == self.address or cached >= tokens:
             return
-        self.index.record_elsewhere(notice.chat, notice.holder, notice.tokens)
+        self.index.record_elsewhere(chat, holder, tokens)
         if len(self.fetches) < MAX_FETCHES:
-            self.fetches.append(Fetch(notice.chat, notice.tokens, notice.holder))
+            self.fetches.append(Fetch(chat, cached, tokens, holder))
 
     def take_fetch(self) -> Fetch | None:
-        """Return the next background import, one at a time."""
-        return self.fetches.popleft() if self.fetches else None
-
-    def fetched(self, fetch: Fetch, tokens: int) -> None:
-        """Note the end of a background import; no tokens if it failed."""
-        if tokens > 0:
-            self.index.record(fetch.chat, tokens, self.clock.now_ms())
-        else:
+        """Return the next background import, if any."""
+        while self.fetches:
+            fetch = self.fetches.popleft()
+            entry = self.index.get(fetch.chat)
+            if entry is not None and entry.elsewhere == fetch.holder:
+                return fetch
+        return None
+
+    def fetched(self, fetch: Fetch, tokens: int) -> list[ReuseOutgoing]:
+        """Note the prefix cached here after a background import; 0 if it failed."""
+        if tokens < fetch.tokens:
             self.index.forget_elsewhere(fetch.chat, fetch.holder)
+        if tokens <= 0:
+            return []
+        self.index.record(fetch.chat, tokens, self.clock.now_ms())
+        return [ReuseOutgoing(fetch.holder, Release(fetch.chat, tokens))]
+
+    def receive_release(self, release: Release, sender: str) -> None:
+        """Let the engine drop a prefix that the chat's home holds."""
+        entry = self.index.get(release.chat)
+        if entry is None or not entry.guest or entry.tokens > release.tokens:
+            return
+        entry.tokens = 0
+        entry.elsewhere, entry.elsewhere_tokens = sender, release.tokens
+        self.releases.append(release.chat)
+
+    def take_releases(self) -> list[str]:
+        """Return chats whose prefix the engine may evict before all others."""
+        releases, self.releases = self.releases, []
+        return releases
