--- a/packages/medlarridge/src/medlarridge/_internal/coordination/pool_mean.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/pool_mean.py
@@ -40,13 +40,19 @@
 
 
 class MeanAsk(msgspec.Struct, tag=10, array_like=True, frozen=True):
-    """Ask for the sums over the members in a hash interval."""
+    """Ask for the sums over the members in a hash interval.
+
+    Carries the newest mean that the sender knows, in case its result was lost.
+    """
 
     tree: int
     round: int
     low: int
     high: int
     wait_ms: int
+    mean: int = 0
+    error: int = 0
+    age_ms: int = -1
 
 
 class MeanReply(msgspec.Struct, tag=11, array_like=True, frozen=True):
@@ -167,8 +173,14 @@
         rank = self.ranks[tree]
         if rank >= TAKEOVER_RANKS:
             return self.clock.now_ms() + TREE_PERIOD_MS
-        delay = TREE_PERIOD_MS + (rank * TAKEOVER_STEP_MS + ROUND_MS if rank else 0)
-        return self.last_round_ms[tree] + delay
+        if rank:
+            # One live tree suffices, so only silence of all trees counts.
+            delay = TREE_PERIOD_MS + ROUND_MS + rank * TAKEOVER_STEP_MS
+            return max(self.last_round_ms) + delay
+        if tree and self.last_round_ms[tree - 1] > self.last_round_ms[tree]:
+            # Rounds of the two trees stay half a period apart.
+            return self.last_round_ms[tree - 1] + ROUND_MS
+        return self.last_round_ms[tree] + TREE_PERIOD_MS
 
     def tick(self) -> list[Outgoing]:
         """Start rounds that are due and end rounds that have waited long enough."""
@@ -215,6 +227,9 @@
         now = self.clock.now_ms()
         self.last_round_ms[ask.tree] = now
         self.drop_old_rounds()
+        own_load = self.tokens / self.weight
+        if ask.age_ms >= 0:
+            self.note(Measured(now - ask.age_ms, ask.mean, ask.error, own_load))
         asks = self.split(ask) if ask.wait_ms > 0 else []
         current = Round(
             tree=ask.tree,
@@ -222,7 +237,7 @@
             started_ms=now,
             due_ms=now + ask.wait_ms,
             children=[a.address for a in asks],
-            own_load=self.tokens / self.weight,
+            own_load=own_load,
             load=self.tokens,
             squares=self.tokens * self.tokens / self.weight,
             weight=self.weight,
@@ -247,6 +262,7 @@
         members = [m for m in order[first:last] if m[1] != self.address]
         parts = min(FAN_OUT, len(members))
         now = self.clock.now_ms()
+        known = self.known_mean(now)
         asks = []
         for part in range(parts):
             start = part * len(members) // parts
@@ -254,12 +270,18 @@
             low = ask.low if part == 0 else members[start][0]
             high = ask.high if part == parts - 1 else members[end][0]
             child = self.choose_child(members[start:end], now)
-            message = MeanAsk(
-                ask.tree, ask.round, low, high, max(0, ask.wait_ms - LEVEL_WAIT_MS)
-            )
+            wait_ms = max(0, ask.wait_ms - LEVEL_WAIT_MS)
+            message = MeanAsk(ask.tree, ask.round, low, high, wait_ms, *known)
             asks.append(Outgoing(child, message))
         return asks
 
+    def known_mean(self, now_ms: int) -> tuple[int, int, int]:
+        """Return the newest mean, its error and its age to pass on."""
+        if not self.measured:
+            return 0, 0, -1
+        newest = self.measured[-1]
+        return round(newest.mean), math.ceil(newest.error), now_ms - newest.at_ms
+
     def choose_child(self, part: list[tuple[int, str]], now_ms: int) -> str:
         """Return the first member of a part that is not suspected dead."""
         for _, address in part:
@@ -309,17 +331,16 @@
 
     def publish(self, current: Round, result: MeanResult) -> list[Outgoing]:
         """Use a result and pass it to the children."""
-        self.note(current, result)
+        at_ms = self.clock.now_ms() - result.age_ms
+        self.note(Measured(at_ms, result.mean, result.error, current.own_load))
         return [Outgoing(child, result) for child in current.children]
 
-    def note(self, current: Round, result: MeanResult) -> None:
-        """Remember a result in the order of measurement."""
-        now = self.clock.now_ms()
-        at_ms = now - result.age_ms
-        own = current.own_load
-        if not self.measured or at_ms >= self.measured[-1].at_ms:
-            self.measured.append(Measured(at_ms, result.mean, result.error, own))
-        while self.measured[0].at_ms < at_ms - WINDOW_MS:
+    def note(self, measured: Measured) -> None:
+        """Remember a mean if it is newer than those known."""
+        if self.measured and measured.at_ms <= self.measured[-1].at_ms:
+            return
+        self.measured.append(measured)
+        while self.measured[0].at_ms < measured.at_ms - WINDOW_MS:
             self.measured.popleft()
 
 
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
@@ -13,7 +13,6 @@
 import msgspec
 
 from ..clock import MS_PER_S, Clock
-from ..events import register
 from ..identity import Member
 from ..protocol.messages import Candidate
 from .load_bound import LoadBound, OverBound
@@ -21,9 +20,6 @@
 from .pool_mean import MeanMessage, Outgoing, PoolMean
 from .prefix_index import CacheEvent, PrefixEntry, PrefixIndex
 
-IMPORT_FAILED = register(2100, "INFO", "KV import gave fewer tokens than expected")
-HAND_OVER = register(2101, "INFO", "handing warm prefixes to the next in the ranking")
-
 MAX_WAIT_MS = 600
 FIRST_TOKEN_MS = 760
 # Time from the first token target that is kept for the way to the caller.
@@ -246,6 +242,7 @@
         clock: Clock,
         random: Random,
         costs: ReuseCosts | None = None,
+        engine_releases: bool = True,
     ) -> None:
         self.member = member
         self.address = member.instance.address
@@ -253,6 +250,10 @@
         self.clock = clock
         self.random = random
         self.costs = costs or ReuseCosts()
+        # Whether the pool's engines drop a prefix on request. If not, a copy fetched
+        # back to the home would displace other prefixes, and the home only remembers
+        # the holder.
+        self.engine_releases = engine_releases
         self.bound = LoadBound(bound)
         self.mean = PoolMean(self.address, clock, random, member.weight)
         self.index = PrefixIndex()
@@ -567,7 +568,7 @@
             case LoadAnswer():
                 self.receive_load(message, sender)
             case Served():
-                self.queue_fetch(message.chat, message.tokens, sender)
+                self.receive_served(message, sender)
             case HandOver():
                 self.queue_fetch(message.chat, message.tokens, message.holder)
             case Release():
@@ -643,6 +644,13 @@
 
     # Background imports
 
+    def receive_served(self, notice: Served, sender: str) -> None:
+        """Note or fetch what another engine added to a chat of this home."""
+        if self.engine_releases:
+            self.queue_fetch(notice.chat, notice.tokens, sender)
+        else:
+            self.index.record_elsewhere(notice.chat, sender, notice.tokens)
+
     def queue_fetch(self, chat: str, tokens: int, holder: str) -> None:
         """Queue the import of a prefix that this engine is the home of.
 
