--- a/packages/medlarridge-router/src/medlarridge_router/_internal/daemon.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/daemon.py
@@ -11,10 +11,12 @@
 from medlarridge._internal.metrics import RouterMetrics
 from medlarridge._internal.operator import operator_endpoints
 from medlarridge._internal.settings import RouterSettings
+from medlarridge._internal.transport.asgi import HttpRequest, HttpResponse
 from medlarridge._internal.transport.auth import SharedKey
 from medlarridge._internal.transport.server import serve_http
 
 from .endpoints import caller_endpoints
+from .explain import explain_route
 from .router import Router
 
 DRAIN_POLL_S = 0.02
@@ -49,6 +51,12 @@
         operator = operator_endpoints(
             self.metrics.registry, self.key, self.not_ready, self.status
         )
+
+        @operator.register("GET", "/explain")
+        async def explain(request: HttpRequest, response: HttpResponse) -> None:
+            self.key.check(request)
+            await response.reply_json(200, explain_route(self.router, request.query))
+
         async with self.client, anyio.create_task_group() as tasks:
             tasks.start_soon(serve_http, callers, self.settings.callers, closed.wait)
             tasks.start_soon(serve_http, operator, self.settings.operator, closed.wait)
@@ -62,8 +70,8 @@
         """Return why the router should get no requests, or nothing."""
         if self.router.drain.leaving:
             return "draining"
-        if self.fleet.generation == 0:
-            return "no configuration yet"
+        if not self.fleet.ready or self.fleet.generation == 0:
+            return "no confirmed configuration"
         return ""
 
     def status(self) -> dict[str, object]:
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
@@ -64,6 +64,10 @@
 
     async def run(self) -> None:
         """Try members until one gives the answer, then answer the caller."""
+        if not self.router.fleet.ready:
+            message = "this router has no confirmed configuration"
+            await self.fail(Failure(Outcome.NOT_RUN, 503, message, MS_PER_S))
+            return
         route = self.router.fleet.tables.routes.get(self.caller.route)
         if route is None:
             # The name comes from the caller, so it is no metric label.
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/daemon.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/daemon.py
@@ -46,15 +46,13 @@
             self.metrics.registry, self.key, self.not_ready, self.status
         )
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(serve_http, links, self.settings.link, closed.wait)
-                tasks.start_soon(
+            async with anyio.create_task_group() as servers:
+                servers.start_soon(serve_http, links, self.settings.link, closed.wait)
+                servers.start_soon(
                     serve_http, operator, self.settings.operator, closed.wait
                 )
-                tasks.start_soon(self.sidecar.keep_house)
                 await self.sidecar.run(stop)
                 closed.set()
-                tasks.cancel_scope.deadline = anyio.current_time() + 5
         finally:
             await self.server.close()
 
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
@@ -192,6 +192,7 @@
         """Run attempts until the process is told to stop and all have ended."""
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
+            tasks.start_soon(self.keep_house)
             await stopped.wait()
             self.drain.leave()
             while self.drain.in_flight:
--- a/packages/medlarridge/src/medlarridge/_internal/cluster.py
+++ b/packages/medlarridge/src/medlarridge/_internal/cluster.py
@@ -60,39 +60,10 @@
 CONFIGURATION_READ_FAILED = register(3104, "WARNING", "configuration cannot be read")
 
 
-class PlatformVm(Protocol):
-    """A process address in the platform's list of VMs."""
-
-    @property
-    def address(self) -> str:
-        """Return ``ip:port`` of the process."""
-        ...
-
-    @property
-    def data_centre(self) -> str:
-        """Return the data centre."""
-        ...
-
-    @property
-    def region(self) -> str:
-        """Return the region."""
-        ...
-
-    @property
-    def role(self) -> str:
-        """Return ``router`` or ``sidecar``."""
-        ...
-
-    @property
-    def state(self) -> str:
-        """Return ``live`` or ``leaving``."""
-        ...
-
-
 class VmSource(Protocol):
     """Source of the platform's lagging list of VMs."""
 
-    async def vms(self) -> Result[Sequence[PlatformVm], StoreError]:
+    async def vms(self) -> Result[Sequence[ListedVm], StoreError]:
         """Return all live and leaving VMs."""
         ...
 
@@ -203,17 +174,14 @@
         """Read the VM list, at a constant total rate of the fleet."""
         known = False
         while True:
-            answer: Result[Sequence[PlatformVm], StoreError] = Err(TIMED_OUT)
+            answer: Result[Sequence[ListedVm], StoreError] = Err(TIMED_OUT)
             with anyio.move_on_after(STORE_TIMEOUT_S):
                 answer = await self.vm_source.vms()
             if isinstance(answer, Err):
                 log_event(VM_LIST_FAILED, error=answer.err_value)
             else:
                 known = True
-                self.membership.vm_list(
-                    ListedVm(v.address, v.data_centre, v.region, v.role, v.state)
-                    for v in answer.ok_value
-                )
+                self.membership.vm_list(answer.ok_value)
             interval_ms = max(
                 MIN_VM_INTERVAL_MS if known else FIRST_VM_RETRY_MS,
                 self.membership.size * MS_PER_S // VM_READS_PER_S,
--- a/packages/medlarridge/src/medlarridge/_internal/fleet.py
+++ b/packages/medlarridge/src/medlarridge/_internal/fleet.py
@@ -1,5 +1,6 @@
 """What a daemon needs to know about the fleet."""
 
+from collections.abc import Hashable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -21,8 +22,13 @@
         ...
 
     @property
-    def revision(self) -> int:
-        """Return a number that changes whenever the members change."""
+    def ready(self) -> bool:
+        """Return whether the configuration is confirmed."""
+        ...
+
+    @property
+    def revision(self) -> Hashable:
+        """Return a value that changes whenever the members or pools change."""
         ...
 
     def members_of(self, pool: str) -> list[Member]:
@@ -46,6 +52,7 @@
     members: list[Member] = field(default_factory=list)
     generation: int = 1
     revision: int = 0
+    ready: bool = True
 
     def members_of(self, pool: str) -> list[Member]:
         """Return the members of a pool that are not draining."""
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/node.py
@@ -0,0 +1,162 @@
+"""Parts that every daemon runs: store, membership, configuration and duties."""
+
+from collections.abc import Hashable
+from dataclasses import dataclass
+from random import Random, SystemRandom
+
+import anyio
+import anyio.abc
+
+from .clock import Clock, SystemClock
+from .cluster import ClusterNode
+from .coordination.lease import Lease
+from .coordination.membership import Observation
+from .coordination.placement import Placement
+from .identity import Instance, Member, Role, new_instance_number
+from .protocol.tables import Tables
+from .settings import ProcessSettings
+from .state.lease_exchange import LeaseKeeper
+from .state.platform import PlatformStore
+from .state.vm_list import PlatformVmSource
+
+ACCEPTANCE_DUTY = "acceptance"
+DUTY_CANDIDATES = 3
+"""Processes that contend for a lease. More would only read it again and again."""
+DUTY_CHECK_S = 5
+HOLD_DOWN_RECHECK_MS = 5_000
+
+
+class ClusterFleet:
+    """The fleet as membership and configuration of this process see it."""
+
+    def __init__(self, cluster: ClusterNode) -> None:
+        self.cluster = cluster
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the configuration is confirmed."""
+        return self.cluster.configuration.ready
+
+    @property
+    def generation(self) -> int:
+        """Return the generation of the configuration in force."""
+        return self.cluster.configuration.generation
+
+    @property
+    def tables(self) -> Tables:
+        """Return the tables in force."""
+        return self.cluster.configuration.tables
+
+    @property
+    def revision(self) -> Hashable:
+        """Return a value that changes with the members, the tables and hold-downs."""
+        period = self.cluster.clock.now_ms() // HOLD_DOWN_RECHECK_MS
+        return self.cluster.membership.revision, self.generation, period
+
+    def members_of(self, pool: str) -> list[Member]:
+        """Return the members that may take work, in the pool's data centres."""
+        members = self.cluster.membership.usable_members_of(pool)
+        entry = self.tables.pools.get(pool)
+        if entry is None:
+            return []
+        return [m for m in members if m.instance.data_centre in entry.data_centres]
+
+    def held_down(self, pool: str) -> set[str]:
+        """Return the addresses that are no chat's home after flapping."""
+        membership = self.cluster.membership
+        return {
+            member.instance.address
+            for member in membership.usable_members_of(pool)
+            if not membership.is_stable(member)
+        }
+
+    def saw_generation(self, generation: int, address: str) -> None:
+        """Fetch a newer configuration from the process that knows it."""
+        if generation > self.generation:
+            self.cluster.spawn(self.cluster.mention_generation, generation, address)
+
+    def observe(self, address: str, number: int, observation: Observation) -> None:
+        """Tell membership what a request showed of a member."""
+        member = self.cluster.membership.find(address)
+        if member is not None and member.instance.number == number:
+            self.cluster.membership.observe(member, observation)
+
+
+@dataclass(frozen=True)
+class NodeIdentity:
+    """What a daemon is in the fleet."""
+
+    role: Role
+    pool: str = ""
+    weight: float = 1.0
+
+
+class Node:
+    """Store client, cluster membership and leases of one process."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        identity: NodeIdentity,
+        clock: Clock | None = None,
+        random: Random | None = None,
+    ) -> None:
+        self.clock = clock or SystemClock()
+        self.random = random or SystemRandom()
+        self.instance = Instance(
+            settings.link,
+            new_instance_number(self.random),
+            settings.data_centre,
+            settings.region,
+            identity.role,
+        )
+        self.store = PlatformStore(settings.platform)
+        self.acceptance = Lease(ACCEPTANCE_DUTY, self.instance, self.clock, self.random)
+        self.cluster = ClusterNode(
+            Member(self.instance, identity.pool, identity.weight),
+            settings.shared_key.get_secret_value().encode(),
+            self.store,
+            PlatformVmSource(self.store),
+            self.clock,
+            self.random,
+            self.acceptance.is_held,
+        )
+        self.fleet = ClusterFleet(self.cluster)
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run until cancelled."""
+        async with self.store, anyio.create_task_group() as tasks:
+            await tasks.start(self.cluster.run)
+            tasks.start_soon(self.run_duty, self.acceptance)
+            task_status.started()
+
+    async def run_duty(self, lease: Lease) -> None:
+        """Contend for a lease while this process is among its candidates."""
+        keeper = LeaseKeeper(self.store, lease)
+        try:
+            while True:
+                if self.is_candidate(lease.key):
+                    lease.contending = True
+                    with anyio.move_on_after(DUTY_CHECK_S):
+                        await keeper.run()
+                else:
+                    if lease.is_own():
+                        await keeper.resign()
+                    await anyio.sleep(DUTY_CHECK_S)
+        finally:
+            with anyio.CancelScope(shield=True):
+                if lease.is_own():
+                    await keeper.resign()
+
+    def is_candidate(self, duty: str) -> bool:
+        """Return whether this process should contend for a duty.
+
+        Only a hint that saves store reads: the lease itself decides.
+        """
+        routers = self.cluster.membership.routers() or [self.cluster.member]
+        ranked = Placement(routers).rank(duty, DUTY_CANDIDATES)
+        return any(member.instance == self.instance for member in ranked)
--- a/packages/medlarridge/tests/unit/transport/test_datagrams.py
+++ b/packages/medlarridge/tests/unit/transport/test_datagrams.py
@@ -1,3 +1,5 @@
+import anyio
+import anyio.lowlevel
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
@@ -67,6 +69,26 @@
         assert received == [(THERE, b"good")]
         assert receiver.counts.dropped == {"malformed": 1, "handler failed": 1}
 
+    async def test_sends_of_many_tasks_take_turns(self):
+        """Guards against a process that ends when two tasks send at once."""
+        sender, _ = endpoint()
+
+        class OneWriter:
+            busy, sent = False, 0
+
+            async def sendto(self, data, host, port):
+                if self.busy:
+                    raise anyio.BusyResourceError("writing to")
+                self.busy = True
+                await anyio.lowlevel.checkpoint()
+                self.busy, self.sent = False, self.sent + 1
+
+        sender.socket = OneWriter()
+        async with anyio.create_task_group() as tasks:
+            for _ in range(5):
+                tasks.start_soon(sender.send, THERE, 7, b"load")
+        assert sender.socket.sent == 5
+
     async def test_refuses_oversized_payloads_and_short_keys(self):
         """Guards against datagrams that every receiver drops."""
         sender, _ = endpoint()
