--- a/packages/medlarridge-standins/src/medlarridge_standins/measure/pool_model.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/measure/pool_model.py
@@ -36,6 +36,7 @@
 MAX_ATTEMPTS = 8
 DATA_CENTRES = 3
 HOLD_DOWN_MS = 30_000
+LEAVE_MS = 30_000
 CACHE_EVENT_LAG_MS = 2000
 CACHE_EVENT_LOSS = 0.05
 BOUND = 1.25
@@ -49,7 +50,7 @@
     name: str
     first_prompt: int
     tokens: int = 0
-    account: int = 0
+    once: bool = False
 
 
 @dataclass
@@ -123,15 +124,12 @@
     policy: str = "ours"
     routers: int = 8
     chats_per_engine: int = 100
-    cache_share: float = 1.1
+    cache_share: float = 1.3
     duration_s: int = 240
     warm_up_s: int = 120
     datagram_loss: float = 0.01
     weights: tuple[float, ...] = (1.0,)
     view_lag_ms: int = 5000
-    surge_at_s: int = 0
-    surge_factor: float = 1.0
-    surge_s: int = 20
     report_lag_ms: int = 0
     releases: bool = True
 
@@ -146,7 +144,6 @@
         self.events: list[tuple[int, int, Callable[..., None], tuple]] = []
         self.sequence = 0
         self.engines: dict[str, ModelEngine] = {}
-        self.gone: set[str] = set()
         self.held: dict[str, int] = {}
         self.counts = Counts()
         self.routers = [Placement() for _ in range(settings.routers)]
@@ -156,7 +153,6 @@
         self.finishing: dict[str, int] = {}
         self.last_place: dict[str, str] = {}
         self.means: deque[tuple[int, float]] = deque()
-        self.bytes_per_engine = 0
         self.next_engine = 0
         self.next_chat = 0
         for _ in range(settings.engines):
@@ -245,7 +241,7 @@
             delay = self.random.uniform(0, lag_ms)
             self.at(delay, engine.planner.set_members, members, held)
 
-    def stop(self, address: str, spread: bool = True) -> None:
+    def stop(self, address: str) -> None:
         """End an engine at once; its running requests are lost."""
         engine = self.engines[address]
         engine.alive = False
@@ -253,9 +249,9 @@
             if self.finishing.get(request_id) == id(engine):
                 self.give_back(job)
         engine.tokens = 0.0
-        if spread:
-            # Detection takes as long as the suspicion of the membership protocol.
-            self.at(self.settings.view_lag_ms, self.spread_views, 1000)
+        engine.work.clear()
+        # Detection takes as long as the suspicion of the membership protocol.
+        self.at(self.settings.view_lag_ms, self.spread_views, 1000)
 
     def leave(self, address: str) -> None:
         """Let an engine hand over its prefixes, finish and stop."""
@@ -264,9 +260,37 @@
             engine.member.instance, "pool", engine.member.weight, True
         )
         self.spread_views(self.settings.view_lag_ms)
-        for notice in engine.planner.hand_over():
-            self.send(engine, notice.address, notice.message)
-        self.at(30_000, self.stop, address, False)
+        if self.settings.policy == "ours":
+            for notice in engine.planner.hand_over():
+                self.send(engine, notice.address, notice.message)
+        self.at(LEAVE_MS, self.stop, address)
+
+    def replace(self, address: str, graceful: bool) -> None:
+        """Replace an engine by one on a new VM with another address."""
+        if graceful:
+            self.leave(address)
+        else:
+            self.stop(address)
+        self.add_engine()
+        self.spread_views(self.settings.view_lag_ms)
+
+    def flap(self, address: str, down_ms: int, up_ms: int) -> None:
+        """Stop an engine and start it again, over and over."""
+        self.stop(address)
+        self.at(down_ms, self.start_again, address)
+        self.at(down_ms + up_ms, self.flap, address, down_ms, up_ms)
+
+    def lose_data_centre(self, data_centre: str) -> None:
+        """Stop all engines of a data centre at once."""
+        for address, engine in self.engines.items():
+            if engine.member.instance.data_centre == data_centre:
+                self.stop(address)
+
+    def replace_routers(self) -> None:
+        """Replace all routers by new ones that list the members in another order."""
+        members = [e.member for e in self.engines.values() if e.alive]
+        self.random.shuffle(members)
+        self.routers = [Placement(members) for _ in self.routers]
 
     def start_again(self, address: str) -> None:
         """Start a stopped engine at the same address with an empty cache."""
@@ -306,18 +330,18 @@
         self.wake(engine)
 
     def wake(self, engine: ModelEngine) -> None:
-        """Schedule the next tick of a sidecar's pool mean."""
+        """Schedule the next tick of a sidecar."""
         now = self.clock.now_ms()
-        due = max(now + 1, engine.planner.mean.wake_ms)
+        due = max(now + 1, engine.planner.wake_ms)
         if engine.wake_ms <= now or due < engine.wake_ms:
             engine.wake_ms = due
             self.at(due - now, self.tick, engine, due)
 
     def tick(self, engine: ModelEngine, due_ms: int) -> None:
-        """Tick the pool mean of a sidecar."""
+        """Tick a sidecar."""
         if not engine.alive or engine.wake_ms != due_ms:
             return
-        for sent in engine.planner.mean.tick():
+        for sent in engine.planner.tick():
             self.send(engine, sent.address, sent.message)
         self.wake(engine)
 
@@ -331,19 +355,27 @@
 
     def arrive(self) -> None:
         """Let one chat send a request and schedule the next arrival."""
-        settings = self.settings
-        now = self.clock.now_ms()
-        rate = settings.engines * settings.in_flight / SERVICE_MS
-        start = settings.surge_at_s * MS_PER_S
-        if start and start <= now < start + settings.surge_s * MS_PER_S:
-            rate *= settings.surge_factor
-        self.at(self.random.expovariate(rate), self.arrive)
+        self.at(self.random.expovariate(self.rate), self.arrive)
         if not self.idle:
             return
         index = self.random.randrange(len(self.idle))
         self.idle[index], self.idle[-1] = self.idle[-1], self.idle[index]
         self.submit(self.idle.pop())
 
+    @property
+    def rate(self) -> float:
+        """Requests a millisecond that keep the wanted number in flight."""
+        return self.settings.engines * self.settings.in_flight / SERVICE_MS
+
+    def surge(self, factor: float, until_ms: int) -> None:
+        """Let one account send new chats, up to ``factor`` times the usual load."""
+        if self.clock.now_ms() < until_ms:
+            delay = self.random.expovariate(self.rate * (factor - 1))
+            self.at(delay, self.surge, factor, until_ms)
+            chat = self.new_chat()
+            chat.once = True
+            self.submit(chat)
+
     def submit(self, chat: Chat) -> None:
         """Send a request of a chat to a random router."""
         self.sequence += 1
@@ -398,9 +430,13 @@
 
     def plan(self, engine: ModelEngine, job: Job) -> None:
         """Carry out the planner's decision."""
-        if not engine.alive or self.jobs.get(job.request.id) is not job:
+        if self.jobs.get(job.request.id) is not job:
             engine.planner.abandon(job.request.id)
             return
+        if not engine.alive:
+            engine.planner.abandon(job.request.id)
+            self.next_attempt(job, ())
+            return
         match engine.planner.plan(job.request):
             case Run() as run:
                 self.start(engine, job, run)
@@ -444,7 +480,8 @@
         """End a request without an answer."""
         self.jobs.pop(job.request.id, None)
         self.finishing.pop(job.request.id, None)
-        self.idle.append(job.chat)
+        if not job.chat.once:
+            self.idle.append(job.chat)
 
     # Running requests
 
@@ -550,11 +587,12 @@
             imported,
             job.chat.tokens,
         )
+        if job.chat.once:
+            return
         if job.chat.tokens >= MAX_CHAT_TOKENS:
             self.last_place.pop(job.chat.name, None)
-            self.idle.append(self.new_chat())
-        else:
-            self.idle.append(job.chat)
+            job.chat = self.new_chat()
+        self.idle.append(job.chat)
 
     def fetch(self, engine: ModelEngine) -> None:
         """Import a prefix in the background."""
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/pool_mean.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/pool_mean.py
@@ -171,7 +171,7 @@
     def takeover_ms(self, tree: int) -> int:
         """Return when this node starts a round itself."""
         rank = self.ranks[tree]
-        if rank >= TAKEOVER_RANKS:
+        if rank >= TAKEOVER_RANKS or not self.orders[tree]:
             return self.clock.now_ms() + TREE_PERIOD_MS
         if rank:
             # One live tree suffices, so only silence of all trees counts.
@@ -192,7 +192,7 @@
                     self.suspects[child] = now + SUSPECT_MS
                 sent += self.finish(number, current)
         for tree in range(TREES):
-            if self.ranks[tree] < TAKEOVER_RANKS and now >= self.takeover_ms(tree):
+            if now >= self.takeover_ms(tree):
                 sent += self.start_round(tree)
         return sent
 
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
@@ -33,6 +33,8 @@
 FULL_SHARE = 1000
 MAX_FETCHES = 256
 MIN_REMAINING_SHARE = 0.1
+SERVED_RETRY_MS = 2000
+SERVED_TRIES = 3
 DRAIN_WINDOW_MS = 10_000
 RATE_SMOOTHING = 0.1
 
@@ -210,6 +212,16 @@
     known: bool
 
 
+@dataclass
+class Notice:
+    """A ``Served`` message that the home has not answered."""
+
+    home: str
+    tokens: int
+    due_ms: int
+    tries: int = 1
+
+
 @dataclass
 class Waiting:
     """A request that has been offered but not decided."""
@@ -265,6 +277,7 @@
         self.ready: list[str] = []
         self.fetches: deque[Fetch] = deque()
         self.releases: list[str] = []
+        self.notices: dict[str, Notice] = {}
         self.finished_work: deque[tuple[int, float]] = deque()
         self.finished_total = 0.0
         self.tokens = 0.0
@@ -510,13 +523,40 @@
         guest = home != self.address
         now = self.clock.now_ms()
         self.index.record(request.chat, total_tokens, now, guest)
+        self.notices.pop(request.chat, None)
         if guest:
-            return [ReuseOutgoing(home, Served(request.chat, total_tokens))]
+            return [self.notify(request.chat, Notice(home, total_tokens, now))]
         if imported_tokens:
             release = Release(request.chat, total_tokens)
             return [ReuseOutgoing(running.import_from, release)]
         return []
 
+    def notify(self, chat: str, notice: Notice) -> ReuseOutgoing:
+        """Tell the home where a chat was served, again if it does not answer."""
+        notice.due_ms = self.clock.now_ms() + SERVED_RETRY_MS
+        if self.engine_releases:
+            self.notices[chat] = notice
+        return ReuseOutgoing(notice.home, Served(chat, notice.tokens))
+
+    @property
+    def wake_ms(self) -> int:
+        """Time at which ``tick`` has something to do."""
+        due = [n.due_ms for n in self.notices.values()]
+        return min([self.mean.wake_ms, *due])
+
+    def tick(self) -> list[Outgoing | ReuseOutgoing]:
+        """Do what is due: rounds of the pool mean and repeated notices."""
+        now = self.clock.now_ms()
+        sent: list[Outgoing | ReuseOutgoing] = [*self.mean.tick()]
+        for chat, notice in list(self.notices.items()):
+            if now < notice.due_ms:
+                continue
+            del self.notices[chat]
+            if notice.tries < SERVED_TRIES:
+                notice.tries += 1
+                sent.append(self.notify(chat, notice))
+        return sent
+
     def abandon(self, request_id: str) -> None:
         """Note that a waiting or running request ended without an answer."""
         if self.waiting.pop(request_id, None) is None:
@@ -568,7 +608,7 @@
             case LoadAnswer():
                 self.receive_load(message, sender)
             case Served():
-                self.receive_served(message, sender)
+                return self.receive_served(message, sender)
             case HandOver():
                 self.queue_fetch(message.chat, message.tokens, message.holder)
             case Release():
@@ -644,12 +684,16 @@
 
     # Background imports
 
-    def receive_served(self, notice: Served, sender: str) -> None:
+    def receive_served(self, notice: Served, sender: str) -> list[ReuseOutgoing]:
         """Note or fetch what another engine added to a chat of this home."""
-        if self.engine_releases:
-            self.queue_fetch(notice.chat, notice.tokens, sender)
-        else:
+        if not self.engine_releases:
             self.index.record_elsewhere(notice.chat, sender, notice.tokens)
+            return []
+        entry = self.index.get(notice.chat)
+        if entry is not None and entry.tokens >= notice.tokens:
+            return [ReuseOutgoing(sender, Release(notice.chat, entry.tokens))]
+        self.queue_fetch(notice.chat, notice.tokens, sender)
+        return []
 
     def queue_fetch(self, chat: str, tokens: int, holder: str) -> None:
         """Queue the import of a prefix that this engine is the home of.
@@ -686,6 +730,7 @@
 
     def receive_release(self, release: Release, sender: str) -> None:
         """Let the engine drop a prefix that the chat's home holds."""
+        self.notices.pop(release.chat, None)
         entry = self.index.get(release.chat)
         if entry is None or not entry.guest or entry.tokens > release.tokens:
             return
