Wire ledger, fair queue, load bound and cache reuse into the sidecar

Cause: the sidecar admitted everything and ran a repeated dispatch twice (2 effects for one key on loopback). Change: an engine gate with fair queue and reuse planner, datagrams between planners, imports of prefixes, hand-over when an engine leaves, the ledger gate in force. Conclusion: the sidecar has the last word on load and on repeated calls.

--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/endpoints.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/endpoints.py
@@ -1,6 +1,8 @@
 """Endpoints that the sidecar serves to other processes."""
 
 import anyio
+import httpx
+import msgspec
 
 from medlarridge._internal.errors import CodecError
 from medlarridge._internal.protocol.codec import FrameReader, encode_frame
@@ -14,13 +16,17 @@
 from medlarridge._internal.transport.auth import SharedKey
 from medlarridge._internal.transport.links import FRAMES_TYPE, RESUME_HEADER
 
+from .kv_transfer import EXPORT_PATH, KvRequest, KvTransfer
 from .live import Delivery, LiveAttempt, Superseded
 from .sidecar import Sidecar
 
+MAX_KV_REQUEST_BYTES = 4096
 MAX_ATTEMPT_BYTES = 9 * 1024 * 1024
 
 
-def sidecar_endpoints(sidecar: Sidecar, key: SharedKey) -> Endpoints:
+def sidecar_endpoints(
+    sidecar: Sidecar, key: SharedKey, transfer: KvTransfer | None = None
+) -> Endpoints:
     """Return the endpoints of a sidecar."""
     endpoints = Endpoints()
 
@@ -50,6 +56,21 @@
         found = sidecar.cancel(request.parameters["request"], int(number))
         await response.reply(204 if found else 404, b"")
 
+    @endpoints.register("POST", EXPORT_PATH)
+    async def export_kv(request: HttpRequest, response: HttpResponse) -> None:
+        key.check(request)
+        if transfer is None:
+            raise HttpError(404, "this server has no prefix cache")
+        body = await request.body(MAX_KV_REQUEST_BYTES)
+        try:
+            wanted = msgspec.json.decode(body, type=KvRequest)
+            exported = await transfer.export(wanted)
+        except msgspec.MsgspecError as error:
+            raise HttpError(400, f"malformed request: {error}") from error
+        except httpx.HTTPError as error:
+            raise HttpError(502, "the engine does not export") from error
+        await response.reply(exported.status_code, exported.content)
+
     return endpoints
 
 
--- /dev/null
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/engine_gate.py
@@ -0,0 +1,257 @@
+"""Gate in front of a model engine: fair queue, load bound and cache reuse."""
+
+from dataclasses import dataclass, field
+
+from medlarridge._internal.clock import Clock
+from medlarridge._internal.coordination.fair_queue import (
+    FairQueue,
+    QueueEntry,
+    Shed,
+    ShedReason,
+)
+from medlarridge._internal.coordination.reuse_planner import (
+    Refuse,
+    Request,
+    ReusePlanner,
+    Run,
+    Wait,
+)
+from medlarridge._internal.fleet import FleetView
+from medlarridge._internal.metrics import SidecarMetrics
+from medlarridge._internal.protocol.messages import NotRun, Refusal
+from medlarridge._internal.protocol.tables import PoolKind
+from medlarridge._internal.transport.signal import Signal
+
+from .gates import Answered
+from .kv_transfer import KvTransfer
+from .live import LiveAttempt
+from .reuse_messages import ReuseMessages
+from .server_result import CallState
+
+EXPIRY_POLL_MS = 50
+SHED_DETAIL = {
+    ShedReason.WAIT_EXCEEDS_DEADLINE: "the expected wait exceeds the deadline",
+    ShedReason.WAIT_EXCEEDS_MAXIMUM: "the expected wait exceeds the maximum",
+    ShedReason.EXPIRED: "no room came free in time",
+    ShedReason.QUEUE_FULL: "the queue is full",
+    ShedReason.OVER_BOUND: "the request does not fit the engine",
+}
+TOKEN_MARK = b"data: "
+
+
+@dataclass
+class Admission:
+    """Progress of one attempt through the gate."""
+
+    entry: QueueEntry
+    request: Request
+    changed: Signal = field(default_factory=Signal)
+    started: bool = False
+    shed: Shed | None = None
+    run: Run | None = None
+    imported_tokens: int = 0
+    generated_tokens: int = 0
+
+
+class EngineGate:
+    """Admits attempts to the engine and reports their progress.
+
+    The fair queue decides whose turn it is when the engine is full; the planner
+    then decides about the load bound and the prefix.
+    """
+
+    def __init__(
+        self,
+        planner: ReusePlanner,
+        queue: FairQueue,
+        messages: ReuseMessages,
+        transfer: KvTransfer,
+        fleet: FleetView,
+        clock: Clock,
+        metrics: SidecarMetrics,
+    ) -> None:
+        self.planner = planner
+        self.queue = queue
+        self.messages = messages
+        self.transfer = transfer
+        self.fleet = fleet
+        self.clock = clock
+        self.metrics = metrics
+        self.admissions: dict[str, Admission] = {}
+        messages.on_ready = self.wake_ready
+
+    async def enter(self, live: LiveAttempt) -> NotRun | Answered | None:
+        """Wait for a turn, then for the bound or the prefix."""
+        pool = self.fleet.tables.pools.get(live.attempt.pool)
+        if pool is not None and pool.kind is PoolKind.SERVICE:
+            return None
+        admission = self.new_admission(live)
+        key = admission.entry.key
+        offered = self.queue.offer(admission.entry)
+        if isinstance(offered, Shed):
+            return self.refusal(offered)
+        self.admissions[key] = admission
+        entered = False
+        try:
+            self.dispatch()
+            refusal = await self.wait_turn(admission)
+            if refusal is None:
+                refusal = await self.wait_plan(admission)
+            if refusal is None:
+                await self.import_prefix(admission)
+                entered = True
+                live.on_data = lambda data: self.note_data(admission, data)
+            return refusal
+        finally:
+            if not entered:
+                self.forget(admission)
+            self.show()
+
+    def new_admission(self, live: LiveAttempt) -> Admission:
+        """Return what the queue and the planner need to know of an attempt."""
+        attempt = live.attempt
+        key = f"{attempt.request_id}/{attempt.number}"
+        deadline_ms = live.stream.started_ms + attempt.deadline_ms
+        request = Request(
+            key,
+            attempt.chat,
+            attempt.route,
+            attempt.prompt_tokens,
+            attempt.output_tokens,
+            deadline_ms,
+            tuple(attempt.ranked),
+            attempt.import_from,
+        )
+        local = self.planner.local_tokens(request, self.planner.index.get(attempt.chat))
+        work = max(1, round(self.planner.work(request, local)))
+        entry = QueueEntry(key, attempt.account, work, deadline_ms, attempt.priority)
+        return Admission(entry, request)
+
+    async def wait_turn(self, admission: Admission) -> NotRun | None:
+        """Wait until the fair queue starts the entry or sheds it."""
+        while not admission.started and admission.shed is None:
+            await admission.changed.wait(EXPIRY_POLL_MS)
+            self.expire()
+        return self.refusal(admission.shed) if admission.shed else None
+
+    async def wait_plan(self, admission: Admission) -> NotRun | None:
+        """Ask the planner until it lets the request run or refuses it."""
+        while True:
+            plan = self.planner.plan(admission.request)
+            if isinstance(plan, Run):
+                admission.run = plan
+                return None
+            if isinstance(plan, Refuse):
+                return NotRun(
+                    Refusal.LOAD_BOUND,
+                    self.fleet.generation,
+                    "the engine is over the load bound of its pool",
+                    plan.retry_after_ms,
+                    list(plan.candidates),
+                )
+            assert isinstance(plan, Wait)
+            await self.messages.send_all(plan.queries)
+            await admission.changed.wait(plan.until_ms - self.clock.now_ms())
+
+    async def import_prefix(self, admission: Admission) -> None:
+        """Import the missing blocks of the prefix; a failure costs a prefill."""
+        run = admission.run
+        if run is None or not run.import_from:
+            return
+        tokens = await self.transfer.fetch(
+            run.import_from, admission.request.chat, run.cached_tokens
+        )
+        admission.imported_tokens = max(tokens - run.cached_tokens, 0)
+
+    def note_data(self, admission: Admission, data: bytes) -> None:
+        """Report generated tokens to the planner, one event each."""
+        admission.generated_tokens += data.count(TOKEN_MARK)
+        if admission.generated_tokens:
+            self.planner.progress(admission.request.id, admission.generated_tokens)
+
+    async def leave(self, live: LiveAttempt) -> None:
+        """Release the work and report what the engine said of its cache."""
+        key = f"{live.attempt.request_id}/{live.attempt.number}"
+        admission = self.admissions.get(key)
+        if admission is None:
+            return
+        notices = []
+        complete = live.result is not None and live.result.state is CallState.COMPLETE
+        if complete and live.stream.head is not None:
+            cached = cached_tokens(live)
+            self.count_source(admission, cached)
+            notices = self.planner.finish(
+                key,
+                max(cached - admission.imported_tokens, 0),
+                admission.imported_tokens,
+                live.attempt.prompt_tokens + live.attempt.output_tokens,
+            )
+        self.forget(admission)
+        self.show()
+        await self.messages.send_all(notices)
+
+    def count_source(self, admission: Admission, cached: int) -> None:
+        """Count how the prefix of a chat was provided."""
+        if admission.imported_tokens:
+            source = "imported"
+        elif cached:
+            source = "found"
+        else:
+            source = "prefilled"
+        self.metrics.cache.labels(source).inc()
+
+    def forget(self, admission: Admission) -> None:
+        """Take an attempt out of queue and planner and let others start."""
+        key = admission.entry.key
+        self.admissions.pop(key, None)
+        self.planner.abandon(key)
+        if not self.queue.cancel(key):
+            self.queue.finish(key)
+        self.dispatch()
+        self.wake_ready()
+
+    def dispatch(self) -> None:
+        """Start all entries that fit."""
+        for entry in self.queue.dispatch():
+            admission = self.admissions[entry.key]
+            admission.started = True
+            admission.changed.set()
+
+    def expire(self) -> None:
+        """Shed the entries that have waited too long."""
+        for shed in self.queue.expire():
+            admission = self.admissions.get(shed.entry.key)
+            if admission is not None:
+                admission.shed = shed
+                admission.changed.set()
+
+    def wake_ready(self) -> None:
+        """Let the planner decide again about requests that wait for it."""
+        for key in self.planner.take_ready():
+            if key in self.admissions:
+                self.admissions[key].changed.set()
+
+    def refusal(self, shed: Shed) -> NotRun:
+        """Return the refusal of an entry that the queue shed."""
+        late = shed.reason is ShedReason.WAIT_EXCEEDS_DEADLINE
+        return NotRun(
+            Refusal.DEADLINE if late else Refusal.LOAD_BOUND,
+            self.fleet.generation,
+            SHED_DETAIL[shed.reason],
+            shed.retry_after_ms,
+        )
+
+    def show(self) -> None:
+        """Update the metrics."""
+        self.metrics.load.set(self.planner.load)
+        self.metrics.queued.set(len(self.queue.waiting))
+        estimate = self.planner.mean.estimate()
+        if estimate is not None:
+            self.metrics.pool_mean.set(estimate.mean)
+
+
+def cached_tokens(live: LiveAttempt) -> int:
+    """Return the cached prefix as the engine reported it."""
+    head = live.stream.head
+    text = dict(head.headers).get("x-cached-tokens", "") if head else ""
+    return int(text) if text.isdecimal() else 0
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/live.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/live.py
@@ -47,6 +47,8 @@
     """The backend server may have seen the call."""
     may_send: Callable[[], bool] = lambda: True
     """Asked right before the first byte goes to the backend server."""
+    on_data: Callable[[bytes], None] = lambda data: None
+    """Told each piece of the answer as it comes from the backend server."""
 
     @property
     def ended(self) -> bool:
@@ -62,6 +64,7 @@
 
     async def write(self, data: bytes) -> None:
         """Add a piece of the answer; waits while the router is slow."""
+        self.on_data(data)
         while not self.stream.has_room():
             await self.consumed.wait()
         self.stream.append(data)
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_call.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_call.py
@@ -4,7 +4,7 @@
 import httpx
 
 from medlarridge._internal.clock import MS_PER_S
-from medlarridge._internal.protocol.caller import HOP_HEADERS
+from medlarridge._internal.protocol.caller import CHAT_HEADER, HOP_HEADERS
 from medlarridge._internal.protocol.messages import Attempt, Head
 
 from .live import LiveAttempt
@@ -68,7 +68,7 @@
             attempt.method,
             self.url + attempt.path,
             content=attempt.body,
-            headers=attempt.headers,
+            headers=headers_of(attempt),
             extensions={"trace": before_step},
         ) as reply:
             live.stream.head = head_of(reply, attempt)
@@ -78,6 +78,14 @@
                     await live.write(piece)
 
 
+def headers_of(attempt: Attempt) -> list[tuple[str, str]]:
+    """Return the headers for the server, which names the cached prefix by chat."""
+    if not attempt.chat:
+        return attempt.headers
+    others = [item for item in attempt.headers if item[0] != CHAT_HEADER]
+    return [*others, (CHAT_HEADER, attempt.chat)]
+
+
 def head_of(reply: httpx.Response, attempt: Attempt) -> Head:
     """Return status and headers without those of the connection."""
     headers = [
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/commands/serve.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/commands/serve.py
@@ -28,6 +28,6 @@
         node = Node(
             settings, NodeIdentity(Role.SIDECAR, settings.pool, settings.weight)
         )
-        daemon = SidecarDaemon(settings, node.instance, node.fleet)
+        daemon = SidecarDaemon(settings, node)
         anyio.run(run_process, settings, node, daemon)
         return ExitStatus.OK
--- a/packages/medlarridge/src/medlarridge/_internal/command_line.py
+++ b/packages/medlarridge/src/medlarridge/_internal/command_line.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from .errors import MedlarridgeError, UserError
+from .log import configure_logging
 from .settings import ProcessSettings
 from .transport.auth import SharedKey
 
@@ -41,6 +42,7 @@
 
 def run_command(line: type[CommandLine]) -> None:
     """Parse the arguments, run the subcommand and exit with its status."""
+    configure_logging("WARNING")
     try:
         status = cappa.parse(line).command()
     except UserError as error:
--- a/packages/medlarridge/src/medlarridge/_internal/settings.py
+++ b/packages/medlarridge/src/medlarridge/_internal/settings.py
@@ -66,12 +66,16 @@
 
 
 class SidecarSettings(ProcessSettings):
-    """Settings of a sidecar and the backend server beside it."""
+    """Settings of a sidecar and the backend server beside it.
+
+    ``max_running`` is the number of requests that the engine batches at once,
+    ``max_in_flight`` also counts those that wait.
+    """
 
     pool: Label
     server: Url
     weight: float = Field(default=1.0, gt=0, le=1000)
-    accelerators: int = Field(default=1, ge=0, le=64)
+    max_running: int = Field(default=64, ge=1, le=10_000)
     max_in_flight: int = Field(default=256, ge=1, le=10_000)
 
 
