--- /dev/null
+++ b/packages/medlarridge/tests/unit/coordination/test_crash_guard.py
@@ -0,0 +1,238 @@
+from random import Random
+
+import pytest
+
+from medlarridge._internal.clock import ManualClock
+from medlarridge._internal.coordination.crash_guard import (
+    CLAIM_MS,
+    ISOLATION_WAIT_MS,
+    MAX_SUSPECTS_PER_SHARD,
+    MEMORY_MS,
+    ClaimRequest,
+    ClearRequest,
+    CrashGuard,
+    GuardRefusal,
+    Refuse,
+    Run,
+    StrikeRequest,
+    SuspectStore,
+    WaitIdle,
+    decide,
+    shard_of,
+)
+from medlarridge._internal.protocol.suspects import (
+    Claim,
+    Strike,
+    Suspect,
+    SuspectNotice,
+    SuspectNotices,
+    SuspectShard,
+)
+from medlarridge._internal.state.memory import MemoryStore, StoreFault
+
+START_MS = 10**12
+SHARD = shard_of("r")
+
+
+async def no_sleep(seconds):
+    pass
+
+
+class GuardCase:
+    def setup_method(self):
+        self.clock = ManualClock(START_MS)
+        self.memory = MemoryStore()
+        self.store = SuspectStore(self.memory, self.clock, Random(1), no_sleep)
+        self.guard = CrashGuard(self.clock, "a-1")
+
+    def learn(self, fingerprint, strikes, version=1, age_ms=0):
+        notice = SuspectNotice(fingerprint, strikes, age_ms, version)
+        return self.guard.receive(SuspectNotices([notice]))
+
+    async def flush(self, guard):
+        for request in list(guard.pending):
+            result = await self.store.carry_out(request)
+            if result.is_ok():
+                guard.saved(request, result.ok_value)
+
+    async def start(self, guard, attempt, fingerprint):
+        answer = guard.admit(attempt, "r", fingerprint)
+        if isinstance(answer, ClaimRequest):
+            result = await self.store.carry_out(answer)
+            answer = guard.claimed(answer, result.ok_value if result.is_ok() else None)
+        return answer
+
+
+class TestCrashGuard(GuardCase):
+    def test_one_suspect_at_a_time(self):
+        """Guards against suspects that strike each other on one server."""
+        self.learn("x", 1)
+        self.learn("y", 1)
+        assert isinstance(self.guard.admit("1", "r", "x"), ClaimRequest)
+        assert self.guard.admit("2", "r", "y").reason is GuardRefusal.SUSPECT_RUNS_HERE
+        assert self.guard.admit("3", "r", "innocent") == Run()
+
+    def test_three_strikes_refuse_for_an_hour(self):
+        """Guards against a request that takes down one server after another."""
+        self.learn("x", 3, age_ms=1_000)
+        refusal = self.guard.admit("1", "r", "x")
+        assert refusal == Refuse(GuardRefusal.CRASHES_SERVERS, MEMORY_MS - 1_000)
+        self.clock.advance(MEMORY_MS - 1_000)
+        assert self.guard.admit("1", "r", "x") == Run()
+
+    async def test_two_strikes_run_alone_on_a_server(self):
+        """Guards against an innocent suspect refused because of a new culprit."""
+        self.guard.admit("old", "r", "other")
+        self.learn("x", 2)
+        wait = self.guard.admit("1", "r", "x")
+        assert wait == WaitIdle(START_MS + ISOLATION_WAIT_MS)
+        refused = self.guard.admit("2", "r", "new")
+        assert refused.reason is GuardRefusal.SERVER_ISOLATED
+        self.guard.finished("old", succeeded=True)
+        assert await self.start(self.guard, "1", "x") == Run()
+        assert isinstance(self.guard.admit("3", "r", "new"), Refuse)
+        self.guard.finished("1", succeeded=True)
+        assert self.guard.admit("3", "r", "new") == Run()
+
+    def test_isolation_ends_when_the_server_does_not_empty(self):
+        """Guards against a server held idle by one suspect."""
+        self.guard.admit("old", "r", "other")
+        self.learn("x", 2)
+        self.guard.admit("1", "r", "x")
+        self.clock.advance(ISOLATION_WAIT_MS)
+        refused = self.guard.admit("1", "r", "x")
+        assert refused.reason is GuardRefusal.SERVER_NOT_IDLE
+        assert self.guard.admit("2", "r", "new") == Run()
+
+    async def test_success_clears_and_late_notices_do_not_bring_it_back(self):
+        """Guards against innocents that stay suspects."""
+        self.learn("x", 1)
+        assert await self.start(self.guard, "1", "x") == Run()
+        self.guard.finished("1", succeeded=True)
+        await self.flush(self.guard)
+        assert self.guard.strikes_of("x") == 0
+        self.learn("x", 1, version=1)
+        assert self.guard.strikes_of("x") == 0
+        assert self.guard.notices().notices[0].strikes == 0
+
+    async def test_waiting_suspect_gets_no_strike_when_the_server_dies(self):
+        """Guards against a strike for a request that never reached the server."""
+        self.guard.admit("1", "r", "innocent")
+        self.learn("x", 1)
+        claim = self.guard.admit("2", "r", "x")
+        self.guard.server_died("a-2")
+        view = (await self.store.carry_out(claim)).unwrap()
+        assert isinstance(self.guard.claimed(claim, view), Refuse)
+        await self.flush(self.guard)
+        view = (await self.store.read(SHARD)).unwrap()
+        assert list(view.shard.suspects) == ["innocent"]
+        assert not self.guard.pending
+
+    def test_notices_spread_news_a_bounded_number_of_times(self):
+        """Guards against notices that circle for ever or carry hostile values."""
+        assert self.learn("x", 1) is not None
+        assert self.learn("x", 1) is None
+        assert self.learn("y", -1) is None
+        assert self.learn("y", 3, age_ms=-5) is None
+        sent = 0
+        while self.guard.notices() is not None:
+            sent += 1
+        assert sent == 12
+
+    def test_unstored_strikes_count(self):
+        """Guards against strikes forgotten while the store is down."""
+        self.learn("x", 2, version=4)
+        self.learn("x", 3, version=0)
+        assert isinstance(self.guard.admit("1", "r", "x"), Refuse)
+
+
+class TestDecide:
+    def apply(self, shard, request, now_ms=START_MS, gone=()):
+        return decide(shard, request, now_ms, lambda server: server in gone) or shard
+
+    def strike(self, shard, server, *fingerprints, at_ms=START_MS):
+        request = StrikeRequest(SHARD, fingerprints, Strike(server, at_ms))
+        return self.apply(shard, request)
+
+    def test_a_strike_counts_once_per_server_start(self):
+        """Guards against double strikes when an answer of the store was lost."""
+        shard = self.strike(SuspectShard(), "a-1", "x")
+        assert self.strike(shard, "a-1", "x") == shard
+        assert len(self.strike(shard, "a-2", "x").suspects["x"].strikes) == 2
+
+    def test_a_claim_of_a_dead_or_paused_process_becomes_a_strike(self):
+        """Guards against a culprit whose VM dies before it can store a strike."""
+        shard = self.strike(SuspectShard(), "a-1", "x")
+        claim = Claim("b-1", "1", START_MS)
+        shard = self.apply(shard, ClaimRequest(SHARD, "x", claim))
+        next_claim = ClaimRequest(SHARD, "x", Claim("c-1", "2", START_MS + 1))
+        assert self.apply(shard, next_claim) == shard
+        later = self.apply(shard, next_claim, START_MS + CLAIM_MS)
+        dead = self.apply(shard, next_claim, gone=["b-1"])
+        for changed in (later, dead):
+            suspect = changed.suspects["x"]
+            assert [each.server for each in suspect.strikes] == ["a-1", "b-1"]
+            assert suspect.claim == next_claim.claim
+
+    def test_a_late_clear_keeps_newer_strikes(self):
+        """Guards against a clear after an outage that removes later strikes."""
+        shard = self.strike(SuspectShard(), "a-1", "x")
+        shard = self.strike(shard, "b-1", "x", at_ms=START_MS + 20)
+        shard = self.apply(shard, ClearRequest(SHARD, "x", START_MS + 10))
+        assert [each.server for each in shard.suspects["x"].strikes] == ["b-1"]
+        shard = self.apply(shard, ClearRequest(SHARD, "x", START_MS + 20))
+        assert shard.suspects == {}
+
+    def test_a_full_shard_drops_the_weakest(self):
+        """Guards against culprits pushed out by a flood of single strikes."""
+        many = {
+            str(each): Suspect([Strike("a", START_MS)])
+            for each in range(MAX_SUSPECTS_PER_SHARD)
+        }
+        shard = SuspectShard({"x": Suspect([Strike("a", 1), Strike("b", START_MS)])})
+        shard = SuspectShard(shard.suspects | many)
+        shard = self.strike(shard, "c-1", "new")
+        assert len(shard.suspects) == MAX_SUSPECTS_PER_SHARD
+        assert "x" in shard.suspects
+
+
+class TestSuspectStore(GuardCase):
+    @pytest.mark.parametrize("fault", [StoreFault.LOST_BEFORE, StoreFault.LOST_AFTER])
+    async def test_lost_answers_have_the_effect_of_one_write(self, fault):
+        """Guards against a claim granted twice or a strike lost with an answer."""
+        self.memory.faults = {2: fault, 5: fault}
+        self.guard.admit("1", "r", "x")
+        self.guard.server_died("a-2")
+        await self.flush(self.guard)
+        assert await self.start(self.guard, "2", "x") == Run()
+        view = (await self.store.read(SHARD)).unwrap()
+        assert len(view.shard.suspects["x"].strikes) == 1
+        assert view.shard.suspects["x"].claim.server == "a-2"
+
+    async def test_memory_survives_a_restart(self):
+        """Guards against a culprit that runs again after processes restart."""
+        for server in ("a-1", "b-1", "c-1"):
+            guard = CrashGuard(self.clock, server)
+            for view in (await self.store.load()).unwrap():
+                guard.learn_shard(view)
+            assert await self.start(guard, "1", "x") == Run()
+            guard.server_died(server + "'")
+            await self.flush(guard)
+        for view in (await self.store.load()).unwrap():
+            self.guard.learn_shard(view)
+        refusal = self.guard.admit("1", "r", "x")
+        assert refusal.reason is GuardRefusal.CRASHES_SERVERS
+
+    async def test_outage_refuses_suspects_and_keeps_strikes(self):
+        """Guards against suspects that run without a claim during an outage."""
+        self.memory.available = False
+        self.guard.admit("1", "r", "x")
+        self.guard.server_died("a-2")
+        await self.flush(self.guard)
+        refusal = await self.start(self.guard, "2", "x")
+        assert refusal.reason is GuardRefusal.STORE_UNAVAILABLE
+        assert self.guard.admit("3", "r", "other") == Run()
+        self.memory.available = True
+        await self.flush(self.guard)
+        assert not self.guard.pending
+        assert await self.start(self.guard, "4", "x") == Run()
