Refuse a suspect only for a crash of a server it had to itself

Change: with two strikes a suspect is only claimed to run alone, and only the strike of such a run refuses it. Suspects that were cleared meanwhile run without a write.

--- a/packages/medlarridge/src/medlarridge/_internal/coordination/crash_guard.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/crash_guard.py
@@ -3,8 +3,10 @@
 Every request that runs on a server when it dies gets a strike. A suspect, that is a
 fingerprint with a strike, runs only under a claim: a conditional update of the same
 stored object that holds the strikes. So two claimed runs of one fingerprint never
-overlap, a claim always sees all stored strikes, and at three strikes there are no
-more claims. docs/decisions/crash-guard.md derives how many servers can be lost.
+overlap and a claim always sees all stored strikes. With two strikes a suspect runs
+alone on its server; the strike of such a run is the third and refuses it everywhere.
+Further strikes beside other requests do not refuse it, because the others may be
+guilty. docs/decisions/crash-guard.md derives how many servers can be lost.
 
 ``CrashGuard`` holds the state of one process and does no I/O. It returns requests
 that ``SuspectStore`` carries out and takes back what the store holds.
@@ -39,8 +41,7 @@
 SHARDS = 64
 REFUSED_STRIKES = 3
 ISOLATED_STRIKES = 2
-"""Strikes from which a suspect runs on a server with nothing else. The strike that
-refuses it for an hour then cannot be caused by another request."""
+"""Strikes from which a suspect runs on a server with nothing else."""
 MEMORY_MS = 3_600_000
 CLAIM_MS = MAX_DEADLINE_MS + 30_000
 """Time after which a claim counts as a strike: its process died or was paused."""
@@ -101,11 +102,15 @@
 
 @dataclass(frozen=True)
 class ClaimRequest:
-    """Ask the store for the right to run a suspect."""
+    """Ask the store for the right to run a suspect.
+
+    ``unsaved`` is set if its strikes may not have reached the store yet.
+    """
 
     shard: str
     fingerprint: str
     claim: Claim
+    unsaved: bool = False
 
 
 @dataclass(frozen=True)
@@ -160,7 +165,7 @@
 class RunningRequest:
     """A request on the server beside this process.
 
-    ``started`` is false while a suspect waits for its claim or for an idle server.
+    ``started`` is false while a suspect waits for its claim.
     """
 
     route: str
@@ -221,7 +226,7 @@
             return Refuse(GuardRefusal.SUSPECT_RUNS_HERE, RETRY_AFTER_MS)
         if strikes >= ISOLATED_STRIKES and self.running:
             return self.wait_idle(attempt)
-        claim = Claim(self.server, attempt, now)
+        claim = Claim(self.server, attempt, now, alone=strikes >= ISOLATED_STRIKES)
         return self.hold_for_claim(attempt, route, fingerprint, claim)
 
     def wait_idle(self, attempt: str) -> WaitIdle | Refuse:
@@ -236,13 +241,12 @@
     ) -> ClaimRequest:
         """Count the suspect as running while the store decides about its claim."""
         self.running[attempt] = RunningRequest(route, fingerprint, claim, started=False)
-        if self.strikes_of(fingerprint) >= ISOLATED_STRIKES:
+        if claim.alone:
             self.isolation = Isolation(attempt, claim.at_ms + CLAIM_MS)
-        return ClaimRequest(shard_of(route), fingerprint, claim)
+        unsaved = self.known[fingerprint].version == 0
+        return ClaimRequest(shard_of(route), fingerprint, claim, unsaved)
 
-    def claimed(
-        self, request: ClaimRequest, view: ShardView | None
-    ) -> Run | WaitIdle | Refuse:
+    def claimed(self, request: ClaimRequest, view: ShardView | None) -> Run | Refuse:
         """Decide about a claim from the shard as stored, nothing if unavailable."""
         attempt = request.claim.attempt
         if view is None or attempt not in self.running:
@@ -254,32 +258,21 @@
             return Refuse(GuardRefusal.STORE_UNAVAILABLE, RETRY_AFTER_MS)
         self.learn_shard(view)
         suspect = view.shard.suspects.get(request.fingerprint, Suspect())
+        if not request.unsaved and suspect == Suspect():
+            # It was cleared in the meantime and runs like any other request.
+            self.learn(request.fingerprint, 0, self.clock.now_ms(), view.version)
+            route = self.running[attempt].route
+            self.withdraw(attempt)
+            self.running[attempt] = RunningRequest(route, request.fingerprint)
+            return Run()
         if suspect.claim == request.claim:
-            return self.run_claimed(request)
+            self.running[attempt].started = True
+            return Run()
         self.withdraw(attempt)
-        if len(suspect.strikes) >= REFUSED_STRIKES:
+        if counted(suspect) >= REFUSED_STRIKES:
             return self.refuse_everywhere(request.fingerprint)
         return Refuse(GuardRefusal.SUSPECT_RUNS_ELSEWHERE, RETRY_AFTER_MS)
 
-    def run_claimed(self, request: ClaimRequest) -> Run | WaitIdle:
-        """Run under a granted claim, alone if the stored strikes require it."""
-        attempt = request.claim.attempt
-        if self.strikes_of(request.fingerprint) >= ISOLATED_STRIKES:
-            self.isolation = Isolation(attempt, request.claim.at_ms + CLAIM_MS)
-            if not self.start_if_idle(attempt):
-                # A strike became known only with the claim. The owner calls
-                # ``start_if_idle`` until it is true, or ``finished`` to give up.
-                return WaitIdle(self.clock.now_ms() + ISOLATION_WAIT_MS)
-        self.running[attempt].started = True
-        return Run()
-
-    def start_if_idle(self, attempt: str) -> bool:
-        """Start a claimed attempt if it is the only work on the server."""
-        if attempt not in self.running or len(self.running) > 1:
-            return False
-        self.running[attempt].started = True
-        return True
-
     def withdraw(self, attempt: str) -> None:
         """Forget an attempt that does not run after all."""
         self.running.pop(attempt, None)
@@ -309,23 +302,24 @@
         of the server.
         """
         now = self.clock.now_ms()
+        claims = [each.claim for each in self.running.values() if each.started]
+        alone = any(claim is not None and claim.alone for claim in claims)
+        strike = Strike(self.server, now, alone)
         by_shard: dict[str, set[str]] = {}
         for each in self.running.values():
+            shard = shard_of(each.route)
             if not each.started and each.claim is not None:
-                shard = shard_of(each.route)
                 release = ReleaseRequest(shard, each.fingerprint, each.claim)
                 self.pending.append(release)
             elif each.fingerprint:
-                fingerprints = by_shard.setdefault(shard_of(each.route), set())
-                fingerprints.add(each.fingerprint)
-        strike = Strike(self.server, now)
+                by_shard.setdefault(shard, set()).add(each.fingerprint)
+                strikes = self.strikes_of(each.fingerprint) + 1
+                counts = REFUSED_STRIKES if alone else min(strikes, ISOLATED_STRIKES)
+                self.learn(each.fingerprint, counts, now, 0)
         requests = [
             StrikeRequest(shard, tuple(sorted(fingerprints)), strike)
             for shard, fingerprints in by_shard.items()
         ]
-        for request in requests:
-            for fingerprint in request.fingerprints:
-                self.learn(fingerprint, self.strikes_of(fingerprint) + 1, now, 0)
         self.pending += requests
         self.running.clear()
         self.isolation = None
@@ -349,8 +343,7 @@
         for fingerprint, suspect in view.shard.suspects.items():
             if suspect.strikes:
                 last_ms = max(strike.at_ms for strike in suspect.strikes)
-                strikes = len(suspect.strikes)
-                self.learn(fingerprint, strikes, last_ms, view.version)
+                self.learn(fingerprint, counted(suspect), last_ms, view.version)
 
     def learn(
         self, fingerprint: str, strikes: int, last_strike_ms: int, version: int
@@ -405,7 +398,7 @@
         return SuspectNotices(due) if due else None
 
     def strikes_of(self, fingerprint: str) -> int:
-        """Return the strikes that this process knows of."""
+        """Return the strikes that this process knows of, as they count."""
         known = self.known.get(fingerprint)
         if known is None:
             return 0
@@ -455,7 +448,8 @@
                 suspects[fingerprint] = add_strike(suspect, request.strike)
         case ClaimRequest():
             suspect = suspects.get(request.fingerprint, Suspect())
-            if may_claim(suspect):
+            known = request.unsaved or suspect.strikes
+            if known and may_claim(suspect, request.claim):
                 claimed = Suspect(suspect.strikes, request.claim)
                 suspects[request.fingerprint] = claimed
         case ClearRequest():
@@ -482,7 +476,8 @@
     if claim is not None and (
         claim.at_ms + CLAIM_MS <= now_ms or is_gone(claim.server)
     ):
-        suspect = add_strike(suspect, Strike(claim.server, now_ms))
+        strike = Strike(claim.server, now_ms, claim.alone)
+        suspect = add_strike(suspect, strike)
     last_ms = max((strike.at_ms for strike in suspect.strikes), default=0)
     if suspect.claim is None and last_ms + MEMORY_MS <= now_ms:
         return None
@@ -512,9 +507,22 @@
     return Suspect(strikes, claim)
 
 
-def may_claim(suspect: Suspect) -> bool:
-    """Return whether a suspect may run and no server runs it under a claim."""
-    return suspect.claim is None and len(suspect.strikes) < REFUSED_STRIKES
+def counted(suspect: Suspect) -> int:
+    """Return the strikes as they count: the third only from a run alone."""
+    if any(strike.alone for strike in suspect.strikes):
+        return REFUSED_STRIKES
+    return min(len(suspect.strikes), ISOLATED_STRIKES)
+
+
+def may_claim(suspect: Suspect, claim: Claim) -> bool:
+    """Return whether a suspect may run and no server runs it under a claim.
+
+    With two strikes only a claim for a run alone is granted.
+    """
+    strikes = counted(suspect)
+    if suspect.claim is not None or strikes >= REFUSED_STRIKES:
+        return False
+    return claim.alone or strikes < ISOLATED_STRIKES
 
 
 def bound(suspects: dict[str, Suspect]) -> dict[str, Suspect]:
--- a/packages/medlarridge/src/medlarridge/_internal/protocol/suspects.py
+++ b/packages/medlarridge/src/medlarridge/_internal/protocol/suspects.py
@@ -4,10 +4,14 @@
 
 
 class Strike(msgspec.Struct, frozen=True, array_like=True):
-    """One server that died while it ran the request; times are since the epoch."""
+    """One server that died while it ran the request; times are since the epoch.
+
+    ``alone`` means that the server ran nothing else, which proves the request guilty.
+    """
 
     server: str
     at_ms: int
+    alone: bool = False
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True):
@@ -16,6 +20,7 @@
     server: str
     attempt: str
     at_ms: int
+    alone: bool = False
 
 
 class Suspect(msgspec.Struct, frozen=True, array_like=True):
@@ -32,7 +37,7 @@
 
 
 class SuspectNotice(msgspec.Struct, frozen=True, array_like=True):
-    """Strikes of a fingerprint at a version of its shard.
+    """Strikes of a fingerprint at a version of its shard, as they count.
 
     No strikes mean that the suspect was cleared. Version 0 stands for strikes that
     could not be stored yet. ``age_ms`` is the time since the last strike.
