Split the ledger module, add abandon and lease measurements

Cause: one module held the calls, the limits and the shard; a call that ended without a result stayed in the process's memory.

--- a/packages/medlarridge-standins/src/medlarridge_standins/capacity/ledger.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/capacity/ledger.py
@@ -10,11 +10,10 @@
     Call,
     Limits,
     Run,
-    Shard,
-    Ticket,
     WriteBudget,
 )
 from medlarridge._internal.coordination.ledger_records import CallResult
+from medlarridge._internal.coordination.ledger_shard import Shard, Ticket
 from medlarridge._internal.coordination.steps import Put, Wait
 from medlarridge._internal.state.memory import MemoryStore
 
--- /dev/null
+++ b/packages/medlarridge-standins/src/medlarridge_standins/lease_trial.py
@@ -0,0 +1,54 @@
+"""Trials of a lease with contenders whose clocks differ."""
+
+from random import Random
+
+from medlarridge._internal.clock import ManualClock
+from medlarridge._internal.coordination.lease import Lease
+from medlarridge._internal.coordination.steps import Wait
+from medlarridge._internal.identity import Instance, Role
+from medlarridge._internal.state.memory import MemoryStore
+
+from .ledger_trial import finish_now, store_call
+
+DUTY = "orders"
+KEY = f"leases/{DUTY}"
+TICK_MS = 100
+
+
+class Contest:
+    """Processes that contend for one lease, each with a clock of its own."""
+
+    def __init__(self, count: int = 2, seed: int = 0) -> None:
+        self.store = MemoryStore()
+        self.clocks = [ManualClock(1_000_000 * number) for number in range(count)]
+        self.leases = [
+            Lease(
+                DUTY,
+                Instance("127.0.0.1:1", number + 1, "anfa", "west", Role.SIDECAR),
+                clock,
+                Random(seed + number),
+            )
+            for number, clock in enumerate(self.clocks)
+        ]
+
+    def step(self, index: int) -> bool:
+        """Make the next step of a process; false if it waits."""
+        lease = self.leases[index]
+        step = lease.next_step()
+        if isinstance(step, Wait):
+            return False
+        lease.on_answer(step, finish_now(store_call(self.store, step)))
+        return True
+
+    def run(self, duration_ms: int, paused: tuple[int, ...] = ()) -> None:
+        """Let time pass for all, with the steps of those that are not paused."""
+        for _ in range(duration_ms // TICK_MS):
+            for clock in self.clocks:
+                clock.advance(TICK_MS)
+            for index in range(len(self.leases)):
+                while index not in paused and self.step(index):
+                    pass
+
+    def holders(self) -> list[int]:
+        """Return the fencing numbers of those that believe they hold the lease."""
+        return [lease.fencing for lease in self.leases if lease.is_held()]
--- a/packages/medlarridge-standins/src/medlarridge_standins/ledger_trial.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/ledger_trial.py
@@ -21,8 +21,6 @@
     Refused,
     Repeat,
     Run,
-    Shard,
-    Ticket,
     Token,
     WriteBudget,
 )
@@ -30,6 +28,7 @@
     KEY_RETENTION_MS,
     CallResult,
 )
+from medlarridge._internal.coordination.ledger_shard import Shard, Ticket
 from medlarridge._internal.coordination.steps import (
     Delete,
     Get,
@@ -227,6 +226,7 @@
             granted.copy.finished_ms = self.trial.clock.now_ms()
             granted.copy.outcome = Outcome.COMPLETE
         else:
+            self.shard.abandon(granted.token)
             granted.copy.outcome = Outcome.UNKNOWN
 
 
@@ -316,6 +316,27 @@
             for copy in self.copies
         )
 
+    def work(self, rounds: int = 60, write_fault: Fault = Fault.NONE) -> None:
+        """Advance the store calls of all sidecars that are not paused.
+
+        The fault applies to the first write.
+        """
+        for _ in range(rounds):
+            for sidecar in self.sidecars:
+                if sidecar.paused:
+                    continue
+                call, fault = sidecar.call, Fault.NONE
+                if call and call.answer is None and isinstance(call.step, Put):
+                    fault, write_fault = write_fault, Fault.NONE
+                sidecar.advance_call(fault)
+            self.advance(10)
+
+    def run_granted(self, ending: Ending) -> None:
+        """Run the calls that may run to an ending."""
+        for sidecar in self.sidecars:
+            while sidecar.granted:
+                sidecar.advance_run(sidecar.granted[0], ending)
+
     def settle(self, rounds: int = 200) -> None:
         """Let all sidecars work without faults until the callers are answered."""
         for _ in range(rounds):
--- a/packages/medlarridge/src/medlarridge/_internal/state/ledger_exchange.py
+++ b/packages/medlarridge/src/medlarridge/_internal/state/ledger_exchange.py
@@ -14,11 +14,11 @@
     PauseGuard,
     Refused,
     RefusedReason,
-    Shard,
     Token,
     WriteBudget,
 )
 from ..coordination.ledger_records import CallResult
+from ..coordination.ledger_shard import Shard
 from ..coordination.steps import Wait
 from ..identity import Instance
 from .perform import perform
@@ -118,6 +118,10 @@
                 await released.wait()
         return released.is_set()
 
+    def abandon(self, token: Token) -> None:
+        """Forget a call that was sent and ended without a result."""
+        self.shard(token.shard_key).abandon(token)
+
     async def drain(self, timeout_ms: int) -> bool:
         """Wait until all results are journalled; tell whether they are."""
         with anyio.move_on_after(timeout_ms / MS_PER_S):
--- a/packages/medlarridge/tests/features/test_at_most_once.py
+++ b/packages/medlarridge/tests/features/test_at_most_once.py
@@ -3,7 +3,6 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from medlarridge._internal.coordination.steps import Put
 from medlarridge_standins.ledger_trial import Ending, Fault, Outcome, Trial
 
 scenarios("at_most_once.feature")
@@ -12,31 +11,19 @@
 
 
 class Scene:
-    """Trial with the copies sent so far and the fault of the next write."""
+    """Trial and the fault of the next write."""
 
     def __init__(self):
         self.trial = Trial(Random(1))
         self.write_fault = Fault.NONE
 
-    def work(self, rounds=60):
-        for _ in range(rounds):
-            for sidecar in self.trial.sidecars:
-                if not sidecar.paused:
-                    self.advance(sidecar)
-            self.trial.advance(10)
-
-    def advance(self, sidecar):
-        call = sidecar.call
-        fault = Fault.NONE
-        if call and call.answer is None and isinstance(call.step, Put):
-            fault, self.write_fault = self.write_fault, Fault.NONE
-        sidecar.advance_call(fault)
+    def work(self):
+        self.trial.work(write_fault=self.write_fault)
+        self.write_fault = Fault.NONE
 
     def run(self, ending):
         self.work()
-        for sidecar in self.trial.sidecars:
-            while sidecar.granted:
-                sidecar.advance_run(sidecar.granted[0], ending)
+        self.trial.run_granted(ending)
         self.work()
 
 
--- a/packages/medlarridge/tests/unit/coordination/test_lease.py
+++ b/packages/medlarridge/tests/unit/coordination/test_lease.py
@@ -3,56 +3,13 @@
 import pytest
 from result import Err, Ok
 
-from medlarridge._internal.clock import ManualClock
 from medlarridge._internal.coordination.lease import LEASE_MS, Lease, LeaseRecord
-from medlarridge._internal.coordination.steps import Get, Put, Wait
 from medlarridge._internal.errors import StoreErrorKind
 from medlarridge._internal.identity import Instance, Role
-from medlarridge._internal.state.memory import MemoryStore, StoreFault
+from medlarridge._internal.state.memory import StoreFault
+from medlarridge_standins.lease_trial import KEY, Contest
 from medlarridge_standins.ledger_trial import finish_now
 
-KEY = "leases/orders"
-
-
-class Contest:
-    """Processes that contend for one lease, each with a clock of its own."""
-
-    def __init__(self, count=2):
-        self.store = MemoryStore()
-        self.clocks = [ManualClock(1_000_000 * number) for number in range(count)]
-        self.leases = [
-            Lease(
-                "orders",
-                Instance("127.0.0.1:1", number + 1, "anfa", "west", Role.SIDECAR),
-                clock,
-                Random(number),
-            )
-            for number, clock in enumerate(self.clocks)
-        ]
-
-    def step(self, index):
-        lease = self.leases[index]
-        match step := lease.next_step():
-            case Get(key):
-                lease.on_answer(step, finish_now(self.store.get(key)))
-            case Put(key, value, version):
-                answer = finish_now(self.store.put(key, value, version))
-                lease.on_answer(step, answer)
-            case Wait():
-                return False
-        return True
-
-    def run(self, duration_ms, paused=()):
-        for _ in range(duration_ms // 100):
-            for clock in self.clocks:
-                clock.advance(100)
-            for index in range(len(self.leases)):
-                while index not in paused and self.step(index):
-                    pass
-
-    def holders(self):
-        return [lease.fencing for lease in self.leases if lease.is_held()]
-
 
 class TestLease:
     def test_one_of_two_contenders_holds_and_keeps_it(self):
@@ -68,7 +25,7 @@
         """Guards against a duty that nobody does, and against an equal number."""
         contest = Contest()
         contest.run(1000)
-        contest.run(3 * LEASE_MS, paused=[0])
+        contest.run(3 * LEASE_MS, paused=(0,))
         assert not contest.leases[0].is_held()
         assert contest.leases[1].is_held()
         assert contest.leases[1].fencing == 2
@@ -81,7 +38,7 @@
         contest = Contest()
         contest.run(1000)
         for _ in range(3 * LEASE_MS // 100):
-            contest.run(100, paused=[0])
+            contest.run(100, paused=(0,))
             assert len(contest.holders()) <= 1
         assert contest.holders() == [2]
 
@@ -139,7 +96,7 @@
         lease = contest.leases[0]
         contest.clocks[0].advance(10_000)
         late = lease.next_step()
-        contest.run(3 * LEASE_MS, paused=[0])
+        contest.run(3 * LEASE_MS, paused=(0,))
         answer = finish_now(contest.store.put(KEY, late.value, late.expected_version))
         assert isinstance(answer, Err)
         assert answer.err_value.kind is StoreErrorKind.CONFLICT
