--- a/packages/medlarridge/tests/unit/coordination/test_ledger.py
+++ b/packages/medlarridge/tests/unit/coordination/test_ledger.py
@@ -134,6 +134,21 @@
         trial.sidecars[0].advance_run(granted, Ending.FINISH)
         assert (copy.outcome, copy.executions) == (Outcome.NOT_RUN, 0)
 
+    def test_release_after_a_refused_start_waits_for_the_store(self):
+        """Guards against a retry elsewhere that meets the old intent."""
+        trial = Trial(Random(1))
+        trial.send(0, "key")
+        token = run_until_granted(trial, 0).token
+        trial.sidecars[0].granted.clear()
+        trial.advance(KEY_RETENTION_MS)
+        shard = trial.sidecars[0].shard
+        assert not shard.start(token)
+        released = []
+        assert shard.release(token, lambda: released.append(True))
+        trial.settle()
+        assert released == [True]
+        assert stored_head(trial).entries == []
+
     def test_token_is_good_for_one_end_only(self):
         """Guards against a release after the call ran."""
         trial = Trial(Random(1))
