Advance ledger time with several writers; bound calls without result

Cause: a trial with two sidecars that write in turn advanced ledger time by 1 min in 150 min, so nothing expired and the shard filled up; many calls without a result were carried through the head and could fill it. Change: a process counts from its own last write and corrects the times of newer entries; calls that ended without a result are journalled as such and expire after 7 days; survivors of old segments move on by merging, not through the head.

--- a/packages/medlarridge/src/medlarridge/_internal/coordination/ledger_records.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/ledger_records.py
@@ -13,6 +13,8 @@
 Longer than the longest deadline (10 min) plus the longest unnoticed pause, so that
 a late copy of a call still finds its key.
 """
+UNKNOWN_RETENTION_MS = 7 * 24 * 60 * 60 * 1000
+"""How long a call that was sent and ended without a result is answered as unknown."""
 MAX_RESULT_BODY_BYTES = 4096
 MAX_RESULT_HEADER_BYTES = 1024
 
@@ -26,6 +28,10 @@
     kept: bool = True
 
 
+NO_RESULT = CallResult(0, kept=False)
+"""Stands for the result of a call that was sent and ended without one."""
+
+
 class Entry(msgspec.Struct, frozen=True, array_like=True):
     """A call that was allowed to run; open as long as it has no result.
 
@@ -46,31 +52,50 @@
         age_ms = time_ms - self.at_ms
         if self.result is None or age_ms < RESULT_RETENTION_MS:
             return self
+        if self.result == NO_RESULT:
+            return self if age_ms < UNKNOWN_RETENTION_MS else None
         if age_ms >= KEY_RETENTION_MS:
             return None
         if not self.result.kept:
             return self
         return self.finished(CallResult(self.result.status, kept=False), self.at_ms)
 
+    def shifted(self, delta_ms: int) -> "Entry":
+        """Return the entry with a later time."""
+        if delta_ms == 0:
+            return self
+        at_ms = self.at_ms + delta_ms
+        return Entry(self.key, self.fingerprint, self.token, at_ms, self.result)
+
     def finished(self, result: CallResult, at_ms: int) -> "Entry":
         """Return the entry with a result."""
         return Entry(self.key, self.fingerprint, self.token, at_ms, result)
 
 
 class SegmentRef(msgspec.Struct, frozen=True, array_like=True):
-    """Reference of a head to a sealed segment."""
+    """Reference of a head to a sealed segment.
+
+    ``shift_ms`` adds to the times of the entries in the segment, ``newest_ms``
+    includes it.
+    """
 
     name: str
     size_bytes: int
     newest_ms: int
+    shift_ms: int = 0
+
+    def shifted(self, delta_ms: int) -> "SegmentRef":
+        """Return the reference with later times of its entries."""
+        newest_ms, shift_ms = self.newest_ms + delta_ms, self.shift_ms + delta_ms
+        return SegmentRef(self.name, self.size_bytes, newest_ms, shift_ms)
 
 
 class Head(msgspec.Struct, frozen=True, array_like=True):
     """Current part of a shard.
 
-    ``time_ms`` is the ledger time. Each writer adds only the time for which it
-    itself saw the previous version in force, so ledger time never runs faster
-    than real time although the clocks of VMs are not synchronised.
+    ``time_ms`` is the ledger time, which grows with each version. An entry's age is
+    the difference to its own time and never more than its real age, although the
+    clocks of VMs are not synchronised; see ``ledger_shard.Reckoning``.
     """
 
     time_ms: int = 0
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/ledger_shard.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/ledger_shard.py
@@ -31,6 +31,7 @@
 )
 from .ledger_records import (
     KEY_RETENTION_MS,
+    NO_RESULT,
     CallResult,
     Entry,
     Head,
@@ -113,6 +114,30 @@
     merged: frozenset[str]
 
 
+@dataclass(frozen=True)
+class Reckoning:
+    """Ledger time of the next version and the correction of newer entries.
+
+    A process counts from the last version that it wrote, or the first it read: what
+    was there then has aged by the time since on the local clock. Entries of others
+    that are newer (``at_ms`` above ``known_ms``) keep the age that the current
+    version gives them, so their times move by ``delta_ms`` with the ledger time.
+    Without that, two processes that write in turn would hardly advance the time.
+    """
+
+    time_ms: int
+    known_ms: int
+    delta_ms: int
+
+    def corrected(self, item: Entry) -> Entry:
+        """Return an entry of the head with its time in the next version."""
+        return item.shifted(self.delta_ms if item.at_ms > self.known_ms else 0)
+
+    def corrected_ref(self, ref: SegmentRef) -> SegmentRef:
+        """Return a segment with its times in the next version."""
+        return ref.shifted(self.delta_ms if ref.newest_ms > self.known_ms else 0)
+
+
 @dataclass
 class ShardView:
     """What a process knows of a shard."""
@@ -120,6 +145,8 @@
     head: Head = field(default_factory=Head)
     version: int | None = None
     confirmed_ms: int = 0
+    known_ms: int | None = None
+    known_at_ms: int = 0
     index: dict[bytes, Entry] = field(default_factory=dict)
     tokens: set[bytes] = field(default_factory=set)
     segments: dict[str, dict[bytes, Entry]] = field(default_factory=dict)
@@ -129,24 +156,43 @@
         self.head = head
         self.version = version
         self.confirmed_ms = now_ms
+        if self.known_ms is None:
+            self.set_known()
         self.index = {entry.key: entry for entry in head.entries}
         self.tokens = {entry.token for entry in head.entries}
         names = {ref.name for ref in head.segments}
         for name in self.segments.keys() - names:
             del self.segments[name]
 
+    def set_known(self) -> None:
+        """Count from the current head from now on."""
+        self.known_ms = self.head.time_ms
+        self.known_at_ms = self.confirmed_ms
+
+    def reckon(self, now_ms: int) -> Reckoning:
+        """Return the times of a version that is written now."""
+        assert self.known_ms is not None
+        # Versions follow each other by at least a round trip to the store, so a
+        # step of 1 ms is no faster than real time.
+        time_ms = max(self.time_ms(now_ms), self.head.time_ms + 1)
+        counted_ms = self.known_ms + now_ms - self.known_at_ms
+        delta_ms = max(0, counted_ms - time_ms)
+        return Reckoning(time_ms + delta_ms, self.known_ms, delta_ms)
+
     def time_ms(self, now_ms: int) -> int:
         """Return the ledger time if the known version is still in force."""
         return self.head.time_ms + max(0, now_ms - self.confirmed_ms)
 
     def find(self, key: bytes, time_ms: int) -> Entry | None:
         """Return the newest entry of the key that has not expired."""
-        sources = [self.index]
+        sources = [(self.index, 0)]
         for ref in reversed(self.head.segments):
-            sources.append(self.segments.get(ref.name, {}))
-        for source in sources:
+            sources.append((self.segments.get(ref.name, {}), ref.shift_ms))
+        for source, shift_ms in sources:
             entry = source.get(key)
-            if entry is not None and (entry := entry.aged(time_ms)) is not None:
+            if entry is not None:
+                entry = entry.aged(time_ms - shift_ms)
+            if entry is not None:
                 return entry
         return None
 
@@ -255,12 +301,12 @@
         return True
 
     def abandon(self, token: Token) -> None:
-        """Forget a call that was sent and ended without a result.
+        """Record that a call was sent and ended without a result.
 
-        Its intent stays in the store, so copies of it are answered as unknown.
+        Copies of it are answered as unknown. Unlike an open intent the entry
+        expires, because no process can still be about to run the call.
         """
-        if self.local.get(token.entry.key) is token.entry:
-            del self.local[token.entry.key]
+        self.finish(token, NO_RESULT)
 
     def start(self, token: Token) -> bool:
         """Tell whether the call may be sent to the server now.
@@ -364,6 +410,8 @@
         """Decide a ticket whose key is recorded."""
         if entry.fingerprint != ticket.fingerprint:
             ticket.decide(Refused(RefusedReason.KEY_REUSED))
+        elif entry.result == NO_RESULT:
+            ticket.decide(Unknown(UnknownReason.NO_RESULT))
         elif entry.result is not None:
             ticket.decide(Repeat(entry.result))
         else:
@@ -405,7 +453,7 @@
         flight = self.build(now_ms)
         value = encode_head(flight.head)
         if len(value) > self.limits.seal_bytes and self.seal is None:
-            step = self.seal_step(flight.head.time_ms)
+            step = self.seal_step()
             if step is not None:
                 self.slot_ms = None
                 return step
@@ -421,9 +469,10 @@
     def build(self, now_ms: int) -> Flight:
         """Return the next head and what depends on its write."""
         assert self.view.version is not None
-        time_ms = self.view.time_ms(now_ms)
+        reckoning = self.view.reckon(now_ms)
+        time_ms = reckoning.time_ms
         changes = list(self.changes.values())
-        entries, segments = self.carried_over(time_ms)
+        entries, segments = self.carried_over(reckoning)
         present = {entry.token for entry in entries}
         for change in changes:
             if change.result is not None and change.entry.token not in present:
@@ -433,23 +482,27 @@
         head = Head(time_ms, entries, segments)
         return Flight(head, self.view.version, tickets, changes)
 
-    def carried_over(self, time_ms: int) -> tuple[list[Entry], list[SegmentRef]]:
+    def carried_over(
+        self, reckoning: Reckoning
+    ) -> tuple[list[Entry], list[SegmentRef]]:
         """Return the entries and segments that the next head keeps."""
         entries, segments = [], []
+        time_ms = reckoning.time_ms
         moved = self.seal.moved if self.seal else frozenset()
         merged = self.seal.merged if self.seal else frozenset()
         for ref in self.view.head.segments:
             if ref.name in merged:
                 continue
-            if self.is_expired(ref, time_ms):
-                entries += self.open_entries(ref)
+            ref = reckoning.corrected_ref(ref)
+            if self.is_old(ref, time_ms) and not self.survivors(ref, time_ms):
                 self.sweep_due = True
             else:
                 segments.append(ref)
         if self.seal:
-            segments.append(self.seal.ref)
+            segments.append(reckoning.corrected_ref(self.seal.ref))
         for entry in self.view.head.entries:
             if entry.token not in moved:
+                entry = reckoning.corrected(entry)
                 kept = self.changed(entry, time_ms).aged(time_ms)
                 if kept is not None and not self.is_released(entry):
                     entries.append(kept)
@@ -462,18 +515,20 @@
             return entry
         return entry.finished(change.result, time_ms)
 
-    def is_expired(self, ref: SegmentRef, time_ms: int) -> bool:
-        """Tell whether all finished entries of a segment that was read expired."""
+    def is_old(self, ref: SegmentRef, time_ms: int) -> bool:
+        """Tell whether all results of a segment that was read have expired."""
         old = time_ms - ref.newest_ms >= KEY_RETENTION_MS
         return old and ref.name in self.view.segments
 
-    def open_entries(self, ref: SegmentRef) -> list[Entry]:
-        """Return the open entries of an expired segment; they never expire."""
-        return [
-            entry
-            for entry in self.view.segments[ref.name].values()
-            if entry.result is None and entry.key not in self.view.index
-        ]
+    def survivors(self, ref: SegmentRef, time_ms: int) -> list[Entry]:
+        """Return the entries of a segment that have not expired.
+
+        In an old segment these are calls without a result. They move on to the
+        next segment and not through the head, which they could fill.
+        """
+        entries = self.view.segments[ref.name].values()
+        aged = [entry.shifted(ref.shift_ms).aged(time_ms) for entry in entries]
+        return [entry for entry in aged if entry is not None]
 
     def batch(self) -> list[Ticket]:
         """Return the tickets of the next write, at most one per key."""
@@ -484,12 +539,16 @@
 
     # Sealing
 
-    def seal_step(self, time_ms: int) -> Step | None:
-        """Return the creation of a segment with entries that the head may drop."""
+    def seal_step(self) -> Step | None:
+        """Return the creation of a segment with entries that the head may drop.
+
+        Times are those of the known head; the next head corrects the reference.
+        """
+        time_ms = self.view.head.time_ms
         moved = [entry for entry in self.view.head.entries if self.may_move(entry)]
         if not moved or self.view.version is None:
             return None
-        merged, older = self.merge_candidates(moved)
+        merged, older = self.merge_candidates(moved, time_ms)
         if len(self.view.head.segments) - len(merged) >= self.limits.segments:
             return None
         entries = []
@@ -515,21 +574,30 @@
         age_ms = self.view.head.time_ms - entry.at_ms
         return entry.result is not None or age_ms >= self.limits.abandoned_after_ms
 
-    def merge_candidates(self, moved: list[Entry]) -> tuple[list[str], list[Entry]]:
-        """Return newer segments of similar size to merge, with their entries."""
+    def merge_candidates(
+        self, moved: list[Entry], time_ms: int
+    ) -> tuple[list[str], list[Entry]]:
+        """Return segments to merge, with what is left of their entries.
+
+        These are the newest ones of similar size, and old ones.
+        """
         size_bytes = len(encode_segment(moved))
         names: list[str] = []
         older: list[Entry] = []
+        is_similar = True
         for ref in reversed(self.view.head.segments):
-            total_bytes = size_bytes + ref.size_bytes
-            fits = total_bytes <= self.limits.segment_bytes
-            if not fits or ref.size_bytes > 2 * size_bytes:
-                break
             if ref.name not in self.view.segments:
                 break
+            is_similar = is_similar and ref.size_bytes <= 2 * size_bytes
+            if not is_similar and not self.is_old(ref, time_ms):
+                continue
+            entries = self.survivors(ref, time_ms)
+            total_bytes = size_bytes + len(encode_segment(entries))
+            if total_bytes > self.limits.segment_bytes:
+                break
             size_bytes = total_bytes
             names.append(ref.name)
-            older = list(self.view.segments[ref.name].values()) + older
+            older = entries + older
         return names, older
 
     # Answers
@@ -553,7 +621,9 @@
             self.back_off(StoreErrorKind.UNAVAILABLE)
             return
         self.view.set_head(head, version, now_ms)
-        if self.seal is not None and self.seal.ref in head.segments:
+        if self.seal is not None and any(
+            ref.name == self.seal.ref.name for ref in head.segments
+        ):
             self.adopt_seal()
         for ticket in list(self.waiting):
             self.settle(ticket, version)
@@ -632,6 +702,7 @@
         if self.seal is not None:
             self.adopt_seal()
         self.view.set_head(flight.head, version, now_ms)
+        self.view.set_known()
         for change in flight.changes:
             self.forget(change)
         for ticket in flight.tickets:
--- a/packages/medlarridge/src/medlarridge/_internal/state/ledger_exchange.py
+++ b/packages/medlarridge/src/medlarridge/_internal/state/ledger_exchange.py
@@ -118,9 +118,10 @@
                 await released.wait()
         return released.is_set()
 
-    def abandon(self, token: Token) -> None:
-        """Forget a call that was sent and ended without a result."""
+    async def abandon(self, token: Token) -> None:
+        """Journal that a call was sent and ended without a result."""
         self.shard(token.shard_key).abandon(token)
+        self.wake(self.shard(token.shard_key))
 
     async def drain(self, timeout_ms: int) -> bool:
         """Wait until all results are journalled; tell whether they are."""
--- a/packages/medlarridge/tests/unit/coordination/test_ledger.py
+++ b/packages/medlarridge/tests/unit/coordination/test_ledger.py
@@ -15,7 +15,9 @@
 from medlarridge._internal.coordination.ledger_records import (
     KEY_RETENTION_MS,
     MAX_RESULT_BODY_BYTES,
+    NO_RESULT,
     RESULT_RETENTION_MS,
+    UNKNOWN_RETENTION_MS,
     CallResult,
     Entry,
     decode_head,
@@ -223,6 +225,28 @@
         trial.settle()
         assert repeat.outcome is Outcome.UNKNOWN
 
+    def test_many_calls_without_result_do_not_fill_the_shard(self):
+        """Guards against refusing everything once many holders have died."""
+        limits = Limits(seal_bytes=500, head_bytes=2000, segment_bytes=4000)
+        trial = Trial(Random(1), limits=limits)
+        for number in range(150):
+            trial.send(number % 2, f"key {number}")
+            trial.work()
+            if number % 3:
+                trial.run_granted(Ending.NO_RESULT)
+            else:
+                trial.crash(number % 2)
+            trial.advance(60_000)
+        for hour in range(4):
+            trial.advance(KEY_RETENTION_MS)
+            for number in range(10):
+                fresh = trial.send(0, f"fresh {hour} {number}")
+                trial.settle(40)
+                assert fresh.outcome is Outcome.COMPLETE
+        repeats = [trial.send(1, f"key {number}") for number in range(150)]
+        trial.settle()
+        assert {copy.outcome for copy in repeats} == {Outcome.UNKNOWN}
+
     def test_old_read_is_not_believed(self):
         """Guards against settling a write by the answer of a replica that lags."""
         trial = Trial(Random(1))
@@ -290,6 +314,9 @@
         assert done.aged(RESULT_RETENTION_MS).result == CallResult(200, kept=False)
         assert done.aged(KEY_RETENTION_MS - 1) is not None
         assert done.aged(KEY_RETENTION_MS) is None
+        ended = entry.finished(NO_RESULT, 0)
+        assert ended.aged(KEY_RETENTION_MS) is ended
+        assert ended.aged(UNKNOWN_RETENTION_MS) is None
 
     def test_key_outlives_late_copies(self):
         """Guards against a key that expires before the last copy of its call."""
--- a/packages/medlarridge/tests/unit/state/test_ledger_exchange.py
+++ b/packages/medlarridge/tests/unit/state/test_ledger_exchange.py
@@ -16,7 +16,7 @@
 from medlarridge._internal.coordination.ledger_records import CallResult
 from medlarridge._internal.identity import Instance, Role
 from medlarridge._internal.state.ledger_exchange import Ledger
-from medlarridge._internal.state.memory import MemoryStore
+from medlarridge._internal.state.memory import MemoryStore, StoreFault
 
 LIMITS = Limits(wait_limit_ms=50, flush_interval_ms=1, result_delay_ms=1)
 
@@ -92,8 +92,10 @@
             assert decision == Refused(RefusedReason.DEADLINE)
 
     async def test_concurrent_calls_run_once_each(self):
-        """Guards against lost or doubled decisions under concurrency."""
-        store = MemoryStore()
+        """Guards against lost or doubled decisions under concurrency and faults."""
+        random = Random(5)
+        faults = {n: random.choice(list(StoreFault)) for n in range(3, 400, 3)}
+        store = MemoryStore(faults=faults)
         decisions = []
         async with running(store) as ledgers:
 
