Wire the guard against requests that crash servers

Cause: a request that kills its server was repeated on the next one without limit. Change: a monitor tells a dead server from one broken call; a gate asks the guard, stores strikes before the streams end and spreads them by datagrams.

--- /dev/null
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/crash_gate.py
@@ -0,0 +1,197 @@
+"""Gate against requests that crash the backend server."""
+
+from collections.abc import Callable
+
+import anyio
+import msgspec
+
+from medlarridge._internal.clock import MS_PER_S
+from medlarridge._internal.coordination.crash_guard import (
+    ClaimRequest,
+    CrashGuard,
+    GuardRefusal,
+    Refuse,
+    Run,
+    SuspectStore,
+    WaitIdle,
+)
+from medlarridge._internal.errors import CodecError
+from medlarridge._internal.events import register
+from medlarridge._internal.fleet import FleetView
+from medlarridge._internal.log import log_event
+from medlarridge._internal.protocol.messages import NotRun, Refusal
+from medlarridge._internal.protocol.suspects import SuspectNotices
+
+from .gates import Answered
+from .live import LiveAttempt
+from .reuse_messages import DatagramSender
+from .server_monitor import ServerMonitor
+from .server_result import CallState
+
+SUSPECT_KIND = 3
+IDLE_POLL_MS = 50
+SAVE_TIMEOUT_MS = 2_000
+SAVE_INTERVAL_MS = 500
+NOTICE_INTERVAL_MS = 1_000
+PUSH_PEERS = 3
+
+REQUEST_REFUSED = register(
+    2010, "ERROR", "request is refused because it crashes servers"
+)
+STRIKES_UNSAVED = register(2011, "WARNING", "strikes cannot be stored yet")
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(SuspectNotices)
+
+
+class CrashGate:
+    """Keeps suspects apart and gives strikes when the server dies."""
+
+    def __init__(
+        self,
+        guard: CrashGuard,
+        store: SuspectStore,
+        monitor: ServerMonitor,
+        fleet: FleetView,
+        sender: DatagramSender,
+        random_peers: Callable[[int], list[str]],
+    ) -> None:
+        self.guard = guard
+        self.store = store
+        self.monitor = monitor
+        self.fleet = fleet
+        self.sender = sender
+        self.random_peers = random_peers
+        self.saving = anyio.Lock()
+        self.server_restarted: Callable[[], None] = lambda: None
+
+    async def enter(self, live: LiveAttempt) -> NotRun | Answered | None:
+        """Ask the guard, and the store where a suspect needs a claim."""
+        if self.monitor.down:
+            return self.refusal(Refusal.SERVER_UNREACHABLE, "the server is down", 1_000)
+        attempt = live.attempt
+        key = f"{attempt.request_id}/{attempt.number}"
+        while True:
+            decision = self.guard.admit(key, attempt.route, attempt.fingerprint)
+            if not isinstance(decision, WaitIdle):
+                break
+            try:
+                await anyio.sleep(IDLE_POLL_MS / MS_PER_S)
+            except BaseException:
+                self.guard.withdraw(key)
+                raise
+        if isinstance(decision, ClaimRequest):
+            decision = await self.claim(decision)
+        if isinstance(decision, Run):
+            self.monitor.call_started(key)
+            return None
+        return self.guard_refusal(live, decision)
+
+    async def claim(self, request: ClaimRequest) -> Run | Refuse:
+        """Ask the store for the right to run a suspect."""
+        view = None
+        try:
+            with anyio.move_on_after(SAVE_TIMEOUT_MS / MS_PER_S):
+                view = (await self.store.carry_out(request)).ok()
+        finally:
+            decision = self.guard.claimed(request, view)
+        return decision
+
+    def guard_refusal(self, live: LiveAttempt, decision: Refuse) -> NotRun:
+        """Return the refusal that the guard decided on."""
+        if decision.reason is not GuardRefusal.CRASHES_SERVERS:
+            return self.refusal(
+                Refusal.CRASH_SUSPECT,
+                f"the request is under suspicion: {decision.reason}",
+                decision.retry_after_ms,
+            )
+        log_event(
+            REQUEST_REFUSED,
+            request=live.attempt.request_id,
+            account=live.attempt.account,
+            fingerprint=live.attempt.fingerprint,
+        )
+        return self.refusal(
+            Refusal.CRASHES_SERVERS,
+            "servers died each time they ran this request",
+            decision.retry_after_ms,
+        )
+
+    def refusal(self, reason: Refusal, detail: str, retry_after_ms: int) -> NotRun:
+        """Return a refusal with the sidecar's generation."""
+        return NotRun(reason, self.fleet.generation, detail, retry_after_ms)
+
+    async def leave(self, live: LiveAttempt) -> None:
+        """Give strikes if the server died, before the router is told the end."""
+        key = f"{live.attempt.request_id}/{live.attempt.number}"
+        result = live.result
+        state = result.state if result is not None else None
+        if state is CallState.BROKEN:
+            if await self.monitor.died_with(key):
+                await self.strike()
+        else:
+            self.monitor.call_ended(key)
+            if state is CallState.NEVER_SENT:
+                self.monitor.unreachable()
+        self.guard.finished(key, succeeded=state is CallState.COMPLETE)
+
+    async def strike(self) -> None:
+        """Give every running request a strike and store it, once per death."""
+        server = f"{self.guard.server.rpartition('#')[0]}#{self.monitor.deaths}"
+        if self.guard.server != server:
+            self.guard.server_died(server)
+            self.server_restarted()
+            await self.push_notices()
+        with anyio.move_on_after(SAVE_TIMEOUT_MS / MS_PER_S):
+            await self.save()
+
+    async def save(self) -> None:
+        """Carry out what the guard wants stored."""
+        async with self.saving:
+            for request in list(self.guard.pending):
+                stored = await self.store.carry_out(request)
+                if stored.is_err():
+                    log_event(STRIKES_UNSAVED, error=stored.unwrap_err())
+                    return
+                self.guard.saved(request, stored.unwrap())
+
+    async def run(self) -> None:
+        """Load the suspects, then keep storing and spreading what is new."""
+        loaded = False
+        while True:
+            if not loaded:
+                views = await self.store.load()
+                loaded = views.is_ok()
+                for view in views.unwrap_or([]):
+                    self.guard.learn_shard(view)
+            with anyio.move_on_after(SAVE_TIMEOUT_MS / MS_PER_S):
+                await self.save()
+            await self.push_notices()
+            await anyio.sleep(
+                (SAVE_INTERVAL_MS if self.guard.pending else NOTICE_INTERVAL_MS)
+                / MS_PER_S
+            )
+
+    async def push_notices(self) -> None:
+        """Send notices to random peers; in quiet times there are none."""
+        notices = self.guard.notices()
+        if notices is not None:
+            await self.send(notices)
+
+    async def receive(self, source: str, payload: bytes) -> None:
+        """Learn from a peer and push on what is news."""
+        try:
+            message = _decoder.decode(payload)
+        except msgspec.MsgspecError as error:
+            raise CodecError(
+                f"malformed notices: {error}", step="decode datagram", peer=source
+            ) from error
+        news = self.guard.receive(message)
+        if news is not None:
+            await self.send(news)
+
+    async def send(self, notices: SuspectNotices) -> None:
+        """Send notices to random peers."""
+        payload = _encoder.encode(notices)
+        for address in self.random_peers(PUSH_PEERS):
+            await self.sender.send(address, SUSPECT_KIND, payload)
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/daemon.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/daemon.py
@@ -4,7 +4,8 @@
 import anyio.abc
 import httpx
 
-from medlarridge._internal.clock import MS_PER_S
+from medlarridge._internal.clock import MS_PER_S, WallClock
+from medlarridge._internal.coordination.crash_guard import CrashGuard, SuspectStore
 from medlarridge._internal.coordination.fair_queue import FairQueue
 from medlarridge._internal.coordination.reuse_planner import ReusePlanner
 from medlarridge._internal.metrics import SidecarMetrics
@@ -16,6 +17,7 @@
 from medlarridge._internal.transport.auth import SharedKey
 from medlarridge._internal.transport.server import serve_http
 
+from .crash_gate import SUSPECT_KIND, CrashGate
 from .endpoints import sidecar_endpoints
 from .engine_gate import EngineGate
 from .engine_work import EngineWork
@@ -23,6 +25,7 @@
 from .ledger_gate import LedgerGate
 from .reuse_messages import REUSE_KIND, ReuseMessages
 from .server_call import ServerClient
+from .server_monitor import ServerMonitor
 from .sidecar import Sidecar
 
 LEDGER_DRAIN_MS = 5_000
@@ -72,6 +75,17 @@
             node.clock,
             self.metrics,
         )
+        self.monitor = ServerMonitor(self.client, settings.server)
+        self.crash_gate = CrashGate(
+            CrashGuard(WallClock(), f"{settings.link}/{node.instance.number}#0"),
+            SuspectStore(node.store, WallClock(), node.random),
+            self.monitor,
+            node.fleet,
+            node.cluster,
+            node.cluster.membership.random_peers,
+        )
+        self.crash_gate.server_restarted = self.work.server_restarted
+        ledger_gate = LedgerGate(self.ledger, node.fleet, node.clock)
         self.sidecar = Sidecar(
             node.instance,
             settings.pool,
@@ -79,11 +93,12 @@
             self.server,
             node.clock,
             self.metrics,
-            [engine_gate, LedgerGate(self.ledger, node.fleet, node.clock)],
+            [engine_gate, self.crash_gate, ledger_gate],
             settings.max_in_flight,
         )
         self.sidecar.load_hint = lambda: self.planner.load
         node.cluster.register(REUSE_KIND, self.messages.receive)
+        node.cluster.register(SUSPECT_KIND, self.crash_gate.receive)
 
     def is_engine(self) -> bool:
         """Return whether the tables say that the server is a model engine."""
@@ -126,6 +141,8 @@
         """Start the work beside the attempts."""
         await tasks.start(self.ledger.run)
         tasks.start_soon(self.messages.run)
+        tasks.start_soon(self.monitor.run)
+        tasks.start_soon(self.crash_gate.run)
         tasks.start_soon(self.work.follow_events)
         tasks.start_soon(self.work.fetch_prefixes)
 
--- a/packages/medlarridge/src/medlarridge/_internal/protocol/caller.py
+++ b/packages/medlarridge/src/medlarridge/_internal/protocol/caller.py
@@ -31,6 +31,7 @@
     [
         "connection",
         "content-length",
+        "date",
         "host",
         "keep-alive",
         "proxy-authenticate",
--- a/packages/medlarridge/src/medlarridge/_internal/protocol/messages.py
+++ b/packages/medlarridge/src/medlarridge/_internal/protocol/messages.py
@@ -27,6 +27,7 @@
     ACCOUNT_LIMIT = "account-limit"
     DEADLINE = "deadline"
     CRASHES_SERVERS = "crashes-servers"
+    CRASH_SUSPECT = "crash-suspect"
     LEDGER_UNAVAILABLE = "ledger-unavailable"
     SERVER_UNREACHABLE = "server-unreachable"
     INVALID = "invalid"
--- a/packages/medlarridge/tests/unit/router/test_table_commands.py
+++ b/packages/medlarridge/tests/unit/router/test_table_commands.py
@@ -54,7 +54,17 @@
 class TestTableCommands:
     def test_all_commands_are_listed(self):
         """Guards against a command that the binary does not offer."""
-        assert set(COMMANDS) == {"apply", "check", "get", "history", "undo"}
+        assert set(COMMANDS) == {
+            "apply",
+            "check",
+            "explain",
+            "get",
+            "history",
+            "serve",
+            "status",
+            "undo",
+            "version",
+        }
 
     async def test_check_names_file_key_and_what_is_allowed(self, call, file):
         """Guards against an operator who cannot find the mistake."""
