--- /dev/null
+++ b/packages/medlarridge-standins/src/medlarridge_standins/measure/membership.py
@@ -0,0 +1,197 @@
+"""Cost and speed of membership on a simulated fleet."""
+
+from loguru import logger
+
+from medlarridge._internal.coordination.membership import SUSPICION_MS
+from medlarridge._internal.protocol.gossip import Status
+
+from ..fleet import Fleet, Node, Traffic
+from ..report import Row
+from . import measure
+
+SEED = 20
+SIZES = (10, 50, 200, 460)
+LOSS = 0.01
+WARM_UP_MS = 10_000
+STEADY_MS = 60_000
+LIMIT_MS = 120_000
+SETTLED_MS = 20_000
+MAX_KB_PER_S = 3.0
+MAX_CPU_MS_PER_S = 12.0
+DRAINING_LIMIT_S = 5.0
+MS_PER_S = 1000
+NS_PER_MS = 1_000_000
+
+
+def settled(count: int, loss: float = LOSS) -> Fleet:
+    """Return a fleet in which everybody has known everybody for a while."""
+    logger.remove()
+    fleet = Fleet(SEED, loss=loss)
+    fleet.grow(count)
+    fleet.acquaint()
+    fleet.tell_vm_list()
+    fleet.run(WARM_UP_MS)
+    fleet.traffic = Traffic()
+    return fleet
+
+
+def kb_per_s(fleet: Fleet, duration_ms: int) -> float:
+    """Return what a node sends and receives, with UDP and IP headers."""
+    return 2 * fleet.traffic.bytes / len(fleet.nodes) / duration_ms
+
+
+@measure.scenario("membership-cost")
+def steady_cost() -> list[Row]:
+    """Measure bytes, messages and CPU time of control per node."""
+    rows = []
+    for count in SIZES:
+        fleet = settled(count)
+        fleet.run(STEADY_MS)
+        traffic, seconds = fleet.traffic, STEADY_MS / MS_PER_S
+        kb = kb_per_s(fleet, STEADY_MS)
+        cpu = traffic.cpu_ns / NS_PER_MS / count / seconds
+        sent = traffic.datagrams / count / seconds
+        name = f"control per node, {count} members, 1% loss, seed {SEED}"
+        rows += [
+            Row(f"{name}: bytes", kb, "KB/s", "< 3", "", kb < MAX_KB_PER_S),
+            Row(f"{name}: datagrams", 2 * sent, "1/s"),
+            Row(
+                f"{name}: CPU",
+                cpu,
+                "ms/s",
+                "< 12",
+                "without sockets",
+                cpu < MAX_CPU_MS_PER_S,
+            ),
+        ]
+    return rows
+
+
+@measure.scenario("membership-false-positives")
+def false_positives() -> list[Row]:
+    """Count members that die in a list although they run."""
+    fleet = settled(200)
+    buried: set[tuple[str, str]] = set()
+    suspected = 0
+    for _ in range(600):
+        fleet.run(MS_PER_S)
+        for node in fleet.nodes.values():
+            suspected = max(suspected, len(node.membership.suspicions))
+            buried |= {
+                (node.address, record.address)
+                for record in node.membership.table.records.values()
+                if record.status is Status.DEAD
+            }
+    name = "200 members, 1% loss, 600 s"
+    return [
+        Row(f"{name}: deaths of running members", len(buried), "", "0", "", not buried),
+        Row(f"{name}: most suspects in any list", suspected, ""),
+    ]
+
+
+@measure.scenario("membership-dead-member")
+def dead_member() -> list[Row]:
+    """Measure how long a dead member stays in use and in the lists."""
+    rows = []
+    for count in SIZES:
+        fleet = settled(count)
+        victim = next(iter(fleet.nodes.values()))
+        fleet.stop(victim)
+        unused_ms = until_unused(fleet, victim)
+        rest_ms = fleet.run_until(
+            lambda fleet=fleet, victim=victim: all(
+                (r := n.membership.table.get(victim.address)) is None or not r.present
+                for n in fleet.nodes.values()
+            ),
+            LIMIT_MS,
+        )
+        name = f"dead member, {count} members, 1% loss"
+        dead_s = (unused_ms + (rest_ms or LIMIT_MS)) / MS_PER_S
+        rows += [
+            Row(f"{name}: used by nobody after", unused_ms / MS_PER_S, "s"),
+            Row(f"{name}: dead in all lists after", dead_s, "s"),
+        ]
+    return rows
+
+
+def until_unused(fleet: Fleet, target: Node) -> int:
+    """Return the time until no other node would use the target."""
+    member = target.member
+    others = [n for n in fleet.nodes.values() if n is not target]
+    duration_ms = fleet.run_until(
+        lambda: not any(n.membership.is_usable(member) for n in others), LIMIT_MS
+    )
+    return LIMIT_MS if duration_ms is None else duration_ms
+
+
+@measure.scenario("membership-draining")
+def draining() -> list[Row]:
+    """Measure how long a draining server still gets new work."""
+    rows = []
+    for count in SIZES:
+        fleet = settled(count)
+        node = next(iter(fleet.nodes.values()))
+        fleet.act(node, lambda node=node: node.membership.set_self(draining=True))
+        seconds = until_unused(fleet, node) / MS_PER_S
+        rows.append(
+            Row(
+                f"draining server, {count} members, 1% loss: known everywhere",
+                seconds,
+                "s",
+                "< 5",
+                "",
+                seconds < DRAINING_LIMIT_S,
+            )
+        )
+    return rows
+
+
+@measure.scenario("membership-data-centre")
+def data_centre() -> list[Row]:
+    """Measure the loss and the return of a quarter of the fleet at once."""
+    count = 460
+    fleet = settled(count)
+    lost = {n.address for n in fleet.within("dc1")}
+    cut = True
+    fleet.blocked = lambda a, b: (
+        cut and (a.instance.address in lost) != (b.instance.address in lost)
+    )
+    others = [n for n in fleet.nodes.values() if n.address not in lost]
+
+    def down() -> bool:
+        return all("dc1" in n.membership.table.down for n in others)
+
+    def complete() -> bool:
+        return all(
+            len(n.membership.usable_members_of("p")) == count
+            for n in fleet.nodes.values()
+        )
+
+    lost_ms = fleet.run_until(down, LIMIT_MS) or LIMIT_MS
+    lost_kb = kb_per_s(fleet, lost_ms)
+    fleet.run(SUSPICION_MS + SETTLED_MS)
+    cut = False
+    fleet.traffic = Traffic()
+    back_ms = fleet.run_until(complete, LIMIT_MS) or LIMIT_MS
+    back_kb = kb_per_s(fleet, back_ms)
+    name = f"data centre of {len(lost)} of {count} members"
+    return [
+        Row(f"{name}: unreachable in all lists after", lost_ms / MS_PER_S, "s"),
+        Row(
+            f"{name}: bytes per node until then",
+            lost_kb,
+            "KB/s",
+            "< 3",
+            "",
+            lost_kb < 3,
+        ),
+        Row(f"{name}: usable again everywhere after", back_ms / MS_PER_S, "s"),
+        Row(
+            f"{name}: bytes per node until then ",
+            back_kb,
+            "KB/s",
+            "< 3",
+            "",
+            back_kb < 3,
+        ),
+    ]
