--- a/packages/medlarridge/tests/unit/coordination/test_fair_queue.py
+++ b/packages/medlarridge/tests/unit/coordination/test_fair_queue.py
@@ -56,6 +56,18 @@
         work = sum(entry.work_tokens for entry in half if entry.account == "large")
         assert abs(work - sum(entry.work_tokens for entry in half) / 2) <= 4_000
 
+    def test_surging_accounts_share_by_work(self):
+        """Guards against one surging account that keeps the turn."""
+        self.queue.limits = QueueLimits(max_entries=500)
+        self.capacity_tokens = 60 * WORK_TOKENS
+        for _ in range(20):
+            self.offer("large", work=4 * WORK_TOKENS)
+        for _ in range(80):
+            self.offer("many")
+        self.queue.dispatch()
+        shares = self.queue.running_by_account
+        assert abs(shares["large"] - shares["many"]) <= 4 * WORK_TOKENS
+
     def test_priorities_share_without_starvation(self):
         """Guards against low priorities that never run."""
         for priority in (0, 9):
