Skip idle time in the expiry index and measure costs per operation

Cause: after hours without entries the first expiry walked through every tick. Change: an empty index starts at the present; capacity rows for these parts.

--- /dev/null
+++ b/packages/medlarridge-standins/src/medlarridge_standins/capacity/fairness.py
@@ -0,0 +1,127 @@
+"""Processor time per operation of the parts for fairness, limits and retries."""
+
+import time
+from collections.abc import Callable
+from random import Random
+
+from medlarridge._internal.clock import ManualClock
+from medlarridge._internal.coordination.account_limits import (
+    AccountLimiter,
+    Key,
+    LimitDirectory,
+)
+from medlarridge._internal.coordination.crash_guard import CrashGuard
+from medlarridge._internal.coordination.fair_queue import (
+    FairQueue,
+    QueueEntry,
+    QueueLimits,
+)
+from medlarridge._internal.coordination.retry import (
+    NeverSent,
+    RetryPlanner,
+    RetryRequest,
+    Target,
+)
+from medlarridge._internal.identity import Instance, Member, Role
+from medlarridge._internal.protocol.tables import AccountLimit
+
+from ..report import Row
+from . import capacity
+
+SEED = 2206
+ROUNDS = 20_000
+NS_PER_US = 1_000
+WORK_TOKENS = 1_000
+
+
+class Directory(LimitDirectory):
+    """One limit for all accounts, and a home per account."""
+
+    def __init__(self) -> None:
+        self.limit = AccountLimit(requests_per_s=100_000, burst=1_000_000)
+
+    def home_of(self, key: Key) -> str:
+        """Return the account's own home."""
+        return key.account
+
+    def limit_of(self, key: Key) -> AccountLimit | None:
+        """Return the limit of all accounts."""
+        return self.limit
+
+    def random_peers(self, count: int) -> list[str]:
+        """Return no peers."""
+        return []
+
+
+def microseconds(operation: Callable[[int], object]) -> float:
+    """Return the processor time of one call."""
+    start = time.process_time_ns()
+    for number in range(ROUNDS):
+        operation(number)
+    return (time.process_time_ns() - start) / ROUNDS / NS_PER_US
+
+
+def queue_cycle(accounts: int) -> float:
+    """Return the time to queue, start and finish with a backlog per account."""
+    clock = ManualClock()
+    queue = FairQueue(
+        clock,
+        Random(SEED),
+        lambda work: queue.running_tokens + work <= 40 * WORK_TOKENS,
+        QueueLimits(max_entries=10 * accounts),
+    )
+    for number in range(2 * accounts):
+        name = str(number % accounts)
+        queue.offer(QueueEntry(f"b{number}", name, WORK_TOKENS, 10**9))
+    queue.dispatch()
+
+    def cycle(number: int) -> None:
+        name = str(number % accounts)
+        queue.offer(QueueEntry(str(number), name, WORK_TOKENS, 10**9))
+        queue.finish(next(iter(queue.running)))
+        queue.dispatch()
+
+    return microseconds(cycle)
+
+
+@capacity.scenario("fairness")
+def fairness_rows() -> list[Row]:
+    """Measure each part with the state of a process at the target size."""
+    clock = ManualClock()
+    limiter = AccountLimiter(clock, Random(SEED), "own", 1, Directory())
+    guard = CrashGuard(clock, "server")
+    planner = RetryPlanner(clock, Random(SEED))
+    members = [
+        Member(Instance(str(number), 1, "ab"[number % 2], "r", Role.SIDECAR), "pool")
+        for number in range(8)
+    ]
+    target = Target("0", 1, "pool", "a")
+    request = RetryRequest(
+        [NeverSent(target)], 9_000, True, ["pool"], {"pool": members}
+    )
+
+    def tick(number: int) -> None:
+        for account in range(14):
+            limiter.admit("route", str(account))
+        limiter.tick()
+
+    def guarded(number: int) -> None:
+        guard.admit(str(number), "route", str(number))
+        guard.finished(str(number), succeeded=True)
+
+    figures = {
+        "queue, start and finish, 10 accounts wait": queue_cycle(10),
+        "queue, start and finish, 1,000 accounts wait": queue_cycle(1_000),
+        "account limit, one request": microseconds(
+            lambda number: limiter.admit("route", str(number % 14))
+        ),
+        "account limits, 14 requests and one report round": microseconds(tick),
+        "retry, one plan among 8 ranked members": microseconds(
+            lambda number: planner.plan(request)
+        ),
+        "crash guard, one request that is no suspect": microseconds(guarded),
+    }
+    return [
+        Row(f"fairness: {name}", value, "us", baseline=f"seed {SEED}")
+        for name, value in figures.items()
+    ]
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/fair_queue.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/fair_queue.py
@@ -164,6 +164,9 @@
 
     def add(self, entry: QueueEntry) -> None:
         """Add an entry under its time of expiry."""
+        if not self.ticks:
+            # Skips the ticks of an idle time at once.
+            self.next_tick = max(self.next_tick, entry.queued_ms // EXPIRY_TICK_MS)
         tick = max(self.next_tick, entry.expires_ms // EXPIRY_TICK_MS)
         self.ticks.setdefault(tick, {})[entry.key] = entry
 
--- a/packages/medlarridge/tests/unit/coordination/test_fair_queue.py
+++ b/packages/medlarridge/tests/unit/coordination/test_fair_queue.py
@@ -122,6 +122,14 @@
         ]
         assert not self.queue.waiting
 
+    def test_idle_time_is_skipped(self):
+        """Guards against a stall after hours without entries."""
+        self.clock.advance(10**10)
+        self.offer(deadline_ms=10**10 + 2_000)
+        assert self.queue.expiry.next_tick == self.clock.now_ms() // 10
+        self.clock.advance(2_000)
+        assert len(self.queue.expire()) == 1
+
     def test_refuses_what_never_fits_and_a_full_queue(self):
         """Guards against one oversized entry that blocks all others."""
         large = self.offer(work=2 * WORK_TOKENS)
