--- /dev/null
+++ b/packages/medlarridge-standins/src/medlarridge_standins/measure/skew.py
@@ -0,0 +1,55 @@
+"""Skew: the highest load of an engine over the mean load of its pool."""
+
+from dataclasses import replace
+
+from medlarridge._internal.clock import MS_PER_S
+
+from ..report import Row
+from . import measure
+from .pool_model import PoolModel, Settings
+from .reuse import Disturbance, bound_rows, run
+
+SMALL = Settings(seed=5, engines=10, duration_s=180, warm_up_s=60)
+LARGE = Settings(seed=5, engines=460, duration_s=30, warm_up_s=18, chats_per_engine=30)
+BASELINES = ("round robin", "least outstanding")
+SURGE_FACTOR = 2.0
+SURGE_S = 10
+REPORT_LAG_MS = 1000
+
+
+def surge(model: PoolModel) -> None:
+    """Let one account double the load of the pool for a while."""
+    model.surge(SURGE_FACTOR, model.clock.now_ms() + SURGE_S * MS_PER_S)
+
+
+def rows_for(name: str, settings: Settings, disturb: Disturbance | None) -> list[Row]:
+    """Return the skew and the load bound beside the baselines."""
+    baseline = []
+    for policy in BASELINES:
+        counts = run(replace(settings, policy=policy), disturb)
+        average = counts.skew_sum / counts.skew_samples
+        baseline.append(f"{policy} {counts.worst_skew:.2f}, mean {average:.2f}")
+    ours = run(settings, disturb)
+    name = f"{name}, {settings.engines} engines, seed {settings.seed}"
+    return [
+        Row(f"{name}: worst skew", ours.worst_skew, "ratio", "", "; ".join(baseline)),
+        Row(f"{name}: mean skew", ours.skew_sum / ours.skew_samples, "ratio"),
+        Row(
+            f"{name}: given up",
+            100 * ours.given_up / (ours.requests + ours.given_up),
+            "% of requests",
+        ),
+        *bound_rows(name, ours),
+    ]
+
+
+@measure.scenario("skew")
+def skew() -> list[Row]:
+    """Measure skew in a small and a large pool."""
+    rows = []
+    for settings in (SMALL, LARGE):
+        rows += rows_for("steady", settings, None)
+        rows += rows_for("one account surges", settings, surge)
+        lagging = replace(settings, report_lag_ms=REPORT_LAG_MS)
+        rows += rows_for("reports 1 s late", lagging, None)
+    return rows
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/load_bound.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/load_bound.py
@@ -58,7 +58,7 @@
         self.usual_work = 0.0
 
     def observe(self, work: float) -> None:
-        """Update the usual work, an average over the work offered to this engine."""
+        """Update the usual work, an average over the work admitted here."""
         if self.usual_work == 0.0:
             self.usual_work = work
         else:
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
@@ -294,7 +294,7 @@
         members = list(members)
         gone = self.members.keys() - {m.instance.address for m in members}
         self.members = {m.instance.address: m for m in members}
-        self.mean.set_members(self.members)
+        self.mean.set_members(a for a, m in self.members.items() if not m.draining)
         others = (m for m in members if m.instance.address != self.address)
         self.placement.update(others, held_down)
         region = self.member.instance.region
@@ -330,7 +330,6 @@
 
     def offer(self, request: Request, now_ms: int) -> Waiting:
         """Note a request that is planned for the first time."""
-        self.bound.observe(self.work(request, self.local_tokens(request, None)))
         waiting = Waiting(request, now_ms, 0.0)
         self.waiting[request.id] = waiting
         return waiting
@@ -388,6 +387,7 @@
         request_id = running.request.id
         self.waiting.pop(request_id, None)
         self.running[request_id] = running
+        self.bound.observe(running.work)
         self.add_tokens(running.work)
 
     def wait_or_refuse(
