--- a/packages/medlarridge-standins/src/medlarridge_standins/measure/pool_mean_cost.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/measure/pool_mean_cost.py
@@ -52,6 +52,7 @@
     size: int
     loss: float = LOSS
     seed: int = SEED
+    moving: bool = True
     clock: ManualClock = field(default_factory=ManualClock)
     nodes: dict[str, MeanNode] = field(default_factory=dict)
     events: list[tuple[int, int, Callable[..., None], tuple]] = field(
@@ -70,7 +71,8 @@
             mean.tokens = self.random.uniform(1500, 2500)
             self.nodes[address] = MeanNode(mean)
             self.wake(address)
-        self.at(0, self.move_loads)
+        if self.moving:
+            self.at(0, self.move_loads)
 
     def at(self, delay_ms: int, action: Callable[..., None], *args: object) -> None:
         """Schedule an action."""
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/pool_mean.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/pool_mean.py
@@ -255,24 +255,32 @@
             self.open_rounds.pop(number, None)
 
     def split(self, ask: MeanAsk) -> list[Outgoing]:
-        """Divide the interval among up to four children."""
-        order = self.orders[ask.tree]
+        """Divide the interval among up to four children.
+
+        No part contains this node's own position: a child would ask it again, and
+        the members in that child's part would be missed.
+        """
+        order, rank = self.orders[ask.tree], self.ranks[ask.tree]
+        own = order[rank][0]
         first = bisect_left(order, (ask.low, ""))
         last = bisect_left(order, (ask.high, ""))
-        members = [m for m in order[first:last] if m[1] != self.address]
-        parts = min(FAN_OUT, len(members))
+        below = order[first : min(rank, last)]
+        above = order[max(rank + 1, first) : last]
+        share = round(FAN_OUT * len(below) / max(1, len(below) + len(above)))
+        most_below = min(FAN_OUT - 1, max(1, share)) if above else FAN_OUT
+        most_above = FAN_OUT - min(most_below, len(below))
+        wait_ms = max(0, ask.wait_ms - LEVEL_WAIT_MS)
         now = self.clock.now_ms()
         known = self.known_mean(now)
         asks = []
-        for part in range(parts):
-            start = part * len(members) // parts
-            end = (part + 1) * len(members) // parts
-            low = ask.low if part == 0 else members[start][0]
-            high = ask.high if part == parts - 1 else members[end][0]
-            child = self.choose_child(members[start:end], now)
-            wait_ms = max(0, ask.wait_ms - LEVEL_WAIT_MS)
-            message = MeanAsk(ask.tree, ask.round, low, high, wait_ms, *known)
-            asks.append(Outgoing(child, message))
+        for members, most, start, end in (
+            (below, most_below, ask.low, min(own, ask.high)),
+            (above, most_above, max(own + 1, ask.low), ask.high),
+        ):
+            for part, low, high in divide(members, most, start, end):
+                child = self.choose_child(part, now)
+                message = MeanAsk(ask.tree, ask.round, low, high, wait_ms, *known)
+                asks.append(Outgoing(child, message))
         return asks
 
     def known_mean(self, now_ms: int) -> tuple[int, int, int]:
@@ -344,6 +352,21 @@
             self.measured.popleft()
 
 
+def divide(
+    members: list[tuple[int, str]], most: int, low: int, high: int
+) -> list[tuple[list[tuple[int, str]], int, int]]:
+    """Divide members and their interval into parts of about the same size."""
+    parts = min(most, len(members))
+    divided = []
+    for part in range(parts):
+        start = part * len(members) // parts
+        end = (part + 1) * len(members) // parts
+        first = low if part == 0 else members[start][0]
+        last = high if part == parts - 1 else members[end][0]
+        divided.append((members[start:end], first, last))
+    return divided
+
+
 def position(tree: int, address: str) -> int:
     """Return a member's place in the order of a tree."""
     return xxh32_intdigest(address.encode(), seed=tree)
--- /dev/null
+++ b/packages/medlarridge/tests/unit/coordination/test_reuse_planner.py
@@ -0,0 +1,168 @@
+import pytest
+
+from medlarridge._internal.coordination.reuse_planner import (
+    MAX_WAIT_MS,
+    Refuse,
+    Run,
+    Served,
+    Wait,
+)
+from medlarridge_standins.planner_cluster import PlannerCluster
+
+
+@pytest.fixture
+def cluster():
+    cluster = PlannerCluster(6)
+    cluster.advance(2000)
+    return cluster
+
+
+def overload_home(cluster, chat, prompt=3000):
+    """Return a request whose home is far over its bound."""
+    request = cluster.request(chat, prompt)
+    cluster.fill(request.ranked[0], 5000)
+    cluster.advance(1000)
+    return request
+
+
+def spill(cluster, chat, prompt):
+    """Serve a chat at the first candidate of its overloaded home."""
+    request = overload_home(cluster, chat, prompt)
+    refusal = cluster.decide(request.ranked[0], request)
+    assert isinstance(refusal, Refuse)
+    target = refusal.candidates[0].address
+    run = cluster.decide(target, request)
+    return target, run, request
+
+
+class TestReusePlanner:
+    def test_finds_a_chat_at_its_home(self, cluster):
+        """Guards against a prefill where the prefix is cached."""
+        home, _, _ = cluster.serve("chat", 3000)
+        assert cluster.serve("chat", 3300) == (home, 3100, 0)
+
+    def test_a_spill_imports_only_the_missing_blocks(self, cluster):
+        """Guards against a prefill, or a full transfer, after a spill."""
+        cluster.serve("chat", 3000)
+        target, run, request = spill(cluster, "chat", 3300)
+        assert (run.import_from, run.cached_tokens) == (request.ranked[0], 0)
+        assert run.import_tokens == 3100
+        assert cluster.complete(target, request, run) == (0, 3100)
+
+    def test_the_home_learns_of_a_spill_and_fetches_what_it_lacks(self, cluster):
+        """Guards against a home that reuses only what it served itself."""
+        home, _, _ = cluster.serve("chat", 3000)
+        target, run, request = spill(cluster, "chat", 3300)
+        cluster.complete(target, request, run)
+        assert cluster.caches[home]["chat"] == 3400
+        assert "chat" not in cluster.caches[target]
+        assert cluster.planners[target].notices == {}
+
+    def test_notice_is_repeated_until_the_home_answers(self, cluster):
+        """Guards against a spilled chat forgotten because a datagram was lost."""
+        home, _, _ = cluster.serve("chat", 3000)
+        target, run, request = spill(cluster, "chat", 3300)
+        cluster.silent = {home}
+        cluster.complete(target, request, run)
+        assert cluster.caches[home]["chat"] == 3100
+        cluster.silent = set()
+        cluster.advance(2500)
+        assert cluster.caches[home]["chat"] == 3400
+
+    def test_engines_that_cannot_drop_keep_the_prefix_where_it_was_served(self):
+        """Guards against duplicates that displace other chats' prefixes."""
+        cluster = PlannerCluster(6)
+        for planner in cluster.planners.values():
+            planner.engine_releases = False
+        cluster.advance(2000)
+        home, _, _ = cluster.serve("chat", 3000)
+        target, run, request = spill(cluster, "chat", 3300)
+        cluster.complete(target, request, run)
+        assert cluster.caches[home]["chat"] == 3100
+        entry = cluster.planners[home].index.get("chat")
+        assert (entry.elsewhere, entry.elsewhere_tokens) == (target, 3400)
+        refusal = cluster.decide(home, cluster.request("chat", 3600))
+        assert refusal.candidates[0].address == target
+        assert refusal.candidates[0].warm
+
+    def test_waits_while_that_is_cheaper_than_prefilling(self, cluster):
+        """Guards against a spill for a moment's excess of load."""
+        cluster.serve("chat", 8000)
+        request = cluster.request("chat", 8050)
+        home = request.ranked[0]
+        planner = cluster.planners[home]
+        cluster.fill(home, 900)
+        # Work ends often enough that room is expected soon.
+        planner.finished_work.append((cluster.clock.now_ms(), 50_000.0))
+        planner.finished_total += 50_000.0
+        decision = planner.plan(request)
+        assert isinstance(decision, Wait)
+        assert not decision.queries
+        assert decision.until_ms - cluster.clock.now_ms() <= MAX_WAIT_MS
+        planner.finish(next(iter(planner.running)), 0, 0, 0)
+        assert planner.take_ready() == [request.id]
+        assert isinstance(planner.plan(request), Run)
+
+    @pytest.mark.parametrize("script_known", [False, True])
+    def test_the_script_prefix_attracts_nothing(self, cluster, script_known):
+        """Guards against waiting for a prefix that every engine holds."""
+        request = overload_home(cluster, "chat", 8000)
+        planner = cluster.planners[request.ranked[0]]
+        planner.finished_total = 1e9
+        planner.index.record("chat", 7900, cluster.clock.now_ms())
+        if script_known:
+            planner.index.observe_new_chat("route", 7900)
+        decision = planner.plan(request)
+        assert isinstance(decision, Wait)
+        assert bool(decision.queries) == script_known
+
+    def test_refusal_names_members_with_room_first(self, cluster):
+        """Guards against attempts at engines that would refuse as well."""
+        request = overload_home(cluster, "chat")
+        home, idle = request.ranked[0], request.ranked[3]
+        planner = cluster.planners[home]
+        busy = [a for a in cluster.planners if a not in (home, idle)][:2]
+        for address in busy:
+            cluster.fill(address, 5000)
+        planner.peers = [*busy, idle]
+        refusal = cluster.decide(home, request)
+        assert refusal.candidates[0].address == idle
+
+    def test_a_lost_answer_costs_only_a_prefill(self, cluster):
+        """Guards against a request that hangs on a silent peer."""
+        cluster.silent = set(cluster.planners)
+        request = cluster.request("chat", 3000)
+        run = cluster.decide(request.ranked[0], request)
+        assert (run.import_from, run.cached_tokens) == ("", 0)
+
+    def test_a_new_home_asks_the_next_in_the_ranking(self, cluster):
+        """Guards against cold chats after an engine joins."""
+        ranked = cluster.router.rank("chat", 2, "r")
+        joined = ranked[0]
+        others = [m for m in cluster.members if m != joined]
+        cluster.update(others)
+        old_home, _, _ = cluster.serve("chat", 3000)
+        assert old_home == ranked[1].instance.address
+        cluster.update(cluster.members)
+        assert cluster.serve("chat", 3300) == (joined.instance.address, 0, 3100)
+
+    def test_progress_and_the_end_take_work_out_of_the_load(self, cluster):
+        """Guards against load that drifts from the work outstanding."""
+        request = cluster.request("chat", 1000, 100)
+        planner = cluster.planners[request.ranked[0]]
+        run = cluster.decide(request.ranked[0], request)
+        assert planner.tokens == run.work == 140
+        planner.progress(request.id, 30)
+        assert planner.tokens == 70
+        planner.progress(request.id, 1000)
+        assert planner.tokens == pytest.approx(10)
+        planner.abandon(request.id)
+        assert planner.tokens == 0
+        assert planner.finish(request.id, 0, 0, 1100) == []
+
+    def test_served_of_an_older_state_is_answered_at_once(self, cluster):
+        """Guards against notices repeated for what the home already holds."""
+        home, _, _ = cluster.serve("chat", 3000)
+        answers = cluster.planners[home].receive(Served("chat", 2000), "x")
+        assert [a.address for a in answers] == ["x"]
+        assert cluster.planners[home].take_fetch() is None
