--- a/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
@@ -270,6 +270,8 @@
         self.mean = PoolMean(self.address, clock, random, member.weight)
         self.index = PrefixIndex()
         self.placement = Placement()
+        self.earlier = Placement()
+        self.leaving: set[str] = set()
         self.members: dict[str, Member] = {}
         self.peers: list[str] = []
         self.running: dict[str, Running] = {}
@@ -295,8 +297,15 @@
         gone = self.members.keys() - {m.instance.address for m in members}
         self.members = {m.instance.address: m for m in members}
         self.mean.set_members(a for a, m in self.members.items() if not m.draining)
-        others = (m for m in members if m.instance.address != self.address)
+        others = [m for m in members if m.instance.address != self.address]
         self.placement.update(others, held_down)
+        # Members that are leaving, ranked as before, may still hold prefixes.
+        self.leaving = {a for a, m in self.members.items() if m.draining}
+        self.earlier.update(
+            [msgspec.structs.replace(m, draining=False) for m in members]
+            if self.leaving
+            else []
+        )
         region = self.member.instance.region
         near = [m for m in self.placement.members if m.instance.region == region]
         self.peers = [m.instance.address for m in near or self.placement.members]
@@ -378,6 +387,10 @@
         if self.gain_ms(request.prompt_tokens - local) < MIN_GAIN_MS:
             return ()
         peers = [a for a in request.ranked if a != self.address][:ASK_PEERS]
+        region = self.member.instance.region
+        for member in self.earlier.rank(request.chat, 1, region):
+            if member.instance.address in self.leaving:
+                peers.append(member.instance.address)
         waiting.unanswered = set(peers)
         waiting.asked_until_ms = self.clock.now_ms() + ASK_TIMEOUT_MS
         return tuple(ReuseOutgoing(a, PrefixQuery(request.chat)) for a in peers)
