--- a/packages/medlarridge-standins/src/medlarridge_standins/measure/pool_model.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/measure/pool_model.py
@@ -12,7 +12,7 @@
 from random import Random
 
 from medlarridge._internal.clock import MS_PER_S, ManualClock
-from medlarridge._internal.coordination.load_bound import STALE_AFTER_MS
+from medlarridge._internal.coordination.load_bound import FLOOR_REQUESTS, STALE_AFTER_MS
 from medlarridge._internal.coordination.placement import Placement
 from medlarridge._internal.coordination.pool_mean import WINDOW_MS, MeanMessage
 from medlarridge._internal.coordination.prefix_index import CacheEvent, CacheEventKind
@@ -65,6 +65,7 @@
     admissions: int = 0
     violations: int = 0
     above_instant: int = 0
+    above_average: int = 0
     worst_admission: float = 0.0
     worst_skew: float = 0.0
     skew_sum: float = 0.0
@@ -683,24 +684,26 @@
             self.counts.skew_samples += 1
 
     def check_bound(self, engine: ModelEngine, run: Run) -> None:
-        """Check an admission against the load bound as docs/decisions states it."""
-        counts, planner = self.counts, engine.planner
+        """Check an admission against docs/decisions/load-bound.md."""
+        counts, planner, weight = self.counts, engine.planner, engine.member.weight
         counts.admissions += 1
-        load = planner.load
-        floor = planner.bound.least(run.work, engine.member.weight)
+        load, usual = planner.load, planner.bound.usual_work
         estimate = planner.mean.estimate()
         age_ms = estimate.age_ms if estimate else 0
         counts.age_sum += age_ms
         counts.worst_age = max(counts.worst_age, age_ms)
         counts.stale += age_ms > STALE_AFTER_MS
-        if load <= floor:
+        if load <= max(run.work, FLOOR_REQUESTS * usual) / weight:
             return
         instant = self.true_mean(accounted=True)
         counts.worst_admission = max(counts.worst_admission, load / instant)
         counts.above_instant += load > BOUND * instant + TOLERANCE
-        since = self.clock.now_ms() - min(max(WINDOW_MS, age_ms), STALE_AFTER_MS)
+        now = self.clock.now_ms()
+        recent = [m for at, m in self.means if at >= now - WINDOW_MS] + [instant]
+        counts.above_average += load > BOUND * sum(recent) / len(recent) + TOLERANCE
+        since = now - min(max(WINDOW_MS, age_ms), STALE_AFTER_MS)
         highest = max([instant] + [m for at, m in self.means if at >= since])
-        limit = planner.bound.scale(highest, engine.member.weight)
+        limit = max(BOUND * highest, highest + usual / weight)
         if age_ms > STALE_AFTER_MS:
-            limit = estimate.own_load
+            limit = min(limit, estimate.own_load)
         counts.violations += load > limit + TOLERANCE
--- a/packages/medlarridge-standins/src/medlarridge_standins/measure/reuse.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/measure/reuse.py
@@ -94,6 +94,11 @@
             100 * counts.above_instant / max(1, counts.admissions),
             "% of adm.",
         ),
+        Row(
+            f"{name}: above bound x mean averaged over 2 s",
+            100 * counts.above_average / max(1, counts.admissions),
+            "% of adm.",
+        ),
         Row(
             f"{name}: worst load after admission",
             counts.worst_admission,
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
@@ -12,13 +12,25 @@
 
 import msgspec
 
-from ..clock import MS_PER_S, Clock
+from ..clock import Clock
 from ..identity import Member
 from ..protocol.messages import Candidate
 from .load_bound import LoadBound, OverBound
 from .placement import Placement
 from .pool_mean import MeanMessage, Outgoing, PoolMean
 from .prefix_index import CacheEvent, PrefixEntry, PrefixIndex
+from .reuse_costs import ReuseCosts
+from .reuse_messages import (
+    HandOver,
+    LoadAnswer,
+    LoadQuery,
+    PrefixAnswer,
+    PrefixQuery,
+    Release,
+    ReuseMessage,
+    ReuseOutgoing,
+    Served,
+)
 
 MAX_WAIT_MS = 600
 FIRST_TOKEN_MS = 760
@@ -36,71 +48,6 @@
 SERVED_RETRY_MS = 2000
 SERVED_TRIES = 3
 DRAIN_WINDOW_MS = 10_000
-RATE_SMOOTHING = 0.1
-
-
-class PrefixQuery(msgspec.Struct, tag=13, array_like=True, frozen=True):
-    """Ask a peer which prefix of a chat it holds."""
-
-    chat: str
-
-
-class PrefixAnswer(msgspec.Struct, tag=14, array_like=True, frozen=True):
-    """The prefix held by the sender and by another engine it knows of."""
-
-    chat: str
-    tokens: int
-    elsewhere: str = ""
-    elsewhere_tokens: int = 0
-
-
-class Served(msgspec.Struct, tag=15, array_like=True, frozen=True):
-    """Tell a chat's home that the sender served the chat."""
-
-    chat: str
-    tokens: int
-
-
-class HandOver(msgspec.Struct, tag=16, array_like=True, frozen=True):
-    """Tell the next in a chat's ranking that its present holder is leaving."""
-
-    chat: str
-    tokens: int
-    holder: str
-
-
-class Release(msgspec.Struct, tag=17, array_like=True, frozen=True):
-    """Tell a spill target that the chat's home now holds the prefix as well."""
-
-    chat: str
-    tokens: int
-
-
-class LoadQuery(msgspec.Struct, tag=18, array_like=True, frozen=True):
-    """Ask a peer whether it would admit a request of that much work."""
-
-    number: int
-    work: int
-
-
-class LoadAnswer(msgspec.Struct, tag=19, array_like=True, frozen=True):
-    """The sender's load with the work, in thousandths of its limit."""
-
-    number: int
-    share: int
-
-
-ReuseMessage = (
-    PrefixQuery | PrefixAnswer | Served | HandOver | Release | LoadQuery | LoadAnswer
-)
-
-
-@dataclass(frozen=True)
-class ReuseOutgoing:
-    """A datagram about a prefix to send."""
-
-    address: str
-    message: ReuseMessage
 
 
 @dataclass(frozen=True)
@@ -161,45 +108,6 @@
     holder: str
 
 
-@dataclass
-class ReuseCosts:
-    """Cost of prefilling and of importing, corrected by what is observed."""
-
-    prefill_tokens_per_s: float = 10_000.0
-    import_tokens_per_s: float = 100_000.0
-    import_overhead_ms: float = 10.0
-    block_tokens: int = 16
-    # Tokens that the engine generates in the time it prefills one prompt token: 8
-    # requests at 50 tokens/s against 10,000 tokens/s.
-    prefill_work: float = 0.04
-
-    def prefill_ms(self, tokens: int) -> float:
-        """Return the expected time to prefill."""
-        return MS_PER_S * tokens / self.prefill_tokens_per_s
-
-    def import_ms(self, tokens: int) -> float:
-        """Return the expected time to import."""
-        transfer_ms = MS_PER_S * tokens / self.import_tokens_per_s
-        return self.import_overhead_ms + transfer_ms
-
-    def observe_prefill(self, tokens: int, duration_ms: float) -> None:
-        """Learn from a prefill."""
-        if tokens >= self.block_tokens and duration_ms > 0:
-            rate = MS_PER_S * tokens / duration_ms
-            self.prefill_tokens_per_s += RATE_SMOOTHING * (
-                rate - self.prefill_tokens_per_s
-            )
-
-    def observe_import(self, tokens: int, duration_ms: float) -> None:
-        """Learn from an import."""
-        transfer_ms = duration_ms - self.import_overhead_ms
-        if tokens >= self.block_tokens and transfer_ms > 0:
-            rate = MS_PER_S * tokens / transfer_ms
-            self.import_tokens_per_s += RATE_SMOOTHING * (
-                rate - self.import_tokens_per_s
-            )
-
-
 @dataclass
 class Running:
     """A request whose work is counted in the load."""
--- a/packages/medlarridge/tests/unit/coordination/test_reuse_planner.py
+++ b/packages/medlarridge/tests/unit/coordination/test_reuse_planner.py
@@ -1,10 +1,10 @@
 import pytest
 
+from medlarridge._internal.coordination.reuse_messages import Served
 from medlarridge._internal.coordination.reuse_planner import (
     MAX_WAIT_MS,
     Refuse,
     Run,
-    Served,
     Wait,
 )
 from medlarridge_standins.planner_cluster import PlannerCluster
