--- a/packages/medlarridge/src/medlarridge/_internal/coordination/pool_mean.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/pool_mean.py
@@ -127,7 +127,9 @@
         self.random = random
         self.weight = weight
         self.tokens = 0.0
-        self.orders: list[list[tuple[int, str]]] = [[] for _ in range(TREES)]
+        # Until it has a member list a node answers, but starts no round.
+        self.listed = False
+        self.orders = [[(position(tree, address), address)] for tree in range(TREES)]
         self.ranks = [0] * TREES
         self.rounds: dict[int, Round] = {}
         self.open_rounds: dict[int, Round] = {}
@@ -140,6 +142,7 @@
 
     def set_members(self, addresses: Iterable[str]) -> None:
         """Replace the list of the pool's sidecars."""
+        self.listed = True
         members = {self.address, *addresses}
         for tree in range(TREES):
             order = sorted((position(tree, a), a) for a in members)
@@ -171,7 +174,7 @@
     def takeover_ms(self, tree: int) -> int:
         """Return when this node starts a round itself."""
         rank = self.ranks[tree]
-        if rank >= TAKEOVER_RANKS or not self.orders[tree]:
+        if rank >= TAKEOVER_RANKS or not self.listed:
             return self.clock.now_ms() + TREE_PERIOD_MS
         if rank:
             # One live tree suffices, so only silence of all trees counts.
--- a/packages/medlarridge/tests/unit/coordination/test_pool_mean.py
+++ b/packages/medlarridge/tests/unit/coordination/test_pool_mean.py
@@ -89,6 +89,17 @@
         model.run(STALE_AFTER_MS + 1500)
         assert estimates(model) == []
 
+    def test_a_node_without_a_member_list_answers_but_starts_nothing(self):
+        """Guards against a new sidecar that fails on its first ask, or takes its own
+        load for the pool's.
+        """
+        clock = ManualClock()
+        mean = PoolMean("a", clock, Random(1))
+        clock.advance(10_000)
+        assert mean.tick() == []
+        reply = mean.receive(MeanAsk(0, 1, 0, POSITION_RANGE, 100), "b")[0]
+        assert (reply.address, reply.message.members) == ("b", 1)
+
     def test_a_repeated_ask_counts_nothing(self):
         """Guards against a member counted by two parents in one round."""
         clock = ManualClock()
