Enforce account limits and carry out engine orders in the daemons

Cause: both parts existed without anything that runs them; calls without a result stayed open in the ledger. Change: an account limiter per router with datagrams to the accounts' homes; a duty that plans and sends orders, the sidecar as the only sender to its engine; the ledger is told of calls that ended without a result.

--- a/packages/medlarridge-router/src/medlarridge_router/_internal/daemon.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/daemon.py
@@ -1,22 +1,20 @@
 """The router as a process: its servers and their shutdown."""
 
-from random import Random
-
 import anyio
 import httpx
 
-from medlarridge._internal.clock import SystemClock
-from medlarridge._internal.fleet import FleetView
-from medlarridge._internal.identity import Instance
 from medlarridge._internal.metrics import RouterMetrics
+from medlarridge._internal.node import LIMIT_KIND, REPORT_KIND, Node
 from medlarridge._internal.operator import operator_endpoints
 from medlarridge._internal.settings import RouterSettings
 from medlarridge._internal.transport.asgi import HttpRequest, HttpResponse
 from medlarridge._internal.transport.auth import SharedKey
 from medlarridge._internal.transport.server import serve_http
 
+from .account_limits import AccountLimits
 from .endpoints import caller_endpoints
 from .explain import explain_route
+from .order_duty import OrderDuty
 from .router import Router
 
 DRAIN_POLL_S = 0.02
@@ -25,23 +23,32 @@
 class RouterDaemon:
     """Servers of one router around its decision parts."""
 
-    def __init__(
-        self, settings: RouterSettings, instance: Instance, fleet: FleetView
-    ) -> None:
+    def __init__(self, settings: RouterSettings, node: Node) -> None:
         self.settings = settings
-        self.fleet = fleet
+        self.node = node
+        self.fleet = node.fleet
         self.key = SharedKey(settings.shared_key.get_secret_value())
         self.metrics = RouterMetrics()
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=64)
         self.client = httpx.AsyncClient(limits=limits)
+        self.limits = AccountLimits(
+            node.instance, node.fleet, node.fleet, node.clock, node.random
+        )
+        node.cluster.register(LIMIT_KIND, self.limits.receive)
+        self.orders = OrderDuty(
+            node, self.client, self.key, settings.weight_loads_per_min
+        )
+        node.cluster.register(REPORT_KIND, self.orders.receive)
         self.router = Router(
-            instance,
-            fleet,
+            node.instance,
+            node.fleet,
             self.client,
             self.key,
-            SystemClock(),
-            Random(instance.number),
+            node.clock,
+            node.random,
             self.metrics,
+            self.limits,
+            settings.max_in_flight,
         )
 
     async def run(self, stop: anyio.Event) -> None:
@@ -60,12 +67,23 @@
         async with self.client, anyio.create_task_group() as tasks:
             tasks.start_soon(serve_http, callers, self.settings.callers, closed.wait)
             tasks.start_soon(serve_http, operator, self.settings.operator, closed.wait)
+            background = anyio.CancelScope()
+            tasks.start_soon(self.run_background, background)
             await stop.wait()
             self.router.drain.leave()
             while self.router.drain.in_flight:
                 await anyio.sleep(DRAIN_POLL_S)
+            background.cancel()
             closed.set()
 
+    async def run_background(self, scope: anyio.CancelScope) -> None:
+        """Run limits and duties until the scope is cancelled."""
+        with scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.limits.run)
+                tasks.start_soon(self.orders.run)
+                tasks.start_soon(self.node.run_duty, self.orders.lease)
+
     def not_ready(self) -> str:
         """Return why the router should get no requests, or nothing."""
         if self.router.drain.leaving:
--- /dev/null
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/order_duty.py
@@ -0,0 +1,119 @@
+"""Duty of sending orders to engines, held by one router at a time."""
+
+import anyio
+import httpx
+import msgspec
+
+from medlarridge._internal.clock import MS_PER_S, Clock
+from medlarridge._internal.coordination.lease import Lease
+from medlarridge._internal.coordination.orders import (
+    EngineReport,
+    Order,
+    OrderController,
+    OrderRefusal,
+    WantedState,
+    WeightLoadLimit,
+)
+from medlarridge._internal.errors import CodecError
+from medlarridge._internal.events import register
+from medlarridge._internal.fleet import FleetView
+from medlarridge._internal.log import log_event
+from medlarridge._internal.node import ORDER_DUTY, Node
+from medlarridge._internal.protocol.tables import PoolKind
+from medlarridge._internal.state.orders_exchange import OrderJournal
+from medlarridge._internal.transport.auth import SharedKey
+
+PLAN_INTERVAL_MS = 1_000
+SEND_TIMEOUT_MS = 5_000
+
+ORDER_SENT = register(1100, "INFO", "order sent to an engine's sidecar")
+ORDER_FAILED = register(1101, "WARNING", "order was not taken")
+
+_decoder = msgspec.msgpack.Decoder(EngineReport)
+_encoder = msgspec.msgpack.Encoder()
+
+
+class OrderDuty:
+    """Plans, records and sends orders while this router holds the lease.
+
+    The lease only saves work: an order of a holder that was paused carries an old
+    fencing number, which the store and the sidecars refuse.
+    """
+
+    def __init__(
+        self, node: Node, client: httpx.AsyncClient, key: SharedKey, loads_per_min: int
+    ) -> None:
+        self.clock: Clock = node.clock
+        self.random = node.random
+        self.fleet: FleetView = node.fleet
+        self.client = client
+        self.key = key
+        self.loads_per_min = loads_per_min
+        self.lease = Lease(ORDER_DUTY, node.instance, node.clock, node.random)
+        self.journal = OrderJournal(node.store)
+        self.controller: OrderController | None = None
+
+    def current(self) -> OrderController | None:
+        """Return the controller of the current term, nothing without the lease."""
+        if not self.lease.is_held():
+            self.controller = None
+        elif self.controller is None or self.controller.fencing != self.lease.fencing:
+            limit = WeightLoadLimit(self.clock, self.loads_per_min, burst=1)
+            self.controller = OrderController(
+                self.lease.fencing, self.clock, self.random, limit
+            )
+        return self.controller
+
+    async def receive(self, source: str, payload: bytes) -> None:
+        """Take the report of a sidecar."""
+        try:
+            report = _decoder.decode(payload)
+        except msgspec.MsgspecError as error:
+            raise CodecError(
+                f"malformed report: {error}", step="decode datagram", peer=source
+            ) from error
+        controller = self.current()
+        if controller is not None and report.server == source:
+            controller.on_report(report)
+
+    async def run(self) -> None:
+        """Send the orders that are due, once a second."""
+        while True:
+            await anyio.sleep(PLAN_INTERVAL_MS / MS_PER_S)
+            controller = self.current()
+            if controller is None:
+                continue
+            for order in controller.plan(self.wanted()):
+                await self.send(controller, order)
+
+    def wanted(self) -> dict[str, WantedState]:
+        """Return what the tables want of each engine pool."""
+        return {
+            name: WantedState(tuple(pool.models), tuple(pool.adapters))
+            for name, pool in self.fleet.tables.pools.items()
+            if pool.kind is PoolKind.ENGINE
+        }
+
+    async def send(self, controller: OrderController, order: Order) -> None:
+        """Record an order, then send it to the sidecar."""
+        refusal = (await self.journal.record(order)).err()
+        if refusal is None:
+            refusal = await self.post(order)
+        if refusal is None:
+            log_event(ORDER_SENT, server=order.server, kind=order.kind, name=order.name)
+            return
+        log_event(ORDER_FAILED, server=order.server, kind=order.kind, reason=refusal)
+        controller.on_failure(order)
+
+    async def post(self, order: Order) -> OrderRefusal | str | None:
+        """Return why the sidecar did not take an order, nothing if it did."""
+        try:
+            reply = await self.client.post(
+                f"http://{order.server}/orders",
+                content=_encoder.encode(order),
+                headers=self.key.headers(),
+                timeout=SEND_TIMEOUT_MS / MS_PER_S,
+            )
+        except httpx.TransportError as error:
+            return f"not sent: {error!r}"
+        return None if reply.is_success else reply.text
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
@@ -75,6 +75,13 @@
             message = f"no route {self.caller.route!r}"
             await self.fail(Failure(Outcome.NOT_RUN, 404, message))
             return
+        if (retry_after_ms := self.over_limit_ms()) > 0:
+            self.router.metrics.requests.labels(
+                self.caller.route, Outcome.NOT_RUN
+            ).inc()
+            message = f"account {self.caller.account!r} is over its limit"
+            await self.fail(Failure(Outcome.NOT_RUN, 429, message, retry_after_ms))
+            return
         self.deadline_ms = self.started_ms + min(
             self.caller.deadline_ms or route.deadline_ms, route.deadline_ms
         )
@@ -84,6 +91,13 @@
         if failure is not None:
             await self.fail(failure)
 
+    def over_limit_ms(self) -> int:
+        """Return when to come back if the account is over its limit, else 0."""
+        limits = self.router.limits
+        if limits is None:
+            return 0
+        return limits.retry_after_ms(self.caller.route, self.caller.account)
+
     async def fail(self, failure: Failure) -> None:
         """Tell the caller that there is no whole answer."""
         if not self.sink.committed:
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
@@ -20,11 +20,13 @@
 from medlarridge._internal.transport.asgi import AnswerCut, HttpRequest, HttpResponse
 from medlarridge._internal.transport.auth import SharedKey
 
+from .account_limits import AccountLimits
 from .failures import Failure
 from .placements import PoolPlacements
 from .request_run import RequestRun
 
 REQUEST_ID_BITS = 96
+DEFAULT_MAX_IN_FLIGHT = 2_000
 
 
 class Router:
@@ -39,6 +41,8 @@
         clock: Clock,
         random: Random,
         metrics: RouterMetrics,
+        limits: AccountLimits | None = None,
+        max_in_flight: int = DEFAULT_MAX_IN_FLIGHT,
     ) -> None:
         self.instance = instance
         self.fleet = fleet
@@ -47,6 +51,8 @@
         self.clock = clock
         self.random = random
         self.metrics = metrics
+        self.limits = limits
+        self.max_in_flight = max_in_flight
         self.drain = Drain()
         self.planner = RetryPlanner(clock, random)
         self.placements = PoolPlacements(fleet)
@@ -56,6 +62,12 @@
     ) -> None:
         """Answer one request."""
         request_id = f"{self.random.getrandbits(REQUEST_ID_BITS):024x}"
+        if self.drain.in_flight >= self.max_in_flight:
+            failure = Failure(
+                Outcome.NOT_RUN, 503, "too many requests in flight", MS_PER_S
+            )
+            await self.reply_failure(response, request_id, failure)
+            return
         if not self.drain.start_work():
             failure = Failure(Outcome.NOT_RUN, 503, "this router is leaving", MS_PER_S)
             await self.reply_failure(response, request_id, failure)
--- a/packages/medlarridge-router/src/medlarridge_router/commands/serve.py
+++ b/packages/medlarridge-router/src/medlarridge_router/commands/serve.py
@@ -26,6 +26,6 @@
         """Run the daemon."""
         settings = load_settings(self.settings, RouterSettings)
         node = Node(settings, NodeIdentity(Role.ROUTER))
-        daemon = RouterDaemon(settings, node.instance, node.fleet)
+        daemon = RouterDaemon(settings, node)
         anyio.run(run_process, settings, node, daemon)
         return ExitStatus.OK
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/crash_gate.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/crash_gate.py
@@ -19,6 +19,7 @@
 from medlarridge._internal.events import register
 from medlarridge._internal.fleet import FleetView
 from medlarridge._internal.log import log_event
+from medlarridge._internal.node import SUSPECT_KIND
 from medlarridge._internal.protocol.messages import NotRun, Refusal
 from medlarridge._internal.protocol.suspects import SuspectNotices
 
@@ -28,7 +29,6 @@
 from .server_monitor import ServerMonitor
 from .server_result import CallState
 
-SUSPECT_KIND = 3
 IDLE_POLL_MS = 50
 SAVE_TIMEOUT_MS = 2_000
 SAVE_INTERVAL_MS = 500
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/daemon.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/daemon.py
@@ -9,7 +9,7 @@
 from medlarridge._internal.coordination.fair_queue import FairQueue
 from medlarridge._internal.coordination.reuse_planner import ReusePlanner
 from medlarridge._internal.metrics import SidecarMetrics
-from medlarridge._internal.node import Node
+from medlarridge._internal.node import REUSE_KIND, SUSPECT_KIND, Node
 from medlarridge._internal.operator import operator_endpoints
 from medlarridge._internal.protocol.tables import DEFAULT_LOAD_BOUND, PoolKind
 from medlarridge._internal.settings import SidecarSettings
@@ -17,13 +17,14 @@
 from medlarridge._internal.transport.auth import SharedKey
 from medlarridge._internal.transport.server import serve_http
 
-from .crash_gate import SUSPECT_KIND, CrashGate
+from .crash_gate import CrashGate
 from .endpoints import sidecar_endpoints
 from .engine_gate import EngineGate
+from .engine_orders import EngineOrders
 from .engine_work import EngineWork
 from .kv_transfer import KvTransfer
 from .ledger_gate import LedgerGate
-from .reuse_messages import REUSE_KIND, ReuseMessages
+from .reuse_messages import ReuseMessages
 from .server_call import ServerClient
 from .server_monitor import ServerMonitor
 from .sidecar import Sidecar
@@ -84,7 +85,8 @@
             node.cluster,
             node.cluster.membership.random_peers,
         )
-        self.crash_gate.server_restarted = self.work.server_restarted
+        self.crash_gate.server_restarted = self.server_restarted
+        self.orders = EngineOrders(node, settings.pool, settings.server, self.client)
         ledger_gate = LedgerGate(self.ledger, node.fleet, node.clock)
         self.sidecar = Sidecar(
             node.instance,
@@ -100,6 +102,11 @@
         node.cluster.register(REUSE_KIND, self.messages.receive)
         node.cluster.register(SUSPECT_KIND, self.crash_gate.receive)
 
+    def server_restarted(self) -> None:
+        """Forget what is known of the server before its death."""
+        self.work.server_restarted()
+        self.orders.server_restarted()
+
     def is_engine(self) -> bool:
         """Return whether the tables say that the server is a model engine."""
         pool = self.fleet.tables.pools.get(self.settings.pool)
@@ -118,6 +125,7 @@
         """Serve until told to stop and every attempt in flight has ended."""
         closed = anyio.Event()
         links = sidecar_endpoints(self.sidecar, self.key, self.transfer)
+        self.orders.add_endpoint(links, self.key)
         operator = operator_endpoints(
             self.metrics.registry, self.key, self.not_ready, self.status
         )
@@ -143,6 +151,7 @@
         tasks.start_soon(self.messages.run)
         tasks.start_soon(self.monitor.run)
         tasks.start_soon(self.crash_gate.run)
+        tasks.start_soon(self.orders.run)
         tasks.start_soon(self.work.follow_events)
         tasks.start_soon(self.work.fetch_prefixes)
 
--- /dev/null
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/engine_orders.py
@@ -0,0 +1,179 @@
+"""Orders to the engine: guard, execution and reports of what it lacks."""
+
+import anyio
+import anyio.abc
+import httpx
+import msgspec
+from result import Err
+
+from medlarridge._internal.clock import MS_PER_S
+from medlarridge._internal.coordination.lease import LeaseRecord
+from medlarridge._internal.coordination.orders import (
+    LOADS_WEIGHTS,
+    EngineReport,
+    Order,
+    OrderGuard,
+    OrderKind,
+    OrderRefusal,
+    WantedState,
+    next_need,
+)
+from medlarridge._internal.errors import TransportError
+from medlarridge._internal.events import register
+from medlarridge._internal.log import log_event
+from medlarridge._internal.node import ORDER_DUTY, REPORT_KIND, Node
+from medlarridge._internal.protocol.tables import PoolKind
+from medlarridge._internal.state.keys import lease_key
+from medlarridge._internal.state.orders_exchange import OrderJournal
+from medlarridge._internal.transport.asgi import (
+    Endpoints,
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+)
+from medlarridge._internal.transport.auth import SharedKey
+
+REPORT_INTERVAL_MS = 10_000
+ORDER_TIMEOUT_MS = 300_000
+MAX_ORDER_BYTES = 4096
+
+ORDER_DONE = register(2020, "INFO", "engine carried out an order")
+ORDER_REFUSED = register(2021, "WARNING", "order refused")
+ENGINE_FAILED = register(2022, "ERROR", "engine did not carry out an order")
+REPORT_TOO_LARGE = register(2023, "ERROR", "report of the engine does not fit")
+
+_encoder = msgspec.msgpack.Encoder()
+_order_decoder = msgspec.msgpack.Decoder(Order)
+_lease_decoder = msgspec.msgpack.Decoder(LeaseRecord)
+
+
+class EngineOrders:
+    """The only sender of orders to the engine beside this sidecar."""
+
+    def __init__(
+        self, node: Node, pool: str, server: str, client: httpx.AsyncClient
+    ) -> None:
+        self.node = node
+        self.pool = pool
+        self.server = server.rstrip("/")
+        self.client = client
+        self.journal = OrderJournal(node.store)
+        self.guard = OrderGuard(node.instance.address, node.instance.number)
+        self.models: list[str] = []
+        self.adapters: list[str] = []
+        self.tasks: anyio.abc.TaskGroup | None = None
+
+    def add_endpoint(self, endpoints: Endpoints, key: SharedKey) -> None:
+        """Serve orders of controllers."""
+
+        @endpoints.register("POST", "/orders")
+        async def take_order(request: HttpRequest, response: HttpResponse) -> None:
+            key.check(request)
+            body = await request.body(MAX_ORDER_BYTES)
+            try:
+                order = _order_decoder.decode(body)
+            except msgspec.MsgspecError as error:
+                raise HttpError(400, f"malformed order: {error}") from error
+            refusal = await self.take(order)
+            if refusal is not None:
+                raise HttpError(409, refusal)
+            await response.reply(202, b"")
+
+    async def take(self, order: Order) -> OrderRefusal | None:
+        """Check an order and start it, or return why it is refused."""
+        refusal = await self.journal.check(self.guard, order)
+        if refusal is None and self.tasks is not None:
+            self.tasks.start_soon(self.carry_out, order)
+        elif refusal is not None:
+            log_event(ORDER_REFUSED, kind=order.kind, name=order.name, reason=refusal)
+        return refusal
+
+    async def carry_out(self, order: Order) -> None:
+        """Pass an accepted order to the engine."""
+        try:
+            if not self.guard.may_send(order):
+                return
+            reply = await self.client.post(
+                f"{self.server}/orders",
+                json={
+                    "fencing_number": order.mark.fencing,
+                    "kind": order.kind,
+                    "name": order.name,
+                },
+                timeout=ORDER_TIMEOUT_MS / MS_PER_S,
+            )
+            if reply.is_success:
+                self.note_done(order)
+            else:
+                log_event(ENGINE_FAILED, kind=order.kind, status=reply.status_code)
+        except httpx.HTTPError as error:
+            log_event(ENGINE_FAILED, kind=order.kind, error=repr(error))
+        finally:
+            self.guard.finish(order)
+
+    def note_done(self, order: Order) -> None:
+        """Remember what the engine now has loaded."""
+        log_event(ORDER_DONE, kind=order.kind, name=order.name)
+        if order.kind is OrderKind.LOAD_ADAPTER:
+            self.adapters.append(order.name)
+        elif order.kind in LOADS_WEIGHTS:
+            name = order.name.partition("@")[0]
+            kept = [m for m in self.models if m.partition("@")[0] != name]
+            self.models = [*kept, order.name]
+
+    def report(self) -> EngineReport:
+        """Return what the engine has loaded."""
+        return EngineReport(
+            self.node.instance.address,
+            self.node.instance.number,
+            self.pool,
+            self.models,
+            self.adapters,
+            mark=self.guard.accepted,
+            busy=self.guard.running is not None,
+        )
+
+    def server_restarted(self) -> None:
+        """Forget what the engine had loaded before it ended."""
+        self.models, self.adapters = [], []
+
+    def has_need(self) -> bool:
+        """Return whether the tables want something that the engine lacks."""
+        pool = self.node.fleet.tables.pools.get(self.pool)
+        if pool is None or pool.kind is not PoolKind.ENGINE:
+            return False
+        wanted = WantedState(tuple(pool.models), tuple(pool.adapters))
+        return next_need(wanted, self.report()) is not None
+
+    async def run(self) -> None:
+        """Report to the controller for as long as the engine lacks something.
+
+        Engines that have what they need say nothing, so the controller's work does
+        not grow with the fleet.
+        """
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            while True:
+                await anyio.sleep(
+                    REPORT_INTERVAL_MS * self.node.random.uniform(0.5, 1) / MS_PER_S
+                )
+                if self.has_need() or self.guard.running is not None:
+                    await self.send_report()
+
+    async def send_report(self) -> None:
+        """Send a report to the holder of the lease."""
+        read = await self.node.store.get(lease_key(ORDER_DUTY))
+        if isinstance(read, Err) or read.ok_value is None:
+            return
+        try:
+            record = _lease_decoder.decode(read.ok_value.value)
+        except msgspec.MsgspecError:
+            return
+        if record.holder is None:
+            return
+        try:
+            await self.node.cluster.send(
+                record.holder.address, REPORT_KIND, _encoder.encode(self.report())
+            )
+        except TransportError as error:
+            log_event(REPORT_TOO_LARGE, error=str(error))
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/ledger_gate.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/ledger_gate.py
@@ -84,6 +84,8 @@
             await self.ledger.release(token)
         elif live.result is not None and live.result.state is CallState.COMPLETE:
             await self.ledger.finish(token, result_of(live))
+        else:
+            await self.ledger.abandon(token)
 
 
 def result_of(live: LiveAttempt) -> CallResult:
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/reuse_messages.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/reuse_messages.py
@@ -15,8 +15,8 @@
 )
 from medlarridge._internal.errors import CodecError
 from medlarridge._internal.fleet import FleetView
+from medlarridge._internal.node import REUSE_KIND
 
-REUSE_KIND = 2
 MAX_SLEEP_MS = 250
 MIN_SLEEP_MS = 5
 
--- a/packages/medlarridge/src/medlarridge/_internal/node.py
+++ b/packages/medlarridge/src/medlarridge/_internal/node.py
@@ -20,6 +20,12 @@
 from .state.vm_list import PlatformVmSource
 
 ACCEPTANCE_DUTY = "acceptance"
+ORDER_DUTY = "orders"
+REUSE_KIND = 2
+SUSPECT_KIND = 3
+LIMIT_KIND = 4
+REPORT_KIND = 5
+"""Kinds of datagrams besides gossip."""
 DUTY_CANDIDATES = 3
 """Processes that contend for a lease. More would only read it again and again."""
 DUTY_CHECK_S = 5
@@ -70,6 +76,14 @@
             if not membership.is_stable(member)
         }
 
+    def routers(self) -> list[Member]:
+        """Return the live routers, this process included if it is one."""
+        return self.cluster.membership.routers()
+
+    async def send(self, address: str, kind: int, payload: bytes) -> None:
+        """Send a datagram to another process; it may get lost."""
+        await self.cluster.send(address, kind, payload)
+
     def saw_generation(self, generation: int, address: str) -> None:
         """Fetch a newer configuration from the process that knows it."""
         if generation > self.generation:
--- a/packages/medlarridge/src/medlarridge/_internal/settings.py
+++ b/packages/medlarridge/src/medlarridge/_internal/settings.py
@@ -63,6 +63,7 @@
     callers: Endpoint
     max_body_bytes: int = Field(default=1024 * 1024, ge=1024, le=8 * 1024 * 1024)
     max_in_flight: int = Field(default=2_000, ge=1, le=100_000)
+    weight_loads_per_min: int = Field(default=6, ge=1, le=10_000)
 
 
 class SidecarSettings(ProcessSettings):
