Continue a repeatable stream elsewhere if the next run says the same

Cause: a chat whose engine died after the first piece always ended cut, although the request may be repeated and the answer is the same. Ruled out: passing the partial answer on as a prompt, which changes the request. Change: the router compares the next run with what the caller has seen, event by event without ids, passes over it and goes on; another answer or status cuts the stream. A refusal by a new instance after a lost connection stays unknown. Conclusion: streams survive the loss of an engine where the engine is deterministic.

--- a/packages/medlarridge-router/src/medlarridge_router/_internal/event_stream.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/event_stream.py
@@ -1,6 +1,7 @@
 """Server-sent events of a chat answer."""
 
 import msgspec
+import xxhash
 
 from medlarridge._internal.protocol.caller import OUTCOME_EVENT
 from medlarridge._internal.protocol.messages import Outcome
@@ -18,11 +19,10 @@
 
     def __init__(self) -> None:
         self.buffer = b""
-        self.events = 0
         self.done = False
 
-    def feed(self, data: bytes) -> bytes:
-        """Add bytes and return the whole events among them."""
+    def feed(self, data: bytes) -> list[bytes]:
+        """Add bytes and return the events that are now whole."""
         self.buffer = (self.buffer + data).replace(b"\r\n", b"\n")
         *events, self.buffer = self.buffer.split(EVENT_END)
         whole = []
@@ -30,9 +30,39 @@
             if event.strip() == DONE_EVENT:
                 self.done = True
             else:
-                self.events += 1
                 whole.append(event + EVENT_END)
-        return b"".join(whole)
+        return whole
+
+
+class EventLog:
+    """Number and digest of the events of a stream, by what they say."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.digest = xxhash.xxh3_128()
+
+    def add(self, event: bytes) -> None:
+        """Add the next event."""
+        self.count += 1
+        self.digest.update(meaning(event))
+
+    def equals(self, other: "EventLog") -> bool:
+        """Return whether both logs say the same."""
+        same = self.digest.digest() == other.digest.digest()
+        return self.count == other.count and same
+
+
+def meaning(event: bytes) -> bytes:
+    """Return the part of an event that does not differ between two runs.
+
+    Each run of a request has its own id and time stamps.
+    """
+    data = event.removeprefix(b"data:").strip()
+    try:
+        value = msgspec.json.decode(data)
+        return msgspec.json.encode(value["choices"], order="sorted")
+    except (msgspec.MsgspecError, KeyError, TypeError):
+        return event
 
 
 def outcome_event(outcome: Outcome, request_id: str, detail: str = "") -> bytes:
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
@@ -23,7 +23,7 @@
 from medlarridge._internal.transport.links import AttemptLink, LinkResult, LinkState
 
 from .failures import Failure, failure_of
-from .sinks import CallerSink
+from .sinks import AnswerDiffers, CallerSink
 
 if TYPE_CHECKING:
     from .router import Router
@@ -120,11 +120,14 @@
             )
         self.router.planner.add_request(target.pool)
         while True:
-            past = await self.attempt(route, target)
+            try:
+                past = await self.attempt(route, target)
+            except AnswerDiffers as error:
+                return Failure(Outcome.UNKNOWN, 502, error.message)
             if past is None:
                 return None
             history.append(past)
-            if self.sink.committed:
+            if not self.sink.can_restart:
                 return Failure(Outcome.UNKNOWN, 502, "the answer was cut")
             plan = self.router.planner.plan(self.retry_request(route, history))
             if not isinstance(plan, TryMember):
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/sinks.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/sinks.py
@@ -10,15 +10,19 @@
     REQUEST_HEADER,
 )
 from medlarridge._internal.protocol.messages import Head, Outcome
-from medlarridge._internal.transport.asgi import HttpResponse
+from medlarridge._internal.transport.asgi import AnswerCut, HttpResponse
 
-from .event_stream import EventSplitter, end_mark, outcome_event
+from .event_stream import EventLog, EventSplitter, end_mark, outcome_event
 
 HELD_BYTES = 1024 * 1024
 """Size up to which an answer is held, so that its outcome goes in a header and
 another attempt can still replace it."""
 
 
+class AnswerDiffers(AnswerCut):
+    """Another run of the request gave another answer, so the stream cannot go on."""
+
+
 class CallerSink:
     """Passes one answer to the caller, possibly from several attempts."""
 
@@ -38,14 +42,26 @@
         self.splitter: EventSplitter | None = None
         self.committed = False
         self.last_piece_ms: int | None = None
+        self.sent = EventLog()
+        self.repeated: EventLog | None = None
+
+    @property
+    def can_restart(self) -> bool:
+        """Return whether another attempt can still give the whole answer.
+
+        A stream of events can go on where it broke off if the next run says the
+        same up to there.
+        """
+        return not self.committed or self.sent.count > 0
 
     def next_attempt(self) -> None:
         """Forget what an earlier attempt gave and the caller has not seen."""
-        if self.committed:
+        if not self.can_restart:
             raise ValueError("the caller has already seen a part of the answer")
         self.head = None
         self.held.clear()
         self.splitter = None
+        self.repeated = EventLog() if self.sent.count else None
 
     async def take_head(self, head: Head) -> None:
         """Take status and headers of the answer."""
@@ -53,11 +69,13 @@
         kind = dict(head.headers).get("content-type", "")
         if kind.startswith("text/event-stream"):
             self.splitter = EventSplitter()
+        elif self.committed:
+            raise AnswerDiffers(f"another run of the request gave {head.status}")
 
     async def take_data(self, data: bytes) -> None:
         """Take the next piece of the body."""
         if self.splitter is not None:
-            data = self.splitter.feed(data)
+            data = self.new_events(self.splitter.feed(data))
             if not data:
                 return
             await self.commit()
@@ -71,6 +89,26 @@
         self.note_piece()
         await self.response.write(data)
 
+    def new_events(self, events: list[bytes]) -> bytes:
+        """Return the events that the caller has not seen."""
+        new = []
+        for event in events:
+            if self.repeated is not None:
+                self.repeat(event, self.repeated)
+            else:
+                self.sent.add(event)
+                new.append(event)
+        return b"".join(new)
+
+    def repeat(self, event: bytes, repeated: EventLog) -> None:
+        """Pass over an event that an earlier attempt gave."""
+        repeated.add(event)
+        if repeated.count < self.sent.count:
+            return
+        if not repeated.equals(self.sent):
+            raise AnswerDiffers("another run of the request gave another answer")
+        self.repeated = None
+
     def note_piece(self) -> None:
         """Report the time since the last piece; nothing for the first."""
         now_ms = self.clock.now_ms()
@@ -106,6 +144,8 @@
             raise ValueError("an answer without a head cannot be complete")
         if self.splitter is not None and not self.splitter.done:
             return Outcome.UNKNOWN
+        if self.repeated is not None:
+            return Outcome.UNKNOWN
         if not self.committed and self.splitter is None:
             self.note_piece()
             await self.response.reply(
@@ -124,7 +164,7 @@
 
     async def fail_stream(self, detail: str) -> None:
         """State the outcome of a stream that was cut; it gets no end mark."""
-        if self.splitter is not None:
+        if self.sent.count:
             await self.response.write(
                 outcome_event(Outcome.UNKNOWN, self.request_id, detail)
             )
--- a/packages/medlarridge/tests/features/not_run.feature
+++ b/packages/medlarridge/tests/features/not_run.feature
@@ -16,6 +16,13 @@
     Then the caller is told unknown with status 502
     And the server ran 1 calls
 
+  Scenario: The sidecar is replaced after it received the call
+    Given a service route whose calls may not be repeated
+    And its sidecar is replaced while the server runs the call
+    When a caller sends an invoice dispatch
+    Then the caller is told unknown with status 502
+    And the server ran 1 calls
+
   Scenario: The same failure where calls may be repeated
     Given a service route whose calls may be repeated
     And its first server closes the connection without an answer
--- a/packages/medlarridge/tests/features/path_support.py
+++ b/packages/medlarridge/tests/features/path_support.py
@@ -1,5 +1,6 @@
 """Backend servers that count what they run, for the path's scenarios."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -24,6 +25,7 @@
 class CountingEngine:
     pieces: int
     end_mark: bool = True
+    varies: bool = False
     after_pieces: dict = field(default_factory=dict)
     runs: int = 0
 
@@ -34,6 +36,8 @@
         async def complete(request, response):
             self.runs += 1
             body = await request.body()
+            if self.varies:
+                body += b" " * self.runs
             headers = [("content-type", "text/event-stream")]
             await response.start(200, headers)
             for number in range(self.pieces):
@@ -51,6 +55,7 @@
 @dataclass
 class CountingService:
     closes: bool = False
+    on_call: Callable | None = None
     runs: int = 0
 
     def endpoints(self):
@@ -60,6 +65,8 @@
         async def call(request, response):
             self.runs += 1
             await request.body()
+            if self.on_call is not None:
+                await self.on_call()
             if self.closes:
                 raise AnswerCut("closed without an answer")
             await response.reply(200, b"done")
--- a/packages/medlarridge/tests/features/test_not_run.py
+++ b/packages/medlarridge/tests/features/test_not_run.py
@@ -6,6 +6,7 @@
 from medlarridge._internal.protocol.codec import FrameReader, encode_frame
 from medlarridge._internal.protocol.messages import Chunk, End, NotRun
 from medlarridge_standins.local_fleet import KEY, local_fleet
+from medlarridge_standins.loop_transport import Fault
 
 from .path_support import CountingService, attempt_for, service_tables
 
@@ -38,6 +39,11 @@
     world["first_closes"] = True
 
 
+@given("its sidecar is replaced while the server runs the call")
+def sidecar_replaced(world):
+    world["replaced"] = True
+
+
 @when("a caller sends an invoice dispatch")
 def dispatch(world):
     anyio.run(call_router, world)
@@ -60,6 +66,17 @@
                 return
 
             fleet.transport.plan = plan
+        if world.get("replaced"):
+            server = world["servers"][0]
+
+            async def replace():
+                fleet.add_server("service-0", "services", server.endpoints(), 2)
+
+            server.on_call = replace
+            faults = [Fault()]
+            fleet.transport.plan = lambda request: (
+                faults.pop() if faults and request.url.path == "/attempts" else None
+            )
         with anyio.fail_after(30):
             world["reply"] = await fleet.client.post(
                 "http://router/services/desk/invoices", content=b"{}", timeout=20
