Keep the loss and return of a data centre within the byte budget

Suspicions now end with the summary entry, pages leave them out, and three answers in a row through peers mark a link.

--- a/packages/medlarridge/src/medlarridge/_internal/coordination/data_centre_watch.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/data_centre_watch.py
@@ -34,6 +34,7 @@
     table: MemberTable
     random: Random
     own_data_centre: str
+    own_address: str
     running: dict[str, Verification] = field(default_factory=dict)
     by_probe: dict[int, Verification] = field(default_factory=dict)
     last_ms: dict[str, int] = field(default_factory=dict)
@@ -62,6 +63,29 @@
         ] or list(self.table.data_centres[name].values())
         return self.random.sample(records, min(PROBES, len(records)))
 
+    def controls(self, name: str) -> list[Record]:
+        """Return members elsewhere that should answer, if possible near ones.
+
+        Seen from a data centre that lost all others, only near ones can answer.
+        """
+        near = self.alive_in(self.own_data_centre)
+        if len(near) < CONTROL_PROBES:
+            near = [
+                record
+                for other in self.table.data_centres
+                if other != name and other not in self.table.down
+                for record in self.alive_in(other)
+            ]
+        return self.random.sample(near, min(CONTROL_PROBES, len(near)))
+
+    def alive_in(self, name: str) -> list[Record]:
+        """Return the unsuspected members of a data centre except this process."""
+        return [
+            record
+            for record in self.table.data_centres[name].values()
+            if record.is_alive and record.address != self.own_address
+        ]
+
     def start(self, name: str, now_ms: int) -> Verification:
         """Begin a verification; the caller sends the probes."""
         self.last_ms[name] = now_ms
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/member_table.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/member_table.py
@@ -29,6 +29,7 @@
         "hold_until_ms",
         "incarnation",
         "link_failed",
+        "link_misses",
         "member",
         "removed_by_platform",
         "status",
@@ -48,6 +49,7 @@
         self.hold_until_ms = -1
         self.suspected_ms = -1
         self.link_failed = False
+        self.link_misses = 0
         self.draining_seen = False
         self.removed_by_platform = False
         self.usable = False
@@ -88,16 +90,15 @@
         return self.incarnation, self.status, self.number
 
     def announcement(self) -> Announcement:
-        """Return the record as a message."""
-        return Announcement(self.member, self.incarnation, self.status)
+        """Return the record as a message.
 
-    def fingerprint(self) -> int:
-        """Return a hash that differs between different states of the member.
-
-        Suspicion is left out because it ends within seconds.
+        Suspicion is left out: it ends within seconds and has its own messages.
         """
-        if not self.present:
-            return 0
+        status = Status.ALIVE if self.present else self.status
+        return Announcement(self.member, self.incarnation, status)
+
+    def fingerprint(self) -> int:
+        """Return a hash that differs between different states of the member."""
         text = f"{self.address}|{self.number}|{self.incarnation}"
         return xxhash.xxh32_intdigest(text.encode())
 
@@ -169,9 +170,14 @@
         self.changed(record.member.pool)
 
     def count(self, record: Record, sign: int) -> None:
-        """Add or remove a record in the count and the digests."""
-        if record.present:
-            self.present_count += sign
+        """Add or remove a record in the count and the digests.
+
+        Members of an unreachable data centre are left out: processes differ in what
+        they knew of them last, and comparing lists cannot settle that.
+        """
+        if not record.present or record.data_centre in self.down:
+            return
+        self.present_count += sign
         fingerprint = record.fingerprint()
         self.digests[record.bucket] ^= fingerprint
         self.digest ^= fingerprint
@@ -181,9 +187,18 @@
         self.views.pop(pool, None)
         self.revision += 1
 
-    def data_centre_changed(self, data_centre: str) -> None:
-        """Drop the cached lists of all pools with members in a data centre."""
-        for pool in {r.member.pool for r in self.data_centres[data_centre].values()}:
+    def set_down(self, data_centre: str, down: bool) -> None:
+        """Record whether a data centre is unreachable as a whole."""
+        records = self.data_centres[data_centre].values()
+        for record in records:
+            self.count(record, -1)
+        if down:
+            self.down.add(data_centre)
+        else:
+            self.down.discard(data_centre)
+        for record in records:
+            self.count(record, 1)
+        for pool in {record.member.pool for record in records}:
             self.changed(pool)
 
     def interned(self, member: Member) -> Member:
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
+from typing import TypeVar
 
 import msgspec
 
@@ -33,7 +34,7 @@
     Verdict,
     encode,
 )
-from .data_centre_watch import CONTROL_PROBES, DataCentreWatch
+from .data_centre_watch import DataCentreWatch
 from .member_table import MemberTable, Record
 from .probing import Probe, Prober, Purpose
 from .updates import UpdateQueue
@@ -44,6 +45,9 @@
 MAX_PAYLOAD_BYTES = MAX_DATAGRAM_BYTES - DATAGRAM_OVERHEAD_BYTES
 PROBE_INTERVAL_MS = 1000
 SUSPICION_MS = 5000
+LINK_MISSES = 3
+"""Answers in a row that arrived only through peers before a link counts as broken.
+At 1% loss, one in 50 probes gets no direct answer."""
 RELAYS_OF = {Purpose.ROUTINE: 3, Purpose.RECOVERY: 1, Purpose.VERIFY: 1}
 """Peers asked for an indirect probe. A verification already probes several members of
 the data centre, so one each is enough."""
@@ -58,8 +62,8 @@
 TOMBSTONE_MS = 600_000
 SWEEP_INTERVAL_MS = 60_000
 FIRST_SYNC_INTERVAL_MS = 2000
-"""Lists are compared often after a start and after a separation, when many processes
-lack many records, and then ever more rarely."""
+"""Lists are compared often after a start, when they may lack many records, and then
+ever more rarely."""
 SYNC_INTERVAL_MS = 30_000
 FULL_SYNC_INTERVAL_MS = 300_000
 MAX_SYNC_BUCKETS = 8
@@ -73,6 +77,7 @@
 LEAVING = "leaving"
 URGENT_BURST = 4
 URGENT_INTERVAL_MS = 1000
+URGENT_RESERVE = 2
 
 MEMBER_SUSPECTED = register(4000, "INFO", "member is suspected")
 MEMBER_DEAD = register(4001, "WARNING", "member is dead")
@@ -148,6 +153,7 @@
 
 
 Action = Send | Fetch | NewerGeneration
+Message = TypeVar("Message", Ping, Ack, Push)
 
 
 class Membership:
@@ -169,7 +175,9 @@
         self.own = Record(member, incarnation, Status.ALIVE, clock.now_ms())
         self.table.store(self.own)
         self.prober = Prober(self.table, random, self.address)
-        self.watch = DataCentreWatch(self.table, random, member.instance.data_centre)
+        self.watch = DataCentreWatch(
+            self.table, random, member.instance.data_centre, self.address
+        )
         self.queue = UpdateQueue()
         self.generation = 0
         self.leaving = False
@@ -407,31 +415,39 @@
             self.generation,
             self.table.digest,
         )
-        return Send(probe.address, self.fill(message, first))
-
-    def push_message(self, *first: Update) -> Push:
-        """Return a push with the given news and as much other news as fits."""
-        return self.fill(Push(self.number, self.generation), list(first))
-
-    def fill(self, message: GossipMessage, first: list[Update]) -> GossipMessage:
-        """Add the given news and as much queued news as fits."""
-        raws = [msgspec.Raw(encode(update)) for update in first]
-        message.updates = raws
-        while raws and len(encode(message)) > MAX_PAYLOAD_BYTES:
-            raws.pop()
+        if probe.purpose is Purpose.ROUTINE:
+            return Send(probe.address, self.fill(message, first))
+        return Send(probe.address, attach(message, first))
+
+    def push_message(self, *updates: Update) -> Push:
+        """Return a push with the given news."""
+        return attach(Push(self.number, self.generation), list(updates))
+
+    def fill(self, message: Ping | Ack, first: list[Update]) -> Ping | Ack:
+        """Add the given news and as much queued news as fits.
+
+        Only routine probes and answers carry queued news: their rate is constant,
+        so the bytes a second stay bounded whatever happens to the fleet.
+        """
+        attach(message, first)
         if self.queue.queued:
             # The array header of the updates grows by two bytes past 15 entries.
             budget = MAX_PAYLOAD_BYTES - len(encode(message)) - 2
-            message.updates = raws + self.queue.take(budget, self.size)
+            message.updates = message.updates + self.queue.take(budget, self.size)
         return message
 
-    def urgent(self, update: Update, exclude: str = "") -> list[Action]:
-        """Send one piece of news to random peers at once, within a rate limit."""
+    def urgent(
+        self, update: Update, exclude: str = "", reserve: int = 0
+    ) -> list[Action]:
+        """Send one piece of news to random peers at once, within a rate limit.
+
+        ``reserve`` is the part of the limit that is kept for more urgent news.
+        """
         now_ms = self.clock.now_ms()
         refill = (now_ms - self.urgent_refill_ms) / URGENT_INTERVAL_MS
         self.urgent_tokens = min(URGENT_BURST, self.urgent_tokens + refill)
         self.urgent_refill_ms = now_ms
-        if self.urgent_tokens < 1:
+        if self.urgent_tokens < 1 + reserve:
             return []
         self.urgent_tokens -= 1
         return [
@@ -451,20 +467,11 @@
     def probe_indirectly(self, probe: Probe) -> list[Action]:
         """Ask peers to probe a member that has not answered."""
         relays = RELAYS_OF.get(probe.purpose, 0)
+        request = PingRequest(
+            probe.sequence, self.number, probe.address, probe.number, self.generation
+        )
         return [
-            Send(
-                relay.address,
-                self.fill(
-                    PingRequest(
-                        probe.sequence,
-                        self.number,
-                        probe.address,
-                        probe.number,
-                        self.generation,
-                    ),
-                    [],
-                ),
-            )
+            Send(relay.address, request)
             for relay in self.prober.random_members(relays, probe.address)
         ]
 
@@ -482,6 +489,7 @@
             record is not None
             and record.number == probe.number
             and record.status is Status.ALIVE
+            and record.data_centre not in self.table.down
         ):
             actions += self.suspect(record, record.incarnation, now_ms, own=True)
             verdict_message = verdict_of(record)
@@ -529,9 +537,10 @@
                 message.number,
                 self.generation,
             )
-            return [*actions, Send(probe.relay_to, self.fill(answer, []))]
+            return [*actions, Send(probe.relay_to, answer)]
         record = self.table.get(source)
         if record is not None:
+            record.link_misses = 0
             self.set_link(record, failed=False)
         actions += self.probe_answered(probe, now_ms)
         if probe.purpose is Purpose.CONTACT and not self.fetching:
@@ -547,8 +556,10 @@
         del self.prober.outstanding[probe.sequence]
         record = self.table.get(probe.address)
         if record is not None and record.number == message.answered:
-            self.set_link(record, failed=True)
-            self.keep_alive(record, now_ms)
+            record.heard_ms = now_ms
+            record.link_misses += 1
+            self.set_link(record, record.link_misses >= LINK_MISSES)
+            self.prober.prioritise(record.address)
         return self.probe_answered(probe, now_ms)
 
     def probe_answered(self, probe: Probe, now_ms: int) -> list[Action]:
@@ -583,10 +594,6 @@
             return self.verify(record.data_centre, now_ms)
         return []
 
-    def keep_alive(self, record: Record, now_ms: int) -> None:
-        """Record indirect evidence that a member runs."""
-        record.heard_ms = now_ms
-
     def set_link(self, record: Record, failed: bool) -> None:
         """Record whether this process reaches the member directly."""
         if record.link_failed == failed:
@@ -703,6 +710,10 @@
         statement = (update.incarnation, update.status)
         if statement <= (record.incarnation, record.status):
             return []
+        if record.data_centre in self.table.down and update.status is not Status.LEFT:
+            # The summary entry says it all; single verdicts would have to be
+            # refuted one by one when the data centre returns.
+            return []
         now_ms = self.clock.now_ms()
         if update.status is Status.SUSPECT:
             return self.suspect(record, update.incarnation, now_ms, spread)
@@ -732,12 +743,15 @@
             log_event(MEMBER_SUSPECTED, member=record.address)
         self.table.set_status(record, Status.SUSPECT, incarnation, now_ms)
         self.begin_suspicion(record, now_ms, own)
+        actions: list[Action] = []
         if spread:
-            self.queue.put(verdict_of(record))
+            verdict = verdict_of(record)
+            self.queue.put(verdict)
+            actions += self.urgent(verdict, reserve=URGENT_RESERVE)
         name = record.data_centre
         if self.watch.is_suspicious(name, self.suspects_in[name]):
-            return self.verify(name, now_ms)
-        return []
+            actions += self.verify(name, now_ms)
+        return actions
 
     def begin_suspicion(self, record: Record, now_ms: int, own: bool) -> None:
         """Set the deadline of a suspicion that is not running yet."""
@@ -823,11 +837,7 @@
             return []
         verification = self.watch.start(name, now_ms)
         targets = [(r, Purpose.VERIFY) for r in self.watch.sample(name)]
-        targets += [
-            (r, Purpose.CONTROL)
-            for r in self.prober.random_members(2 * CONTROL_PROBES)
-            if r.data_centre != name and r.status is Status.ALIVE
-        ][:CONTROL_PROBES]
+        targets += [(r, Purpose.CONTROL) for r in self.watch.controls(name)]
         actions: list[Action] = []
         for record, purpose in targets:
             probe = self.prober.start(record, purpose, now_ms)
@@ -842,24 +852,20 @@
         if reachable is None or reachable == (name not in self.table.down):
             return []
         if reachable:
-            self.table.down.discard(name)
-            self.flap_hold_ms[name] = now_ms + HOLD_DOWN_MS
+            self.table.set_down(name, False)
             self.withdraw(self.suspects_of(name))
+            self.flap_hold_ms[name] = now_ms + HOLD_DOWN_MS
             log_event(DATA_CENTRE_UP, data_centre=name)
         else:
-            self.table.down.add(name)
-            self.drop_single_news(name)
+            self.table.set_down(name, True)
+            # The summary entry replaces the single verdicts.
+            self.withdraw(self.suspects_of(name))
             log_event(DATA_CENTRE_DOWN, data_centre=name)
-        self.table.data_centre_changed(name)
+        self.delay_sync(now_ms)
         report = DataCentreReport(name, reachable)
         self.queue.put(report)
         return self.urgent(report)
 
-    def drop_single_news(self, name: str) -> None:
-        """Stop spreading suspicions that the summary entry replaces."""
-        for address in self.suspects_of(name):
-            self.queue.discard_subject(address)
-
     def suspects_of(self, name: str) -> list[str]:
         """Return the suspected members of a data centre."""
         return [a for a, s in self.suspicions.items() if s.data_centre == name]
@@ -878,7 +884,7 @@
         """Take back the suspicions raised while this process was cut off."""
         own = [a for a, suspicion in self.suspicions.items() if suspicion.own]
         log_event(RECONNECTED, withdrawn=len(own))
-        self.hasten_sync(self.clock.now_ms())
+        self.delay_sync(self.clock.now_ms())
         self.withdraw(own)
 
     def resume_after_pause(self, now_ms: int) -> None:
@@ -895,10 +901,9 @@
         """Return whether this process should ask more peers for their lists."""
         if not self.synchronised:
             return True
-        return (
-            self.contact_rounds < MAX_EXTRA_CONTACT_ROUNDS
-            and 100 * self.size < COMPLETE_PERCENT * len(self.vms)
-        )
+        return self.contact_rounds < MAX_EXTRA_CONTACT_ROUNDS and 100 * len(
+            self.table.records
+        ) < COMPLETE_PERCENT * len(self.vms)
 
     def contact(self, now_ms: int) -> list[Action]:
         """Ping a few addresses of the VM list to fetch a member list."""
@@ -961,6 +966,12 @@
         self.next_sync_ms = now_ms + FIRST_SYNC_INTERVAL_MS
         self.next_full_sync_ms = now_ms
 
+    def delay_sync(self, now_ms: int) -> None:
+        """Compare no lists while they differ because something just happened."""
+        jitter_ms = self.random.randrange(SYNC_INTERVAL_MS)
+        self.next_sync_ms = now_ms + SYNC_INTERVAL_MS // 2 + jitter_ms
+        self.sync_interval_ms = SYNC_INTERVAL_MS
+
     def compare_digest(self, source: str, digest: int, now_ms: int) -> list[Action]:
         """Start a comparison of member lists if they differ, at a low rate."""
         if digest == self.table.digest or now_ms < self.next_sync_ms:
@@ -989,6 +1000,15 @@
         return [Fetch(address, BucketRequest(self.random.sample(differing, count)))]
 
 
+def attach(message: Message, updates: list[Update]) -> Message:
+    """Add news to a message, the first ones if not all fit."""
+    raws = [msgspec.Raw(encode(update)) for update in updates]
+    message.updates = raws
+    while raws and len(encode(message)) > MAX_PAYLOAD_BYTES:
+        raws.pop()
+    return message
+
+
 def verdict_of(record: Record) -> Verdict:
     """Return the status of a record as a short message."""
     return Verdict(record.address, record.number, record.incarnation, record.status)
