Split membership into smaller modules; queue concurrent datagrams

anyio refuses a second task that sends on a UDP socket while the first waits, which ended the node's task group (seen once in the test of the shell). Sends now take a lock.

--- a/packages/medlarridge-standins/src/medlarridge_standins/capacity/membership.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/capacity/membership.py
@@ -10,7 +10,8 @@
 from loguru import logger
 
 from medlarridge._internal.clock import ManualClock, SystemClock
-from medlarridge._internal.coordination.membership import Membership, Send
+from medlarridge._internal.coordination.member_events import Send
+from medlarridge._internal.coordination.membership import Membership
 from medlarridge._internal.identity import Instance, Member, Role
 from medlarridge._internal.protocol.gossip import (
     Ack,
@@ -62,7 +63,7 @@
         data = encode(Announcement(member(index), 1))
         announcement = msgspec.msgpack.decode(data, type=Announcement)
         membership.apply(announcement, "", spread=False)
-    membership.synchronised = True
+    membership.joining.synchronised = True
     membership.queue.queued.clear()
     return membership, clock
 
--- a/packages/medlarridge-standins/src/medlarridge_standins/fleet.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/fleet.py
@@ -15,14 +15,14 @@
     FetchDelta,
     ReadStore,
 )
-from medlarridge._internal.coordination.membership import (
+from medlarridge._internal.coordination.member_events import (
     Action,
     Fetch,
     ListedVm,
-    Membership,
     NewerGeneration,
     Send,
 )
+from medlarridge._internal.coordination.membership import Membership
 from medlarridge._internal.identity import (
     Instance,
     Member,
@@ -132,7 +132,7 @@
             for announcement in announcements:
                 if announcement.member.instance.address != node.address:
                     membership.apply(announcement, "", spread=False)
-            membership.synchronised = True
+            membership.joining.synchronised = True
             membership.queue.queued.clear()
 
     def vm_list(self, leaving: tuple[str, ...] = ()) -> list[ListedVm]:
--- a/packages/medlarridge-standins/src/medlarridge_standins/measure/membership.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/measure/membership.py
@@ -2,7 +2,7 @@
 
 from loguru import logger
 
-from medlarridge._internal.coordination.membership import SUSPICION_MS
+from medlarridge._internal.coordination.suspicions import SUSPICION_MS
 from medlarridge._internal.protocol.gossip import Status
 
 from ..fleet import Fleet, Node, Traffic
--- a/packages/medlarridge/src/medlarridge/_internal/cluster.py
+++ b/packages/medlarridge/src/medlarridge/_internal/cluster.py
@@ -19,14 +19,14 @@
     FetchDelta,
     ReadStore,
 )
-from .coordination.membership import (
+from .coordination.member_events import (
     Action,
     Fetch,
     ListedVm,
-    Membership,
     NewerGeneration,
     Send,
 )
+from .coordination.membership import Membership
 from .errors import CodecError, StoreError, StoreErrorKind, TransportError
 from .events import register
 from .identity import Member
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/joining.py
@@ -0,0 +1,136 @@
+"""Joining the fleet and comparing member lists with peers."""
+
+from random import Random
+
+from ..protocol.gossip import (
+    BucketRequest,
+    DigestReply,
+    ExchangeRequest,
+    MemberPage,
+    MemberPageRequest,
+)
+from .member_events import ListedVm
+from .member_table import MemberTable
+
+FIRST_SYNC_INTERVAL_MS = 2000
+"""Lists are compared often after a start, when they may lack many records, and then
+ever more rarely."""
+SYNC_INTERVAL_MS = 30_000
+FULL_SYNC_INTERVAL_MS = 300_000
+MAX_SYNC_BUCKETS = 8
+CONTACTS = 3
+CONTACT_INTERVAL_MS = 1000
+MAX_CONTACT_INTERVAL_MS = 8000
+MAX_EXTRA_CONTACT_ROUNDS = 16
+COMPLETE_PERCENT = 90
+"""When a whole fleet starts at once, the first peer knows nobody yet. A process asks
+more peers until it knows this share of the VM list, in a bounded number of rounds."""
+
+
+class Joining:
+    """Decides whom to ask for member records, and when."""
+
+    def __init__(
+        self, table: MemberTable, random: Random, address: str, region: str, now_ms: int
+    ) -> None:
+        self.table = table
+        self.random = random
+        self.address = address
+        self.region = region
+        self.vms: dict[str, ListedVm] = {}
+        self.synchronised = False
+        self.fetching = False
+        self.rounds = 0
+        self.next_contact_ms = now_ms
+        self.contact_interval_ms = CONTACT_INTERVAL_MS
+        self.size_at_contact = 0
+        self.hasten(now_ms)
+
+    def lacks_members(self) -> bool:
+        """Return whether this process should ask more peers for their lists."""
+        if not self.synchronised:
+            return True
+        known = len(self.table.records)
+        return (
+            self.rounds < MAX_EXTRA_CONTACT_ROUNDS
+            and 100 * known < COMPLETE_PERCENT * len(self.vms)
+        )
+
+    def contacts(self, now_ms: int) -> list[str]:
+        """Return a few addresses of the VM list to ask now."""
+        if now_ms < self.next_contact_ms or not self.lacks_members():
+            return []
+        self.rounds += 1
+        size = len(self.table.records)
+        if size > self.size_at_contact:
+            self.contact_interval_ms = CONTACT_INTERVAL_MS
+        else:
+            self.contact_interval_ms = min(
+                2 * self.contact_interval_ms, MAX_CONTACT_INTERVAL_MS
+            )
+        self.size_at_contact = size
+        self.next_contact_ms = now_ms + self.contact_interval_ms
+        listed = [
+            vm
+            for address, vm in self.vms.items()
+            if address != self.address and not vm.leaving
+        ]
+        if not listed:
+            return []
+        chosen = self.random.sample(listed, min(CONTACTS, len(listed)))
+        near = [vm for vm in listed if vm.region == self.region]
+        if near:
+            chosen[0] = self.random.choice(near)
+        return list(dict.fromkeys(vm.address for vm in chosen))
+
+    def start_fetch(self) -> MemberPageRequest | None:
+        """Return the request for the first page unless a fetch is running."""
+        if self.fetching:
+            return None
+        self.fetching = True
+        return MemberPageRequest()
+
+    def next_page(
+        self, request: MemberPageRequest, page: MemberPage
+    ) -> MemberPageRequest | None:
+        """Return the request for the page after this one."""
+        self.fetching = page.next_after > request.after
+        return MemberPageRequest(page.next_after) if self.fetching else None
+
+    def hasten(self, now_ms: int) -> None:
+        """Compare member lists often for a while."""
+        self.sync_interval_ms = FIRST_SYNC_INTERVAL_MS
+        self.full_sync_interval_ms = FIRST_SYNC_INTERVAL_MS
+        self.next_sync_ms = now_ms + FIRST_SYNC_INTERVAL_MS
+        self.next_full_sync_ms = now_ms
+
+    def delay(self, now_ms: int) -> None:
+        """Compare no lists while they differ because something just happened."""
+        jitter_ms = self.random.randrange(SYNC_INTERVAL_MS)
+        self.next_sync_ms = now_ms + SYNC_INTERVAL_MS // 2 + jitter_ms
+        self.sync_interval_ms = SYNC_INTERVAL_MS
+
+    def should_compare(self, digest: int, now_ms: int) -> bool:
+        """Return whether to compare lists with a peer that has another digest."""
+        if digest == self.table.digest or now_ms < self.next_sync_ms:
+            return False
+        interval_ms = self.sync_interval_ms
+        jitter_ms = self.random.randrange(interval_ms)
+        self.next_sync_ms = now_ms + interval_ms // 2 + jitter_ms
+        self.sync_interval_ms = min(2 * interval_ms, SYNC_INTERVAL_MS)
+        return True
+
+    def request_for(self, reply: DigestReply, now_ms: int) -> ExchangeRequest | None:
+        """Return the request for some differing buckets, or for all pages."""
+        differing = self.table.differing_buckets(reply.digests)
+        many = len(differing) > 4 * MAX_SYNC_BUCKETS
+        if many and now_ms >= self.next_full_sync_ms:
+            self.next_full_sync_ms = now_ms + self.full_sync_interval_ms
+            self.full_sync_interval_ms = min(
+                2 * self.full_sync_interval_ms, FULL_SYNC_INTERVAL_MS
+            )
+            return MemberPageRequest()
+        if not differing:
+            return None
+        count = min(MAX_SYNC_BUCKETS, len(differing))
+        return BucketRequest(self.random.sample(differing, count))
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
@@ -1,9 +1,6 @@
 """Membership by probing, suspicion and gossip; does no I/O."""
 
-from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
-from enum import StrEnum
 from random import Random
 from typing import TypeVar
 
@@ -35,8 +32,18 @@
     encode,
 )
 from .data_centre_watch import DataCentreWatch
+from .joining import Joining
+from .member_events import (
+    Action,
+    Fetch,
+    ListedVm,
+    NewerGeneration,
+    Observation,
+    Send,
+)
 from .member_table import MemberTable, Record
 from .probing import Probe, Prober, Purpose
+from .suspicions import SUSPICION_MS, Suspicions
 from .updates import UpdateQueue
 
 MAX_DATAGRAM_BYTES = 400
@@ -44,7 +51,6 @@
 """Kind byte and keyed digest."""
 MAX_PAYLOAD_BYTES = MAX_DATAGRAM_BYTES - DATAGRAM_OVERHEAD_BYTES
 PROBE_INTERVAL_MS = 1000
-SUSPICION_MS = 5000
 LINK_MISSES = 3
 """Answers in a row that arrived only through peers before a link counts as broken.
 At 1% loss, one in 50 probes gets no direct answer."""
@@ -61,20 +67,6 @@
 then only delay a verdict."""
 TOMBSTONE_MS = 600_000
 SWEEP_INTERVAL_MS = 60_000
-FIRST_SYNC_INTERVAL_MS = 2000
-"""Lists are compared often after a start, when they may lack many records, and then
-ever more rarely."""
-SYNC_INTERVAL_MS = 30_000
-FULL_SYNC_INTERVAL_MS = 300_000
-MAX_SYNC_BUCKETS = 8
-CONTACTS = 3
-CONTACT_INTERVAL_MS = 1000
-MAX_CONTACT_INTERVAL_MS = 8000
-MAX_EXTRA_CONTACT_ROUNDS = 16
-COMPLETE_PERCENT = 90
-"""When a whole fleet starts at once, the first peer knows nobody yet. A process asks
-more peers until it knows this share of the VM list, in a bounded number of rounds."""
-LEAVING = "leaving"
 URGENT_BURST = 4
 URGENT_INTERVAL_MS = 1000
 URGENT_RESERVE = 2
@@ -92,67 +84,6 @@
 JOINED = register(4010, "INFO", "joined the fleet")
 
 
-@dataclass(frozen=True)
-class ListedVm:
-    """A process address in the platform's VM list, ``ip:port``."""
-
-    address: str
-    data_centre: str = ""
-    region: str = ""
-    role: str = ""
-    state: str = "live"
-
-    @property
-    def leaving(self) -> bool:
-        """Return whether the platform is removing the VM."""
-        return self.state == LEAVING
-
-
-class Observation(StrEnum):
-    """What the data path saw of a member."""
-
-    ANSWERED = "answered"
-    REFUSED = "refused"
-    DRAINING = "draining"
-
-
-@dataclass
-class Suspicion:
-    """A member that must refute before the deadline.
-
-    ``own`` says that a failed probe of this process raised the suspicion.
-    """
-
-    deadline_ms: int
-    data_centre: str
-    own: bool = False
-
-
-@dataclass(frozen=True)
-class Send:
-    """Send a datagram."""
-
-    address: str
-    message: GossipMessage
-
-
-@dataclass(frozen=True)
-class Fetch:
-    """Send a request over the exchange and pass the reply to ``fetched``."""
-
-    address: str
-    request: ExchangeRequest
-
-
-@dataclass(frozen=True)
-class NewerGeneration:
-    """A peer has a newer configuration."""
-
-    address: str
-    generation: int
-
-
-Action = Send | Fetch | NewerGeneration
 Message = TypeVar("Message", Ping, Ack, Push)
 
 
@@ -181,21 +112,15 @@
         self.queue = UpdateQueue()
         self.generation = 0
         self.leaving = False
-        self.suspicions: dict[str, Suspicion] = {}
-        self.suspects_in: Counter[str] = Counter()
+        self.suspicions = Suspicions()
         self.failures_in_row = 0
-        self.vms: dict[str, ListedVm] = {}
-        self.synchronised = False
-        self.fetching = False
-        self.contact_rounds = 0
-        self.contact_interval_ms = CONTACT_INTERVAL_MS
-        self.size_at_contact = 0
         now_ms = clock.now_ms()
         self.last_tick_ms = now_ms
-        self.next_contact_ms = now_ms
+        self.joining = Joining(
+            self.table, random, self.address, member.instance.region, now_ms
+        )
         self.next_probe_ms = now_ms + random.randrange(PROBE_INTERVAL_MS)
         self.next_sweep_ms = now_ms + SWEEP_INTERVAL_MS
-        self.hasten_sync(now_ms)
         self.urgent_tokens = float(URGENT_BURST)
         self.urgent_refill_ms = now_ms
         self.flap_hold_ms: dict[str, int] = {}
@@ -213,6 +138,11 @@
         """Return the number of running members, this process included."""
         return self.table.present_count
 
+    @property
+    def synchronised(self) -> bool:
+        """Return whether a peer's whole member list has been taken in."""
+        return self.joining.synchronised
+
     @property
     def cut_off(self) -> bool:
         """Return whether this process seems to be the unreachable one."""
@@ -308,8 +238,9 @@
             self.next_probe_ms = max(self.next_probe_ms, now_ms - PROBE_INTERVAL_MS)
             self.next_probe_ms += PROBE_INTERVAL_MS
             actions += self.probe_next(now_ms)
-        if now_ms >= self.next_contact_ms and self.lacks_members():
-            actions += self.contact(now_ms)
+        for address in self.joining.contacts(now_ms):
+            probe = self.prober.start(address, Purpose.CONTACT, now_ms)
+            actions.append(self.ping(probe))
         if now_ms >= self.next_sweep_ms:
             self.sweep(now_ms)
         return actions
@@ -333,8 +264,10 @@
             actions += self.relay(source, message, now_ms)
         elif isinstance(message, RelayedAck):
             actions += self.receive_relayed(message, now_ms)
-        if isinstance(message, Ping | Ack):
-            actions += self.compare_digest(source, message.digest, now_ms)
+        if isinstance(message, Ping | Ack) and self.joining.should_compare(
+            message.digest, now_ms
+        ):
+            actions.append(Fetch(source, DigestRequest()))
         return actions
 
     def vm_list(self, vms: Iterable[ListedVm]) -> None:
@@ -343,8 +276,9 @@
         The list decides nothing about running members except that leaving ones get
         no new work; it names contacts, and says which dead members were removed.
         """
-        previous, self.vms = self.vms, {vm.address: vm for vm in vms}
-        for address, vm in self.vms.items():
+        previous, listed = self.joining.vms, {vm.address: vm for vm in vms}
+        self.joining.vms = listed
+        for address, vm in listed.items():
             if address == self.address:
                 continue
             record = self.table.get(address)
@@ -355,7 +289,7 @@
             before = previous.get(address)
             if before is None or before.leaving != vm.leaving:
                 self.set_removed(record, vm.leaving)
-        for address in previous.keys() - self.vms.keys():
+        for address in previous.keys() - listed.keys():
             self.prober.uncontacted.pop(address, None)
             record = self.table.get(address)
             if record is not None and not record.present:
@@ -382,7 +316,8 @@
         if isinstance(request, MemberPageRequest):
             return self.receive_page(fetch.address, request, reply)
         if isinstance(request, DigestRequest) and isinstance(reply, DigestReply):
-            return self.receive_digests(fetch.address, reply)
+            further = self.joining.request_for(reply, self.clock.now_ms())
+            return [] if further is None else [Fetch(fetch.address, further)]
         if isinstance(request, BucketRequest) and isinstance(reply, MemberPage):
             return self.apply_page(fetch.address, reply)
         return []
@@ -543,9 +478,10 @@
             record.link_misses = 0
             self.set_link(record, failed=False)
         actions += self.probe_answered(probe, now_ms)
-        if probe.purpose is Purpose.CONTACT and not self.fetching:
-            self.fetching = True
-            actions.append(Fetch(source, MemberPageRequest()))
+        if probe.purpose is Purpose.CONTACT:
+            request = self.joining.start_fetch()
+            if request is not None:
+                actions.append(Fetch(source, request))
         return actions
 
     def receive_relayed(self, message: RelayedAck, now_ms: int) -> list[Action]:
@@ -661,12 +597,12 @@
             self.inherit(new, old, now_ms)
         if old is None or not old.present:
             self.prober.add(new.address)
-        self.end_suspicion(new.address)
+        self.suspicions.end(new.address)
         self.table.store(new)
         self.prober.uncontacted.pop(new.address, None)
         self.track_status(new)
         if new.status is Status.SUSPECT:
-            self.begin_suspicion(new, now_ms, own=False)
+            self.suspicions.begin(new, now_ms, own=False)
         if not spread:
             return []
         self.queue.put(update)
@@ -742,49 +678,27 @@
         if record.status is not Status.SUSPECT:
             log_event(MEMBER_SUSPECTED, member=record.address)
         self.table.set_status(record, Status.SUSPECT, incarnation, now_ms)
-        self.begin_suspicion(record, now_ms, own)
+        self.suspicions.begin(record, now_ms, own)
         actions: list[Action] = []
         if spread:
             verdict = verdict_of(record)
             self.queue.put(verdict)
             actions += self.urgent(verdict, reserve=URGENT_RESERVE)
         name = record.data_centre
-        if self.watch.is_suspicious(name, self.suspects_in[name]):
+        if self.watch.is_suspicious(name, self.suspicions.by_data_centre[name]):
             actions += self.verify(name, now_ms)
         return actions
 
-    def begin_suspicion(self, record: Record, now_ms: int, own: bool) -> None:
-        """Set the deadline of a suspicion that is not running yet."""
-        if record.address not in self.suspicions:
-            name = record.data_centre
-            self.suspicions[record.address] = Suspicion(
-                now_ms + SUSPICION_MS, name, own
-            )
-            self.suspects_in[name] += 1
-
-    def end_suspicion(self, address: str) -> None:
-        """Forget a running suspicion."""
-        suspicion = self.suspicions.pop(address, None)
-        if suspicion is not None:
-            self.suspects_in[suspicion.data_centre] -= 1
-
-    def restart_suspicions(self, now_ms: int) -> None:
-        """Give all suspected members the whole time to refute."""
-        for suspicion in self.suspicions.values():
-            suspicion.deadline_ms = now_ms + SUSPICION_MS
-
     def expire_suspicions(self, now_ms: int) -> list[Action]:
         """Declare members dead whose suspicion was not refuted in time."""
-        for address, suspicion in list(self.suspicions.items()):
-            if now_ms < suspicion.deadline_ms:
-                continue
+        for address in self.suspicions.due(now_ms):
             record = self.table.get(address)
             if record is None or record.status is not Status.SUSPECT:
-                self.end_suspicion(address)
+                self.suspicions.end(address)
             elif self.cut_off or self.is_undecided(record):
-                suspicion.deadline_ms = now_ms + SUSPICION_MS
+                self.suspicions.extend(address, now_ms)
             elif self.heard_recently(record, now_ms):
-                self.end_suspicion(address)
+                self.suspicions.end(address)
                 self.table.set_status(record, Status.ALIVE, record.incarnation, now_ms)
             else:
                 self.bury(record, Status.DEAD, record.incarnation, now_ms)
@@ -800,7 +714,7 @@
         self, record: Record, status: Status, incarnation: int, now_ms: int
     ) -> None:
         """Record that a member is dead or has left."""
-        self.end_suspicion(record.address)
+        self.suspicions.end(record.address)
         self.table.set_status(record, status, incarnation, now_ms)
         self.track_status(record)
         if status is Status.DEAD:
@@ -810,8 +724,8 @@
         """Keep the sets of the prober in line with the status of a record."""
         if record.status is Status.DEAD:
             self.prober.dead[record.address] = None
-            vm = self.vms.get(record.address)
-            if self.vms and (vm is None or vm.leaving):
+            vm = self.joining.vms.get(record.address)
+            if self.joining.vms and (vm is None or vm.leaving):
                 record.removed_by_platform = True
         else:
             self.prober.dead.pop(record.address, None)
@@ -825,7 +739,7 @@
             if not record.present and now_ms - record.status_ms >= TOMBSTONE_MS:
                 self.table.remove(record.address)
                 self.prober.dead.pop(record.address, None)
-                vm = self.vms.get(record.address)
+                vm = self.joining.vms.get(record.address)
                 if vm is not None and not vm.leaving:
                     self.prober.uncontacted[record.address] = None
 
@@ -853,23 +767,19 @@
             return []
         if reachable:
             self.table.set_down(name, False)
-            self.withdraw(self.suspects_of(name))
+            self.withdraw(self.suspicions.within(name))
             self.flap_hold_ms[name] = now_ms + HOLD_DOWN_MS
             log_event(DATA_CENTRE_UP, data_centre=name)
         else:
             self.table.set_down(name, True)
             # The summary entry replaces the single verdicts.
-            self.withdraw(self.suspects_of(name))
+            self.withdraw(self.suspicions.within(name))
             log_event(DATA_CENTRE_DOWN, data_centre=name)
-        self.delay_sync(now_ms)
+        self.joining.delay(now_ms)
         report = DataCentreReport(name, reachable)
         self.queue.put(report)
         return self.urgent(report)
 
-    def suspects_of(self, name: str) -> list[str]:
-        """Return the suspected members of a data centre."""
-        return [a for a, s in self.suspicions.items() if s.data_centre == name]
-
     def withdraw(self, addresses: list[str]) -> None:
         """End suspicions without a verdict; probes raise those that hold again."""
         now_ms = self.clock.now_ms()
@@ -878,13 +788,13 @@
             if record is not None and record.status is Status.SUSPECT:
                 self.queue.discard_subject(address)
                 self.table.set_status(record, Status.ALIVE, record.incarnation, now_ms)
-            self.end_suspicion(address)
+            self.suspicions.end(address)
 
     def reconnect(self) -> None:
         """Take back the suspicions raised while this process was cut off."""
-        own = [a for a, suspicion in self.suspicions.items() if suspicion.own]
+        own = self.suspicions.raised_here()
         log_event(RECONNECTED, withdrawn=len(own))
-        self.delay_sync(self.clock.now_ms())
+        self.joining.delay(self.clock.now_ms())
         self.withdraw(own)
 
     def resume_after_pause(self, now_ms: int) -> None:
@@ -892,61 +802,25 @@
         log_event(LATE_TICK, pause_ms=now_ms - self.last_tick_ms)
         self.prober.outstanding.clear()
         self.watch.clear()
-        self.restart_suspicions(now_ms)
+        self.suspicions.restart(now_ms)
         self.next_probe_ms = now_ms
 
     # Joining and anti-entropy.
 
-    def lacks_members(self) -> bool:
-        """Return whether this process should ask more peers for their lists."""
-        if not self.synchronised:
-            return True
-        return self.contact_rounds < MAX_EXTRA_CONTACT_ROUNDS and 100 * len(
-            self.table.records
-        ) < COMPLETE_PERCENT * len(self.vms)
-
-    def contact(self, now_ms: int) -> list[Action]:
-        """Ping a few addresses of the VM list to fetch a member list."""
-        self.contact_rounds += 1
-        if self.size > self.size_at_contact:
-            self.contact_interval_ms = CONTACT_INTERVAL_MS
-        else:
-            self.contact_interval_ms = min(
-                2 * self.contact_interval_ms, MAX_CONTACT_INTERVAL_MS
-            )
-        self.size_at_contact = self.size
-        self.next_contact_ms = now_ms + self.contact_interval_ms
-        region = self.own.member.instance.region
-        listed = [
-            vm
-            for address, vm in self.vms.items()
-            if address != self.address and not vm.leaving
-        ]
-        if not listed:
-            return []
-        chosen = self.random.sample(listed, min(CONTACTS, len(listed)))
-        near = [vm for vm in listed if vm.region == region]
-        if near:
-            chosen[0] = self.random.choice(near)
-        return [
-            self.ping(self.prober.start(vm.address, Purpose.CONTACT, now_ms))
-            for vm in {vm.address: vm for vm in chosen}.values()
-        ]
-
     def receive_page(
         self, address: str, request: MemberPageRequest, reply: ExchangeReply | None
     ) -> list[Action]:
         """Take in a page of the member list and ask for the next one."""
-        self.fetching = False
         if not isinstance(reply, MemberPage):
+            self.joining.fetching = False
             return []
         actions = self.apply_page(address, reply)
-        if reply.next_after > request.after:
-            self.fetching = True
-            return [*actions, Fetch(address, MemberPageRequest(reply.next_after))]
+        further = self.joining.next_page(request, reply)
+        if further is not None:
+            return [*actions, Fetch(address, further)]
         if not self.synchronised:
-            self.synchronised = True
-            self.hasten_sync(self.clock.now_ms())
+            self.joining.synchronised = True
+            self.joining.hasten(self.clock.now_ms())
             self.queue.put(self.own.announcement())
             actions += self.urgent(self.own.announcement())
             log_event(JOINED, members=self.size)
@@ -959,46 +833,6 @@
             actions += self.apply(record, address, spread=False)
         return actions
 
-    def hasten_sync(self, now_ms: int) -> None:
-        """Compare member lists often for a while."""
-        self.sync_interval_ms = FIRST_SYNC_INTERVAL_MS
-        self.full_sync_interval_ms = FIRST_SYNC_INTERVAL_MS
-        self.next_sync_ms = now_ms + FIRST_SYNC_INTERVAL_MS
-        self.next_full_sync_ms = now_ms
-
-    def delay_sync(self, now_ms: int) -> None:
-        """Compare no lists while they differ because something just happened."""
-        jitter_ms = self.random.randrange(SYNC_INTERVAL_MS)
-        self.next_sync_ms = now_ms + SYNC_INTERVAL_MS // 2 + jitter_ms
-        self.sync_interval_ms = SYNC_INTERVAL_MS
-
-    def compare_digest(self, source: str, digest: int, now_ms: int) -> list[Action]:
-        """Start a comparison of member lists if they differ, at a low rate."""
-        if digest == self.table.digest or now_ms < self.next_sync_ms:
-            return []
-        interval_ms = self.sync_interval_ms
-        self.next_sync_ms = (
-            now_ms + interval_ms // 2 + self.random.randrange(interval_ms)
-        )
-        self.sync_interval_ms = min(2 * interval_ms, SYNC_INTERVAL_MS)
-        return [Fetch(source, DigestRequest())]
-
-    def receive_digests(self, address: str, reply: DigestReply) -> list[Action]:
-        """Ask for the records of some differing buckets, or for all pages."""
-        differing = self.table.differing_buckets(reply.digests)
-        now_ms = self.clock.now_ms()
-        many = len(differing) > 4 * MAX_SYNC_BUCKETS
-        if many and now_ms >= self.next_full_sync_ms:
-            self.next_full_sync_ms = now_ms + self.full_sync_interval_ms
-            self.full_sync_interval_ms = min(
-                2 * self.full_sync_interval_ms, FULL_SYNC_INTERVAL_MS
-            )
-            return [Fetch(address, MemberPageRequest())]
-        if not differing:
-            return []
-        count = min(MAX_SYNC_BUCKETS, len(differing))
-        return [Fetch(address, BucketRequest(self.random.sample(differing, count)))]
-
 
 def attach(message: Message, updates: list[Update]) -> Message:
     """Add news to a message, the first ones if not all fit."""
--- a/packages/medlarridge/src/medlarridge/_internal/transport/datagrams.py
+++ b/packages/medlarridge/src/medlarridge/_internal/transport/datagrams.py
@@ -83,6 +83,8 @@
         self.handlers: dict[int, Handler] = {}
         self.counts = DatagramCounts()
         self.socket: anyio.abc.UDPSocket | None = None
+        # anyio refuses a second task that sends while the first one waits.
+        self.sending = anyio.Lock(fast_acquire=True)
 
     def register(self, kind: int, handler: Handler) -> None:
         """Register the handler of a kind of datagram."""
@@ -153,7 +155,8 @@
             return
         data = self.seal.close(self.address, address, kind, payload)
         try:
-            await self.socket.sendto(data, *split_address(address))
+            async with self.sending:
+                await self.socket.sendto(data, *split_address(address))
         except (OSError, ValueError, anyio.ClosedResourceError):
             self.counts.dropped["send failed"] += 1
             return
--- a/packages/medlarridge/tests/unit/coordination/test_membership.py
+++ b/packages/medlarridge/tests/unit/coordination/test_membership.py
@@ -3,14 +3,13 @@
 import msgspec
 
 from medlarridge._internal.clock import ManualClock
-from medlarridge._internal.coordination.member_table import BUCKETS, MemberTable, Record
-from medlarridge._internal.coordination.membership import (
-    MAX_PAYLOAD_BYTES,
-    Membership,
+from medlarridge._internal.coordination.member_events import (
     NewerGeneration,
     Observation,
     Send,
 )
+from medlarridge._internal.coordination.member_table import BUCKETS, MemberTable, Record
+from medlarridge._internal.coordination.membership import MAX_PAYLOAD_BYTES, Membership
 from medlarridge._internal.coordination.updates import UpdateQueue
 from medlarridge._internal.identity import Instance, Member, Role
 from medlarridge._internal.protocol.gossip import (
--- a/packages/medlarridge/tests/unit/test_cluster.py
+++ b/packages/medlarridge/tests/unit/test_cluster.py
@@ -6,7 +6,7 @@
 from result import Ok
 
 from medlarridge._internal.cluster import ClusterNode
-from medlarridge._internal.coordination.membership import ListedVm
+from medlarridge._internal.coordination.member_events import ListedVm
 from medlarridge._internal.identity import Instance, Member, Role
 from medlarridge._internal.state.keys import POOLS_TABLE, ROUTES_TABLE
 from medlarridge._internal.state.memory import MemoryStore
--- a/packages/medlarridge/tests/unit/transport/test_datagrams.py
+++ b/packages/medlarridge/tests/unit/transport/test_datagrams.py
@@ -1,3 +1,4 @@
+import anyio
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
@@ -11,7 +12,7 @@
 )
 
 KEY = b"a shared key of the test fleet"
-HERE, THERE, ELSEWHERE = "127.0.0.1:7000", "127.0.0.1:7100", "127.0.0.1:7200"
+HERE, THERE, ELSEWHERE = "127.0.0.1:27810", "127.0.0.1:27820", "127.0.0.1:27830"
 
 
 def endpoint():
@@ -53,6 +54,24 @@
         """Guards against hostile datagrams that get past the digest."""
         assert Seal(KEY).open(THERE, HERE, data) is None
 
+    async def test_many_tasks_send_at_once(self):
+        """Guards against a node that ends when two of its parts send together."""
+        receiver, received = endpoint()
+        sender = DatagramEndpoint(THERE, KEY)
+        await receiver.open()
+        await sender.open()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(receiver.run)
+            async with anyio.create_task_group() as senders:
+                for _ in range(20):
+                    senders.start_soon(sender.send, HERE, 7, b"a")
+            with anyio.fail_after(30):
+                while len(received) < 20:
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+        await sender.close()
+        await receiver.close()
+
     async def test_faulty_handler_does_not_stop_others(self):
         """Guards against one malformed payload that silences a node."""
         receiver, received = endpoint()
