--- /dev/null
+++ b/packages/medlarridge-standins/src/medlarridge_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of the real binaries at the size that both workloads have today."""
