--- a/packages/medlarridge-router/src/medlarridge_router/_internal/daemon.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/daemon.py
@@ -42,6 +42,7 @@
             SystemClock(),
             Random(instance.number),
             self.metrics,
+            settings.max_in_flight,
         )
 
     async def run(self, stop: anyio.Event) -> None:
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
@@ -25,6 +25,7 @@
 from .request_run import RequestRun
 
 REQUEST_ID_BITS = 96
+DEFAULT_MAX_IN_FLIGHT = 2_000
 
 
 class Router:
@@ -39,6 +40,7 @@
         clock: Clock,
         random: Random,
         metrics: RouterMetrics,
+        max_in_flight: int = DEFAULT_MAX_IN_FLIGHT,
     ) -> None:
         self.instance = instance
         self.fleet = fleet
@@ -47,6 +49,7 @@
         self.clock = clock
         self.random = random
         self.metrics = metrics
+        self.max_in_flight = max_in_flight
         self.drain = Drain()
         self.planner = RetryPlanner(clock, random)
         self.placements = PoolPlacements(fleet)
@@ -56,8 +59,13 @@
     ) -> None:
         """Answer one request."""
         request_id = f"{self.random.getrandbits(REQUEST_ID_BITS):024x}"
-        if not self.drain.start_work():
-            failure = Failure(Outcome.NOT_RUN, 503, "this router is leaving", MS_PER_S)
+        refusal = ""
+        if self.drain.in_flight >= self.max_in_flight:
+            refusal = "this router has too many requests in flight"
+        elif not self.drain.start_work():
+            refusal = "this router is leaving"
+        if refusal:
+            failure = Failure(Outcome.NOT_RUN, 503, refusal, MS_PER_S)
             await self.reply_failure(response, request_id, failure)
             return
         self.metrics.in_flight.set(self.drain.in_flight)
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
@@ -28,6 +28,7 @@
 from .server_result import CallState, ServerResult
 
 HOUSEKEEPING_MS = 1_000
+RUN_RESULT = "run"
 
 
 class Sidecar:
@@ -130,6 +131,9 @@
         if remaining_ms <= 0:
             live.result = ServerResult(CallState.NEVER_SENT, "deadline passed")
             return
+        waited_ms = self.clock.now_ms() - live.stream.started_ms
+        self.metrics.wait.observe(waited_ms / MS_PER_S)
+        self.metrics.attempts.labels(RUN_RESULT).inc()
         live.stream.accepted = Accepted(self.instance)
         live.produced.set()
         live.result = await self.server.call(live, remaining_ms)
--- a/packages/medlarridge/src/medlarridge/_internal/cluster.py
+++ b/packages/medlarridge/src/medlarridge/_internal/cluster.py
@@ -157,6 +157,20 @@
             with anyio.CancelScope(shield=True):
                 await self.datagrams.close()
 
+    # Counts for the metrics.
+
+    def generation(self) -> int:
+        """Return the generation of the configuration in force."""
+        return self.configuration.generation
+
+    def control_bytes(self) -> dict[str, int]:
+        """Return the bytes of control traffic by direction, without headers."""
+        parts = (self.datagrams.counts, self.client, self.server)
+        return {
+            "sent": sum(part.sent_bytes for part in parts),
+            "received": sum(part.received_bytes for part in parts),
+        }
+
     # Loops.
 
     async def run_timers(self) -> None:
--- a/packages/medlarridge/src/medlarridge/_internal/metrics.py
+++ b/packages/medlarridge/src/medlarridge/_internal/metrics.py
@@ -1,11 +1,46 @@
 """Metrics of both daemons."""
 
+from collections.abc import Iterator
+from typing import Protocol
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
 
 SECONDS = (0.005, 0.01, 0.026, 0.05, 0.1, 0.2, 0.4, 0.76, 1.5, 3, 6, 12, 30, 60)
 TOKEN_SECONDS = (0.002, 0.005, 0.01, 0.015, 0.02, 0.026, 0.04, 0.08, 0.2, 1)
 
 
+class NodeCounts(Protocol):
+    """What membership and configuration count themselves."""
+
+    def generation(self) -> int:
+        """Return the generation of the configuration in force."""
+        ...
+
+    def control_bytes(self) -> dict[str, int]:
+        """Return the bytes of control traffic by direction."""
+        ...
+
+
+class ControlTraffic(Collector):
+    """Reads the counts of control traffic when the metrics are asked for."""
+
+    def __init__(self, counts: NodeCounts) -> None:
+        self.counts = counts
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Return the counts as one metric."""
+        family = CounterMetricFamily(
+            "medlarridge_control_bytes",
+            "Bytes of control traffic.",
+            labels=["direction"],
+        )
+        for direction, count in self.counts.control_bytes().items():
+            family.add_metric([direction], count)
+        yield family
+
+
 class ProcessMetrics:
     """Metrics that both daemons have."""
 
@@ -19,12 +54,11 @@
         self.in_flight = Gauge(
             "medlarridge_in_flight", "Requests in flight.", registry=self.registry
         )
-        self.control_bytes = Counter(
-            "medlarridge_control_bytes",
-            "Bytes of control traffic.",
-            ["direction"],
-            registry=self.registry,
-        )
+
+    def follow(self, counts: NodeCounts) -> None:
+        """Show what membership and configuration count themselves."""
+        self.generation.set_function(counts.generation)
+        self.registry.register(ControlTraffic(counts))
 
 
 class RouterMetrics(ProcessMetrics):
--- a/packages/medlarridge/src/medlarridge/_internal/process.py
+++ b/packages/medlarridge/src/medlarridge/_internal/process.py
@@ -7,6 +7,7 @@
 
 from .events import register
 from .log import configure_logging, log_event
+from .metrics import ProcessMetrics
 from .node import Node
 from .settings import ProcessSettings
 
@@ -19,6 +20,8 @@
 class Daemon(Protocol):
     """Servers around the decision parts of a process."""
 
+    metrics: ProcessMetrics
+
     async def run(self, stop: anyio.Event) -> None:
         """Serve until told to stop and all work in flight has ended."""
         ...
@@ -28,6 +31,7 @@
     """Run a daemon until a signal; a second signal ends it at once."""
     configure_logging(settings.log.level, settings.log.json_lines)
     stop = anyio.Event()
+    daemon.metrics.follow(node.cluster)
     async with anyio.create_task_group() as tasks:
         await tasks.start(node.run)
         log_event(
--- a/packages/medlarridge/src/medlarridge/_internal/transport/exchange.py
+++ b/packages/medlarridge/src/medlarridge/_internal/transport/exchange.py
@@ -95,6 +95,8 @@
         self.seal = ExchangeSeal(key)
         self.answer = answer
         self.served = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self.dropped: Counter[str] = Counter()
         self.socket: pynng.Rep0 | None = None
 
@@ -122,6 +124,7 @@
         assert self.socket is not None, "open() comes first"
         while True:
             data = await self.socket.arecv()
+            self.received_bytes += len(data)
             reply = self.reply_to(data)
             if reply is None:
                 continue
@@ -129,6 +132,8 @@
                 await self.socket.asend(reply)
             except pynng.NNGException:
                 self.dropped["peer gone"] += 1
+            else:
+                self.sent_bytes += len(reply)
 
     def reply_to(self, data: bytes) -> bytes | None:
         """Return the reply to a request; nothing if it is not authentic."""
