Ignore proxy variables of the environment between daemons and servers

Cause: the router's and the sidecar's HTTP clients read HTTP_PROXY and ALL_PROXY, so a VM with such a variable would send attempts and calls to a proxy. The store's client already ignored them. Conclusion: all connections of the daemons are direct.

--- a/packages/medlarridge-router/src/medlarridge_router/_internal/daemon.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/daemon.py
@@ -33,7 +33,7 @@
         self.key = SharedKey(settings.shared_key.get_secret_value())
         self.metrics = RouterMetrics()
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=64)
-        self.client = httpx.AsyncClient(limits=limits)
+        self.client = httpx.AsyncClient(limits=limits, trust_env=False)
         self.router = Router(
             instance,
             fleet,
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_call.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_call.py
@@ -26,12 +26,14 @@
         self.url = url.rstrip("/")
         timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_MS / MS_PER_S)
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=32)
-        self.pooled = httpx.AsyncClient(timeout=timeout, limits=limits)
+        # Without this, the environment could send the calls through a proxy.
+        direct = {"timeout": timeout, "trust_env": False}
+        self.pooled = httpx.AsyncClient(limits=limits, **direct)
         # A reused connection may turn out closed after the call was written, which
         # leaves open whether it ran. Calls that may not be repeated get their own.
         self.fresh = httpx.AsyncClient(
-            timeout=timeout,
             limits=httpx.Limits(max_connections=None, max_keepalive_connections=0),
+            **direct,
         )
 
     async def close(self) -> None:
