Name the request in every answer of a router

Cause: design.md section 4 promises X-Medlarridge-Outcome and -Request on every response; malformed requests, unknown endpoints and the list of routes had no request number, the list no outcome either. Conclusion: callers can quote a request number for every answer of the router.

--- a/packages/medlarridge-router/src/medlarridge_router/_internal/endpoints.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/endpoints.py
@@ -3,6 +3,7 @@
 from medlarridge._internal.errors import UserError
 from medlarridge._internal.protocol.caller import (
     OUTCOME_HEADER,
+    REQUEST_HEADER,
     parse_chat,
     parse_service_call,
 )
@@ -22,7 +23,11 @@
 
 def caller_endpoints(router: Router, max_body_bytes: int) -> Endpoints:
     """Return the endpoints for callers."""
-    endpoints = Endpoints(NOT_RUN, UNKNOWN)
+
+    def identify() -> dict[str, str]:
+        return {REQUEST_HEADER: router.new_request_id()}
+
+    endpoints = Endpoints(NOT_RUN, UNKNOWN, identify)
 
     @endpoints.register("POST", "/v1/chat/completions")
     async def chat(request: HttpRequest, response: HttpResponse) -> None:
@@ -37,7 +42,9 @@
     async def models(request: HttpRequest, response: HttpResponse) -> None:
         names = sorted(router.fleet.tables.routes)
         data = [{"id": name, "object": "model"} for name in names]
-        await response.reply_json(200, {"object": "list", "data": data})
+        headers = {OUTCOME_HEADER: Outcome.COMPLETE, **identify()}
+        body = {"object": "list", "data": data}
+        await response.reply_json(200, body, list(headers.items()))
 
     @endpoints.register("*", "/services/{route}/{rest}")
     async def service(request: HttpRequest, response: HttpResponse) -> None:
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
@@ -54,11 +54,15 @@
         self.planner = RetryPlanner(clock, random)
         self.placements = PoolPlacements(fleet)
 
+    def new_request_id(self) -> str:
+        """Return the identifier of a new request."""
+        return f"{self.random.getrandbits(REQUEST_ID_BITS):024x}"
+
     async def serve(
         self, caller: CallerRequest, request: HttpRequest, response: HttpResponse
     ) -> None:
         """Answer one request."""
-        request_id = f"{self.random.getrandbits(REQUEST_ID_BITS):024x}"
+        request_id = self.new_request_id()
         refusal = ""
         if self.drain.in_flight >= self.max_in_flight:
             refusal = "this router has too many requests in flight"
--- a/packages/medlarridge/src/medlarridge/_internal/transport/asgi.py
+++ b/packages/medlarridge/src/medlarridge/_internal/transport/asgi.py
@@ -172,11 +172,16 @@
         self,
         error_headers: dict[str, str] | None = None,
         failure_headers: dict[str, str] | None = None,
+        new_headers: Callable[[], dict[str, str]] = dict,
     ) -> None:
-        """Take headers for refused requests and for failures of a handler."""
+        """Take headers for refused requests and for failures of a handler.
+
+        ``new_headers`` gives headers with a new value for each of these answers.
+        """
         self.endpoints: list[Endpoint] = []
         self.error_headers = error_headers or {}
         self.failure_headers = failure_headers or {}
+        self.new_headers = new_headers
 
     def register(self, method: str, path: str) -> Callable[[Handler], Handler]:
         """Return a decorator that serves ``path`` with the handler.
@@ -208,7 +213,11 @@
             await response.reply_json(
                 error.status,
                 {"error": {"message": error.message}},
-                [*self.error_headers.items(), *error.headers.items()],
+                [
+                    *self.error_headers.items(),
+                    *self.new_headers().items(),
+                    *error.headers.items(),
+                ],
             )
         except ClientGone:
             return
@@ -220,7 +229,7 @@
                     await response.reply_json(
                         500,
                         {"error": {"message": "internal error"}},
-                        list(self.failure_headers.items()),
+                        [*self.failure_headers.items(), *self.new_headers().items()],
                     )
                     return
             raise AnswerCut(str(cut or error), step="send answer") from None
