--- a/packages/medlarridge-router/src/medlarridge_router/_internal/daemon.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/daemon.py
@@ -30,7 +30,7 @@
         self.key = SharedKey(settings.shared_key.get_secret_value())
         self.metrics = RouterMetrics()
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=64)
-        self.client = httpx.AsyncClient(limits=limits)
+        self.client = httpx.AsyncClient(limits=limits, trust_env=False)
         self.limits = AccountLimits(
             node.instance, node.fleet, node.fleet, node.clock, node.random
         )
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
@@ -57,19 +57,22 @@
         self.planner = RetryPlanner(clock, random)
         self.placements = PoolPlacements(fleet)
 
+    def new_request_id(self) -> str:
+        """Return the identifier of a new request."""
+        return f"{self.random.getrandbits(REQUEST_ID_BITS):024x}"
+
     async def serve(
         self, caller: CallerRequest, request: HttpRequest, response: HttpResponse
     ) -> None:
         """Answer one request."""
-        request_id = f"{self.random.getrandbits(REQUEST_ID_BITS):024x}"
+        request_id = self.new_request_id()
+        refusal = ""
         if self.drain.in_flight >= self.max_in_flight:
-            failure = Failure(
-                Outcome.NOT_RUN, 503, "too many requests in flight", MS_PER_S
-            )
-            await self.reply_failure(response, request_id, failure)
-            return
-        if not self.drain.start_work():
-            failure = Failure(Outcome.NOT_RUN, 503, "this router is leaving", MS_PER_S)
+            refusal = "this router has too many requests in flight"
+        elif not self.drain.start_work():
+            refusal = "this router is leaving"
+        if refusal:
+            failure = Failure(Outcome.NOT_RUN, 503, refusal, MS_PER_S)
             await self.reply_failure(response, request_id, failure)
             return
         self.metrics.in_flight.set(self.drain.in_flight)
