--- a/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
@@ -115,6 +115,7 @@
     request: Request
     work: float
     remaining: float
+    cached_tokens: int
     import_from: str
     import_tokens: int
     known: bool
@@ -242,7 +243,7 @@
             if queries:
                 return Wait(waiting.asked_until_ms, queries)
         known = entry is not None and entry.tokens > 0
-        self.start(Running(request, work, work, holder, held, known))
+        self.start(Running(request, work, work, local, holder, held, known))
         return Run(local, work, holder, held)
 
     def offer(self, request: Request, now_ms: int) -> Waiting:
@@ -292,7 +293,8 @@
     def ask_peers(self, waiting: Waiting, local: int) -> tuple[ReuseOutgoing, ...]:
         """Return questions to the next in the ranking after a local miss."""
         request = waiting.request
-        if self.gain_ms(request.prompt_tokens - local) < MIN_GAIN_MS:
+        missing = request.prompt_tokens - local
+        if not request.chat or self.gain_ms(missing) < MIN_GAIN_MS:
             return ()
         peers = [a for a in request.ranked if a != self.address][:ASK_PEERS]
         region = self.member.instance.region
@@ -417,6 +419,16 @@
             running.remaining = remaining
             self.ready = list(self.waiting)
 
+    def import_failed(self, request_id: str) -> None:
+        """Count the prefill that an import was to replace, before the first token."""
+        running = self.running.get(request_id)
+        if running is None or not running.import_from:
+            return
+        prefill = self.work(running.request, running.cached_tokens) - running.work
+        running.work += prefill
+        running.remaining += prefill
+        self.add_tokens(prefill)
+
     def finish(
         self,
         request_id: str,
@@ -434,6 +446,8 @@
         if running is None:
             return []
         request = running.request
+        if not request.chat:
+            return []
         if running.import_from and cached_tokens + imported_tokens < min(
             running.import_tokens, request.prompt_tokens
         ):
--- a/packages/medlarridge/tests/unit/coordination/test_reuse_planner.py
+++ b/packages/medlarridge/tests/unit/coordination/test_reuse_planner.py
@@ -1,6 +1,14 @@
+import msgspec
 import pytest
 
-from medlarridge._internal.coordination.reuse_messages import Served
+from medlarridge._internal.coordination.pool_mean import MeanAsk, MeanMessage
+from medlarridge._internal.coordination.reuse_messages import (
+    HandOver,
+    LoadAnswer,
+    PrefixAnswer,
+    ReuseMessage,
+    Served,
+)
 from medlarridge._internal.coordination.reuse_planner import (
     MAX_WAIT_MS,
     Refuse,
@@ -166,3 +174,38 @@
         answers = cluster.planners[home].receive(Served("chat", 2000), "x")
         assert [a.address for a in answers] == ["x"]
         assert cluster.planners[home].take_fetch() is None
+
+    def test_a_failed_import_counts_as_prefill(self, cluster):
+        """Guards against load that hides the prefill after a failed import."""
+        cluster.serve("chat", 3000)
+        target, run, request = spill(cluster, "chat", 3000)
+        planner = cluster.planners[target]
+        before = planner.tokens
+        planner.import_failed(request.id)
+        assert planner.tokens - before == pytest.approx(0.04 * 3000)
+        planner.progress(request.id, 0)
+        assert planner.tokens == 100
+        cluster.complete(target, request, run)
+        assert planner.tokens == 0
+
+    def test_requests_without_a_chat_leave_no_trace_in_the_index(self, cluster):
+        """Guards against calls of plain services that share one entry."""
+        request = cluster.request("", 5000)
+        planner = cluster.planners[request.ranked[0]]
+        run = planner.plan(request)
+        assert isinstance(run, Run)
+        assert planner.finish(request.id, 0, 0, 5100) == []
+        assert not planner.index.entries
+
+    def test_messages_share_one_compact_encoding(self):
+        """Guards against datagrams that a sidecar cannot tell apart."""
+        decoder = msgspec.msgpack.Decoder(MeanMessage | ReuseMessage)
+        for message in (
+            MeanAsk(0, 1, 0, 2**32, 280),
+            PrefixAnswer("c" * 32, 9000, "10.0.0.1:7000", 9000),
+            HandOver("c" * 32, 9000, "10.0.0.1:7000"),
+            LoadAnswer(2**32 - 1, 900),
+        ):
+            data = msgspec.msgpack.encode(message)
+            assert len(data) <= 80
+            assert decoder.decode(data) == message
