Keep the demo's drain step clear of the end of its stream

Cause: the second chat of the step could outlast the stream on a slow machine. Change: that chat asks for 16 tokens; one get command less; SIGHUP ends the demo too.

--- a/packages/medlarridge-standins/src/medlarridge_standins/demo/__main__.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/demo/__main__.py
@@ -21,6 +21,7 @@
 from .workloads import WORKLOADS, Workload
 
 STEP_LIMIT_S = 60
+END_SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 STEP_ERRORS = (StepFailed, WaitFailed, TimeoutError, httpx.HTTPError)
 
 
@@ -55,7 +56,7 @@
 
 
 class Interrupt:
-    """Ends the demo, and with it its processes, at Ctrl-C or SIGTERM."""
+    """Ends the demo, and with it its processes, at Ctrl-C, SIGTERM or the end of the terminal."""
 
     def __init__(self, scope: anyio.CancelScope, narrator: Narrator) -> None:
         self.scope = scope
@@ -65,7 +66,7 @@
 
     async def watch(self) -> None:
         """Wait for a signal; it is a failure unless the demo waits for it."""
-        with anyio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+        with anyio.open_signal_receiver(*END_SIGNALS) as signals:
             async for number in signals:
                 self.asked.set()
                 if not self.expected:
--- a/packages/medlarridge-standins/src/medlarridge_standins/demo/requests.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/demo/requests.py
@@ -78,7 +78,11 @@
 
 
 async def send_chat(
-    fleet: RunningFleet, router: RouterVm, chat: Chat, route: str = ""
+    fleet: RunningFleet,
+    router: RouterVm,
+    chat: Chat,
+    route: str = "",
+    max_tokens: int | None = None,
 ) -> Answer:
     """Send a chat and wait for the whole answer."""
     answer = await fleet.client.post(
@@ -86,6 +90,7 @@
         json={
             "model": route or fleet.workload.engine_route,
             "messages": chat.messages,
+            "max_tokens": max_tokens,
         },
         headers=chat.headers(),
     )
--- a/packages/medlarridge-standins/src/medlarridge_standins/demo/steps.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/demo/steps.py
@@ -1,6 +1,7 @@
 """Steps of the demo; each shows one thing with real requests and checks it."""
 
 from collections.abc import Awaitable, Callable
+from copy import deepcopy
 from dataclasses import dataclass
 from typing import Any
 
@@ -28,6 +29,7 @@
 DRAIN_LIMIT_S = 30
 STREAM_TOKENS = 40
 LONG_STREAM_TOKENS = 150
+SHORT_TOKENS = 16
 MAX_CRASHED_ENGINES = 5
 MAX_SENDS = 10
 STRIKES = 3
@@ -236,16 +238,16 @@
     workload = fleet.workload
     before = await read_tables(fleet)
     in_force = await generations(fleet, fleet.vms())
-    wrong = await read_tables(fleet)
+    wrong = deepcopy(before)
     wrong["routes"][workload.engine_route]["pools"] = ["no-such-pool"]
     result = await apply(fleet, narrator, "missing-pool.json", wrong)
     narrator.check(
         result.status == ExitStatus.FAILED and "no-such-pool" in result.errors,
         f"exit status {result.status} and the reason",
     )
-    old = {**before, "versions": {**before["versions"], "routes": 1}}
-    old["routes"] = {**before["routes"], "another": {"pools": [workload.engine_pool]}}
-    old["versions"]["routes"] = before["versions"]["routes"] - 1
+    old = deepcopy(before)
+    old["routes"]["another"] = {"pools": [workload.engine_pool]}
+    old["versions"]["routes"] -= 1
     result = await apply(fleet, narrator, "old-version.json", old)
     narrator.check(
         result.status == ExitStatus.CONFLICT,
@@ -306,7 +308,7 @@
             f"{serving.name} in {serving.data_centre} serves a stream and has sent "
             f"{len(answer.pieces)} pieces; its sidecar gets SIGTERM"
         )
-        other = await send_chat(fleet, second, chat)
+        other = await send_chat(fleet, second, chat, max_tokens=SHORT_TOKENS)
         narrator.check(
             other.status == HTTP_OK and other.outcome == "complete",
             f"the same chat through {second.name} meanwhile: status {other.status}, "
