--- a/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
@@ -23,7 +23,7 @@
 from medlarridge._internal.transport.links import AttemptLink, LinkResult, LinkState
 
 from .failures import Failure, failure_of
-from .sinks import CallerSink
+from .sinks import AnswerDiffers, CallerSink
 
 if TYPE_CHECKING:
     from .router import Router
@@ -75,6 +75,13 @@
             message = f"no route {self.caller.route!r}"
             await self.fail(Failure(Outcome.NOT_RUN, 404, message))
             return
+        if (retry_after_ms := self.over_limit_ms()) > 0:
+            self.router.metrics.requests.labels(
+                self.caller.route, Outcome.NOT_RUN
+            ).inc()
+            message = f"account {self.caller.account!r} is over its limit"
+            await self.fail(Failure(Outcome.NOT_RUN, 429, message, retry_after_ms))
+            return
         self.deadline_ms = self.started_ms + min(
             self.caller.deadline_ms or route.deadline_ms, route.deadline_ms
         )
@@ -84,6 +91,13 @@
         if failure is not None:
             await self.fail(failure)
 
+    def over_limit_ms(self) -> int:
+        """Return when to come back if the account is over its limit, else 0."""
+        limits = self.router.limits
+        if limits is None:
+            return 0
+        return limits.retry_after_ms(self.caller.route, self.caller.account)
+
     async def fail(self, failure: Failure) -> None:
         """Tell the caller that there is no whole answer."""
         if not self.sink.committed:
@@ -106,11 +120,14 @@
             )
         self.router.planner.add_request(target.pool)
         while True:
-            past = await self.attempt(route, target)
+            try:
+                past = await self.attempt(route, target)
+            except AnswerDiffers as error:
+                return Failure(Outcome.UNKNOWN, 502, error.message)
             if past is None:
                 return None
             history.append(past)
-            if self.sink.committed:
+            if not self.sink.can_restart:
                 return Failure(Outcome.UNKNOWN, 502, "the answer was cut")
             plan = self.router.planner.plan(self.retry_request(route, history))
             if not isinstance(plan, TryMember):
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
@@ -20,6 +20,7 @@
 from medlarridge._internal.transport.asgi import AnswerCut, HttpRequest, HttpResponse
 from medlarridge._internal.transport.auth import SharedKey
 
+from .account_limits import AccountLimits
 from .failures import Failure
 from .placements import PoolPlacements
 from .request_run import RequestRun
@@ -40,6 +41,7 @@
         clock: Clock,
         random: Random,
         metrics: RouterMetrics,
+        limits: AccountLimits | None = None,
         max_in_flight: int = DEFAULT_MAX_IN_FLIGHT,
     ) -> None:
         self.instance = instance
@@ -49,6 +51,7 @@
         self.clock = clock
         self.random = random
         self.metrics = metrics
+        self.limits = limits
         self.max_in_flight = max_in_flight
         self.drain = Drain()
         self.planner = RetryPlanner(clock, random)
--- a/packages/medlarridge/src/medlarridge/_internal/clock.py
+++ b/packages/medlarridge/src/medlarridge/_internal/clock.py
@@ -16,11 +16,15 @@
 
 
 class SystemClock:
-    """Monotonic clock of the machine."""
+    """Monotonic clock of the machine that also counts while the VM is suspended.
+
+    A clock that stands still during a suspension would hide it, and a process must
+    notice that it was paused.
+    """
 
     def now_ms(self) -> int:
-        """Return milliseconds of the monotonic clock."""
-        return time.monotonic_ns() // NS_PER_MS
+        """Return milliseconds since the machine was started."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS
 
 
 class WallClock:
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/pool_mean.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/pool_mean.py
@@ -127,7 +127,9 @@
         self.random = random
         self.weight = weight
         self.tokens = 0.0
-        self.orders: list[list[tuple[int, str]]] = [[] for _ in range(TREES)]
+        # Until it has a member list a node answers, but starts no round.
+        self.listed = False
+        self.orders = [[(position(tree, address), address)] for tree in range(TREES)]
         self.ranks = [0] * TREES
         self.rounds: dict[int, Round] = {}
         self.open_rounds: dict[int, Round] = {}
@@ -140,6 +142,7 @@
 
     def set_members(self, addresses: Iterable[str]) -> None:
         """Replace the list of the pool's sidecars."""
+        self.listed = True
         members = {self.address, *addresses}
         for tree in range(TREES):
             order = sorted((position(tree, a), a) for a in members)
@@ -171,7 +174,7 @@
     def takeover_ms(self, tree: int) -> int:
         """Return when this node starts a round itself."""
         rank = self.ranks[tree]
-        if rank >= TAKEOVER_RANKS or not self.orders[tree]:
+        if rank >= TAKEOVER_RANKS or not self.listed:
             return self.clock.now_ms() + TREE_PERIOD_MS
         if rank:
             # One live tree suffices, so only silence of all trees counts.
@@ -255,24 +258,32 @@
             self.open_rounds.pop(number, None)
 
     def split(self, ask: MeanAsk) -> list[Outgoing]:
-        """Divide the interval among up to four children."""
-        order = self.orders[ask.tree]
+        """Divide the interval among up to four children.
+
+        No part contains this node's own position: a child would ask it again, and
+        the members in that child's part would be missed.
+        """
+        order, rank = self.orders[ask.tree], self.ranks[ask.tree]
+        own = order[rank][0]
         first = bisect_left(order, (ask.low, ""))
         last = bisect_left(order, (ask.high, ""))
-        members = [m for m in order[first:last] if m[1] != self.address]
-        parts = min(FAN_OUT, len(members))
+        below = order[first : min(rank, last)]
+        above = order[max(rank + 1, first) : last]
+        share = round(FAN_OUT * len(below) / max(1, len(below) + len(above)))
+        most_below = min(FAN_OUT - 1, max(1, share)) if above else FAN_OUT
+        most_above = FAN_OUT - min(most_below, len(below))
+        wait_ms = max(0, ask.wait_ms - LEVEL_WAIT_MS)
         now = self.clock.now_ms()
         known = self.known_mean(now)
         asks = []
-        for part in range(parts):
-            start = part * len(members) // parts
-            end = (part + 1) * len(members) // parts
-            low = ask.low if part == 0 else members[start][0]
-            high = ask.high if part == parts - 1 else members[end][0]
-            child = self.choose_child(members[start:end], now)
-            wait_ms = max(0, ask.wait_ms - LEVEL_WAIT_MS)
-            message = MeanAsk(ask.tree, ask.round, low, high, wait_ms, *known)
-            asks.append(Outgoing(child, message))
+        for members, most, start, end in (
+            (below, most_below, ask.low, min(own, ask.high)),
+            (above, most_above, max(own + 1, ask.low), ask.high),
+        ):
+            for part, low, high in divide(members, most, start, end):
+                child = self.choose_child(part, now)
+                message = MeanAsk(ask.tree, ask.round, low, high, wait_ms, *known)
+                asks.append(Outgoing(child, message))
         return asks
 
     def known_mean(self, now_ms: int) -> tuple[int, int, int]:
@@ -344,6 +355,21 @@
             self.measured.popleft()
 
 
+def divide(
+    members: list[tuple[int, str]], most: int, low: int, high: int
+) -> list[tuple[list[tuple[int, str]], int, int]]:
+    """Divide members and their interval into parts of about the same size."""
+    parts = min(most, len(members))
+    divided = []
+    for part in range(parts):
+        start = part * len(members) // parts
+        end = (part + 1) * len(members) // parts
+        first = low if part == 0 else members[start][0]
+        last = high if part == parts - 1 else members[end][0]
+        divided.append((members[start:end], first, last))
+    return divided
+
+
 def position(tree: int, address: str) -> int:
     """Return a member's place in the order of a tree."""
     return xxh32_intdigest(address.encode(), seed=tree)
--- a/packages/medlarridge/src/medlarridge/_internal/transport/datagrams.py
+++ b/packages/medlarridge/src/medlarridge/_internal/transport/datagrams.py
@@ -83,8 +83,8 @@
         self.handlers: dict[int, Handler] = {}
         self.counts = DatagramCounts()
         self.socket: anyio.abc.UDPSocket | None = None
-        # The socket refuses a second writer while one waits for it.
-        self.sending = anyio.Lock()
+        # anyio refuses a second task that sends while the first one waits.
+        self.sending = anyio.Lock(fast_acquire=True)
 
     def register(self, kind: int, handler: Handler) -> None:
         """Register the handler of a kind of datagram."""
--- a/packages/medlarridge/tests/unit/coordination/test_fair_queue.py
+++ b/packages/medlarridge/tests/unit/coordination/test_fair_queue.py
@@ -56,6 +56,18 @@
         work = sum(entry.work_tokens for entry in half if entry.account == "large")
         assert abs(work - sum(entry.work_tokens for entry in half) / 2) <= 4_000
 
+    def test_surging_accounts_share_by_work(self):
+        """Guards against one surging account that keeps the turn."""
+        self.queue.limits = QueueLimits(max_entries=500)
+        self.capacity_tokens = 60 * WORK_TOKENS
+        for _ in range(20):
+            self.offer("large", work=4 * WORK_TOKENS)
+        for _ in range(80):
+            self.offer("many")
+        self.queue.dispatch()
+        shares = self.queue.running_by_account
+        assert abs(shares["large"] - shares["many"]) <= 4 * WORK_TOKENS
+
     def test_priorities_share_without_starvation(self):
         """Guards against low priorities that never run."""
         for priority in (0, 9):
@@ -110,6 +122,14 @@
         ]
         assert not self.queue.waiting
 
+    def test_idle_time_is_skipped(self):
+        """Guards against a stall after hours without entries."""
+        self.clock.advance(10**10)
+        self.offer(deadline_ms=10**10 + 2_000)
+        assert self.queue.expiry.next_tick == self.clock.now_ms() // 10
+        self.clock.advance(2_000)
+        assert len(self.queue.expire()) == 1
+
     def test_refuses_what_never_fits_and_a_full_queue(self):
         """Guards against one oversized entry that blocks all others."""
         large = self.offer(work=2 * WORK_TOKENS)
