--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	$(BIN)/python -m medlarridge_standins.measure $(ARGS)
 
 capacity: setup
-	$(BIN)/python -m medlarridge_standins.capacity $(ARGS)
+	MEDLARRIDGE_COMMIT=$$(git rev-parse --short HEAD) $(BIN)/python -m medlarridge_standins.capacity $(ARGS)
 
 clean:
 	rm -rf $(VENV)
--- a/packages/medlarridge-standins/src/medlarridge_standins/capacity/__main__.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/capacity/__main__.py
@@ -1,9 +1,23 @@
-"""Run the measurements: all, or those named as arguments."""
+"""Run the measurements: all, or those named as arguments.
+
+``--write`` merges the figures into docs/capacity-results.json and refreshes
+docs/CAPACITY.md.
+"""
 
 import sys
 
 from .. import capacity as package
+from ..capacity_page import refresh_page
+from ..capacity_results import merge
 from ..report import import_modules
 
+REPETITIONS = 3
+
 import_modules(package)
-package.capacity.run(sys.argv[1:])
+arguments = sys.argv[1:]
+names = [name for name in arguments if name != "--write"]
+package.capacity.repetitions = REPETITIONS
+figures = package.capacity.run(names)
+if "--write" in arguments:
+    merge(figures)
+    refresh_page()
--- a/packages/medlarridge-standins/src/medlarridge_standins/report.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/report.py
@@ -3,7 +3,7 @@
 import importlib
 import pkgutil
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from types import ModuleType
 
 Scenario = Callable[[], "list[Row]"]
@@ -22,6 +22,9 @@
     target: str = ""
     baseline: str = ""
     met: bool | None = None
+    spread: tuple[float, float] | None = None
+    """Lowest and highest value of several repetitions."""
+    repetitions: int = 1
 
 
 class Report:
@@ -30,6 +33,7 @@
     def __init__(self, title: str) -> None:
         self.title = title
         self.scenarios: dict[str, Scenario] = {}
+        self.repetitions = 1
 
     def scenario(self, name: str) -> Callable[[Scenario], Scenario]:
         """Return a decorator that registers a scenario."""
@@ -48,11 +52,29 @@
         print(f"{'figure':58} {'value':>12} {'unit':14} {'target':>14}  baseline")
         rows = []
         for name in names or list(self.scenarios):
-            for row in self.scenarios[name]():
+            for row in self.collect(name):
                 rows.append(row)
                 print(format_row(row), flush=True)
         return rows
 
+    def collect(self, name: str) -> list[Row]:
+        """Return the medians of a scenario's rows over the repetitions."""
+        runs = [self.scenarios[name]() for _ in range(self.repetitions)]
+        if self.repetitions == 1:
+            return runs[0]
+        return [median_row(list(same)) for same in zip(*runs, strict=True)]
+
+
+def median_row(rows: list[Row]) -> Row:
+    """Return the row with the median value of repetitions, and their spread."""
+    values = sorted(row.value for row in rows)
+    low, high = values[0], values[-1]
+    baseline = f"{rows[0].baseline} {low:.4g} to {high:.4g}".strip()
+    middle = sorted(rows, key=lambda row: row.value)[(len(rows) - 1) // 2]
+    return replace(
+        middle, baseline=baseline, spread=(low, high), repetitions=len(rows)
+    )
+
 
 def format_row(row: Row) -> str:
     """Return a row as one line of the table."""
