--- a/packages/medlarridge-standins/src/medlarridge_standins/capacity/decisions.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/capacity/decisions.py
@@ -4,18 +4,23 @@
 from collections.abc import Callable
 from random import Random
 
+import msgspec
+
 from medlarridge._internal.clock import ManualClock
+from medlarridge._internal.coordination.account_limits import AccountLimiter
 from medlarridge._internal.coordination.answer import AnswerAssembler
 from medlarridge._internal.coordination.attempts import AttemptRegister
 from medlarridge._internal.coordination.placement import Placement
 from medlarridge._internal.coordination.reuse_planner import Run
 from medlarridge._internal.protocol.codec import FrameReader, encode_frame
+from medlarridge._internal.protocol.limits import Usage, UsageReport
 from medlarridge._internal.protocol.messages import Attempt, Chunk, Head
 
 from ..measure.pool_mean_cost import MeanModel
 from ..planner_cluster import PlannerCluster, make_member
 from ..report import Row
 from . import capacity
+from .fairness import Directory
 
 POOLS = (10, 50, 200, 460)
 ROUTERS = 1100
@@ -150,7 +155,9 @@
     sent_bytes = sum(n.bytes for n in nodes) / len(nodes) / seconds
     return [
         Row(f"{name}: datagrams sent, mean", sent, "1/s"),
-        Row(f"{name}: datagrams sent, most", max(n.sent for n in nodes) / seconds, "1/s"),
+        Row(
+            f"{name}: datagrams sent, most", max(n.sent for n in nodes) / seconds, "1/s"
+        ),
         Row(f"{name}: bytes sent, mean", sent_bytes, "B/s"),
         Row(f"{name}: bytes sent, most", max(n.bytes for n in nodes) / seconds, "B/s"),
         Row(
@@ -164,13 +171,6 @@
 @capacity.scenario("limit-reports")
 def limit_reports() -> list[Row]:
     """Measure reports of account usage at the router that they go to."""
-    import msgspec
-
-    from medlarridge._internal.coordination.account_limits import AccountLimiter
-    from medlarridge._internal.protocol.limits import Usage, UsageReport
-
-    from .fairness import Directory
-
     limiter = AccountLimiter(ManualClock(), Random(1), "own", 1, Directory())
     encoder = msgspec.msgpack.Encoder()
     decoder = msgspec.msgpack.Decoder(UsageReport)
--- a/packages/medlarridge-standins/src/medlarridge_standins/capacity/memory.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/capacity/memory.py
@@ -5,7 +5,10 @@
 
 from medlarridge._internal.clock import ManualClock
 from medlarridge._internal.coordination.accepted import Configuration
-from medlarridge._internal.coordination.account_limits import AccountHome, AccountLimiter
+from medlarridge._internal.coordination.account_limits import (
+    AccountHome,
+    AccountLimiter,
+)
 from medlarridge._internal.coordination.attempts import AttemptRegister
 from medlarridge._internal.coordination.placement import Placement
 from medlarridge._internal.coordination.prefix_index import PrefixIndex
--- a/packages/medlarridge-standins/src/medlarridge_standins/capacity/path.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/capacity/path.py
@@ -97,32 +97,32 @@
     """Measure a window in which all callers are served."""
     callers = Callers(fleet, tokens, CALLERS if tokens > 1 else CALLERS_OF_SHORT)
     limits = httpx.Limits(max_connections=None, max_keepalive_connections=CALLERS)
-    async with httpx.AsyncClient(limits=limits, timeout=60, trust_env=False) as client:
-        async with anyio.create_task_group() as tasks:
-            for caller in range(callers.count):
-                tasks.start_soon(callers.run, caller, client)
-            with anyio.fail_after(RAMP_TIMEOUT_S):
-                while len(callers.served) < callers.count:
-                    await anyio.sleep(POLL_S)
-            before, started = cpu_of(fleet), time.monotonic()
-            requests, chunks = callers.requests(), callers.chunks
-            refused, finished = callers.refused, callers.finished
-            await anyio.sleep(WINDOW_S)
-            seconds = time.monotonic() - started
-            result = Sample(
-                callers.requests() - requests,
-                callers.chunks - chunks,
-                [
-                    now - then - rate * seconds
-                    for now, then, rate in zip(
-                        cpu_of(fleet), before, idle, strict=True
-                    )
-                ],
-            )
-            share = (callers.refused - refused) / (callers.finished - finished)
-            if share > MAX_REFUSED_SHARE:
-                raise AssertionError(f"{share:.0%} of the requests were refused")
-            callers.stopping = True
+    async with (
+        httpx.AsyncClient(limits=limits, timeout=60, trust_env=False) as client,
+        anyio.create_task_group() as tasks,
+    ):
+        for caller in range(callers.count):
+            tasks.start_soon(callers.run, caller, client)
+        with anyio.fail_after(RAMP_TIMEOUT_S):
+            while len(callers.served) < callers.count:
+                await anyio.sleep(POLL_S)
+        before, started = cpu_of(fleet), time.monotonic()
+        requests, chunks = callers.requests(), callers.chunks
+        refused, finished = callers.refused, callers.finished
+        await anyio.sleep(WINDOW_S)
+        seconds = time.monotonic() - started
+        result = Sample(
+            callers.requests() - requests,
+            callers.chunks - chunks,
+            [
+                now - then - rate * seconds
+                for now, then, rate in zip(cpu_of(fleet), before, idle, strict=True)
+            ],
+        )
+        share = (callers.refused - refused) / (callers.finished - finished)
+        if share > MAX_REFUSED_SHARE:
+            raise AssertionError(f"{share:.0%} of the requests were refused")
+        callers.stopping = True
     return result
 
 
--- /dev/null
+++ b/packages/medlarridge-standins/src/medlarridge_standins/capacity/refresh.py
@@ -0,0 +1,67 @@
+"""CPU time of the periodic work on the member list at the target size."""
+
+from random import Random
+from types import SimpleNamespace
+
+from loguru import logger
+
+from medlarridge._internal.coordination.membership import ListedVm
+from medlarridge._internal.coordination.placement import Placement
+from medlarridge._internal.coordination.reuse_planner import ReusePlanner
+from medlarridge._internal.identity import Role
+from medlarridge._internal.node import ClusterFleet
+from medlarridge._internal.protocol.tables import Tables
+
+from ..report import Row
+from . import capacity
+from .decisions import time_us
+from .membership import SIZES, node
+
+POOL = "souk-model-1"
+CENTRES = [f"data-centre-{number}" for number in range(12)]
+ROUNDS = 20
+SEED = 31
+US_PER_MS = 1000
+
+
+@capacity.scenario("member-refresh")
+def member_refresh() -> list[Row]:
+    """Measure the rebuild of one pool and the handling of a VM list."""
+    logger.remove()
+    count = SIZES[-1]
+    membership, clock = node(count)
+    pools = {POOL: {"kind": "engine", "data_centres": CENTRES}}
+    configuration = SimpleNamespace(
+        tables=Tables.model_validate({"pools": pools}), generation=1, ready=True
+    )
+    cluster = SimpleNamespace(
+        membership=membership, configuration=configuration, clock=clock
+    )
+    fleet = ClusterFleet(cluster)
+    members = fleet.members_of(POOL)
+    planner = ReusePlanner(members[0], 1.25, clock, Random(SEED))
+    listed = [
+        ListedVm(
+            record.member.instance.address,
+            record.member.instance.data_centre,
+            record.member.instance.region,
+            Role.SIDECAR,
+            "live",
+        )
+        for record in membership.table.records.values()
+    ]
+
+    def rebuild(_: int) -> None:
+        Placement(fleet.members_of(POOL), fleet.held_down(POOL))
+
+    def update(_: int) -> None:
+        planner.set_members(fleet.members_of(POOL), fleet.held_down(POOL))
+
+    size = len(members)
+    vm_list_us = time_us(lambda _: membership.vm_list(listed), ROUNDS)
+    return [
+        Row("members of the measured pool", size, ""),
+        Row("refresh one pool at a router", time_us(rebuild, ROUNDS), "us"),
+        Row("refresh the own pool at a sidecar", time_us(update, ROUNDS), "us"),
+        Row(f"handle the VM list of {count} VMs", vm_list_us / US_PER_MS, "ms"),
+    ]
--- a/packages/medlarridge-standins/src/medlarridge_standins/process_fleet.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/process_fleet.py
@@ -70,7 +70,8 @@
 
     def rss_mib(self, name: str) -> float:
         """Return the resident memory of a process."""
-        for line in Path(f"/proc/{self.processes[name].pid}/status").open():
+        status = Path(f"/proc/{self.processes[name].pid}/status").read_text()
+        for line in status.splitlines():
             if line.startswith("VmRSS:"):
                 return int(line.split()[1]) / 1024
         raise RuntimeError(f"no memory figure of {name}")
--- a/packages/medlarridge-standins/src/medlarridge_standins/report.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/report.py
@@ -71,9 +71,7 @@
     low, high = values[0], values[-1]
     baseline = f"{rows[0].baseline} {low:.4g} to {high:.4g}".strip()
     middle = sorted(rows, key=lambda row: row.value)[(len(rows) - 1) // 2]
-    return replace(
-        middle, baseline=baseline, spread=(low, high), repetitions=len(rows)
-    )
+    return replace(middle, baseline=baseline, spread=(low, high), repetitions=len(rows))
 
 
 def format_row(row: Row) -> str:
