Cut control bytes: compressed deltas, status-first polls, rarer VM list reads

Cause: docs/CAPACITY.md works out 7,730 B/s of control per router at the target size, against 3,000: whole reads of config/accepted 2,350, deltas 1,550 each way, VM list 1,500. Change: replies of the exchange are compressed with a bound on their size; polls read the small status object and the whole configuration only for a newer generation or every eighth time; the fleet reads the VM list 4 times a second instead of 20, and whoever sees a leaving VM tells its process, which checks the list itself. Conclusion: one large route entry still decides the size of a delta.

--- a/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+from prometheus_client import Histogram
 
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.coordination.retry import (
@@ -52,15 +53,19 @@
         self.sink = CallerSink(response, request_id, router.clock, self.note_piece)
         self.deadline_ms = 0
         self.number = 0
+        self.between_tokens: Histogram | None = None
 
     def note_piece(self, gap_ms: int | None) -> None:
         """Record the time to the first piece and between pieces."""
+        if gap_ms is not None:
+            assert self.between_tokens is not None
+            self.between_tokens.observe(gap_ms / MS_PER_S)
+            return
         metrics, route = self.router.metrics, self.caller.route
-        if gap_ms is None:
-            elapsed_ms = self.router.clock.now_ms() - self.started_ms
-            metrics.first_token.labels(route).observe(elapsed_ms / MS_PER_S)
-        else:
-            metrics.between_tokens.labels(route).observe(gap_ms / MS_PER_S)
+        # Looking the series up costs more than the observation, so once a request.
+        self.between_tokens = metrics.between_tokens.labels(route)
+        elapsed_ms = self.router.clock.now_ms() - self.started_ms
+        metrics.first_token.labels(route).observe(elapsed_ms / MS_PER_S)
 
     async def run(self) -> None:
         """Try members until one gives the answer, then answer the caller."""
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/daemon.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/daemon.py
@@ -101,12 +101,18 @@
         self.sidecar.load_hint = lambda: self.planner.load
         node.cluster.register(REUSE_KIND, self.messages.receive)
         node.cluster.register(SUSPECT_KIND, self.crash_gate.receive)
+        node.cluster.on_listed_leaving = self.listed_leaving
 
     def server_restarted(self) -> None:
         """Forget what is known of the server before its death."""
         self.work.server_restarted()
         self.orders.server_restarted()
 
+    def listed_leaving(self, leaving: bool) -> None:
+        """Take no new work while the platform lists this VM as leaving."""
+        self.sidecar.set_listed_leaving(leaving)
+        self.node.cluster.spawn(self.node.cluster.set_self, leaving)
+
     def is_engine(self) -> bool:
         """Return whether the tables say that the server is a model engine."""
         pool = self.fleet.tables.pools.get(self.settings.pool)
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
@@ -53,6 +53,7 @@
         self.metrics = metrics
         self.gates = gates
         self.drain = Drain()
+        self.stopping = False
         self.register = AttemptRegister(clock)
         self.live: dict[tuple[str, int], LiveAttempt] = {}
         self.context = AdmissionContext(
@@ -180,6 +181,11 @@
         else:
             self.withdraw(live, self.refusal(Refusal.DEADLINE, "cancelled"))
 
+    def set_listed_leaving(self, leaving: bool) -> None:
+        """Follow the platform's list, unless the process itself is ending."""
+        if not self.stopping:
+            self.drain.leaving = leaving
+
     def cancel(self, request_id: str, number: int) -> bool:
         """Stop an attempt whose caller has gone.
 
@@ -198,6 +204,7 @@
             self.tasks = tasks
             tasks.start_soon(self.keep_house)
             await stopped.wait()
+            self.stopping = True
             self.drain.leave()
             while self.drain.in_flight:
                 await anyio.sleep(0.02)
--- a/packages/medlarridge-standins/src/medlarridge_standins/fleet.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/fleet.py
@@ -13,6 +13,7 @@
     ConfigurationAction,
     ConfigurationView,
     FetchDelta,
+    ReadStatus,
     ReadStore,
 )
 from medlarridge._internal.coordination.member_events import (
@@ -327,6 +328,9 @@
             if isinstance(action, ReadStore):
                 self.traffic.store_reads += 1
                 self.after(self.latency_ms, lambda: self.read_store(node))
+            elif isinstance(action, ReadStatus):
+                self.traffic.store_reads += 1
+                self.after(self.latency_ms, lambda: self.read_status(node))
             elif isinstance(action, AskPeers):
                 for address in node.membership.random_peers(action.count):
                     request = ConfigurationRequest(action.since)
@@ -337,6 +341,15 @@
             else:
                 self.act(node, node.membership.push)
 
+    def read_status(self, node: Node) -> None:
+        """Hand the generation in the store's status object to a node."""
+        view = node.configuration
+        if not self.store_up:
+            self.configure(node, view.store_failed)
+        elif self.store_value is not None:
+            stored = Configuration.from_json(self.store_value, "store")
+            self.configure(node, lambda: view.status_replied(stored.generation))
+
     def read_store(self, node: Node) -> None:
         """Hand the store's answer to a node."""
         view = node.configuration
--- a/packages/medlarridge/src/medlarridge/_internal/cluster.py
+++ b/packages/medlarridge/src/medlarridge/_internal/cluster.py
@@ -8,15 +8,18 @@
 
 import anyio
 import anyio.abc
+import msgspec
 from result import Err, Result
 
 from .clock import MS_PER_S, Clock, SystemClock, WallClock
 from .coordination.acceptance import Acceptor
+from .coordination.accepted import TableStatus
 from .coordination.configuration import (
     AskPeers,
     ConfigurationAction,
     ConfigurationView,
     FetchDelta,
+    ReadStatus,
     ReadStore,
 )
 from .coordination.member_events import (
@@ -40,21 +43,31 @@
     decode_gossip,
     encode,
 )
-from .state.keys import ACCEPTED_CONFIGURATION
+from .state.keys import ACCEPTED_CONFIGURATION, TABLE_STATUS
 from .state.store import ObjectStore, StoredObject
 from .transport.datagrams import DatagramEndpoint, Handler
 from .transport.exchange import ExchangeClient, ExchangeServer
 
 GOSSIP_KIND = 1
+LEAVING_KIND = 6
+"""Tells a process that the platform lists its VM as leaving."""
 TICK_INTERVAL_MS = 250
 ACCEPT_INTERVAL_MS = 1000
 MIN_VM_INTERVAL_MS = 2000
-VM_READS_PER_S = 20
+VM_READS_PER_S = 4
+"""Reads of the VM list by the whole fleet. The list has 350 KB at the target size;
+whoever reads it first tells the leaving VMs."""
+LISTED_LEAVING_INTERVAL_MS = 10_000
+TRUST_LIST_AFTER_MS = 60_000
+"""The list lags, so it may still speak of an earlier VM at the address of a process
+that has just started."""
+MAX_LEAVING_NOTICES = 50
 FIRST_VM_RETRY_MS = 500
 LEAVE_TIMEOUT_S = 1
 STORE_TIMEOUT_S = 2
 TIMED_OUT = StoreError(StoreErrorKind.UNAVAILABLE, "read", "platform", "no answer")
 
+LISTED_LEAVING = register(4053, "WARNING", "platform's list on this VM has changed")
 VM_LIST_FAILED = register(4052, "WARNING", "VM list cannot be read")
 ACCEPTANCE_FAILED = register(3103, "WARNING", "acceptance of the tables failed")
 CONFIGURATION_READ_FAILED = register(3104, "WARNING", "configuration cannot be read")
@@ -102,6 +115,11 @@
         self.server = ExchangeServer(address, self.key, self.answer)
         self.client = ExchangeClient(self.key, self.clock)
         self.acceptor = Acceptor(self.store)
+        self.datagrams.register(LEAVING_KIND, self.told_leaving)
+        self.started_ms = self.clock.now_ms()
+        self.listed_leaving = False
+        self.on_listed_leaving: Callable[[bool], None] = lambda leaving: None
+        self.told: set[str] = set()
         self.tasks: anyio.abc.TaskGroup | None = None
         self.reading = False
 
@@ -188,20 +206,50 @@
         """Read the VM list, at a constant total rate of the fleet."""
         known = False
         while True:
-            answer: Result[Sequence[ListedVm], StoreError] = Err(TIMED_OUT)
-            with anyio.move_on_after(STORE_TIMEOUT_S):
-                answer = await self.vm_source.vms()
-            if isinstance(answer, Err):
-                log_event(VM_LIST_FAILED, error=answer.err_value)
-            else:
-                known = True
-                self.membership.vm_list(answer.ok_value)
+            known = await self.read_vm_list() or known
             interval_ms = max(
                 MIN_VM_INTERVAL_MS if known else FIRST_VM_RETRY_MS,
                 self.membership.size * MS_PER_S // VM_READS_PER_S,
             )
+            if self.listed_leaving:
+                interval_ms = min(interval_ms, LISTED_LEAVING_INTERVAL_MS)
             await self.sleep_jittered(interval_ms)
 
+    async def read_vm_list(self) -> bool:
+        """Read the VM list once; return whether that worked."""
+        answer: Result[Sequence[ListedVm], StoreError] = Err(TIMED_OUT)
+        with anyio.move_on_after(STORE_TIMEOUT_S):
+            answer = await self.vm_source.vms()
+        if isinstance(answer, Err):
+            log_event(VM_LIST_FAILED, error=answer.err_value)
+            return False
+        self.membership.vm_list(answer.ok_value)
+        leaving = {vm.address for vm in answer.ok_value if vm.leaving}
+        self.note_own_listing(self.member.instance.address in leaving)
+        await self.tell_leaving(leaving)
+        return True
+
+    def note_own_listing(self, leaving: bool) -> None:
+        """Tell the daemon when the platform begins or stops to remove this VM."""
+        age_ms = self.clock.now_ms() - self.started_ms
+        if leaving == self.listed_leaving or age_ms < TRUST_LIST_AFTER_MS:
+            return
+        self.listed_leaving = leaving
+        log_event(LISTED_LEAVING, leaving=leaving)
+        self.on_listed_leaving(leaving)
+
+    async def tell_leaving(self, leaving: set[str]) -> None:
+        """Tell the processes on leaving VMs, which read the list rarely."""
+        news = sorted(leaving - self.told - {self.member.instance.address})
+        self.told = leaving
+        for address in news[:MAX_LEAVING_NOTICES]:
+            await self.send(address, LEAVING_KIND, b"")
+
+    async def told_leaving(self, source: str, payload: bytes) -> None:
+        """Check the list when a peer says that this VM is leaving."""
+        if not self.listed_leaving:
+            self.spawn(self.read_vm_list)
+
     async def run_acceptance(self) -> None:
         """Accept table edits while this process holds the lease."""
         while True:
@@ -263,6 +311,8 @@
         for action in actions:
             if isinstance(action, ReadStore):
                 self.spawn(self.read_store)
+            elif isinstance(action, ReadStatus):
+                self.spawn(self.read_status)
             elif isinstance(action, AskPeers):
                 for address in self.membership.random_peers(action.count):
                     self.spawn(self.fetch_delta, address, action.since)
@@ -291,6 +341,18 @@
             self.configuration.store_replied(found.value if found else None)
         )
 
+    async def read_status(self) -> None:
+        """Read which generation was accepted last."""
+        answer: Result[StoredObject | None, StoreError] = Err(TIMED_OUT)
+        with anyio.move_on_after(STORE_TIMEOUT_S):
+            answer = await self.store.get(TABLE_STATUS)
+        if isinstance(answer, Err):
+            log_event(CONFIGURATION_READ_FAILED, error=answer.err_value)
+            await self.refresh(self.configuration.store_failed())
+        elif answer.ok_value is not None:
+            generation = status_generation(answer.ok_value.value)
+            await self.refresh(self.configuration.status_replied(generation))
+
     async def fetch_delta(self, address: str, since: int) -> None:
         """Ask a peer for its configuration."""
         reply = await self.exchange(address, ConfigurationRequest(since))
@@ -303,3 +365,11 @@
             return self.configuration.delta_since(request.since)
         reply = self.membership.serve(request)
         return reply or ExchangeFailure("unknown request")
+
+
+def status_generation(value: bytes) -> int:
+    """Return the generation in the status object, 0 if it is malformed."""
+    try:
+        return msgspec.json.decode(value, type=TableStatus).generation
+    except msgspec.MsgspecError:
+        return 0
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/configuration.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/configuration.py
@@ -17,6 +17,9 @@
 """Reads of the accepted configuration by the whole fleet."""
 MIN_POLL_INTERVAL_MS = 2000
 LATE_TICK_MS = 3000
+FULL_READ_POLLS = 8
+"""Every such poll reads the whole configuration. The others read only the small
+status object, which is written after it and may therefore be behind."""
 CONFIRMING_PEERS = 3
 RETRY_INTERVAL_MS = 1000
 MAX_RETRY_INTERVAL_MS = 30_000
@@ -37,6 +40,11 @@
     """Read the accepted configuration and call ``store_replied``."""
 
 
+@dataclass(frozen=True)
+class ReadStatus:
+    """Read ``status/tables`` and call ``status_replied`` with its generation."""
+
+
 @dataclass(frozen=True)
 class AskPeers:
     """Ask random peers for a delta and call ``peer_replied`` for each."""
@@ -58,7 +66,7 @@
     """Tell random peers of the generation at once."""
 
 
-ConfigurationAction = ReadStore | AskPeers | FetchDelta | PushGeneration
+ConfigurationAction = ReadStore | ReadStatus | AskPeers | FetchDelta | PushGeneration
 Listener = Callable[[Configuration], None]
 
 
@@ -93,6 +101,7 @@
         self.next_poll_ms = now_ms
         self.next_retry_ms = now_ms
         self.retry_interval_ms = RETRY_INTERVAL_MS
+        self.polls = 0
 
     # What the daemons read.
 
@@ -135,7 +144,8 @@
         if now_ms < self.next_poll_ms:
             return []
         self.plan_poll(now_ms)
-        return [ReadStore()]
+        self.polls += 1
+        return [ReadStore() if self.polls % FULL_READ_POLLS == 0 else ReadStatus()]
 
     def mentioned(self, generation: int, address: str) -> list[ConfigurationAction]:
         """Handle a message from a process with a given generation."""
@@ -164,6 +174,10 @@
         self.drop_unfounded_mention()
         return actions
 
+    def status_replied(self, generation: int) -> list[ConfigurationAction]:
+        """Handle the generation that the status object names."""
+        return [ReadStore()] if generation > self.generation else []
+
     def store_failed(self) -> list[ConfigurationAction]:
         """Handle a failed read of the store."""
         if self.confirmed and not self.is_behind:
--- a/packages/medlarridge/src/medlarridge/_internal/transport/exchange.py
+++ b/packages/medlarridge/src/medlarridge/_internal/transport/exchange.py
@@ -3,6 +3,7 @@
 import hashlib
 import hmac
 import secrets
+import zlib
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -27,6 +28,10 @@
 DIGEST_BYTES = 16
 MAX_REQUEST_BYTES = 4096
 MAX_REPLY_BYTES = 2 * 1024 * 1024
+COMPRESS_FROM_BYTES = 512
+"""Smaller replies gain little. Deltas of tables with many account limits shrink to
+about a tenth."""
+PLAIN, COMPRESSED = b"\0", b"\1"
 REQUEST_TIMEOUT_MS = 3000
 IDLE_MS = 10_000
 MAX_IDLE_CONNECTIONS = 8
@@ -87,6 +92,33 @@
         return body
 
 
+def pack(body: bytes) -> bytes:
+    """Return a reply's body as sent, compressed if that is worthwhile."""
+    if len(body) < COMPRESS_FROM_BYTES:
+        return PLAIN + body
+    return COMPRESSED + zlib.compress(body)
+
+
+def unpack(packed: bytes, peer: str) -> bytes:
+    """Return the body of a reply; refuses one that grows beyond the limit."""
+    if packed[:1] == PLAIN:
+        return packed[1:]
+    unzip = zlib.decompressobj()
+    try:
+        body = unzip.decompress(packed[1:], MAX_REPLY_BYTES)
+    except zlib.error as error:
+        raise CodecError(
+            f"malformed reply: {error}", step="exchange", peer=peer
+        ) from error
+    if not unzip.eof:
+        raise CodecError(
+            f"reply is cut or exceeds {MAX_REPLY_BYTES} bytes",
+            step="exchange",
+            peer=peer,
+        )
+    return body
+
+
 class ExchangeServer:
     """Answers the requests of peers, one at a time."""
 
@@ -148,7 +180,7 @@
             self.dropped["malformed"] += 1
             reply = ExchangeFailure(error.message)
         self.served += 1
-        return self.seal.close_reply(nonce, encode(reply))
+        return self.seal.close_reply(nonce, pack(encode(reply)))
 
 
 @dataclass
@@ -221,7 +253,7 @@
         body = self.seal.open_reply(nonce, answer)
         if body is None:
             raise CodecError("reply is not authentic", step="exchange", peer=address)
-        return decode_reply(body, address)
+        return decode_reply(unpack(body, address), address)
 
     def keep(self, address: str, socket: pynng.Req0) -> None:
         """Keep a connection for a while."""
--- a/packages/medlarridge/tests/unit/coordination/test_configuration.py
+++ b/packages/medlarridge/tests/unit/coordination/test_configuration.py
@@ -7,11 +7,13 @@
 from medlarridge._internal.clock import ManualClock
 from medlarridge._internal.coordination.accepted import MAX_REMOVALS, Configuration
 from medlarridge._internal.coordination.configuration import (
+    FULL_READ_POLLS,
     STORE_READS_PER_S,
     AskPeers,
     ConfigurationView,
     FetchDelta,
     PushGeneration,
+    ReadStatus,
     ReadStore,
 )
 from medlarridge._internal.errors import CodecError
@@ -124,6 +126,20 @@
             asked |= {type(action) for action in view.tick()}
         assert asked == {AskPeers, ReadStore}
 
+    def test_polls_read_the_whole_only_when_there_is_news(self):
+        """Guards against polls that move all tables when nothing has changed."""
+        _, first, second = history({0: 0}, {0: 1})
+        view, clock = view_at(first)
+        polls = []
+        while len(polls) < 2 * FULL_READ_POLLS:
+            clock.advance(250)
+            polls += view.tick()
+        whole = [number for number, poll in enumerate(polls, 1) if poll == ReadStore()]
+        assert whole == [FULL_READ_POLLS, 2 * FULL_READ_POLLS]
+        assert set(polls) == {ReadStore(), ReadStatus()}
+        assert view.status_replied(first.generation) == []
+        assert view.status_replied(second.generation) == [ReadStore()]
+
     def test_bad_delta_is_replaced_by_the_whole(self):
         """Guards against a digest mismatch that keeps a node behind."""
         _, first, second = history({0: 0}, {0: 1})
--- a/packages/medlarridge/tests/unit/test_cluster.py
+++ b/packages/medlarridge/tests/unit/test_cluster.py
@@ -5,7 +5,12 @@
 import msgspec
 from result import Ok
 
-from medlarridge._internal.cluster import ClusterNode
+from medlarridge._internal.clock import ManualClock
+from medlarridge._internal.cluster import (
+    LEAVING_KIND,
+    TRUST_LIST_AFTER_MS,
+    ClusterNode,
+)
 from medlarridge._internal.coordination.member_events import ListedVm
 from medlarridge._internal.identity import Instance, Member, Role
 from medlarridge._internal.state.keys import POOLS_TABLE, ROUTES_TABLE
@@ -98,3 +103,54 @@
             scopes[1].cancel()
             await until(lambda: all(n.membership.size == 2 for n in others))
             tasks.cancel_scope.cancel()
+
+
+class TestVmList:
+    def node(self, clock, vms):
+        instance = Instance("10.0.0.1:7000", 1, "a", "r", Role.SIDECAR)
+        node = ClusterNode(
+            Member(instance, "p"), KEY, MemoryStore(), vms, clock, Random(1)
+        )
+        node.seen = []
+        node.on_listed_leaving = node.seen.append
+        return node
+
+    async def test_a_leaving_vm_is_told_and_checks_the_list_itself(self):
+        """Guards against new work on a leaving VM whose process reads the list rarely."""
+        clock, vms = ManualClock(), VmList([])
+        node, sent = self.node(clock, vms), []
+
+        async def send(address, kind, payload):
+            sent.append((address, kind))
+
+        node.send = send
+        listed = [
+            ListedVm("10.0.0.1:7000", "a", "r", state="leaving"),
+            ListedVm("10.0.0.2:7000", "a", "r", state="leaving"),
+            ListedVm("10.0.0.3:7000", "a", "r"),
+        ]
+        vms.vms = lambda: answer(listed)
+        clock.advance(TRUST_LIST_AFTER_MS)
+        await node.read_vm_list()
+        await node.read_vm_list()
+        assert sent == [("10.0.0.2:7000", LEAVING_KIND)]
+        assert node.seen == [True]
+        listed[0] = ListedVm("10.0.0.1:7000", "a", "r")
+        await node.read_vm_list()
+        assert node.seen == [True, False]
+
+    async def test_a_new_process_does_not_take_the_old_vm_for_itself(self):
+        """Guards against a reused address whose list entry lags."""
+        clock, vms = ManualClock(), VmList([])
+        node = self.node(clock, vms)
+        vms.vms = lambda: answer([ListedVm("10.0.0.1:7000", "a", "r", state="leaving")])
+        clock.advance(TRUST_LIST_AFTER_MS - 1)
+        await node.read_vm_list()
+        assert node.seen == []
+        clock.advance(1)
+        await node.read_vm_list()
+        assert node.seen == [True]
+
+
+async def answer(listed):
+    return Ok(listed)
--- a/packages/medlarridge/tests/unit/transport/test_exchange.py
+++ b/packages/medlarridge/tests/unit/transport/test_exchange.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from medlarridge._internal.clock import ManualClock
-from medlarridge._internal.errors import MedlarridgeError
+from medlarridge._internal.errors import CodecError, MedlarridgeError
 from medlarridge._internal.protocol.gossip import (
     DigestReply,
     DigestRequest,
@@ -21,6 +21,8 @@
     ExchangeClient,
     ExchangeSeal,
     ExchangeServer,
+    pack,
+    unpack,
 )
 
 KEY = b"a shared key of the test fleet"
@@ -100,3 +102,23 @@
         assert seal.open_reply(NONCE, reply) is not None
         assert seal.open_reply(b"87654321", reply) is None
         assert seal.open_request(seal.close_request(NONCE, b"x")[:-1]) is None
+
+
+class TestPacking:
+    def test_large_replies_shrink_and_come_back(self):
+        """Guards against deltas of large tables that use up the control bytes."""
+        for body in (b"", b"x" * 10, b"account limit " * 1000):
+            assert unpack(pack(body), "peer") == body
+        assert len(pack(b"account limit " * 1000)) < 1000
+
+    @pytest.mark.parametrize("data", [b"", b"\1x", pack(b"x" * 9999)[:-3]])
+    def test_damaged_replies_are_refused(self, data):
+        """Guards against a peer that ends the process with malformed bytes."""
+        with pytest.raises(CodecError) as caught:
+            unpack(data, "peer")
+        assert caught.value.peer == "peer"
+
+    def test_a_reply_cannot_grow_beyond_the_limit(self):
+        """Guards against a small reply that fills the memory."""
+        with pytest.raises(CodecError, match="exceeds"):
+            unpack(pack(bytes(MAX_REPLY_BYTES + 1)), "peer")
