Prove at most once on the whole path; share the assembly of gates

The ledger had scenarios of its own, but none that passes a router and a sidecar. LocalFleet delivers datagrams in memory, shares one MemoryStore and can cut a sidecar off as if its process had died (LocalProcess).

LoopTransport left a request open when its client gave up before the answer started, so a caller that goes away was not noticed; it closes it now.

--- a/packages/medlarridge-standins/src/medlarridge_standins/local_fleet.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/local_fleet.py
@@ -1,6 +1,6 @@
 """A small fleet in one process, connected without sockets."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from random import Random
@@ -13,6 +13,7 @@
 from medlarridge._internal.identity import Instance, Member, Role
 from medlarridge._internal.metrics import RouterMetrics, SidecarMetrics
 from medlarridge._internal.protocol.tables import Tables
+from medlarridge._internal.state.memory import MemoryStore
 from medlarridge._internal.transport.asgi import Endpoints
 from medlarridge._internal.transport.auth import SharedKey
 from medlarridge_router._internal.endpoints import caller_endpoints
@@ -20,13 +21,51 @@
 from medlarridge_sidecar._internal.endpoints import sidecar_endpoints
 from medlarridge_sidecar._internal.gates import Gate
 from medlarridge_sidecar._internal.server_call import ServerClient
+from medlarridge_sidecar._internal.server_gates import GateSurroundings, ServerGates
 from medlarridge_sidecar._internal.sidecar import Sidecar
 
+from .local_process import LocalProcess
 from .loop_transport import LoopTransport
 
 KEY = SharedKey("a shared key for tests")
 MAX_BODY_BYTES = 1024 * 1024
 MAX_IN_FLIGHT = 100
+MAX_RUNNING = 64
+Handler = Callable[[str, bytes], Awaitable[None]]
+
+
+def sidecar_instance(name: str, number: int) -> Instance:
+    """Return the identity of a sidecar."""
+    return Instance(f"{name}:1", number, "data-centre-a", "region", Role.SIDECAR)
+
+
+@dataclass
+class LocalDatagrams:
+    """Datagrams of one process, delivered in memory."""
+
+    fleet: "LocalFleet"
+    process: LocalProcess
+
+    def register(self, kind: int, handler: Handler) -> None:
+        """Register the handler of a kind of datagram."""
+        handlers = self.fleet.datagram_handlers.setdefault(self.process.address, {})
+        handlers[kind] = handler
+
+    async def send(self, address: str, kind: int, payload: bytes) -> None:
+        """Deliver a datagram, unless its receiver does not exist."""
+        handler = self.fleet.datagram_handlers.get(address, {}).get(kind)
+        if handler is not None and not self.process.is_cut:
+            source = self.process.address
+            self.fleet.transport.tasks.start_soon(handler, source, payload)
+
+
+@dataclass(frozen=True)
+class GuardedSidecar:
+    """A sidecar with the gates of the daemon."""
+
+    sidecar: Sidecar
+    gates: ServerGates
+    process: LocalProcess
 
 
 @dataclass
@@ -38,6 +77,9 @@
     random: Random = field(default_factory=lambda: Random(1))
     sidecars: dict[str, Sidecar] = field(default_factory=dict)
     routers: dict[str, Router] = field(default_factory=dict)
+    guarded: dict[str, "GuardedSidecar"] = field(default_factory=dict)
+    store: MemoryStore = field(default_factory=MemoryStore)
+    datagram_handlers: dict[str, dict[int, Handler]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.clock = SystemClock()
@@ -56,7 +98,7 @@
         """Add a backend server and its sidecar."""
         address = f"{name}:1"
         self.transport.applications[f"{name}-server:1"] = server
-        instance = Instance(address, number, "data-centre-a", "region", Role.SIDECAR)
+        instance = sidecar_instance(name, number)
         client = ServerClient(f"http://{name}-server:1")
         client.pooled = client.fresh = self.client
         sidecar = Sidecar(
@@ -77,12 +119,80 @@
         self.transport.tasks.start_soon(sidecar.run, self.stop)
         return sidecar
 
-    def add_router(self, name: str) -> Router:
-        """Add a router that serves callers at ``http://name``."""
+    async def add_guarded_server(
+        self,
+        name: str,
+        pool: str,
+        server: Endpoints,
+        number: int = 1,
+        max_running: int = MAX_RUNNING,
+    ) -> "GuardedSidecar":
+        """Add a backend server and its sidecar with the gates of the daemon."""
+        address = f"{name}:1"
+        member = Member(sidecar_instance(name, number), pool)
+        process = LocalProcess(address, self.transport, self.store)
+        client = httpx.AsyncClient(transport=process)
+        gates = ServerGates(
+            GateSurroundings(
+                member=member,
+                server=f"http://{name}-server:1",
+                max_running=max_running,
+                fleet=self.fleet,
+                store=process,
+                datagrams=LocalDatagrams(self, process),
+                random_peers=lambda count: self.random_peers(address, count),
+                client=client,
+                key=KEY,
+                clock=self.clock,
+                random=Random(self.random.random()),
+                metrics=SidecarMetrics(),
+            )
+        )
+        sidecar = self.add_server(name, pool, server, number, gates.in_order())
+        sidecar.server.pooled = sidecar.server.fresh = client
+        sidecar.load_hint = gates.load
+        self.transport.applications[address] = sidecar_endpoints(
+            sidecar, KEY, gates.transfer
+        )
+        await gates.start(self.transport.tasks)
+        self.guarded[name] = GuardedSidecar(sidecar, gates, process)
+        return self.guarded[name]
+
+    def random_peers(self, address: str, count: int) -> list[str]:
+        """Return the addresses of random other sidecars."""
+        others = [
+            member.instance.address
+            for member in self.fleet.members
+            if member.instance.address != address
+        ]
+        return self.random.sample(others, min(count, len(others)))
+
+    def kill(self, name: str) -> None:
+        """End a sidecar as a crash of its process would.
+
+        Its tasks go on, but nothing that they do reaches anybody any more.
+        """
+        self.guarded[name].process.cut()
+        self.datagram_handlers.pop(f"{name}:1", None)
+
+    def add_router(self, name: str, members: list[str] | None = None) -> Router:
+        """Add a router that serves callers at ``http://name``.
+
+        ``members`` are the servers on its member list; without them it shares the
+        list of the fleet.
+        """
+        fleet = self.fleet
+        if members is not None:
+            listed = [
+                member
+                for member in fleet.members
+                if member.instance.address in {f"{name}:1" for name in members}
+            ]
+            fleet = StaticFleet(self.tables, listed)
         instance = Instance(f"{name}:1", 1, "data-centre-a", "region", Role.ROUTER)
         router = Router(
             instance,
-            self.fleet,
+            fleet,
             self.client,
             KEY,
             self.clock,
--- /dev/null
+++ b/packages/medlarridge-standins/src/medlarridge_standins/local_process.py
@@ -0,0 +1,90 @@
+"""Connections of one process of a local fleet, which can be cut at any moment."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+import httpx
+from result import Result
+
+from medlarridge._internal.errors import StoreError
+from medlarridge._internal.state.memory import MemoryStore
+from medlarridge._internal.state.store import ObjectName, StoredObject
+
+from .loop_transport import Exchange, LoopTransport
+
+
+def no_hook(key: str) -> None:
+    """Let a write pass."""
+
+
+@dataclass
+class LocalProcess(httpx.AsyncBaseTransport):
+    """HTTP client and store client of one process.
+
+    After ``cut`` no call has an effect or returns, as if the process had died.
+    ``before_put`` and ``after_put`` are called around each write, the second one
+    before the process gets the answer.
+    """
+
+    address: str
+    transport: LoopTransport
+    store: MemoryStore
+    is_cut: bool = False
+    calls: list[Exchange] = field(default_factory=list)
+    before_put: Callable[[str], None] = no_hook
+    after_put: Callable[[str], None] = no_hook
+
+    def cut(self) -> None:
+        """Break all connections of the process for good."""
+        self.is_cut = True
+        self.transport.stop(self.address)
+        for exchange in self.calls:
+            exchange.freeze()
+
+    async def while_alive(self) -> None:
+        """Wait for ever if the process has been cut."""
+        if self.is_cut:
+            await anyio.sleep_forever()
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        """Send a request."""
+        await self.while_alive()
+        response = await self.transport.handle_async_request(request)
+        await self.while_alive()
+        if isinstance(response.stream, Exchange):
+            self.calls.append(response.stream)
+        return response
+
+    async def get(self, key: str) -> Result[StoredObject | None, StoreError]:
+        """Read an object."""
+        await self.while_alive()
+        return await self.store.get(key)
+
+    async def put(
+        self, key: str, value: bytes, expected_version: int
+    ) -> Result[int, StoreError]:
+        """Write an object."""
+        self.before_put(key)
+        await self.while_alive()
+        written = await self.store.put(key, value, expected_version)
+        self.after_put(key)
+        await self.while_alive()
+        return written
+
+    async def delete(self, key: str, expected_version: int) -> Result[None, StoreError]:
+        """Delete an object."""
+        await self.while_alive()
+        return await self.store.delete(key, expected_version)
+
+    async def list(self, prefix: str) -> Result[list[ObjectName], StoreError]:
+        """List objects."""
+        await self.while_alive()
+        return await self.store.list(prefix)
+
+    async def watch(
+        self, key: str, after_version: int, timeout_ms: int
+    ) -> Result[StoredObject | None, StoreError]:
+        """Wait for a version of an object."""
+        await self.while_alive()
+        return await self.store.watch(key, after_version, timeout_ms)
--- a/packages/medlarridge-standins/src/medlarridge_standins/loop_transport.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/loop_transport.py
@@ -42,6 +42,7 @@
     applications: dict[str, Endpoints] = field(default_factory=dict)
     plan: FaultPlan = no_faults
     requests: list[str] = field(default_factory=list)
+    open: dict[str, set["Exchange"]] = field(default_factory=dict)
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
         """Run one request against its application."""
@@ -57,14 +58,40 @@
             raise fault.error("connection lost before the request")
         exchange = Exchange(await request.aread(), fault)
         scope = scope_of(request)
-        self.tasks.start_soon(exchange.serve, application, scope)
-        await exchange.started.wait()
+        self.tasks.start_soon(self.serve, address, exchange, application, scope)
+        try:
+            await exchange.started.wait()
+        except BaseException:
+            await exchange.aclose()
+            raise
         if exchange.status is None:
             raise httpx.RemoteProtocolError("connection closed without an answer")
         return httpx.Response(
             exchange.status, headers=exchange.headers, stream=exchange
         )
 
+    async def serve(
+        self,
+        address: str,
+        exchange: "Exchange",
+        application: Endpoints,
+        scope: dict[str, Any],
+    ) -> None:
+        """Run the application for one request, until it is stopped."""
+        exchanges = self.open.setdefault(address, set())
+        exchanges.add(exchange)
+        try:
+            with exchange.serving:
+                await exchange.serve(application, scope)
+        finally:
+            exchanges.discard(exchange)
+
+    def stop(self, address: str) -> None:
+        """End what listens at an address and break its connections."""
+        self.applications.pop(address, None)
+        for exchange in self.open.get(address, set()):
+            exchange.serving.cancel()
+
 
 class Exchange(httpx.AsyncByteStream):
     """One request and its answer."""
@@ -77,6 +104,8 @@
         self.status: int | None = None
         self.headers: list[tuple[bytes, bytes]] = []
         self.ended = False
+        self.serving = anyio.CancelScope()
+        self.frozen = False
         self.sender, self.receiver = anyio.create_memory_object_stream[bytes](0)
 
     async def serve(self, application: Endpoints, scope: dict[str, Any]) -> None:
@@ -122,11 +151,20 @@
                 piece = await self.receiver.receive()
             except anyio.EndOfStream:
                 break
+            if self.frozen:
+                await anyio.sleep_forever()
             yield piece
             pieces += 1
+        if self.frozen:
+            await anyio.sleep_forever()
         if not self.ended:
             raise httpx.RemoteProtocolError("incomplete answer")
 
+    def freeze(self) -> None:
+        """Close the connection towards the server; the client sees nothing of it."""
+        self.frozen = True
+        self.closed.set()
+
     async def aclose(self) -> None:
         """Close the connection from the client's side."""
         self.closed.set()
