--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_monitor.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_monitor.py
@@ -54,10 +54,13 @@
             await self.judged.wait()
             return self.last_judgement
         self.judging = True
+        # A call that starts from now on may run on a server that has restarted.
+        earlier = set(self.calls)
         try:
             await anyio.sleep(BREAK_WINDOW_MS / MS_PER_S)
             reachable = await self.probe()
-            self.last_judgement = not reachable or self.calls == self.broken
+            going_on = (earlier & self.calls) - self.broken
+            self.last_judgement = not reachable or not going_on
             if self.last_judgement:
                 self.deaths += 1
                 self.down = not reachable
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/retry.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/retry.py
@@ -212,7 +212,7 @@
         if target is None:
             return self.give_up(request, GiveUpReason.NO_MEMBER)
         free = is_redirect(last) and redirects <= FREE_REDIRECTS
-        delay_ms = 0 if free else self.backoff_ms(charged)
+        delay_ms = 0 if free else self.backoff_ms(charged) + stated_delay_ms(last)
         if delay_ms + MIN_ATTEMPT_MS > request.remaining_ms:
             return self.give_up(request, GiveUpReason.DEADLINE)
         if not free and not self.budget(target.pool).take():
@@ -263,6 +263,18 @@
     )
 
 
+def stated_delay_ms(past: PastAttempt) -> int:
+    """Return how long to wait before another member can be asked with any use.
+
+    A crash suspect is refused while another one runs. Asked again at once, an
+    innocent request that follows the culprit to the next server would use up its
+    attempts before the culprit has ended.
+    """
+    if isinstance(past, Refused) and past.reply.reason is Refusal.CRASH_SUSPECT:
+        return past.reply.retry_after_ms
+    return 0
+
+
 def needed_generation(request: RetryRequest) -> int:
     """Return the newer generation that a refusal names, 0 if there is none."""
     named = max(
--- a/packages/medlarridge/tests/unit/coordination/test_retry.py
+++ b/packages/medlarridge/tests/unit/coordination/test_retry.py
@@ -60,6 +60,24 @@
     )
 
 
+class TestStatedDelay:
+    def test_suspect_waits_as_long_as_the_refusal_says(self):
+        """Guards against an innocent request that uses up its attempts at once."""
+        planner = RetryPlanner(ManualClock(), Random(1))
+        suspect = refused(Refusal.CRASH_SUSPECT, retry_after_ms=2_000)
+        plan = planner.plan(request(suspect))
+        assert isinstance(plan, TryMember)
+        assert plan.delay_ms >= 2_000
+
+    def test_suspect_without_time_is_told_at_once(self):
+        """Guards against an answer that is held back although nothing can run."""
+        planner = RetryPlanner(ManualClock(), Random(1))
+        suspect = refused(Refusal.CRASH_SUSPECT, retry_after_ms=2_000)
+        plan = planner.plan(request(suspect, remaining_ms=1_000))
+        assert isinstance(plan, GiveUp)
+        assert plan.outcome is Outcome.NOT_RUN
+
+
 class TestRetryPlanner:
     def setup_method(self):
         self.clock = ManualClock()
