--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_gates.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_gates.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from math import ceil
 from random import Random
 from typing import Protocol
 
@@ -129,7 +130,9 @@
         running = len(self.queue.running)
         if running == 0:
             return True
-        usual = max(self.planner.bound.usual_work, 1.0)
+        # The work of queue entries is rounded. Without the same rounding here, equal
+        # requests would never fill the last place.
+        usual = max(ceil(self.planner.bound.usual_work), 1)
         room = self.max_running * usual - self.queue.running_tokens
         return running < self.max_running and work_tokens <= room
 
