Let routers and spills avoid dead sidecars and dead servers at once

Cause: ClusterFleet.observe existed but nothing called it, so a router tried a dead or leaving sidecar until gossip told it, and each try cost a retry of the budget. A sidecar whose engine was down answered load queries with load 0, so that peers over their bound named it first. Change: the end of each attempt is passed to membership; a member whose server is down comes last for 1 s; such a sidecar answers load queries as full.

--- /dev/null
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/observations.py
@@ -0,0 +1,66 @@
+"""What attempts show of members and their servers."""
+
+from medlarridge._internal.clock import Clock
+from medlarridge._internal.coordination.membership import Observation
+from medlarridge._internal.coordination.retry import Target
+from medlarridge._internal.fleet import FleetView
+from medlarridge._internal.identity import Member
+from medlarridge._internal.protocol.messages import Outcome, Refusal
+from medlarridge._internal.transport.links import AttemptLink, LinkResult, LinkState
+
+SERVER_DOWN_MS = 1_000
+"""Time for which a member whose server is down comes last. Attempts at it would use
+up the retry budget; one a second is enough to see that the server is back."""
+
+
+class Observations:
+    """Takes what attempts show into account for the next requests.
+
+    Membership learns of a dead process within seconds; until then, each attempt at
+    it would cost a retry.
+    """
+
+    def __init__(self, fleet: FleetView, clock: Clock) -> None:
+        self.fleet = fleet
+        self.clock = clock
+        self.down_until_ms: dict[tuple[str, int], int] = {}
+
+    def note(self, target: Target, link: AttemptLink, result: LinkResult) -> None:
+        """Take in the end of an attempt."""
+        observation = observation_of(link, result)
+        if observation is not None:
+            self.fleet.observe(target.address, target.number, observation)
+        key = (target.address, target.number)
+        reason = result.refusal.reason if result.refusal is not None else None
+        if reason is Refusal.SERVER_UNREACHABLE:
+            self.down_until_ms[key] = self.clock.now_ms() + SERVER_DOWN_MS
+        elif result.end is not None and result.end.outcome is Outcome.COMPLETE:
+            self.down_until_ms.pop(key, None)
+
+    def reachable_first(self, members: list[Member]) -> list[Member]:
+        """Return the members with those last whose server is down."""
+        if not self.down_until_ms:
+            return members
+        now_ms = self.clock.now_ms()
+        for key, until_ms in list(self.down_until_ms.items()):
+            if until_ms <= now_ms:
+                del self.down_until_ms[key]
+        return sorted(members, key=self.is_down)
+
+    def is_down(self, member: Member) -> bool:
+        """Return whether the member's server was down a moment ago."""
+        instance = member.instance
+        return (instance.address, instance.number) in self.down_until_ms
+
+
+def observation_of(link: AttemptLink, result: LinkResult) -> Observation | None:
+    """Return what the end of an attempt shows of the process, if anything."""
+    if result.refusal is not None:
+        if result.refusal.reason is Refusal.DRAINING:
+            return Observation.DRAINING
+        if result.refusal.reason is Refusal.WRONG_INSTANCE:
+            return Observation.REFUSED
+        return Observation.ANSWERED
+    if result.state is LinkState.ENDED:
+        return Observation.ANSWERED
+    return Observation.REFUSED if link.unreachable else None
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
@@ -149,12 +149,13 @@
 
     def ranked(self, route: Route, pool: str) -> list[Member]:
         """Return the first members of a pool in the order of placement."""
-        return self.router.placements.of(pool).rank(
+        ranked = self.router.placements.of(pool).rank(
             self.placement_key(),
             RANKED_MEMBERS,
             self.caller.region or self.router.instance.region,
             route.other_regions,
         )
+        return self.router.observations.reachable_first(ranked)
 
     def placement_key(self) -> str:
         """Return what decides the home: the chat, the call's key, or chance."""
@@ -198,6 +199,7 @@
             # The work of an attempt that is given up must not go on for nobody.
             if not finished and link.maybe_sent:
                 await link.cancel()
+        router.observations.note(target, link, result)
         router.metrics.attempts.labels(target.pool, result.state).inc()
         if link.connections > 1:
             router.metrics.reconnects.inc(link.connections - 1)
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
@@ -22,6 +22,7 @@
 
 from .account_limits import AccountLimits
 from .failures import Failure
+from .observations import Observations
 from .placements import PoolPlacements
 from .request_run import RequestRun
 
@@ -56,6 +57,7 @@
         self.drain = Drain()
         self.planner = RetryPlanner(clock, random)
         self.placements = PoolPlacements(fleet)
+        self.observations = Observations(fleet, clock)
 
     def new_request_id(self) -> str:
         """Return the identifier of a new request."""
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/daemon.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/daemon.py
@@ -77,6 +77,7 @@
             self.metrics,
         )
         self.monitor = ServerMonitor(self.client, settings.server)
+        self.planner.takes_work = lambda: not self.monitor.down
         self.crash_gate = CrashGate(
             CrashGuard(WallClock(), f"{settings.link}/{node.instance.number}#0"),
             SuspectStore(node.store, WallClock(), node.random),
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
@@ -6,7 +6,7 @@
 
 import math
 from collections import deque
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -174,6 +174,7 @@
         # back to the home would displace other prefixes, and the home only remembers
         # the holder.
         self.engine_releases = engine_releases
+        self.takes_work: Callable[[], bool] = lambda: True
         self.bound = LoadBound(bound)
         self.mean = PoolMean(self.address, clock, random, member.weight)
         self.index = PrefixIndex()
@@ -561,7 +562,13 @@
                 self.ready.append(waiting.request.id)
 
     def answer_load(self, query: LoadQuery) -> LoadAnswer:
-        """Answer whether work would be admitted here."""
+        """Answer whether work would be admitted here.
+
+        A server that is down has no load and would otherwise look like the best
+        place for everything that its peers refuse.
+        """
+        if not self.takes_work():
+            return LoadAnswer(query.number, 2 * FULL_SHARE)
         limit = self.bound.limit(query.work, self.weight, self.mean.estimate())
         share = FULL_SHARE * (self.load + query.work / self.weight) / max(limit, 1.0)
         return LoadAnswer(query.number, math.ceil(share))
--- a/packages/medlarridge/src/medlarridge/_internal/fleet.py
+++ b/packages/medlarridge/src/medlarridge/_internal/fleet.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from .coordination.membership import Observation
 from .identity import Member
 from .protocol.tables import Tables
 
@@ -43,6 +44,10 @@
         """Note that the process at an address knows a generation."""
         ...
 
+    def observe(self, address: str, number: int, observation: Observation) -> None:
+        """Note what a request showed of a member."""
+        ...
+
 
 @dataclass
 class StaticFleet:
@@ -61,6 +66,9 @@
     def saw_generation(self, generation: int, address: str) -> None:
         """Ignore the generation: this fleet has only one."""
 
+    def observe(self, address: str, number: int, observation: Observation) -> None:
+        """Ignore what a request showed: the members do not change."""
+
     def held_down(self, pool: str) -> set[str]:
         """Return no address: members of this fleet do not flap."""
         return set()
--- a/packages/medlarridge/src/medlarridge/_internal/transport/links.py
+++ b/packages/medlarridge/src/medlarridge/_internal/transport/links.py
@@ -91,6 +91,7 @@
         self.assembler = AnswerAssembler(address)
         self.head_taken = False
         self.maybe_sent = False
+        self.unreachable = False
         self.connections = 0
 
     async def run(self, sink: AnswerSink) -> LinkResult:
@@ -161,6 +162,7 @@
                 self.count_connection()
                 await self.read(reply, sink)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            self.unreachable = not isinstance(error, httpx.PoolTimeout)
             raise LinkBroken(f"cannot connect: {error}") from error
         except httpx.TransportError as error:
             self.count_connection()
@@ -170,6 +172,7 @@
 
     def count_connection(self) -> None:
         """Note that the sidecar may have received the attempt."""
+        self.unreachable = False
         self.maybe_sent = True
         self.connections += 1
 
--- a/packages/medlarridge/tests/unit/coordination/test_reuse_planner.py
+++ b/packages/medlarridge/tests/unit/coordination/test_reuse_planner.py
@@ -49,6 +49,23 @@
         assert run.import_tokens == 3100
         assert cluster.complete(target, request, run) == (0, 3100)
 
+    def test_a_spill_avoids_an_engine_that_is_down(self):
+        """Guards against a dead engine, which has no load, that attracts all spills."""
+
+        def first_candidate(down=None):
+            cluster = PlannerCluster(6)
+            cluster.advance(2000)
+            if down is not None:
+                cluster.planners[down].takes_work = lambda: False
+            request = overload_home(cluster, "chat")
+            refusal = cluster.decide(request.ranked[0], request)
+            assert isinstance(refusal, Refuse)
+            return refusal.candidates[0].address
+
+        usual = first_candidate()
+        assert first_candidate() == usual
+        assert first_candidate(down=usual) != usual
+
     def test_the_home_learns_of_a_spill_and_fetches_what_it_lacks(self, cluster):
         """Guards against a home that reuses only what it served itself."""
         home, _, _ = cluster.serve("chat", 3000)
