--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_gates.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_gates.py
@@ -100,6 +100,7 @@
             around.metrics,
         )
         self.monitor = ServerMonitor(around.client, around.server)
+        self.planner.takes_work = lambda: not self.monitor.down
         self.crash_gate = CrashGate(
             CrashGuard(WallClock(), f"{instance.address}/{instance.number}#0"),
             SuspectStore(around.store, WallClock(), random),
