--- a/packages/medlarridge-standins/src/medlarridge_standins/capacity/path.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/capacity/path.py
@@ -7,13 +7,16 @@
 """
 
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from copy import copy
 from dataclasses import dataclass, field
 
 import anyio
-import httpx
 
-from ..process_fleet import ProcessFleet, process_fleet
+from ..process_fleet import CALLERS_PORT, ENGINE_PORT, ProcessFleet, process_fleet
 from ..report import Row
+from ..stream_caller import Seen, StreamCaller
 from . import capacity
 
 TOKEN_MS = 20
@@ -29,59 +32,61 @@
 MAX_REFUSED_SHARE = 0.1
 """A refused request costs about as much as one that is served, without its chunks."""
 US_PER_MS = 1000
-DAEMONS = ("router", "sidecar")
-END = b"data: [DONE]\n\n"
+DAEMONS = ("router", "sidecar0")
+RAMPED_SHARE = 0.95
+LOAD_ENGINES = 4
+USUAL_LOAD = 24
+FULL_LOAD = 128
+LOAD_TOKENS = 100
 
 
 @dataclass
 class Callers:
-    """Callers that send one request after another, and what they have seen."""
+    """Callers that send one request after another."""
 
-    fleet: ProcessFleet
+    port: int
     tokens: int
     count: int
-    started: int = 0
-    finished: int = 0
-    refused: int = 0
-    chunks: int = 0
+    seen: Seen = field(default_factory=Seen)
     stopping: bool = False
     served: set[int] = field(default_factory=set)
 
-    async def run(self, caller: int, client: httpx.AsyncClient) -> None:
+    async def run(self, number: int) -> None:
         """Send requests until told to stop."""
-        number = 0
+        caller = StreamCaller(self.port, self.seen)
+        sent = 0
         while not self.stopping:
-            number += 1
-            chat = f"chat-{self.tokens}-{caller}-{number}"
-            request = self.fleet.request(chat, self.tokens)
-            self.started += 1
-            if await self.send(client, request):
-                self.finished += 1
-                self.served.add(caller)
+            sent += 1
+            chat = f"chat-{self.tokens}-{number}-{sent}"
+            if await caller.request(chat, self.tokens):
+                self.served.add(number)
             else:
                 # An idle pool admits a burst only as its mean load grows.
-                self.refused += 1
-                self.started -= 1
-                self.served.discard(caller)
+                self.served.discard(number)
                 await anyio.sleep(RETRY_S)
+        await caller.close()
+
+    async def ramp(self) -> None:
+        """Wait until nearly all callers are served."""
+        with anyio.fail_after(RAMP_TIMEOUT_S):
+            while len(self.served) < RAMPED_SHARE * self.count:
+                await anyio.sleep(POLL_S)
 
-    async def send(self, client: httpx.AsyncClient, request: dict) -> bool:
-        """Send one request; return whether its answer was whole."""
-        last = b""
-        async with client.stream("POST", **request) as reply:
-            if not reply.is_success:
-                await reply.aread()
-                return False
-            async for piece in reply.aiter_raw():
-                self.chunks += piece.count(b'"content":')
-                last = piece
-        if not last.endswith(END):
-            raise AssertionError("an answer was cut")
-        return True
-
-    def requests(self) -> float:
-        """Return the requests sent; one in progress counts half."""
-        return (self.started + self.finished) / 2 + self.refused
+
+@asynccontextmanager
+async def running(callers: Callers) -> AsyncIterator[Seen]:
+    """Run callers; give what they see from the time when all are served."""
+    async with anyio.create_task_group() as tasks:
+        for number in range(callers.count):
+            tasks.start_soon(callers.run, number)
+        await callers.ramp()
+        before = copy(callers.seen)
+        callers.seen.first_ms.clear()
+        callers.seen.gaps_ms.clear()
+        try:
+            yield before
+        finally:
+            callers.stopping = True
 
 
 @dataclass(frozen=True)
@@ -95,35 +100,23 @@
 
 async def sample(fleet: ProcessFleet, tokens: int, idle: list[float]) -> Sample:
     """Measure a window in which all callers are served."""
-    callers = Callers(fleet, tokens, CALLERS if tokens > 1 else CALLERS_OF_SHORT)
-    limits = httpx.Limits(max_connections=None, max_keepalive_connections=CALLERS)
-    async with (
-        httpx.AsyncClient(limits=limits, timeout=60, trust_env=False) as client,
-        anyio.create_task_group() as tasks,
-    ):
-        for caller in range(callers.count):
-            tasks.start_soon(callers.run, caller, client)
-        with anyio.fail_after(RAMP_TIMEOUT_S):
-            while len(callers.served) < callers.count:
-                await anyio.sleep(POLL_S)
-        before, started = cpu_of(fleet), time.monotonic()
-        requests, chunks = callers.requests(), callers.chunks
-        refused, finished = callers.refused, callers.finished
+    count = CALLERS if tokens > 1 else CALLERS_OF_SHORT
+    callers = Callers(CALLERS_PORT, tokens, count)
+    async with running(callers) as before:
+        cpu_before, started = cpu_of(fleet), time.monotonic()
         await anyio.sleep(WINDOW_S)
-        seconds = time.monotonic() - started
-        result = Sample(
-            callers.requests() - requests,
-            callers.chunks - chunks,
-            [
-                now - then - rate * seconds
-                for now, then, rate in zip(cpu_of(fleet), before, idle, strict=True)
-            ],
-        )
-        share = (callers.refused - refused) / (callers.finished - finished)
+        seconds, seen = time.monotonic() - started, callers.seen
+        used = [
+            now - then - rate * seconds
+            for now, then, rate in zip(cpu_of(fleet), cpu_before, idle, strict=True)
+        ]
+        refused = seen.refused - before.refused
+        share = refused / max(1, seen.finished - before.finished)
         if share > MAX_REFUSED_SHARE:
             raise AssertionError(f"{share:.0%} of the requests were refused")
-        callers.stopping = True
-    return result
+        return Sample(
+            seen.requests() - before.requests(), seen.chunks - before.chunks, used
+        )
 
 
 def cpu_of(fleet: ProcessFleet) -> list[float]:
@@ -162,7 +155,8 @@
         samples = [anyio.run(sample, fleet, tokens, idle) for tokens in LENGTHS]
         memory = [fleet.rss_mib(name) for name in DAEMONS]
     rows = []
-    for index, name in enumerate(DAEMONS):
+    for index, daemon in enumerate(DAEMONS):
+        name = daemon.rstrip("0")
         request_ms, chunk_ms = least_squares(samples, index)
         rows += [
             Row(f"{name}: CPU time per request", request_ms, "ms"),
@@ -171,3 +165,54 @@
             Row(f"{name}: resident memory of the process", memory[index], "MiB"),
         ]
     return rows
+
+
+@dataclass(frozen=True)
+class LoadSample:
+    """What callers saw, and the share of a core that the router used."""
+
+    chunks_per_s: float
+    cores: float
+    first_ms: float
+    gap_ms: float
+
+
+async def load(fleet: ProcessFleet, port: int, count: int) -> LoadSample:
+    """Measure a number of streams at a time; times are 95th percentiles."""
+    callers = Callers(port, LOAD_TOKENS, count)
+    async with running(callers) as before:
+        cpu_before, started = fleet.cpu_ms("router"), time.monotonic()
+        await anyio.sleep(WINDOW_S)
+        seconds, seen = time.monotonic() - started, callers.seen
+        return LoadSample(
+            (seen.chunks - before.chunks) / seconds,
+            (fleet.cpu_ms("router") - cpu_before) / seconds / US_PER_MS,
+            percentile(seen.first_ms),
+            percentile(seen.gaps_ms),
+        )
+
+
+def percentile(values: list[float]) -> float:
+    """Return the 95th percentile."""
+    return sorted(values)[95 * len(values) // 100]
+
+
+@capacity.scenario("path-load")
+def path_load() -> list[Row]:
+    """Measure one router before several engines, lightly and fully loaded."""
+    with process_fleet(TOKEN_MS, BATCH, LOAD_ENGINES) as fleet:
+        direct = anyio.run(load, fleet, ENGINE_PORT, USUAL_LOAD // LOAD_ENGINES)
+        usual = anyio.run(load, fleet, CALLERS_PORT, USUAL_LOAD)
+        full = anyio.run(load, fleet, CALLERS_PORT, FULL_LOAD)
+    name, most = f"{USUAL_LOAD} streams", f"{FULL_LOAD} streams"
+    return [
+        Row("engine alone: gap between tokens, p95", direct.gap_ms, "ms"),
+        Row("engine alone: first token, p95", direct.first_ms, "ms"),
+        Row(f"{name}: gap between tokens, p95", usual.gap_ms, "ms"),
+        Row(f"{name}: first token, p95", usual.first_ms, "ms"),
+        Row(f"{name}: chunks", usual.chunks_per_s, "1/s"),
+        Row(f"{name}: cores of the router", usual.cores, "cores"),
+        Row(f"{most}: gap between tokens, p95", full.gap_ms, "ms"),
+        Row(f"{most}: chunks", full.chunks_per_s, "1/s"),
+        Row(f"{most}: cores of the router", full.cores, "cores"),
+    ]
--- a/packages/medlarridge-standins/src/medlarridge_standins/process_fleet.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/process_fleet.py
@@ -12,8 +12,16 @@
 
 import httpx
 
+from medlarridge._internal.transport.auth import SharedKey
+
 HOST = "127.0.0.1"
-FIRST_PORT = 18_200
+PLATFORM_PORT = 18_200
+ENGINE_PORT = 18_201
+ROUTER_PORT = 18_210
+SIDECAR_PORT = 18_230
+PORTS_PER_DAEMON = 10
+OPERATOR_OFFSET = 2
+CALLERS_PORT = ROUTER_PORT + 3
 KEY = "key of the capacity measurements"
 START_TIMEOUT_S = 30
 STOP_TIMEOUT_S = 10
@@ -35,34 +43,19 @@
 }
 
 
-@dataclass
-class Ports:
-    """Ports of the processes; the exchange uses the port after each link."""
-
-    platform: int = FIRST_PORT
-    engine: int = FIRST_PORT + 1
-    router_link: int = FIRST_PORT + 10
-    router_operator: int = FIRST_PORT + 12
-    callers: int = FIRST_PORT + 13
-    sidecar_link: int = FIRST_PORT + 20
-    sidecar_operator: int = FIRST_PORT + 22
-
-
 @dataclass
 class ProcessFleet:
-    """The processes and how to reach and observe them."""
+    """The processes and how to reach and observe them.
+
+    A daemon has its link port, the exchange at the next one, and the operator port.
+    """
 
     directory: Path
     token_ms: int
     batch: int
-    ports: Ports = field(default_factory=Ports)
+    sidecars: int = 1
     processes: dict[str, subprocess.Popen] = field(default_factory=dict)
 
-    @property
-    def url(self) -> str:
-        """Return the URL for callers."""
-        return f"http://{HOST}:{self.ports.callers}"
-
     def cpu_ms(self, name: str) -> float:
         """Return the CPU time of a process since its start."""
         text = Path(f"/proc/{self.processes[name].pid}/schedstat").read_text()
@@ -78,62 +71,58 @@
 
     def start(self) -> None:
         """Start all processes and wait until the daemons are ready."""
-        ports = self.ports
-        self.spawn(
-            "platform",
-            "medlarridge_standins",
-            "platform",
-            "--bind",
-            f"{HOST}:{ports.platform}",
-        )
-        self.spawn(
-            "engine",
-            "medlarridge_standins",
-            "engine",
-            "--bind",
-            f"{HOST}:{ports.engine}",
-            "--token-ms",
-            str(self.token_ms),
-            "--batch",
-            str(self.batch),
-            "--prefill-tokens-per-s",
-            "0",
-        )
-        self.wait(f"http://{HOST}:{ports.platform}/vms")
+        platform = f"{HOST}:{PLATFORM_PORT}"
+        self.spawn("platform", "medlarridge_standins", "platform", "--bind", platform)
+        for number in range(self.sidecars):
+            self.spawn(
+                f"engine{number}",
+                "medlarridge_standins",
+                "engine",
+                "--bind",
+                f"{HOST}:{ENGINE_PORT + number}",
+                "--token-ms",
+                str(self.token_ms),
+                "--batch",
+                str(self.batch),
+                "--prefill-tokens-per-s",
+                "0",
+            )
+        self.wait(f"http://{platform}/vms")
         self.write_state()
-        for name, own in self.settings().items():
+        settings = self.settings()
+        for name, own in settings.items():
             path = self.directory / f"{name}.toml"
             path.write_text("".join(f"{k} = {json.dumps(v)}\n" for k, v in own.items()))
-            self.spawn(name, f"medlarridge_{name}", "serve", str(path))
-        for port in (ports.router_operator, ports.sidecar_operator):
-            self.wait(f"http://{HOST}:{port}/readyz")
-        self.wait_for_member()
+            role = name.rstrip("0123456789")
+            self.spawn(name, f"medlarridge_{role}", "serve", str(path))
+        for own in settings.values():
+            self.wait(f"http://{own['operator']}/readyz")
+        self.wait_for_members()
 
     def settings(self) -> dict[str, dict[str, object]]:
-        """Return the settings of both daemons."""
-        ports = self.ports
-        common = {
+        """Return the settings of the daemons."""
+        router = self.common(ROUTER_PORT)
+        router["callers"] = f"{HOST}:{CALLERS_PORT}"
+        daemons = {"router": router}
+        for number in range(self.sidecars):
+            sidecar = self.common(SIDECAR_PORT + number * PORTS_PER_DAEMON)
+            daemons[f"sidecar{number}"] = sidecar | {
+                "pool": "engines",
+                "server": f"http://{HOST}:{ENGINE_PORT + number}",
+                "max_running": MAX_RUNNING,
+            }
+        return daemons
+
+    def common(self, port: int) -> dict[str, object]:
+        """Return the settings that all daemons have."""
+        return {
+            "link": f"{HOST}:{port}",
+            "operator": f"{HOST}:{port + OPERATOR_OFFSET}",
             "data_centre": "dc-a",
             "region": "r",
-            "platform": f"http://{HOST}:{ports.platform}",
+            "platform": f"http://{HOST}:{PLATFORM_PORT}",
             "shared_key": KEY,
         }
-        return {
-            "router": common
-            | {
-                "link": f"{HOST}:{ports.router_link}",
-                "operator": f"{HOST}:{ports.router_operator}",
-                "callers": f"{HOST}:{ports.callers}",
-            },
-            "sidecar": common
-            | {
-                "link": f"{HOST}:{ports.sidecar_link}",
-                "operator": f"{HOST}:{ports.sidecar_operator}",
-                "pool": "engines",
-                "server": f"http://{HOST}:{ports.engine}",
-                "max_running": MAX_RUNNING,
-            },
-        }
 
     def spawn(self, name: str, module: str, *arguments: str) -> None:
         """Start a process; its log goes to a file."""
@@ -144,7 +133,7 @@
 
     def write_state(self) -> None:
         """Store the tables and the list of VMs."""
-        platform = f"http://{HOST}:{self.ports.platform}"
+        platform = f"http://{HOST}:{PLATFORM_PORT}"
         with httpx.Client(trust_env=False) as client:
             for name, entries in TABLES.items():
                 client.put(
@@ -152,9 +141,9 @@
                     content=json.dumps(entries),
                     headers={"if-none-match": "*"},
                 ).raise_for_status()
-            for port in (self.ports.router_link, self.ports.sidecar_link):
+            for own in self.settings().values():
                 client.put(
-                    f"{platform}/vms/{HOST}:{port}", json={"data_centre": "dc-a"}
+                    f"{platform}/vms/{own['link']}", json={"data_centre": "dc-a"}
                 ).raise_for_status()
 
     def wait(self, url: str) -> None:
@@ -170,27 +159,17 @@
                 time.sleep(POLL_S)
         raise RuntimeError(f"{url} is not ready after {START_TIMEOUT_S} s")
 
-    def wait_for_member(self) -> None:
-        """Wait until the router answers a request."""
+    def wait_for_members(self) -> None:
+        """Wait until the router knows all sidecars."""
         limit = time.monotonic() + START_TIMEOUT_S
-        with httpx.Client(trust_env=False) as client:
+        url = f"http://{HOST}:{ROUTER_PORT + OPERATOR_OFFSET}/status"
+        with httpx.Client(trust_env=False, headers=SharedKey(KEY).headers()) as client:
             while time.monotonic() < limit:
-                if client.post(**self.request("probe", 1)).is_success:
+                pools = client.get(url).raise_for_status().json()["pools"]
+                if pools.get("engines") == self.sidecars:
                     return
                 time.sleep(POLL_S)
-        raise RuntimeError("the router answers no request")
-
-    def request(self, chat: str, tokens: int) -> dict[str, object]:
-        """Return the arguments of one streamed request."""
-        body = {
-            "model": "chats",
-            "messages": [{"role": "user", "content": f"figures of {chat}"}],
-            "max_tokens": tokens,
-            "stream": True,
-        }
-        headers = {"X-Medlarridge-Account": "desk", "X-Medlarridge-Chat": chat}
-        url = f"{self.url}/v1/chat/completions"
-        return {"url": url, "json": body, "headers": headers}
+        raise RuntimeError(f"the router does not know {self.sidecars} sidecars")
 
     def stop(self) -> None:
         """End the processes that were started here, the platform last."""
@@ -204,11 +183,13 @@
 
 
 @contextmanager
-def process_fleet(token_ms: int, batch: int) -> Iterator[ProcessFleet]:
+def process_fleet(
+    token_ms: int, batch: int, sidecars: int = 1
+) -> Iterator[ProcessFleet]:
     """Run a fleet of processes until the block ends."""
     with ExitStack() as stack:
         directory = stack.enter_context(tempfile.TemporaryDirectory())
-        fleet = ProcessFleet(Path(directory), token_ms, batch)
+        fleet = ProcessFleet(Path(directory), token_ms, batch, sidecars)
         stack.callback(fleet.stop)
         fleet.start()
         yield fleet
