--- a/Makefile
+++ b/Makefile
@@ -20,12 +20,12 @@
 	touch $(STAMP)
 
 format: setup
-	$(BIN)/ruff format packages
-	$(BIN)/ruff check --fix packages
+	$(BIN)/ruff format packages examples
+	$(BIN)/ruff check --fix packages examples
 
 lint: setup
-	$(BIN)/ruff format --check packages
-	$(BIN)/ruff check packages
+	$(BIN)/ruff format --check packages examples
+	$(BIN)/ruff check packages examples
 
 unit: setup
 	$(BIN)/python -m pytest
--- a/packages/medlarridge/tests/unit/test_docs.py
+++ b/packages/medlarridge/tests/unit/test_docs.py
@@ -8,6 +8,7 @@
 import medlarridge
 import medlarridge_router
 import medlarridge_sidecar
+from medlarridge import coordination, protocol, state
 from medlarridge._internal.events import EVENTS
 from medlarridge._internal.metrics import RouterMetrics, SidecarMetrics
 from medlarridge._internal.protocol.messages import Outcome, Refusal
@@ -30,6 +31,8 @@
 MAKE_TARGET = re.compile(r"(?:^ {4}|`)make ([a-z]+)", re.MULTILINE)
 EVENT_ROW = re.compile(r"^\| MR(\d{4}) \| (\w+) \| ([^|]+?) \| ([^|]+?) \|$", re.M)
 KEY_ROW = re.compile(r"^\| `([a-z_.]+)` \|[^|]+\|[^|]*\|([^|]+)\|", re.M)
+CLASS_NAME = re.compile(r"`([A-Z][A-Za-z]+)`")
+PART_ROW = re.compile(r"^\| `([A-Z]\w+)` \| ([^|]+) \|", re.MULTILINE)
 
 
 def page(name):
@@ -134,6 +137,27 @@
         assert set(listed) == names
 
 
+class TestLibraryPage:
+    def test_names_of_the_parts_are_exported(self):
+        """Guards against a table of parts that differs from the public face."""
+        faces = (coordination, protocol, state)
+        exported = {name for face in faces for name in face.__all__} | {"StoreError"}
+        rows = [row for row in page("library.md").splitlines() if row.startswith("|")]
+        named = {word for row in rows for word in CLASS_NAME.findall(row)}
+        assert named
+        assert named <= exported
+
+    def test_methods_of_the_parts_exist(self):
+        """Guards against events that a part does not take."""
+        missing = []
+        for part, events in PART_ROW.findall(page("library.md")):
+            listed = vars(state).get(part) or getattr(coordination, part)
+            known = {*dir(listed), *getattr(listed, "__dataclass_fields__", ())}
+            words = re.findall(r"`([a-z_]+)`", events)
+            missing += [(part, word) for word in words if word not in known]
+        assert missing == []
+
+
 class TestProtocolPage:
     def test_every_outcome_and_reason_is_listed(self):
         """Guards against answers that callers cannot look up."""
