Let routers pass over slow servers

Cause: a server that answers probes but crawls kept its chats. Change: each router compares the servers of a pool by time to the first token, divided by the prompt's work, and time between tokens; the next in the ranking takes the place of a slow home. Conclusion: enough for fleets of today; at the target size each sidecar would have to judge its own server, which is not wired.

--- a/packages/medlarridge-router/src/medlarridge_router/_internal/daemon.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/daemon.py
@@ -81,6 +81,7 @@
         with scope:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self.limits.run)
+                tasks.start_soon(self.router.slow_servers.run)
                 tasks.start_soon(self.orders.run)
                 tasks.start_soon(self.node.run_duty, self.orders.lease)
 
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
@@ -143,9 +143,14 @@
             target = plan.target
 
     def first_target(self, route: Route) -> Target | None:
-        """Return the home of the request in the first pool that has members."""
+        """Return the home of the request in the first pool that has members.
+
+        If the home is slow, the next in the ranking takes its place.
+        """
         for pool in route.pools:
-            for member in self.ranked(route, pool):
+            ranked = self.ranked(route, pool)
+            member = self.router.slow_servers.first_choice(pool, ranked)
+            if member is not None:
                 instance = member.instance
                 return Target(
                     instance.address, instance.number, pool, instance.data_centre
@@ -208,7 +213,10 @@
         router.metrics.attempts.labels(target.pool, result.state).inc()
         if link.connections > 1:
             router.metrics.reconnects.inc(link.connections - 1)
-        return await self.judge(target, result)
+        past = await self.judge(target, result)
+        if past is None:
+            router.slow_servers.record(target, link)
+        return past
 
     async def judge(self, target: Target, result: LinkResult) -> PastAttempt | None:
         """Turn the end of an attempt into what the planner knows of it."""
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/router.py
@@ -25,6 +25,7 @@
 from .observations import Observations
 from .placements import PoolPlacements
 from .request_run import RequestRun
+from .slow_servers import SlowServers
 
 REQUEST_ID_BITS = 96
 DEFAULT_MAX_IN_FLIGHT = 2_000
@@ -53,6 +54,7 @@
         self.random = random
         self.metrics = metrics
         self.limits = limits
+        self.slow_servers = SlowServers(fleet, clock, random)
         self.max_in_flight = max_in_flight
         self.drain = Drain()
         self.planner = RetryPlanner(clock, random)
--- /dev/null
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/slow_servers.py
@@ -0,0 +1,77 @@
+"""Slow servers as this router sees them."""
+
+from random import Random
+
+import anyio
+
+from medlarridge._internal.clock import MS_PER_S, Clock
+from medlarridge._internal.coordination.outlier import EVALUATE_MS, OutlierDetector
+from medlarridge._internal.coordination.retry import Target
+from medlarridge._internal.events import register
+from medlarridge._internal.fleet import FleetView
+from medlarridge._internal.identity import Member
+from medlarridge._internal.log import log_event
+from medlarridge._internal.transport.links import AttemptLink
+
+TOKENS_PER_WORK_UNIT = 1_000
+"""Prompt tokens that about double the time to the first token of a short prompt."""
+
+SERVER_STATE = register(1200, "WARNING", "server changed its state for being slow")
+
+
+class SlowServers:
+    """One detector per pool; a slow server is no longer the first choice.
+
+    At the target size a router sees one answer of a server in half a minute, too
+    few to judge it. Today's fleets have few routers, and each sees enough.
+    """
+
+    def __init__(self, fleet: FleetView, clock: Clock, random: Random) -> None:
+        self.fleet = fleet
+        self.clock = clock
+        self.random = random
+        self.detectors: dict[str, OutlierDetector] = {}
+
+    def record(self, target: Target, link: AttemptLink) -> None:
+        """Add the times of a whole answer."""
+        detector = self.detectors.get(target.pool)
+        if detector is None:
+            detector = OutlierDetector(self.clock, self.random)
+            self.detectors[target.pool] = detector
+        first_ms = None
+        if link.first_data_ms is not None:
+            work = 1 + link.attempt.prompt_tokens / TOKENS_PER_WORK_UNIT
+            first_ms = (link.first_data_ms - link.started_ms) / work
+        detector.record(target.address, first_ms, link.between_data_ms())
+
+    def first_choice(self, pool: str, members: list[Member]) -> Member | None:
+        """Return the first member that is not slow, or the first of all."""
+        detector = self.detectors.get(pool)
+        for member in members:
+            if detector is None or detector.accepts(member.instance.address):
+                return member
+        return members[0] if members else None
+
+    async def run(self) -> None:
+        """Compare the servers of each pool once a second."""
+        while True:
+            await anyio.sleep(EVALUATE_MS / MS_PER_S)
+            self.evaluate()
+
+    def evaluate(self) -> None:
+        """Compare the servers of each pool."""
+        for pool, detector in list(self.detectors.items()):
+            members = self.fleet.members_of(pool)
+            if not members:
+                del self.detectors[pool]
+                continue
+            detector.keep({member.instance.address for member in members})
+            for change in detector.evaluate():
+                log_event(
+                    SERVER_STATE,
+                    pool=pool,
+                    server=change.server,
+                    state=change.state,
+                    signal=change.signal,
+                    ratio=round(change.ratio, 2),
+                )
--- a/packages/medlarridge/src/medlarridge/_internal/transport/links.py
+++ b/packages/medlarridge/src/medlarridge/_internal/transport/links.py
@@ -22,6 +22,8 @@
 a heartbeat every second."""
 
 CONNECT_TIMEOUT_MS = 1_000
+MIN_PIECES = 4
+"""Pieces of an answer from which the time between them says something."""
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1_000
 RESUME_HEADER = "x-medlarridge-resume"
@@ -93,6 +95,10 @@
         self.maybe_sent = False
         self.unreachable = False
         self.connections = 0
+        self.started_ms = clock.now_ms()
+        self.first_data_ms: int | None = None
+        self.last_data_ms = 0
+        self.pieces = 0
 
     async def run(self, sink: AnswerSink) -> LinkResult:
         """Deliver the answer to the sink and return how the attempt ended."""
@@ -192,12 +198,26 @@
                     self.head_taken = True
                     await sink.take_head(assembler.head)
                 if data:
+                    self.note_piece()
                     await sink.take_data(data)
             if assembler.generation > self.attempt.generation:
                 self.on_generation(assembler.generation, self.address)
         if assembler.phase not in (AnswerPhase.ENDED, AnswerPhase.REFUSED):
             raise LinkBroken("connection closed before the end of the answer")
 
+    def note_piece(self) -> None:
+        """Note the arrival of a piece of the answer."""
+        self.last_data_ms = self.clock.now_ms()
+        self.pieces += 1
+        if self.first_data_ms is None:
+            self.first_data_ms = self.last_data_ms
+
+    def between_data_ms(self) -> float | None:
+        """Return the mean time between pieces, nothing for a single one."""
+        if self.first_data_ms is None or self.pieces < MIN_PIECES:
+            return None
+        return (self.last_data_ms - self.first_data_ms) / (self.pieces - 1)
+
     async def cancel(self) -> None:
         """Tell the sidecar to stop the work; best effort."""
         url = (
