Prove changes of servers and tables on the path; follow renamed pools

Fault: a request kept the route as it was when it came. After its pool was renamed and the old engine refused as leaving, its retries knew only the old pool and it ended as not-run (no-member). Each retry now reads the route in force; a call that came as not repeatable stays that.

--- a/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/request_run.py
@@ -112,6 +112,7 @@
             history.append(past)
             if self.sink.committed:
                 return Failure(Outcome.UNKNOWN, 502, "the answer was cut")
+            route = self.current_route(route)
             plan = self.router.planner.plan(self.retry_request(route, history))
             if not isinstance(plan, TryMember):
                 return failure_of(plan, past)
@@ -120,6 +121,16 @@
             await self.wait_generation(plan.needs_generation)
             target = plan.target
 
+    def current_route(self, route: Route) -> Route:
+        """Return the route as it is now; a removed one still serves its requests.
+
+        A retry must follow a pool that was renamed since the request came. A call
+        that came as one that may not be repeated stays that.
+        """
+        current = self.router.fleet.tables.routes.get(self.caller.route, route)
+        repeatable = route.repeatable and current.repeatable
+        return current.model_copy(update={"repeatable": repeatable})
+
     def first_target(self, route: Route) -> Target | None:
         """Return the home of the request in the first pool that has members."""
         for pool in route.pools:
--- a/packages/medlarridge-standins/src/medlarridge_standins/local_fleet.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/local_fleet.py
@@ -9,7 +9,7 @@
 import httpx
 
 from medlarridge._internal.clock import SystemClock
-from medlarridge._internal.fleet import StaticFleet
+from medlarridge._internal.fleet import FleetView, StaticFleet
 from medlarridge._internal.identity import Instance, Member, Role
 from medlarridge._internal.metrics import RouterMetrics, SidecarMetrics
 from medlarridge._internal.protocol.tables import Tables
@@ -175,13 +175,18 @@
         self.guarded[name].process.cut()
         self.datagram_handlers.pop(f"{name}:1", None)
 
-    def add_router(self, name: str, members: list[str] | None = None) -> Router:
+    def add_router(
+        self,
+        name: str,
+        members: list[str] | None = None,
+        view: FleetView | None = None,
+    ) -> Router:
         """Add a router that serves callers at ``http://name``.
 
         ``members`` are the servers on its member list; without them it shares the
-        list of the fleet.
+        list of the fleet. ``view`` is its own view of the fleet.
         """
-        fleet = self.fleet
+        fleet = view or self.fleet
         if members is not None:
             listed = [
                 member
