--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/endpoints.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/endpoints.py
@@ -21,6 +21,7 @@
 from .sidecar import Sidecar
 
 MAX_KV_REQUEST_BYTES = 4096
+MAX_NUMBER_LENGTH = 20
 MAX_ATTEMPT_BYTES = 9 * 1024 * 1024
 
 
@@ -50,10 +51,8 @@
     @endpoints.register("POST", "/attempts/{request}/{number}/cancel")
     async def cancel(request: HttpRequest, response: HttpResponse) -> None:
         key.check(request)
-        number = request.parameters["number"]
-        if not number.isdecimal():
-            raise HttpError(400, "the attempt number is not a number")
-        found = sidecar.cancel(request.parameters["request"], int(number))
+        number = read_number(request.parameters["number"], "the attempt number")
+        found = sidecar.cancel(request.parameters["request"], number)
         await response.reply(204 if found else 404, b"")
 
     @endpoints.register("POST", EXPORT_PATH)
@@ -91,8 +90,13 @@
     text = request.headers.get(RESUME_HEADER)
     if text is None:
         return None
-    if not text.isdecimal():
-        raise HttpError(400, f"{RESUME_HEADER} is not a number")
+    return read_number(text, RESUME_HEADER)
+
+
+def read_number(text: str, name: str) -> int:
+    """Return a number from a request; very long ones are refused, too."""
+    if len(text) > MAX_NUMBER_LENGTH or not text.isdecimal():
+        raise HttpError(400, f"{name} is not a number")
     return int(text)
 
 
--- a/packages/medlarridge/src/medlarridge/_internal/protocol/caller.py
+++ b/packages/medlarridge/src/medlarridge/_internal/protocol/caller.py
@@ -27,6 +27,7 @@
 """Messages that identify a chat: the script and the first message of the user."""
 
 MAX_ID_LENGTH = 200
+MAX_NUMBER_LENGTH = 20
 HOP_HEADERS = frozenset(
     [
         "connection",
@@ -163,7 +164,9 @@
     text = headers.get(DEADLINE_HEADER)
     if text is None:
         return None
-    if not text.isascii() or not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_MS:
+    # Bounds the length first: int() refuses very long numbers with another error.
+    number = len(text) <= MAX_NUMBER_LENGTH and text.isascii() and text.isdigit()
+    if not number or not 0 < int(text) <= MAX_DEADLINE_MS:
         raise UserError(
             f"invalid {DEADLINE_HEADER}: {text[:40]!r}",
             step="parse request",
--- a/packages/medlarridge/src/medlarridge/_internal/settings.py
+++ b/packages/medlarridge/src/medlarridge/_internal/settings.py
@@ -94,7 +94,7 @@
             hint="give the path of a readable TOML file",
             step="read settings",
         ) from error
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
         raise UserError(
             f"settings file {path} is not valid TOML",
             cause=str(error),
