--- a/packages/medlarridge-standins/src/medlarridge_standins/capacity/path.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/capacity/path.py
@@ -215,4 +215,9 @@
         Row(f"{most}: gap between tokens, p95", full.gap_ms, "ms"),
         Row(f"{most}: chunks", full.chunks_per_s, "1/s"),
         Row(f"{most}: cores of the router", full.cores, "cores"),
+        Row(
+            f"{most}: CPU time of the router per chunk, requests included",
+            full.cores * US_PER_MS * US_PER_MS / full.chunks_per_s,
+            "us",
+        ),
     ]
