Split the crash guard into modules with one job each

Change: suspect_requests.py (what the store is asked), suspect_rules.py (the pure decide and its parts), suspect_table.py (SuspectTable: what a process knows and gossips, now CrashGuard.suspects) and state/suspects_exchange.py (SuspectStore). Imports of daemons, stand-ins and tests follow; the tests of decide move to test_suspect_rules.py with unchanged checks. Conclusion: no change of behaviour; coordination does no store I/O here.

--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/crash_gate.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/crash_gate.py
@@ -7,14 +7,13 @@
 
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.coordination.crash_guard import (
-    ClaimRequest,
     CrashGuard,
     GuardRefusal,
     Refuse,
     Run,
-    SuspectStore,
     WaitIdle,
 )
+from medlarridge._internal.coordination.suspect_requests import ClaimRequest
 from medlarridge._internal.errors import CodecError
 from medlarridge._internal.events import register
 from medlarridge._internal.fleet import FleetView
@@ -22,6 +21,7 @@
 from medlarridge._internal.node import SUSPECT_KIND
 from medlarridge._internal.protocol.messages import NotRun, Refusal
 from medlarridge._internal.protocol.suspects import SuspectNotices
+from medlarridge._internal.state.suspects_exchange import SuspectStore
 
 from .gates import Answered
 from .live import LiveAttempt
@@ -163,7 +163,7 @@
                 views = await self.store.load()
                 loaded = views.is_ok()
                 for view in views.unwrap_or([]):
-                    self.guard.learn_shard(view)
+                    self.guard.suspects.learn_shard(view)
             with anyio.move_on_after(SAVE_TIMEOUT_MS / MS_PER_S):
                 await self.save()
             await self.push_notices()
@@ -174,7 +174,7 @@
 
     async def push_notices(self) -> None:
         """Send notices to random peers; in quiet times there are none."""
-        notices = self.guard.notices()
+        notices = self.guard.suspects.notices()
         if notices is not None:
             await self.send(notices)
 
@@ -186,7 +186,7 @@
             raise CodecError(
                 f"malformed notices: {error}", step="decode datagram", peer=source
             ) from error
-        news = self.guard.receive(message)
+        news = self.guard.suspects.receive(message)
         if news is not None:
             await self.send(news)
 
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/daemon.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/daemon.py
@@ -5,7 +5,7 @@
 import httpx
 
 from medlarridge._internal.clock import MS_PER_S, WallClock
-from medlarridge._internal.coordination.crash_guard import CrashGuard, SuspectStore
+from medlarridge._internal.coordination.crash_guard import CrashGuard
 from medlarridge._internal.coordination.fair_queue import FairQueue
 from medlarridge._internal.coordination.reuse_planner import ReusePlanner
 from medlarridge._internal.metrics import SidecarMetrics
@@ -14,6 +14,7 @@
 from medlarridge._internal.protocol.tables import DEFAULT_LOAD_BOUND, PoolKind
 from medlarridge._internal.settings import SidecarSettings
 from medlarridge._internal.state.ledger_exchange import Ledger
+from medlarridge._internal.state.suspects_exchange import SuspectStore
 from medlarridge._internal.transport.auth import SharedKey
 from medlarridge._internal.transport.server import serve_http
 
--- a/packages/medlarridge-standins/src/medlarridge_standins/capacity/refresh.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/capacity/refresh.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from medlarridge._internal.coordination.membership import ListedVm
+from medlarridge._internal.coordination.member_events import ListedVm
 from medlarridge._internal.coordination.placement import Placement
 from medlarridge._internal.coordination.reuse_planner import ReusePlanner
 from medlarridge._internal.identity import Role
--- a/packages/medlarridge-standins/src/medlarridge_standins/measure/crash_guard.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/measure/crash_guard.py
@@ -8,17 +8,17 @@
 
 from medlarridge._internal.clock import MS_PER_S, ManualClock
 from medlarridge._internal.coordination.crash_guard import (
-    MAX_NOTICES,
-    ClaimRequest,
     CrashGuard,
     GuardRefusal,
     Refuse,
     Run,
-    SuspectStore,
     WaitIdle,
 )
+from medlarridge._internal.coordination.suspect_requests import ClaimRequest
+from medlarridge._internal.coordination.suspect_table import MAX_NOTICES
 from medlarridge._internal.protocol.suspects import SuspectNotices
 from medlarridge._internal.state.memory import MemoryStore
+from medlarridge._internal.state.suspects_exchange import SuspectStore
 
 from ..report import Row
 from . import measure
@@ -112,11 +112,13 @@
                 each.struck_ms = now
         if self.guarded:
             await self.flush(server)
-            if (message := self.guards[server].notices(MAX_PUSHED)) is not None:
+            if (
+                message := self.guards[server].suspects.notices(MAX_PUSHED)
+            ) is not None:
                 self.push(message, PUSH_FANOUT)
         else:
             for guard in self.guards:
-                guard.known.clear()
+                guard.suspects.known.clear()
 
     async def send_culprit(self, now: int) -> None:
         """Send one copy to a random server that is up."""
@@ -173,7 +175,7 @@
     def spread(self) -> None:
         """Let each guard gossip to one other, as membership does."""
         for guard in self.guards if self.guarded else ():
-            if (message := guard.notices(MAX_NOTICES)) is not None:
+            if (message := guard.suspects.notices(MAX_NOTICES)) is not None:
                 self.push(message, 1)
 
     def push(self, message: SuspectNotices, fanout: int) -> None:
@@ -183,7 +185,7 @@
             message, fanout = pending.pop()
             for peer in self.random.sample(self.guards, fanout):
                 self.result.messages += 1
-                if (news := peer.receive(message)) is not None:
+                if (news := peer.suspects.receive(message)) is not None:
                     pending.append((news, PUSH_FANOUT))
 
 
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/suspect_table.py
@@ -0,0 +1,118 @@
+"""What one process knows about suspects, and how it spreads."""
+
+import itertools
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from ..clock import Clock
+from ..protocol.suspects import SuspectNotice, SuspectNotices
+from .suspect_requests import ShardView
+from .suspect_rules import MEMORY_MS, counted
+
+MAX_KNOWN_SUSPECTS = 50_000
+MAX_NOTICES = 6
+"""Notices in one gossip datagram, about 30 bytes each."""
+NOTICE_SENDS = 12
+"""Times that a process gossips one notice, enough to reach thousands of nodes."""
+
+
+@dataclass
+class KnownSuspect:
+    """What this process knows about a fingerprint."""
+
+    strikes: int
+    last_strike_ms: int
+    version: int
+
+
+@dataclass
+class SuspectTable:
+    """Suspects that a process has read, learned from peers or seen itself."""
+
+    clock: Clock
+    known: OrderedDict[str, KnownSuspect] = field(default_factory=OrderedDict)
+    sends_left: OrderedDict[str, int] = field(default_factory=OrderedDict)
+
+    def learn_shard(self, view: ShardView) -> None:
+        """Take over the strikes of a shard that was read."""
+        for fingerprint, suspect in view.shard.suspects.items():
+            if suspect.strikes:
+                last_ms = max(strike.at_ms for strike in suspect.strikes)
+                self.learn(fingerprint, counted(suspect), last_ms, view.version)
+
+    def learn(
+        self, fingerprint: str, strikes: int, last_strike_ms: int, version: int
+    ) -> bool:
+        """Take over newer knowledge about a fingerprint; return whether it is new."""
+        now = self.clock.now_ms()
+        last_ms = min(last_strike_ms, now)
+        known = self.known.get(fingerprint)
+        if last_ms + MEMORY_MS <= now or not (known or strikes or version):
+            return False
+        if known is not None and not replaces(known, strikes, version):
+            return False
+        is_news = known is None or known.strikes != strikes
+        # A cleared suspect is kept, so that a late notice does not bring it back.
+        version = max(version, known.version if known else 0)
+        self.known[fingerprint] = KnownSuspect(strikes, last_ms, version)
+        self.known.move_to_end(fingerprint)
+        if is_news:
+            self.sends_left[fingerprint] = NOTICE_SENDS
+        if len(self.known) > MAX_KNOWN_SUSPECTS:
+            oldest, _ = self.known.popitem(last=False)
+            self.sends_left.pop(oldest, None)
+        return is_news
+
+    def receive(self, message: SuspectNotices) -> SuspectNotices | None:
+        """Learn from a peer; return what is news and should be pushed on."""
+        now = self.clock.now_ms()
+        news = [
+            notice
+            for notice in message.notices
+            if notice.strikes >= 0
+            and 0 <= notice.age_ms < MEMORY_MS
+            and self.learn(
+                notice.fingerprint, notice.strikes, now - notice.age_ms, notice.version
+            )
+        ]
+        return SuspectNotices(news) if news else None
+
+    def notices(self, most: int = MAX_NOTICES) -> SuspectNotices | None:
+        """Return the notices that are due for gossip, in turn."""
+        now = self.clock.now_ms()
+        due = []
+        for fingerprint in list(itertools.islice(self.sends_left, most)):
+            left = self.sends_left.pop(fingerprint) - 1
+            known = self.known.get(fingerprint)
+            if known is None or known.last_strike_ms + MEMORY_MS <= now:
+                continue
+            if left:
+                self.sends_left[fingerprint] = left
+            age_ms = now - known.last_strike_ms
+            due.append(SuspectNotice(fingerprint, known.strikes, age_ms, known.version))
+        return SuspectNotices(due) if due else None
+
+    def strikes_of(self, fingerprint: str) -> int:
+        """Return the strikes that this process knows of, as they count."""
+        known = self.known.get(fingerprint)
+        if known is None:
+            return 0
+        if known.last_strike_ms + MEMORY_MS <= self.clock.now_ms():
+            del self.known[fingerprint]
+            return 0
+        return known.strikes
+
+    def refused_for_ms(self, fingerprint: str) -> int:
+        """Return how long a known suspect is remembered from now."""
+        last_ms = self.known[fingerprint].last_strike_ms
+        return last_ms + MEMORY_MS - self.clock.now_ms()
+
+
+def replaces(known: KnownSuspect, strikes: int, version: int) -> bool:
+    """Return whether knowledge of a version replaces what is known.
+
+    Strikes that could not be stored have version 0 and only add to the stored ones.
+    """
+    if version > known.version:
+        return True
+    return version in (0, known.version) and strikes > known.strikes
--- a/packages/medlarridge/src/medlarridge/_internal/node.py
+++ b/packages/medlarridge/src/medlarridge/_internal/node.py
@@ -10,7 +10,7 @@
 from .clock import Clock, SystemClock
 from .cluster import ClusterNode
 from .coordination.lease import Lease
-from .coordination.membership import Observation
+from .coordination.member_events import Observation
 from .coordination.placement import Placement
 from .identity import Instance, Member, Role, new_instance_number
 from .protocol.tables import Tables
--- /dev/null
+++ b/packages/medlarridge/src/medlarridge/_internal/state/suspects_exchange.py
@@ -0,0 +1,91 @@
+"""Carries out what a crash guard asks of the store."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+
+import anyio
+import msgspec
+from result import Err, Ok, Result
+
+from ..clock import MS_PER_S, Clock
+from ..coordination.suspect_requests import SUSPECTS_PREFIX, ShardView, StoreRequest
+from ..coordination.suspect_rules import decide
+from ..errors import StoreError, StoreErrorKind
+from ..protocol.suspects import SuspectShard
+from .store import CREATE, ObjectStore
+
+MAX_STORE_TRIES = 8
+STORE_BACKOFF_MS = 4
+"""About the time of a call to the store, doubled with each try."""
+
+
+@dataclass
+class SuspectStore:
+    """Carries out store requests with conditional updates."""
+
+    store: ObjectStore
+    clock: Clock
+    random: Random
+    sleep: Callable[[float], Awaitable[None]] = anyio.sleep
+    is_gone: Callable[[str], bool] = lambda server: False
+
+    async def load(self) -> Result[list[ShardView], StoreError]:
+        """Return all shards, for a process that starts."""
+        listed = await self.store.list(SUSPECTS_PREFIX)
+        if isinstance(listed, Err):
+            return listed
+        views = []
+        for name in listed.ok_value:
+            read = await self.read(name.key)
+            if isinstance(read, Err):
+                return read
+            views.append(read.ok_value)
+        return Ok(views)
+
+    async def carry_out(self, request: StoreRequest) -> Result[ShardView, StoreError]:
+        """Apply a request and return the shard as it is stored afterwards."""
+        error: StoreError | None = None
+        for number in range(MAX_STORE_TRIES):
+            if number:
+                most_s = STORE_BACKOFF_MS * 2**number / MS_PER_S
+                await self.sleep(self.random.uniform(0, most_s))
+            result = await self.try_once(request)
+            if isinstance(result, Ok):
+                return result
+            error = result.err_value
+            if error.kind not in (StoreErrorKind.CONFLICT, StoreErrorKind.AMBIGUOUS):
+                return result
+            # Requests are idempotent: the next round sees whether this one took
+            # effect.
+        assert error is not None
+        return Err(error)
+
+    async def try_once(self, request: StoreRequest) -> Result[ShardView, StoreError]:
+        """Read the shard, decide and write it if it changes."""
+        read = await self.read(request.shard)
+        if isinstance(read, Err):
+            return read
+        view = read.ok_value
+        shard = decide(view.shard, request, self.clock.now_ms(), self.is_gone)
+        if shard is None:
+            return Ok(view)
+        value = msgspec.msgpack.encode(shard)
+        written = await self.store.put(view.key, value, view.version)
+        if isinstance(written, Err):
+            return written
+        return Ok(ShardView(view.key, written.ok_value, shard))
+
+    async def read(self, key: str) -> Result[ShardView, StoreError]:
+        """Return one shard; a missing or malformed one is empty."""
+        read = await self.store.get(key)
+        if isinstance(read, Err):
+            return read
+        stored = read.ok_value
+        if stored is None:
+            return Ok(ShardView(key, CREATE, SuspectShard()))
+        try:
+            shard = msgspec.msgpack.decode(stored.value, type=SuspectShard)
+        except msgspec.MsgspecError:
+            shard = SuspectShard()
+        return Ok(ShardView(key, stored.version, shard))
--- a/packages/medlarridge/src/medlarridge/_internal/state/vm_list.py
+++ b/packages/medlarridge/src/medlarridge/_internal/state/vm_list.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok, Result
 
-from ..coordination.membership import ListedVm
+from ..coordination.member_events import ListedVm
 from ..errors import StoreError
 from .platform import PlatformStore
 
--- a/packages/medlarridge/src/medlarridge/coordination.py
+++ b/packages/medlarridge/src/medlarridge/coordination.py
@@ -25,17 +25,12 @@
     ReadStore,
 )
 from ._internal.coordination.crash_guard import (
-    ClaimRequest,
-    ClearRequest,
     CrashGuard,
     GuardRefusal,
-    ReleaseRequest,
-    StrikeRequest,
     WaitIdle,
 )
 from ._internal.coordination.crash_guard import Refuse as GuardRefuse
 from ._internal.coordination.crash_guard import Run as GuardRun
-from ._internal.coordination.crash_guard import ShardView as SuspectShardView
 from ._internal.coordination.drain import Drain, DrainPhase
 from ._internal.coordination.fair_queue import (
     FairQueue,
@@ -126,6 +121,14 @@
 from ._internal.coordination.reuse_planner import Run as ReuseRun
 from ._internal.coordination.reuse_planner import Wait as ReuseWait
 from ._internal.coordination.steps import Delete, Get, ListNames, Put, Wait
+from ._internal.coordination.suspect_requests import (
+    ClaimRequest,
+    ClearRequest,
+    ReleaseRequest,
+    StrikeRequest,
+)
+from ._internal.coordination.suspect_requests import ShardView as SuspectShardView
+from ._internal.coordination.suspect_table import SuspectTable
 
 __all__ = [
     "AccountLimiter",
@@ -224,6 +227,7 @@
     "StateChange",
     "StrikeRequest",
     "SuspectShardView",
+    "SuspectTable",
     "TableStatus",
     "Target",
     "Throttled",
--- a/packages/medlarridge/tests/features/test_crash_guard_feature.py
+++ b/packages/medlarridge/tests/features/test_crash_guard_feature.py
@@ -5,14 +5,14 @@
 
 from medlarridge._internal.clock import ManualClock
 from medlarridge._internal.coordination.crash_guard import (
-    MEMORY_MS,
-    ClaimRequest,
     CrashGuard,
     GuardRefusal,
     Run,
-    SuspectStore,
 )
+from medlarridge._internal.coordination.suspect_requests import ClaimRequest
+from medlarridge._internal.coordination.suspect_rules import MEMORY_MS
 from medlarridge._internal.state.memory import MemoryStore
+from medlarridge._internal.state.suspects_exchange import SuspectStore
 
 scenarios("crash_guard.feature")
 
@@ -36,7 +36,7 @@
         guard = self.guards[number]
         self.attempts += 1
         attempt = str(self.attempts)
-        knows = guard.strikes_of(fingerprint) > 0
+        knows = guard.suspects.strikes_of(fingerprint) > 0
         answer = guard.admit(attempt, "route", fingerprint)
         if isinstance(answer, ClaimRequest):
             view = anyio.run(self.store.carry_out, answer).unwrap()
@@ -56,11 +56,11 @@
         self.flush(number)
 
     def spread(self):
-        notices = [guard.notices(50) for guard in self.guards]
+        notices = [guard.suspects.notices(50) for guard in self.guards]
         for guard in self.guards:
             for message in notices:
                 if message is not None:
-                    guard.receive(message)
+                    guard.suspects.receive(message)
 
     def runs(self, number):
         return any(
@@ -176,4 +176,4 @@
     fleet.guards[15].finished(attempt, succeeded=True)
     fleet.flush(15)
     fleet.spread()
-    assert {guard.strikes_of("innocent") for guard in fleet.guards} == {0}
+    assert {guard.suspects.strikes_of("innocent") for guard in fleet.guards} == {0}
--- a/packages/medlarridge/tests/unit/coordination/test_crash_guard.py
+++ b/packages/medlarridge/tests/unit/coordination/test_crash_guard.py
@@ -5,23 +5,18 @@
 
 from medlarridge._internal.clock import ManualClock
 from medlarridge._internal.coordination.crash_guard import (
-    CLAIM_MS,
     ISOLATION_WAIT_MS,
-    MAX_SUSPECTS_PER_SHARD,
-    ClaimRequest,
-    ClearRequest,
     CrashGuard,
     GuardRefusal,
     Refuse,
     Run,
-    StrikeRequest,
-    SuspectStore,
     WaitIdle,
-    decide,
+)
+from medlarridge._internal.coordination.suspect_requests import (
+    ClaimRequest,
     shard_of,
 )
 from medlarridge._internal.protocol.suspects import (
-    Claim,
     Strike,
     Suspect,
     SuspectNotice,
@@ -29,6 +24,7 @@
     SuspectShard,
 )
 from medlarridge._internal.state.memory import MemoryStore, StoreFault
+from medlarridge._internal.state.suspects_exchange import SuspectStore
 
 START_MS = 10**12
 SHARD = shard_of("r")
@@ -47,7 +43,7 @@
 
     def learn(self, fingerprint, strikes, version=1, age_ms=0):
         notice = SuspectNotice(fingerprint, strikes, age_ms, version)
-        return self.guard.receive(SuspectNotices([notice]))
+        return self.guard.suspects.receive(SuspectNotices([notice]))
 
     async def put_strikes(self, count, version=0):
         strikes = [Strike(f"b-{each}", START_MS) for each in range(count)]
@@ -110,10 +106,10 @@
         assert self.guard.running["1"].claim is not None
         self.guard.finished("1", succeeded=True)
         await self.flush(self.guard)
-        assert self.guard.strikes_of("x") == 0
+        assert self.guard.suspects.strikes_of("x") == 0
         self.learn("x", 1, version=1)
-        assert self.guard.strikes_of("x") == 0
-        assert self.guard.notices().notices[0].strikes == 0
+        assert self.guard.suspects.strikes_of("x") == 0
+        assert self.guard.suspects.notices().notices[0].strikes == 0
 
     async def test_stale_suspicion_costs_no_write(self):
         """Guards against claims for suspects that others have cleared."""
@@ -122,7 +118,7 @@
         await self.put_strikes(0, version=1)
         assert await self.start(self.guard, "1", "x") == Run()
         assert self.memory.calls["put"] == 2
-        assert self.guard.strikes_of("x") == 0 and self.guard.isolation is None
+        assert self.guard.suspects.strikes_of("x") == 0 and self.guard.isolation is None
 
     async def test_waiting_suspect_gets_no_strike_when_the_server_dies(self):
         """Guards against a strike for a request that never reached the server."""
@@ -144,7 +140,7 @@
         assert self.learn("y", -1) is None
         assert self.learn("y", 3, age_ms=-5) is None
         sent = 0
-        while self.guard.notices() is not None:
+        while self.guard.suspects.notices() is not None:
             sent += 1
         assert sent == 12
 
@@ -162,61 +158,10 @@
             guard.admit("2", "r", "other")
             guard.server_died(f"b{number}'")
             await self.flush(guard)
-        assert guard.strikes_of("x") == 2
+        assert guard.suspects.strikes_of("x") == 2
         assert await self.start(guard, "1", "x") == Run()
         guard.server_died("again")
-        assert guard.strikes_of("x") == 3
-
-
-class TestDecide:
-    def apply(self, shard, request, now_ms=START_MS, gone=()):
-        return decide(shard, request, now_ms, lambda server: server in gone) or shard
-
-    def strike(self, shard, server, *fingerprints, at_ms=START_MS, alone=False):
-        request = StrikeRequest(SHARD, fingerprints, Strike(server, at_ms, alone))
-        return self.apply(shard, request)
-
-    def test_a_strike_counts_once_per_server_start(self):
-        """Guards against double strikes when an answer of the store was lost."""
-        shard = self.strike(SuspectShard(), "a-1", "x")
-        assert self.strike(shard, "a-1", "x") == shard
-        assert len(self.strike(shard, "a-2", "x").suspects["x"].strikes) == 2
-
-    def test_a_claim_of_a_dead_or_paused_process_becomes_a_strike(self):
-        """Guards against a culprit whose VM dies before it can store a strike."""
-        shard = self.strike(SuspectShard(), "a-1", "x")
-        claim = Claim("b-1", "1", START_MS)
-        shard = self.apply(shard, ClaimRequest(SHARD, "x", claim))
-        other = Claim("c-1", "2", START_MS + 1, alone=True)
-        next_claim = ClaimRequest(SHARD, "x", other)
-        assert self.apply(shard, next_claim) == shard
-        later = self.apply(shard, next_claim, START_MS + CLAIM_MS)
-        dead = self.apply(shard, next_claim, gone=["b-1"])
-        for changed in (later, dead):
-            suspect = changed.suspects["x"]
-            assert [each.server for each in suspect.strikes] == ["a-1", "b-1"]
-            assert suspect.claim == next_claim.claim
-
-    def test_a_late_clear_keeps_newer_strikes(self):
-        """Guards against a clear after an outage that removes later strikes."""
-        shard = self.strike(SuspectShard(), "a-1", "x")
-        shard = self.strike(shard, "b-1", "x", at_ms=START_MS + 20)
-        shard = self.apply(shard, ClearRequest(SHARD, "x", START_MS + 10))
-        assert [each.server for each in shard.suspects["x"].strikes] == ["b-1"]
-        shard = self.apply(shard, ClearRequest(SHARD, "x", START_MS + 20))
-        assert shard.suspects == {}
-
-    def test_a_full_shard_drops_the_weakest(self):
-        """Guards against culprits pushed out by a flood of single strikes."""
-        many = {
-            str(each): Suspect([Strike("a", START_MS)])
-            for each in range(MAX_SUSPECTS_PER_SHARD)
-        }
-        shard = SuspectShard({"x": Suspect([Strike("a", 1), Strike("b", START_MS)])})
-        shard = SuspectShard(shard.suspects | many)
-        shard = self.strike(shard, "c-1", "new")
-        assert len(shard.suspects) == MAX_SUSPECTS_PER_SHARD
-        assert "x" in shard.suspects
+        assert guard.suspects.strikes_of("x") == 3
 
 
 class TestSuspectStore(GuardCase):
@@ -237,12 +182,12 @@
         for server in ("a-1", "b-1", "c-1"):
             guard = CrashGuard(self.clock, server)
             for view in (await self.store.load()).unwrap():
-                guard.learn_shard(view)
+                guard.suspects.learn_shard(view)
             assert await self.start(guard, "1", "x") == Run()
             guard.server_died(server + "'")
             await self.flush(guard)
         for view in (await self.store.load()).unwrap():
-            self.guard.learn_shard(view)
+            self.guard.suspects.learn_shard(view)
         refusal = self.guard.admit("1", "r", "x")
         assert refusal.reason is GuardRefusal.CRASHES_SERVERS
 
