--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_gates.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_gates.py
@@ -10,7 +10,7 @@
 import httpx
 
 from medlarridge._internal.clock import Clock, WallClock
-from medlarridge._internal.coordination.crash_guard import CrashGuard, SuspectStore
+from medlarridge._internal.coordination.crash_guard import CrashGuard
 from medlarridge._internal.coordination.fair_queue import FairQueue
 from medlarridge._internal.coordination.reuse_planner import ReusePlanner
 from medlarridge._internal.fleet import FleetView
@@ -20,6 +20,7 @@
 from medlarridge._internal.protocol.tables import DEFAULT_LOAD_BOUND, PoolKind
 from medlarridge._internal.state.ledger_exchange import Ledger
 from medlarridge._internal.state.store import ObjectStore
+from medlarridge._internal.state.suspects_exchange import SuspectStore
 from medlarridge._internal.transport.auth import SharedKey
 
 from .crash_gate import CrashGate
