Send a returning chat on to the engine that holds its prefix

The model counts the time to the first token, and its default are engines that cannot drop a prefix.

--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/engine_gate.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/engine_gate.py
@@ -36,6 +36,9 @@
     ShedReason.QUEUE_FULL: "the queue is full",
     ShedReason.OVER_BOUND: "the request does not fit the engine",
 }
+MOVED_DETAIL = "another engine holds more of the chat's prefix"
+OVER_BOUND_DETAIL = "the engine is over the load bound of its pool"
+FIRST_ATTEMPT = 1
 TOKEN_MARK = b"data: "
 
 
@@ -86,6 +89,9 @@
         if pool is not None and pool.kind is PoolKind.SERVICE:
             return None
         admission = self.new_admission(live)
+        redirect = self.planner.redirect(admission.request)
+        if redirect is not None:
+            return self.planned_refusal(redirect)
         key = admission.entry.key
         offered = self.queue.offer(admission.entry)
         if isinstance(offered, Shed):
@@ -121,6 +127,7 @@
             deadline_ms,
             tuple(attempt.ranked),
             attempt.import_from,
+            attempt.number == FIRST_ATTEMPT,
         )
         local = self.planner.local_tokens(request, self.planner.index.get(attempt.chat))
         work = max(1, round(self.planner.work(request, local)))
@@ -142,17 +149,21 @@
                 admission.run = plan
                 return None
             if isinstance(plan, Refuse):
-                return NotRun(
-                    Refusal.LOAD_BOUND,
-                    self.fleet.generation,
-                    "the engine is over the load bound of its pool",
-                    plan.retry_after_ms,
-                    list(plan.candidates),
-                )
+                return self.planned_refusal(plan)
             assert isinstance(plan, Wait)
             await self.messages.send_all(plan.queries)
             await admission.changed.wait(plan.until_ms - self.clock.now_ms())
 
+    def planned_refusal(self, plan: Refuse) -> NotRun:
+        """Return the refusal of an attempt that fits or runs better elsewhere."""
+        return NotRun(
+            Refusal.LOAD_BOUND,
+            self.fleet.generation,
+            MOVED_DETAIL if plan.moved else OVER_BOUND_DETAIL,
+            plan.retry_after_ms,
+            list(plan.candidates),
+        )
+
     async def import_prefix(self, admission: Admission) -> None:
         """Import the missing blocks of the prefix; a failure costs a prefill."""
         run = admission.run
--- a/packages/medlarridge-standins/src/medlarridge_standins/measure/pool_model.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/measure/pool_model.py
@@ -8,7 +8,7 @@
 import heapq
 from collections import OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from medlarridge._internal.clock import MS_PER_S, ManualClock
@@ -30,6 +30,8 @@
 OUTPUT_TOKENS = 250
 SERVICE_MS = 5000
 PREFILL_TOKENS_PER_S = 10_000
+IMPORT_TOKENS_PER_S = 100_000
+IMPORT_OVERHEAD_MS = 10
 SAMPLE_MS = 50
 SKEW_SAMPLE_MS = 100
 RANKED = 4
@@ -77,6 +79,13 @@
     moves: int = 0
     fetched: int = 0
     given_up: int = 0
+    first_token_ms: list[int] = field(default_factory=list)
+
+    @property
+    def first_token_p95_ms(self) -> int:
+        """Time from arrival to the first token at the 95th percentile."""
+        ordered = sorted(self.first_token_ms)
+        return ordered[len(ordered) * 95 // 100] if ordered else 0
 
     @property
     def reuse(self) -> float:
@@ -133,7 +142,7 @@
     weights: tuple[float, ...] = (1.0,)
     view_lag_ms: int = 5000
     report_lag_ms: int = 0
-    releases: bool = True
+    releases: bool = False
 
 
 class PoolModel:
@@ -465,7 +474,8 @@
             engine.planner.abandon(job.request.id)
             self.next_attempt(job, ())
             return
-        match engine.planner.plan(job.request):
+        first = len(job.tried) == 1
+        match engine.planner.plan(replace(job.request, first_attempt=first)):
             case Run() as run:
                 self.start(engine, job, run)
             case Wait(until_ms, queries):
@@ -537,6 +547,10 @@
             self.store(engine, chat.name, local + imported)
         missing = request.prompt_tokens - max(local + imported, SCRIPT_TOKENS)
         prefill_ms = MS_PER_S * max(0, missing) / PREFILL_TOKENS_PER_S
+        if imported:
+            prefill_ms += IMPORT_OVERHEAD_MS + MS_PER_S * imported / IMPORT_TOKENS_PER_S
+        waited_ms = self.clock.now_ms() - job.arrived_ms
+        self.counts.first_token_ms.append(round(waited_ms + prefill_ms))
         self.at(prefill_ms, self.first_token, engine, request)
         self.at(
             self.random.expovariate(1 / SERVICE_MS),
--- a/packages/medlarridge-standins/src/medlarridge_standins/measure/reuse.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/measure/reuse.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from medlarridge._internal.clock import MS_PER_S
+from medlarridge._internal.coordination.reuse_planner import FIRST_TOKEN_MS
 
 from ..report import Row
 from . import measure
@@ -57,6 +58,14 @@
         Row(f"{name}: prefilled", 100 - ours.reuse, "% of tokens"),
         Row(f"{name}: fetched back", ours.fetched * scale, "% of tokens"),
         Row(f"{name}: attempts", ours.attempts / ours.requests, "per request"),
+        Row(
+            f"{name}: first token, 95th percentile",
+            ours.first_token_p95_ms,
+            "ms",
+            f"<={FIRST_TOKEN_MS}",
+            f"plain rendezvous {plain.first_token_p95_ms}",
+            ours.first_token_p95_ms <= FIRST_TOKEN_MS,
+        ),
         Row(f"{name}: waited", ours.wait_ms / ours.requests, "ms"),
         Row(
             f"{name}: worst load over mean",
@@ -126,8 +135,8 @@
     rows += rows_for("steady", STEADY, None)
     tighter = replace(STEADY, cache_share=1.1)
     rows += rows_for("steady, caches 15% smaller", tighter, None)
-    keeping = replace(STEADY, releases=False)
-    rows += rows_for("steady, engines cannot drop a prefix", keeping, None)
+    releasing = replace(STEADY, releases=True)
+    rows += rows_for("steady, engines can drop a prefix", releasing, None)
     lossy = replace(STEADY, datagram_loss=0.05)
     rows += rows_for("steady, 5% of datagrams lost", lossy, None)
     weighted = replace(STEADY, weights=(1.0, 2.0), in_flight=12.0)
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
@@ -41,6 +41,9 @@
 # An import or a question to peers has to save more than its own disturbance.
 MIN_GAIN_MS = 20
 MAX_CANDIDATES = 3
+# Room often comes well before it is expected, and a move costs the engine left
+# behind a copy that it cannot drop.
+EARLY_ROOM_FACTOR = 3
 PROBE_PEERS = 3
 FULL_SHARE = 1000
 MAX_FETCHES = 256
@@ -55,7 +58,8 @@
     """What the planner needs to know of an attempt.
 
     ``latest_start_ms`` is on the planner's clock. ``ranked`` are addresses, the
-    chat's home first.
+    chat's home first. A home sends only the first attempt on to the holder of the
+    prefix, so redirects cannot loop.
     """
 
     id: str
@@ -66,6 +70,7 @@
     latest_start_ms: int
     ranked: tuple[str, ...] = ()
     import_from: str = ""
+    first_attempt: bool = True
 
 
 @dataclass(frozen=True)
@@ -92,10 +97,15 @@
 
 @dataclass(frozen=True)
 class Refuse:
-    """Refuse the request; candidates are in order of preference."""
+    """Refuse the request; candidates are in order of preference.
+
+    ``moved`` means that there may be room here, but the first candidate holds more
+    of the prefix.
+    """
 
     candidates: tuple[Candidate, ...]
     retry_after_ms: int
+    moved: bool = False
 
 
 @dataclass(frozen=True)
@@ -226,6 +236,10 @@
     def plan(self, request: Request) -> Run | Wait | Refuse:
         """Decide about a request; a ``Run`` reserves its work."""
         now = self.clock.now_ms()
+        if request.id not in self.waiting:
+            redirect = self.redirect(request)
+            if redirect is not None:
+                return redirect
         waiting = self.waiting.get(request.id) or self.offer(request, now)
         entry = self.index.get(request.chat)
         local = self.local_tokens(request, entry)
@@ -246,6 +260,30 @@
         self.start(Running(request, work, work, local, holder, held, known))
         return Run(local, work, holder, held)
 
+    def redirect(self, request: Request) -> Refuse | None:
+        """Return where a chat was moved to, if this home should send it there.
+
+        Engines that cannot drop a prefix keep the copy that a move leaves behind
+        until it is the least recently used. A chat that stays where it was served
+        last leaves one such copy, a chat that returns to its home leaves two.
+        """
+        entry = self.index.get(request.chat)
+        if (
+            self.engine_releases
+            or entry is None
+            or not request.first_attempt
+            or not request.ranked
+            or request.ranked[0] != self.address
+            or entry.elsewhere not in self.members
+            or entry.elsewhere in self.leaving
+        ):
+            return None
+        held = min(entry.elsewhere_tokens, request.prompt_tokens)
+        if self.gain_ms(held - self.local_tokens(request, entry)) < MIN_GAIN_MS:
+            return None
+        number = self.members[entry.elsewhere].instance.number
+        return Refuse((Candidate(entry.elsewhere, number, True),), 0, moved=True)
+
     def offer(self, request: Request, now_ms: int) -> Waiting:
         """Note a request that is planned for the first time."""
         waiting = Waiting(request, now_ms, 0.0)
@@ -333,7 +371,7 @@
                 break
             ahead += other.work
         expected_ms = self.drain_ms(verdict.excess * self.weight + ahead)
-        if now < until_ms and now + expected_ms <= until_ms:
+        if now < until_ms and now + self.least_wait_ms(expected_ms) <= until_ms:
             return Wait(until_ms)
         if not waiting.probed_until_ms:
             queries = self.probe_peers(waiting, entry)
@@ -369,8 +407,14 @@
             return 0
         missing_ms = self.costs.prefill_ms(request.prompt_tokens - local)
         slack_ms = FIRST_TOKEN_MS - FIRST_TOKEN_RESERVE_MS - missing_ms
-        loss_ms = self.costs.prefill_ms(value)
-        return max(0, round(min(MAX_WAIT_MS, slack_ms, loss_ms)))
+        most_ms = min(MAX_WAIT_MS, slack_ms)
+        if self.engine_releases:
+            most_ms = min(most_ms, self.costs.prefill_ms(value))
+        return max(0, round(most_ms))
+
+    def least_wait_ms(self, expected_ms: float) -> float:
+        """Return the wait that must fit for waiting to be worth a try."""
+        return expected_ms if self.engine_releases else expected_ms / EARLY_ROOM_FACTOR
 
     def drain_ms(self, work: float) -> float:
         """Return the expected time until that much work has finished."""
