--- a/packages/medlarridge-router/src/medlarridge_router/_internal/order_duty.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/order_duty.py
@@ -14,7 +14,6 @@
     WantedState,
     WeightLoadLimit,
 )
-from medlarridge._internal.errors import CodecError
 from medlarridge._internal.events import register
 from medlarridge._internal.fleet import FleetView
 from medlarridge._internal.log import log_event
@@ -22,6 +21,7 @@
 from medlarridge._internal.protocol.tables import PoolKind
 from medlarridge._internal.state.orders_exchange import OrderJournal
 from medlarridge._internal.transport.auth import SharedKey
+from medlarridge._internal.transport.datagrams import decode_payload
 
 PLAN_INTERVAL_MS = 1_000
 SEND_TIMEOUT_MS = 5_000
@@ -66,12 +66,7 @@
 
     async def receive(self, source: str, payload: bytes) -> None:
         """Take the report of a sidecar."""
-        try:
-            report = _decoder.decode(payload)
-        except msgspec.MsgspecError as error:
-            raise CodecError(
-                f"malformed report: {error}", step="decode datagram", peer=source
-            ) from error
+        report = decode_payload(_decoder, payload, source)
         controller = self.current()
         if controller is not None and report.server == source:
             controller.on_report(report)
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/account_limits.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/account_limits.py
@@ -11,7 +11,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from random import Random
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from ..clock import MS_PER_S, Clock
 from ..protocol.limits import LimitMessage, Throttle, Throttles, Usage, UsageReport
@@ -76,20 +76,20 @@
     message: LimitMessage
 
 
-class LimitDirectory:
+class LimitDirectory(Protocol):
     """What a limiter asks its surroundings; the daemon implements it."""
 
     def home_of(self, key: Key) -> str:
         """Return the address of the account's home, empty if there is none."""
-        raise NotImplementedError
+        ...
 
     def limit_of(self, key: Key) -> AccountLimit | None:
         """Return the limit in force."""
-        raise NotImplementedError
+        ...
 
     def random_peers(self, count: int) -> list[str]:
         """Return addresses of other live routers."""
-        raise NotImplementedError
+        ...
 
 
 @dataclass
--- a/packages/medlarridge/src/medlarridge/_internal/transport/datagrams.py
+++ b/packages/medlarridge/src/medlarridge/_internal/transport/datagrams.py
@@ -5,11 +5,13 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 import anyio
 import anyio.abc
+import msgspec
 
-from ..errors import MedlarridgeError, TransportError
+from ..errors import CodecError, MedlarridgeError, TransportError
 from ..events import register as register_event
 from ..log import log_event
 
@@ -21,6 +23,8 @@
 
 HANDLER_FAILED = register_event(4050, "ERROR", "datagram handler failed")
 
+Message = TypeVar("Message")
+
 Handler = Callable[[str, bytes], Awaitable[None]]
 """Takes the address of the sender and the payload."""
 
@@ -164,6 +168,18 @@
         self.counts.sent_bytes += len(data)
 
 
+def decode_payload(
+    decoder: msgspec.msgpack.Decoder[Message], payload: bytes, peer: str
+) -> Message:
+    """Return the message in a datagram; a malformed one is counted and dropped."""
+    try:
+        return decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise CodecError(
+            f"malformed message: {error}", step="decode datagram", peer=peer
+        ) from error
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of ``ip:port``."""
     host, _, port = address.rpartition(":")
