--- a/packages/medlarridge-router/src/medlarridge_router/_internal/order_duty.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/order_duty.py
@@ -4,7 +4,7 @@
 import httpx
 import msgspec
 
-from medlarridge._internal.clock import MS_PER_S, Clock
+from medlarridge._internal.clock import MS_PER_S, Clock, WallClock
 from medlarridge._internal.coordination.lease import Lease
 from medlarridge._internal.coordination.orders import (
     EngineReport,
@@ -19,14 +19,18 @@
 from medlarridge._internal.log import log_event
 from medlarridge._internal.node import ORDER_DUTY, Node
 from medlarridge._internal.protocol.tables import PoolKind
+from medlarridge._internal.state.audit import AuditTrail
 from medlarridge._internal.state.orders_exchange import OrderJournal
 from medlarridge._internal.transport.auth import SharedKey
 from medlarridge._internal.transport.datagrams import decode_payload
 
 PLAN_INTERVAL_MS = 1_000
 SEND_TIMEOUT_MS = 5_000
+ORDERS_PER_TERM = 1_000_000
+"""More than a term of the lease can give, so that audit numbers keep growing."""
 
 ORDER_SENT = register(1100, "INFO", "order sent to an engine's sidecar")
+ORDER_UNAUDITED = register(1102, "WARNING", "order is not in the audit trail")
 ORDER_FAILED = register(1101, "WARNING", "order was not taken")
 
 _decoder = msgspec.msgpack.Decoder(EngineReport)
@@ -51,6 +55,7 @@
         self.loads_per_min = loads_per_min
         self.lease = Lease(ORDER_DUTY, node.instance, node.clock, node.random)
         self.journal = OrderJournal(node.store)
+        self.trail = AuditTrail(node.store, WallClock())
         self.controller: OrderController | None = None
 
     def current(self) -> OrderController | None:
@@ -95,11 +100,24 @@
         if refusal is None:
             refusal = await self.post(order)
         if refusal is None:
+            await self.audit(order)
             log_event(ORDER_SENT, server=order.server, kind=order.kind, name=order.name)
             return
         log_event(ORDER_FAILED, server=order.server, kind=order.kind, reason=refusal)
         controller.on_failure(order)
 
+    async def audit(self, order: Order) -> None:
+        """Record an order that the sidecar took; a failure loses only the entry."""
+        recorded = await self.trail.record_event(
+            f"{self.lease.instance.address}#{self.lease.instance.number}",
+            f"orders/{order.server}",
+            order.mark.fencing * ORDERS_PER_TERM + order.mark.number,
+            b"",
+            f"{order.kind} {order.name}".encode(),
+        )
+        if recorded.is_err():
+            log_event(ORDER_UNAUDITED, server=order.server, error=recorded.unwrap_err())
+
     async def post(self, order: Order) -> OrderRefusal | str | None:
         """Return why the sidecar did not take an order, nothing if it did."""
         try:
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/daemon.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/daemon.py
@@ -3,11 +3,14 @@
 import anyio
 import httpx
 
-from medlarridge._internal.clock import MS_PER_S
+from medlarridge._internal.clock import MS_PER_S, WallClock
+from medlarridge._internal.events import register
+from medlarridge._internal.log import log_event
 from medlarridge._internal.metrics import SidecarMetrics
 from medlarridge._internal.node import Node
 from medlarridge._internal.operator import operator_endpoints
 from medlarridge._internal.settings import SidecarSettings
+from medlarridge._internal.state.audit import AuditTrail
 from medlarridge._internal.transport.auth import SharedKey
 from medlarridge._internal.transport.server import serve_http
 
@@ -17,6 +20,8 @@
 from .server_gates import GateSurroundings, ServerGates
 from .sidecar import Sidecar
 
+AUDIT_TIMEOUT_MS = 2_000
+DRAIN_UNAUDITED = register(2030, "WARNING", "drain is not in the audit trail")
 LEDGER_DRAIN_MS = 5_000
 HAND_OVER_GRACE_MS = 2_000
 """Time that peers get to fetch the prefixes of a leaving engine."""
@@ -61,6 +66,7 @@
         )
         self.sidecar.load_hint = self.gates.load
         self.orders = EngineOrders(node, settings.pool, settings.server, self.client)
+        self.stop_audited = anyio.Event()
         self.gates.crash_gate.server_restarted = self.server_restarted
         node.cluster.on_listed_leaving = self.listed_leaving
 
@@ -72,6 +78,8 @@
     def listed_leaving(self, leaving: bool) -> None:
         """Take no new work while the platform lists this VM as leaving."""
         self.sidecar.set_listed_leaving(leaving)
+        phases = ("serving", "draining") if leaving else ("draining", "serving")
+        self.node.cluster.spawn(self.audit_drain, *phases, "platform's list")
         self.node.cluster.spawn(self.node.cluster.set_self, leaving)
 
     async def run(self, stop: anyio.Event) -> None:
@@ -91,6 +99,7 @@
                 async with anyio.create_task_group() as background:
                     await self.gates.start(background)
                     background.start_soon(self.orders.run)
+                    background.start_soon(self.audit_stop, stop)
                     await self.sidecar.run(stop)
                     await self.leave()
                     background.cancel_scope.cancel()
@@ -99,8 +108,31 @@
             await self.server.close()
             await self.client.aclose()
 
+    async def audit_stop(self, stop: anyio.Event) -> None:
+        """Record that the process was told to stop."""
+        await stop.wait()
+        await self.audit_drain("serving", "draining", "told to stop")
+        self.stop_audited.set()
+
+    async def audit_drain(self, before: str, after: str, reason: str) -> None:
+        """Record a drain in the audit trail; a failure loses only the entry."""
+        instance = self.node.instance
+        clock = WallClock()
+        with anyio.move_on_after(AUDIT_TIMEOUT_MS / MS_PER_S):
+            recorded = await AuditTrail(self.node.store, clock).record_event(
+                f"{instance.address}#{instance.number}",
+                f"drains/{instance.address}",
+                clock.now_ms(),
+                before.encode(),
+                f"{after}: {reason}".encode(),
+            )
+            if recorded.is_ok():
+                return
+        log_event(DRAIN_UNAUDITED, after=after, reason=reason)
+
     async def leave(self) -> None:
         """Hand over what others need: journalled results and warm prefixes."""
+        await self.stop_audited.wait()
         await self.gates.ledger.drain(LEDGER_DRAIN_MS)
         if await self.gates.work.hand_over():
             await anyio.sleep(HAND_OVER_GRACE_MS / MS_PER_S)
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/engine_work.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/engine_work.py
@@ -13,10 +13,10 @@
 from .kv_transfer import KvTransfer
 from .reuse_messages import ReuseMessages
 
-EVENTS_INTERVAL_MS = 1_000
-EVENTS_LAG_MS = 2_000
+EVENTS_INTERVAL_MS = 3_000
+EVENTS_LAG_MS = 4_000
 """Assumed age of an event, so that it does not outrank a later answer."""
-FETCH_INTERVAL_MS = 20
+FETCH_INTERVAL_MS = 200
 HAND_OVER_BATCH = 20
 HAND_OVER_INTERVAL_MS = 20
 
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/live.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/live.py
@@ -7,7 +7,11 @@
 import anyio
 
 from medlarridge._internal.clock import MS_PER_S, Clock
-from medlarridge._internal.coordination.attempts import AttemptRecord, AttemptStream
+from medlarridge._internal.coordination.attempts import (
+    RESUME_GRACE_MS,
+    AttemptRecord,
+    AttemptStream,
+)
 from medlarridge._internal.protocol.codec import encode_frame
 from medlarridge._internal.protocol.messages import Attempt, Heartbeat
 from medlarridge._internal.transport.asgi import HttpResponse
@@ -42,6 +46,7 @@
     consumed: Signal = field(default_factory=Signal)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     connection: int = 0
+    idle_since_ms: int | None = None
     result: ServerResult | None = None
     handed_over: bool = False
     """The backend server may have seen the call."""
@@ -62,6 +67,20 @@
         self.handed_over = True
         return True
 
+    def is_over(self, now_ms: int) -> bool:
+        """Return whether no router comes back for the answer any more.
+
+        An answer that a slow router is still reading is not over.
+        """
+        stream = self.stream
+        taken = stream.delivered == stream.next_number
+        if not self.ended or not (taken or stream.detached_ms is not None):
+            self.idle_since_ms = None
+            return False
+        if self.idle_since_ms is None:
+            self.idle_since_ms = now_ms
+        return now_ms - self.idle_since_ms >= RESUME_GRACE_MS
+
     async def write(self, data: bytes) -> None:
         """Add a piece of the answer; waits while the router is slow."""
         self.on_data(data)
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
@@ -75,6 +75,10 @@
                 return record.refusal
             if record is not None and key in self.live:
                 return self.live[key]
+            if record is not None:
+                return self.refusal(
+                    Refusal.DUPLICATE, "the attempt has ended; its answer is not kept"
+                )
         if attempt.generation > self.fleet.generation:
             self.fleet.saw_generation(attempt.generation, "")
         refusal = first_refusal(self.context, attempt)
@@ -217,7 +221,9 @@
             self.register.purge()
             now_ms = self.clock.now_ms()
             for key, live in list(self.live.items()):
+                if live.is_over(now_ms) or self.register.find(*key) is None:
+                    live.stream.release()
+                    del self.live[key]
+                    continue
                 if live.stream.is_abandoned(now_ms) and live.attempt.repeatable:
                     live.scope.cancel()
-                if self.register.find(*key) is None:
-                    del self.live[key]
--- a/packages/medlarridge-standins/src/medlarridge_standins/platform.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/platform.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from urllib.parse import unquote
 
 import anyio
 import cappa
@@ -140,7 +141,7 @@
     async def get_object(self, request: HttpRequest, response: HttpResponse) -> None:
         """Answer with an object."""
         await self.start_call(request, response, self.reads)
-        found = await self.store.get(request.parameters["rest"])
+        found = await self.store.get(key_of(request))
         if isinstance(found, Err):
             return await self.reply_error(request, response, found.unwrap_err())
         stored = found.unwrap()
@@ -154,7 +155,7 @@
         value = await request.body(MAX_VALUE_BYTES)
         await self.start_call(request, response, self.writes)
         self.inject_lost_write()
-        written = await self.store.put(request.parameters["rest"], value, version)
+        written = await self.store.put(key_of(request), value, version)
         if isinstance(written, Err):
             return await self.reply_error(request, response, written.unwrap_err())
         return await reply_empty(response, [("etag", f'"{written.unwrap()}"')])
@@ -164,7 +165,7 @@
         version = expected_version(request)
         await self.start_call(request, response, self.writes)
         self.inject_lost_write()
-        deleted = await self.store.delete(request.parameters["rest"], version)
+        deleted = await self.store.delete(key_of(request), version)
         if isinstance(deleted, Err):
             return await self.reply_error(request, response, deleted.unwrap_err())
         return await reply_empty(response)
@@ -174,7 +175,7 @@
         after = read_int(request, "after", 0)
         timeout_ms = min(read_int(request, "timeout_ms", MAX_WATCH_MS), MAX_WATCH_MS)
         await self.start_call(request, response, self.reads)
-        found = await self.store.watch(request.parameters["rest"], after, timeout_ms)
+        found = await self.store.watch(key_of(request), after, timeout_ms)
         if isinstance(found, Err):
             return await self.reply_error(request, response, found.unwrap_err())
         # An outage may have begun while the watch was waiting.
@@ -302,3 +303,8 @@
         ("content-type", "application/octet-stream"),
     ]
     await response.reply(200, stored.value, headers)
+
+
+def key_of(request: HttpRequest) -> str:
+    """Return the object key in the path of a request."""
+    return unquote(request.parameters["rest"])
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/attempts.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/attempts.py
@@ -80,6 +80,11 @@
         ):
             self.retained_bytes -= len(self.chunks.popleft().data)
 
+    def release(self) -> None:
+        """Drop the kept chunks of an ended answer."""
+        self.chunks.clear()
+        self.retained_bytes = self.unsent_bytes = 0
+
     def is_abandoned(self, now_ms: int) -> bool:
         """Return whether no router has come back for the answer in time."""
         return (
--- a/packages/medlarridge/src/medlarridge/_internal/node.py
+++ b/packages/medlarridge/src/medlarridge/_internal/node.py
@@ -37,6 +37,8 @@
 
     def __init__(self, cluster: ClusterNode) -> None:
         self.cluster = cluster
+        self.scanned_revision = -1
+        self.any_held_down = False
 
     @property
     def ready(self) -> bool:
@@ -55,9 +57,19 @@
 
     @property
     def revision(self) -> Hashable:
-        """Return a value that changes with the members, the tables and hold-downs."""
-        period = self.cluster.clock.now_ms() // HOLD_DOWN_RECHECK_MS
-        return self.cluster.membership.revision, self.generation, period
+        """Return a value that changes with the members, the tables and hold-downs.
+
+        Hold-downs end with time, so while there are any, the value also changes
+        with time. Placements are rebuilt for each value.
+        """
+        membership = self.cluster.membership
+        if self.scanned_revision != membership.revision:
+            self.scanned_revision = membership.revision
+            self.any_held_down = any(self.held_down(pool) for pool in self.tables.pools)
+        period = 0
+        if self.any_held_down:
+            period = self.cluster.clock.now_ms() // HOLD_DOWN_RECHECK_MS
+        return membership.revision, self.generation, period
 
     def members_of(self, pool: str) -> list[Member]:
         """Return the members that may take work, in the pool's data centres."""
--- a/packages/medlarridge/src/medlarridge/_internal/state/audit.py
+++ b/packages/medlarridge/src/medlarridge/_internal/state/audit.py
@@ -59,7 +59,24 @@
             after.version,
             after.value,
         )
-        key = audit_key(what, after.version)
+        return await self.write(entry)
+
+    async def record_event(
+        self, who: str, what: str, number: int, before: bytes, after: bytes
+    ) -> Result[AuditEntry, StoreError]:
+        """Write the entry of a change that is no object of the store.
+
+        ``number`` grows with each change of the same thing, such as an order's mark
+        or the time.
+        """
+        now_ms = self.clock.now_ms()
+        return await self.write(
+            AuditEntry(who, what, now_ms, CREATE, before, number, after)
+        )
+
+    async def write(self, entry: AuditEntry) -> Result[AuditEntry, StoreError]:
+        """Write an entry once."""
+        key = audit_key(entry.what, entry.after_version)
         written = await put_confirmed(self.store, key, encode_entry(entry), CREATE)
         if isinstance(written, Err):
             error = written.unwrap_err()
--- a/packages/medlarridge/tests/features/not_run.feature
+++ b/packages/medlarridge/tests/features/not_run.feature
@@ -41,6 +41,12 @@
     Then the copy gets the same answer
     And the server ran 1 calls
 
+  Scenario: A copy of an attempt arrives when its answer is no longer kept
+    Given a sidecar that has run an attempt and dropped its answer
+    When a copy of the attempt arrives
+    Then the copy is told that the attempt has ended
+    And the server ran 1 calls
+
   Scenario: An attempt for an earlier instance at the same address
     Given a sidecar that was restarted
     When an attempt for the earlier instance arrives
--- a/packages/medlarridge/tests/features/test_not_run.py
+++ b/packages/medlarridge/tests/features/test_not_run.py
@@ -93,6 +93,11 @@
     world["steps"] = ["send", "send"]
 
 
+@given("a sidecar that has run an attempt and dropped its answer")
+def has_dropped(world):
+    world["steps"] = ["send", "drop", "send"]
+
+
 @given("a sidecar that was restarted")
 def restarted(world):
     world["steps"] = ["send"]
@@ -125,6 +130,8 @@
                 sidecar.drain.leave()
             elif step == "return":
                 sidecar.drain.leaving = False
+            elif step == "drop":
+                sidecar.live.clear()
             elif step == "newer":
                 fleet.fleet.generation = 2
             else:
@@ -182,6 +189,11 @@
     assert len(answers[0]) == 2
 
 
+@then("the copy is told that the attempt has ended")
+def told_ended(world):
+    assert world["replies"][1][0].reason == "duplicate"
+
+
 @then(parsers.parse("it is refused with {reason}"))
 def refused_with(world, reason):
     assert world["replies"][0][0].reason == reason
--- a/packages/medlarridge/tests/functional/test_binaries.py
+++ b/packages/medlarridge/tests/functional/test_binaries.py
@@ -150,3 +150,7 @@
         assert (streamed.outcome, streamed.done) == ("complete", True)
         for daemon in (fleet.sidecar, fleet.router):
             assert await daemon.ended(LIMIT_S) == 0, daemon.last_lines()
+        listed = await fleet.client.get(
+            f"http://{fleet.at['platform']}/objects", params={"prefix": "audit/drains/"}
+        )
+        assert f"audit/drains/{fleet.at['sidecar']}/" in listed.text
--- a/packages/medlarridge/tests/unit/state/test_audit.py
+++ b/packages/medlarridge/tests/unit/state/test_audit.py
@@ -28,6 +28,20 @@
         assert (entries[0].who, entries[0].time_ms) == ("maria", 5)
         assert len((await trail.list(WHAT, 12, 2)).unwrap()) == 2
 
+    async def test_records_changes_that_are_no_objects(self):
+        """Guards against orders and drains that leave no trace."""
+        store = MemoryStore()
+        trail = AuditTrail(store, ManualClock(9))
+        what = "drains/10.0.0.1:7200"
+        for _ in range(2):
+            await trail.record_event("process", what, 9, b"serving", b"draining")
+        assert [name.key for name in (await store.list("audit/")).unwrap()] == [
+            audit_key(what, 9)
+        ]
+        entry = (await trail.entry(what, 9)).unwrap()
+        assert (entry.who, entry.time_ms) == ("process", 9)
+        assert (entry.before, entry.after) == (b"serving", b"draining")
+
     async def test_history_goes_on_beyond_a_missing_entry(self):
         """Guards against a history that ends where a writer died."""
         store = MemoryStore()
--- a/packages/medlarridge/tests/unit/state/test_platform.py
+++ b/packages/medlarridge/tests/unit/state/test_platform.py
@@ -70,6 +70,13 @@
             ObjectName("x/b", versions[0]),
         ]
 
+    async def test_keys_keep_their_characters(self, store):
+        """Guards against keys with addresses that change on the way."""
+        key = "orders/10.0.0.1:7200"
+        version = (await store.put(key, b"x", 0)).unwrap()
+        assert (await store.list("orders/")).unwrap() == [ObjectName(key, version)]
+        assert (await store.get(key)).unwrap().value == b"x"
+
     async def test_watch_sees_a_later_write_and_times_out_without_one(self, store):
         """Guards against a watch that misses a change or never ends."""
         version = (await store.put("a", b"1", 0)).unwrap()
