Do not hold down a member whose restart was announced

Cause: a member that comes back with a new instance before its goodbye has spread counted as flapping and was no home and no spill target for 30 s. In a rolling restart the idle engines lowered the pool's mean, and the others refused work. Change: replacing a draining member is no flap; an unannounced restart still is.

--- a/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
@@ -625,7 +625,9 @@
             log_event(MEMBER_REPLACED, member=new.address)
         if not new.is_alive:
             return
-        returned = old.status is Status.DEAD or (not same and old.present)
+        # A restart that was announced is no flap, also if its goodbye comes late.
+        replaced = not same and old.present and not old.draining
+        returned = old.status is Status.DEAD or replaced
         suspected_again = (
             old.status is Status.SUSPECT
             and old.suspected_ms >= 0
--- a/packages/medlarridge/tests/unit/coordination/test_membership.py
+++ b/packages/medlarridge/tests/unit/coordination/test_membership.py
@@ -45,6 +45,24 @@
     return Verdict(address, number, incarnation, status)
 
 
+class TestHoldDown:
+    def is_stable_after_restart(self, **before):
+        old, new = member(2, **before), member(2, number=99)
+        membership, _ = observer([old])
+        membership.apply(Announcement(new, 6), "")
+        assert membership.find(new.instance.address) == new
+        return membership.is_stable(new)
+
+    def test_announced_restart_is_no_flap(self):
+        """Guards against a rolling restart whose engines stay idle, while the others
+        refuse work because the idle ones lower the pool's mean."""
+        assert self.is_stable_after_restart(draining=True)
+
+    def test_unannounced_restart_is_a_flap(self):
+        """Guards against chats that move to a server which keeps crashing."""
+        assert not self.is_stable_after_restart()
+
+
 class TestRefutation:
     def test_suspicion_of_this_process_is_contradicted_at_once(self):
         """Guards against the death of a process that works."""
