Split membership into modules with one job each

Change: outbox.py builds what is sent (probes, answers, queued and urgent news), member_status.py keeps status, links, hold-down and tombstones in line with the table, the probes and the suspicions. Membership keeps its public attributes; generation and own are properties on the outbox.

--- a/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 from random import Random
-from typing import TypeVar
 
 import msgspec
 
@@ -24,12 +23,10 @@
     MemberPageRequest,
     Ping,
     PingRequest,
-    Push,
     RelayedAck,
     Status,
     Update,
     Verdict,
-    encode,
 )
 from .data_centre_watch import DataCentreWatch
 from .joining import Joining
@@ -41,15 +38,12 @@
     Observation,
     Send,
 )
+from .member_status import HOLD_DOWN_MS, StatusTracker
 from .member_table import MemberTable, Record
+from .outbox import Outbox, verdict_of
 from .probing import Probe, Prober, Purpose
-from .suspicions import SUSPICION_MS, Suspicions
-from .updates import UpdateQueue
+from .suspicions import Suspicions
 
-MAX_DATAGRAM_BYTES = 400
-DATAGRAM_OVERHEAD_BYTES = 9
-"""Kind byte and keyed digest."""
-MAX_PAYLOAD_BYTES = MAX_DATAGRAM_BYTES - DATAGRAM_OVERHEAD_BYTES
 PROBE_INTERVAL_MS = 1000
 LINK_MISSES = 3
 """Answers in a row that arrived only through peers before a link counts as broken.
@@ -57,24 +51,15 @@
 RELAYS_OF = {Purpose.ROUTINE: 3, Purpose.RECOVERY: 1, Purpose.VERIFY: 1}
 """Peers asked for an indirect probe. A verification already probes several members of
 the data centre, so one each is enough."""
-PUSH_PEERS = 3
-HOLD_DOWN_MS = 30_000
-FLAP_WINDOW_MS = 60_000
 LATE_TICK_MS = 3000
+SWEEP_INTERVAL_MS = 60_000
 CUT_OFF_FAILURES = 3
 """Failed routine probes in a row after which this process is the suspect. With a
 quarter of the fleet lost, three in a row happen by chance in 1.6% of triples, and
 then only delay a verdict."""
-TOMBSTONE_MS = 600_000
-SWEEP_INTERVAL_MS = 60_000
-URGENT_BURST = 4
-URGENT_INTERVAL_MS = 1000
 URGENT_RESERVE = 2
 
 MEMBER_SUSPECTED = register(4000, "INFO", "member is suspected")
-MEMBER_DEAD = register(4001, "WARNING", "member is dead")
-MEMBER_BACK = register(4002, "INFO", "member is back")
-MEMBER_REPLACED = register(4003, "INFO", "address has a new instance")
 DATA_CENTRE_DOWN = register(4004, "ERROR", "data centre is unreachable")
 DATA_CENTRE_UP = register(4005, "WARNING", "data centre is reachable again")
 SELF_REFUTED = register(4006, "WARNING", "refuted news about this process")
@@ -84,9 +69,6 @@
 JOINED = register(4010, "INFO", "joined the fleet")
 
 
-Message = TypeVar("Message", Ping, Ack, Push)
-
-
 class Membership:
     """Members of the fleet as seen by one process.
 
@@ -103,14 +85,14 @@
         self.address = member.instance.address
         self.number = member.instance.number
         self.table = MemberTable()
-        self.own = Record(member, incarnation, Status.ALIVE, clock.now_ms())
-        self.table.store(self.own)
+        own = Record(member, incarnation, Status.ALIVE, clock.now_ms())
+        self.table.store(own)
         self.prober = Prober(self.table, random, self.address)
         self.watch = DataCentreWatch(
             self.table, random, member.instance.data_centre, self.address
         )
-        self.queue = UpdateQueue()
-        self.generation = 0
+        self.outbox = Outbox(self.table, self.prober, own)
+        self.queue = self.outbox.queue
         self.leaving = False
         self.suspicions = Suspicions()
         self.failures_in_row = 0
@@ -119,15 +101,30 @@
         self.joining = Joining(
             self.table, random, self.address, member.instance.region, now_ms
         )
+        self.status = StatusTracker(
+            self.table, self.prober, self.suspicions, self.joining, self.queue
+        )
         self.next_probe_ms = now_ms + random.randrange(PROBE_INTERVAL_MS)
         self.next_sweep_ms = now_ms + SWEEP_INTERVAL_MS
-        self.urgent_tokens = float(URGENT_BURST)
-        self.urgent_refill_ms = now_ms
         self.flap_hold_ms: dict[str, int] = {}
-        self.queue.put(self.own.announcement())
+        self.queue.put(own.announcement())
 
     # What the daemons read.
 
+    @property
+    def own(self) -> Record:
+        """Return the record of this process."""
+        return self.outbox.own
+
+    @property
+    def generation(self) -> int:
+        """Return the generation of the configuration that messages carry."""
+        return self.outbox.generation
+
+    @generation.setter
+    def generation(self, generation: int) -> None:
+        self.outbox.generation = generation
+
     @property
     def revision(self) -> int:
         """Return a number that changes whenever any list may have changed."""
@@ -205,7 +202,9 @@
         )
         if changed == member:
             return []
-        return self.announce(changed, self.own.incarnation + 1)
+        return self.outbox.announce(
+            changed, self.own.incarnation + 1, self.clock.now_ms()
+        )
 
     def leave(self) -> list[Action]:
         """Tell some peers that this process ends."""
@@ -216,10 +215,7 @@
 
     def push(self) -> list[Action]:
         """Send news and the configuration generation to random peers at once."""
-        return [
-            Send(r.address, self.push_message())
-            for r in self.prober.random_members(PUSH_PEERS)
-        ]
+        return self.outbox.push()
 
     def tick(self) -> list[Action]:
         """Handle the passing of time; call it about every 250 ms."""
@@ -240,9 +236,10 @@
             actions += self.probe_next(now_ms)
         for address in self.joining.contacts(now_ms):
             probe = self.prober.start(address, Purpose.CONTACT, now_ms)
-            actions.append(self.ping(probe))
+            actions.append(self.outbox.ping(probe))
         if now_ms >= self.next_sweep_ms:
-            self.sweep(now_ms)
+            self.next_sweep_ms = now_ms + SWEEP_INTERVAL_MS
+            self.status.sweep(now_ms)
         return actions
 
     def receive(self, source: str, message: GossipMessage) -> list[Action]:
@@ -257,7 +254,7 @@
         for update in message.updates:
             actions += self.apply(update, source)
         if isinstance(message, Ping):
-            actions += self.answer(source, message)
+            actions.append(self.outbox.ack(source, message))
         elif isinstance(message, Ack):
             actions += self.receive_ack(source, message, now_ms)
         elif isinstance(message, PingRequest):
@@ -288,12 +285,12 @@
                 continue
             before = previous.get(address)
             if before is None or before.leaving != vm.leaving:
-                self.set_removed(record, vm.leaving)
+                self.status.set_removed(record, vm.leaving)
         for address in previous.keys() - listed.keys():
             self.prober.uncontacted.pop(address, None)
             record = self.table.get(address)
             if record is not None and not record.present:
-                self.set_removed(record, True)
+                self.status.set_removed(record, True)
 
     def observe(self, member: Member, observation: Observation) -> None:
         """Take in what the data path saw of a member."""
@@ -302,9 +299,9 @@
             return
         if observation is Observation.ANSWERED:
             record.heard_ms = self.clock.now_ms()
-            self.set_link(record, failed=False)
+            self.status.set_link(record, failed=False)
         elif observation is Observation.REFUSED:
-            self.set_link(record, failed=True)
+            self.status.set_link(record, failed=True)
             self.prober.prioritise(record.address)
         elif not record.draining_seen:
             record.draining_seen = True
@@ -332,64 +329,6 @@
             return self.table.bucket_page(request.buckets)
         return None
 
-    # Messages.
-
-    def ping(self, probe: Probe) -> Send:
-        """Return the datagram of a probe."""
-        first: list[Update] = []
-        record = self.table.get(probe.address)
-        if record is None:
-            first.append(self.own.announcement())
-        elif record.status is not Status.ALIVE:
-            first.append(verdict_of(record))
-        message = Ping(
-            probe.sequence,
-            self.number,
-            self.own.incarnation,
-            probe.number,
-            self.generation,
-            self.table.digest,
-        )
-        if probe.purpose is Purpose.ROUTINE:
-            return Send(probe.address, self.fill(message, first))
-        return Send(probe.address, attach(message, first))
-
-    def push_message(self, *updates: Update) -> Push:
-        """Return a push with the given news."""
-        return attach(Push(self.number, self.generation), list(updates))
-
-    def fill(self, message: Ping | Ack, first: list[Update]) -> Ping | Ack:
-        """Add the given news and as much queued news as fits.
-
-        Only routine probes and answers carry queued news: their rate is constant,
-        so the bytes a second stay bounded whatever happens to the fleet.
-        """
-        attach(message, first)
-        if self.queue.queued:
-            # The array header of the updates grows by two bytes past 15 entries.
-            budget = MAX_PAYLOAD_BYTES - len(encode(message)) - 2
-            message.updates = message.updates + self.queue.take(budget, self.size)
-        return message
-
-    def urgent(
-        self, update: Update, exclude: str = "", reserve: int = 0
-    ) -> list[Action]:
-        """Send one piece of news to random peers at once, within a rate limit.
-
-        ``reserve`` is the part of the limit that is kept for more urgent news.
-        """
-        now_ms = self.clock.now_ms()
-        refill = (now_ms - self.urgent_refill_ms) / URGENT_INTERVAL_MS
-        self.urgent_tokens = min(URGENT_BURST, self.urgent_tokens + refill)
-        self.urgent_refill_ms = now_ms
-        if self.urgent_tokens < 1 + reserve:
-            return []
-        self.urgent_tokens -= 1
-        return [
-            Send(r.address, self.push_message(update))
-            for r in self.prober.random_members(PUSH_PEERS, exclude)
-        ]
-
     # Probes.
 
     def probe_next(self, now_ms: int) -> list[Action]:
@@ -397,7 +336,7 @@
         target = self.prober.next_target()
         if target is None:
             return []
-        return [self.ping(self.prober.start(*target, now_ms))]
+        return [self.outbox.ping(self.prober.start(*target, now_ms))]
 
     def probe_indirectly(self, probe: Probe) -> list[Action]:
         """Ask peers to probe a member that has not answered."""
@@ -428,32 +367,11 @@
         ):
             actions += self.suspect(record, record.incarnation, now_ms, own=True)
             verdict_message = verdict_of(record)
-            actions.append(Send(record.address, self.push_message(verdict_message)))
+            actions.append(
+                Send(record.address, self.outbox.push_message(verdict_message))
+            )
         return actions
 
-    def answer(self, source: str, message: Ping) -> list[Action]:
-        """Answer a probe."""
-        record = self.table.get(source)
-        known = (
-            record is not None
-            and record.number == message.number
-            and record.incarnation >= message.incarnation
-        )
-        first: list[Update] = []
-        if message.target != self.number:
-            first.append(self.own.announcement())
-        if record is not None and record.status is not Status.ALIVE:
-            first.append(verdict_of(record))
-        ack = Ack(
-            message.sequence,
-            self.number,
-            self.own.incarnation,
-            known,
-            self.generation,
-            self.table.digest,
-        )
-        return [Send(source, self.fill(ack, first))]
-
     def receive_ack(self, source: str, message: Ack, now_ms: int) -> list[Action]:
         """Handle a direct answer."""
         probe = self.prober.outstanding.get(message.sequence)
@@ -463,7 +381,7 @@
         actions: list[Action] = []
         if not message.known:
             announcement = self.own.announcement()
-            actions.append(Send(source, self.push_message(announcement)))
+            actions.append(Send(source, self.outbox.push_message(announcement)))
         if probe.purpose is Purpose.RELAY:
             answer = RelayedAck(
                 probe.relay_sequence,
@@ -476,7 +394,7 @@
         record = self.table.get(source)
         if record is not None:
             record.link_misses = 0
-            self.set_link(record, failed=False)
+            self.status.set_link(record, failed=False)
         actions += self.probe_answered(probe, now_ms)
         if probe.purpose is Purpose.CONTACT:
             request = self.joining.start_fetch()
@@ -494,7 +412,7 @@
         if record is not None and record.number == message.answered:
             record.heard_ms = now_ms
             record.link_misses += 1
-            self.set_link(record, record.link_misses >= LINK_MISSES)
+            self.status.set_link(record, record.link_misses >= LINK_MISSES)
             self.prober.prioritise(record.address)
         return self.probe_answered(probe, now_ms)
 
@@ -516,7 +434,7 @@
         probe = self.prober.start(record or message.address, Purpose.RELAY, now_ms)
         probe.number = message.target
         probe.relay_to, probe.relay_sequence = source, message.sequence
-        return [self.ping(probe)]
+        return [self.outbox.ping(probe)]
 
     # Status of members.
 
@@ -530,23 +448,6 @@
             return self.verify(record.data_centre, now_ms)
         return []
 
-    def set_link(self, record: Record, failed: bool) -> None:
-        """Record whether this process reaches the member directly."""
-        if record.link_failed == failed:
-            return
-        record.link_failed = failed
-        if failed:
-            self.prober.broken_links[record.address] = None
-        else:
-            self.prober.broken_links.pop(record.address, None)
-        self.table.changed(record.member.pool)
-
-    def set_removed(self, record: Record, removed: bool) -> None:
-        """Record whether the platform removes the VM of a member."""
-        if record.removed_by_platform != removed:
-            record.removed_by_platform = removed
-            self.table.changed(record.member.pool)
-
     def apply(self, update: Update, source: str, spread: bool = True) -> list[Action]:
         """Take in one piece of news."""
         if isinstance(update, DataCentreReport):
@@ -572,15 +473,7 @@
         if (incarnation, status, number) < own.precedence():
             return []
         log_event(SELF_REFUTED, status=status.name, incarnation=incarnation)
-        return self.announce(own.member, incarnation + 1)
-
-    def announce(self, member: Member, incarnation: int) -> list[Action]:
-        """Replace the own record and tell some peers at once."""
-        self.own = Record(member, incarnation, Status.ALIVE, self.clock.now_ms())
-        self.table.store(self.own)
-        announcement = self.own.announcement()
-        self.queue.put(announcement)
-        return self.urgent(announcement)
+        return self.outbox.announce(own.member, incarnation + 1, self.clock.now_ms())
 
     def apply_announcement(
         self, update: Announcement, source: str, spread: bool
@@ -594,50 +487,22 @@
         if old is not None and old.number == new.number and not new.is_alive:
             return self.apply_verdict(verdict_of(new), source, spread)
         if old is not None:
-            self.inherit(new, old, now_ms)
+            self.status.inherit(new, old, now_ms)
         if old is None or not old.present:
             self.prober.add(new.address)
         self.suspicions.end(new.address)
         self.table.store(new)
         self.prober.uncontacted.pop(new.address, None)
-        self.track_status(new)
+        self.status.track_status(new)
         if new.status is Status.SUSPECT:
             self.suspicions.begin(new, now_ms, own=False)
         if not spread:
             return []
         self.queue.put(update)
         if old is not None and is_urgent(old, new):
-            return self.urgent(update, source)
+            return self.outbox.urgent(update, now_ms, source)
         return []
 
-    def inherit(self, new: Record, old: Record, now_ms: int) -> None:
-        """Carry over what stays true and hold a flapping member down."""
-        new.hold_until_ms = old.hold_until_ms
-        new.suspected_ms = old.suspected_ms
-        same = old.number == new.number
-        if same:
-            new.heard_ms = old.heard_ms
-            new.link_failed = old.link_failed
-            new.draining_seen = old.draining_seen and new.member.draining
-            new.removed_by_platform = old.removed_by_platform
-        else:
-            self.prober.broken_links.pop(old.address, None)
-            log_event(MEMBER_REPLACED, member=new.address)
-        if not new.is_alive:
-            return
-        returned = old.status is Status.DEAD or (not same and old.present)
-        suspected_again = (
-            old.status is Status.SUSPECT
-            and old.suspected_ms >= 0
-            and now_ms - old.suspected_ms < FLAP_WINDOW_MS
-        )
-        if old.status is Status.SUSPECT:
-            new.suspected_ms = now_ms
-        if returned or suspected_again:
-            new.hold_until_ms = now_ms + HOLD_DOWN_MS
-        if old.status is Status.DEAD:
-            log_event(MEMBER_BACK, member=new.address)
-
     def apply_verdict(self, update: Verdict, source: str, spread: bool) -> list[Action]:
         """Take in a change of status of another member."""
         record = self.table.get(update.address)
@@ -653,19 +518,15 @@
         now_ms = self.clock.now_ms()
         if update.status is Status.SUSPECT:
             return self.suspect(record, update.incarnation, now_ms, spread)
-        if update.status is Status.DEAD and self.heard_recently(record, now_ms):
+        if update.status is Status.DEAD and self.status.heard_recently(record, now_ms):
             return self.suspect(record, update.incarnation, now_ms, spread)
-        self.bury(record, update.status, update.incarnation, now_ms)
+        self.status.bury(record, update.status, update.incarnation, now_ms)
         if spread:
             self.queue.put(update)
             if update.status is Status.LEFT:
-                return self.urgent(update, source)
+                return self.outbox.urgent(update, now_ms, source)
         return []
 
-    def heard_recently(self, record: Record, now_ms: int) -> bool:
-        """Return whether the member answered within the time of a suspicion."""
-        return record.heard_ms >= 0 and now_ms - record.heard_ms < SUSPICION_MS
-
     def suspect(
         self,
         record: Record,
@@ -683,7 +544,7 @@
         if spread:
             verdict = verdict_of(record)
             self.queue.put(verdict)
-            actions += self.urgent(verdict, reserve=URGENT_RESERVE)
+            actions += self.outbox.urgent(verdict, now_ms, reserve=URGENT_RESERVE)
         name = record.data_centre
         if self.watch.is_suspicious(name, self.suspicions.by_data_centre[name]):
             actions += self.verify(name, now_ms)
@@ -697,11 +558,11 @@
                 self.suspicions.end(address)
             elif self.cut_off or self.is_undecided(record):
                 self.suspicions.extend(address, now_ms)
-            elif self.heard_recently(record, now_ms):
+            elif self.status.heard_recently(record, now_ms):
                 self.suspicions.end(address)
                 self.table.set_status(record, Status.ALIVE, record.incarnation, now_ms)
             else:
-                self.bury(record, Status.DEAD, record.incarnation, now_ms)
+                self.status.bury(record, Status.DEAD, record.incarnation, now_ms)
                 self.queue.put(verdict_of(record))
         return []
 
@@ -710,39 +571,6 @@
         name = record.data_centre
         return name in self.table.down or name in self.watch.running
 
-    def bury(
-        self, record: Record, status: Status, incarnation: int, now_ms: int
-    ) -> None:
-        """Record that a member is dead or has left."""
-        self.suspicions.end(record.address)
-        self.table.set_status(record, status, incarnation, now_ms)
-        self.track_status(record)
-        if status is Status.DEAD:
-            log_event(MEMBER_DEAD, member=record.address)
-
-    def track_status(self, record: Record) -> None:
-        """Keep the sets of the prober in line with the status of a record."""
-        if record.status is Status.DEAD:
-            self.prober.dead[record.address] = None
-            vm = self.joining.vms.get(record.address)
-            if self.joining.vms and (vm is None or vm.leaving):
-                record.removed_by_platform = True
-        else:
-            self.prober.dead.pop(record.address, None)
-        if not record.present:
-            self.prober.broken_links.pop(record.address, None)
-
-    def sweep(self, now_ms: int) -> None:
-        """Forget members that have been gone for long."""
-        self.next_sweep_ms = now_ms + SWEEP_INTERVAL_MS
-        for record in list(self.table.records.values()):
-            if not record.present and now_ms - record.status_ms >= TOMBSTONE_MS:
-                self.table.remove(record.address)
-                self.prober.dead.pop(record.address, None)
-                vm = self.joining.vms.get(record.address)
-                if vm is not None and not vm.leaving:
-                    self.prober.uncontacted[record.address] = None
-
     # Loss of places and of this process.
 
     def verify(self, name: str, now_ms: int) -> list[Action]:
@@ -758,7 +586,7 @@
             # A control probe says nothing about the data centre of its target.
             probe.data_centre = name
             self.watch.expect(verification, probe.sequence, purpose is Purpose.CONTROL)
-            actions.append(self.ping(probe))
+            actions.append(self.outbox.ping(probe))
         return actions
 
     def conclude(self, name: str, reachable: bool | None, now_ms: int) -> list[Action]:
@@ -772,29 +600,20 @@
         else:
             self.table.set_down(name, True)
             # The summary entry replaces the single verdicts.
-            self.withdraw(self.suspicions.within(name))
+            self.status.withdraw(self.suspicions.within(name), now_ms)
             log_event(DATA_CENTRE_DOWN, data_centre=name)
         self.joining.delay(now_ms)
         report = DataCentreReport(name, reachable)
         self.queue.put(report)
-        return self.urgent(report)
-
-    def withdraw(self, addresses: list[str]) -> None:
-        """End suspicions without a verdict; probes raise those that hold again."""
-        now_ms = self.clock.now_ms()
-        for address in addresses:
-            record = self.table.get(address)
-            if record is not None and record.status is Status.SUSPECT:
-                self.queue.discard_subject(address)
-                self.table.set_status(record, Status.ALIVE, record.incarnation, now_ms)
-            self.suspicions.end(address)
+        return self.outbox.urgent(report, now_ms)
 
     def reconnect(self) -> None:
         """Take back the suspicions raised while this process was cut off."""
         own = self.suspicions.raised_here()
         log_event(RECONNECTED, withdrawn=len(own))
-        self.joining.delay(self.clock.now_ms())
-        self.withdraw(own)
+        now_ms = self.clock.now_ms()
+        self.joining.delay(now_ms)
+        self.status.withdraw(own, now_ms)
 
     def resume_after_pause(self, now_ms: int) -> None:
         """Forget timers that ran out while the process stood still."""
@@ -821,7 +640,7 @@
             self.joining.synchronised = True
             self.joining.hasten(self.clock.now_ms())
             self.queue.put(self.own.announcement())
-            actions += self.urgent(self.own.announcement())
+            actions += self.outbox.urgent(self.own.announcement(), self.clock.now_ms())
             log_event(JOINED, members=self.size)
         return actions
 
@@ -833,20 +652,6 @@
         return actions
 
 
-def attach(message: Message, updates: list[Update]) -> Message:
-    """Add news to a message, the first ones if not all fit."""
-    raws = [msgspec.Raw(encode(update)) for update in updates]
-    message.updates = raws
-    while raws and len(encode(message)) > MAX_PAYLOAD_BYTES:
-        raws.pop()
-    return message
-
-
-def verdict_of(record: Record) -> Verdict:
-    """Return the status of a record as a short message."""
-    return Verdict(record.address, record.number, record.incarnation, record.status)
-
-
 def is_urgent(old: Record, new: Record) -> bool:
     """Return whether the change must reach everybody within seconds."""
     return old.status is not Status.ALIVE or old.member.draining != new.member.draining
--- a/packages/medlarridge/tests/features/test_membership_scenarios.py
+++ b/packages/medlarridge/tests/features/test_membership_scenarios.py
@@ -4,7 +4,7 @@
 from pytest_bdd import given, scenarios, then, when
 from pytest_bdd.parsers import parse, re
 
-from medlarridge._internal.coordination.membership import HOLD_DOWN_MS
+from medlarridge._internal.coordination.member_status import HOLD_DOWN_MS
 from medlarridge._internal.protocol.gossip import Status
 from medlarridge_standins.fleet import POOL, Fleet, Node
 
--- a/packages/medlarridge/tests/unit/coordination/test_membership.py
+++ b/packages/medlarridge/tests/unit/coordination/test_membership.py
@@ -9,7 +9,8 @@
     Send,
 )
 from medlarridge._internal.coordination.member_table import BUCKETS, MemberTable, Record
-from medlarridge._internal.coordination.membership import MAX_PAYLOAD_BYTES, Membership
+from medlarridge._internal.coordination.membership import Membership
+from medlarridge._internal.coordination.outbox import MAX_PAYLOAD_BYTES
 from medlarridge._internal.coordination.probing import Purpose
 from medlarridge._internal.coordination.updates import UpdateQueue
 from medlarridge._internal.identity import Instance, Member, Role
