Acknowledge notices of moves, note holders on hand-over, test redirects

A hand-over that names another holder is noted instead of fetched. A new test found that a short last turn kept the home from redirecting, and that an engine could note itself as the other holder; both are fixed.

--- a/packages/medlarridge-standins/src/medlarridge_standins/planner_cluster.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/planner_cluster.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Collection
+from dataclasses import replace
 from random import Random
 
 from medlarridge._internal.clock import ManualClock
@@ -35,7 +36,8 @@
     Datagrams from or to an address in ``silent`` are lost.
     """
 
-    def __init__(self, size: int, seed: int = 1) -> None:
+    def __init__(self, size: int, seed: int = 1, engine_releases: bool = True) -> None:
+        self.engine_releases = engine_releases
         self.clock = ManualClock()
         self.members = [make_member(number) for number in range(size)]
         self.router = Placement(self.members)
@@ -52,7 +54,13 @@
         """Start a sidecar and its engine with an empty cache."""
         address = member.instance.address
         random = Random(f"{self.seed} {address}")
-        planner = ReusePlanner(member, BOUND, self.clock, random)
+        planner = ReusePlanner(
+            member,
+            BOUND,
+            self.clock,
+            random,
+            engine_releases=self.engine_releases,
+        )
         planner.set_members(self.members)
         planner.bound.observe(USUAL_WORK)
         self.planners[address] = planner
@@ -135,12 +143,19 @@
         return found, imported
 
     def serve(self, chat: str, prompt: int) -> tuple[str, int, int]:
-        """Serve a request at its home; return where, tokens found and imported."""
+        """Serve a request at its home or where the home says that the chat moved.
+
+        Return where, and the tokens found and imported.
+        """
         request = self.request(chat, prompt)
-        home = request.ranked[0]
-        run = self.decide(home, request)
+        address = request.ranked[0]
+        run = self.decide(address, request)
+        if isinstance(run, Refuse) and run.moved:
+            address = run.candidates[0].address
+            request = replace(request, first_attempt=False)
+            run = self.decide(address, request)
         assert isinstance(run, Run)
-        return home, *self.complete(home, request, run)
+        return address, *self.complete(address, request, run)
 
     def fill(self, address: str, load: int) -> None:
         """Let an idle engine start one request of that much work."""
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
@@ -48,7 +48,7 @@
 FULL_SHARE = 1000
 MAX_FETCHES = 256
 MIN_REMAINING_SHARE = 0.1
-SERVED_RETRY_MS = 2000
+SERVED_RETRY_MS = 500
 SERVED_TRIES = 3
 DRAIN_WINDOW_MS = 10_000
 
@@ -279,7 +279,8 @@
         ):
             return None
         held = min(entry.elsewhere_tokens, request.prompt_tokens)
-        if self.gain_ms(held - self.local_tokens(request, entry)) < MIN_GAIN_MS:
+        # However short the last turn was, running here would leave the holder's copy.
+        if held - self.local_tokens(request, entry) < self.costs.block_tokens:
             return None
         number = self.members[entry.elsewhere].instance.number
         return Refuse((Candidate(entry.elsewhere, number, True),), 0, moved=True)
@@ -513,8 +514,7 @@
     def notify(self, chat: str, notice: Notice) -> ReuseOutgoing:
         """Tell the home where a chat was served, again if it does not answer."""
         notice.due_ms = self.clock.now_ms() + SERVED_RETRY_MS
-        if self.engine_releases:
-            self.notices[chat] = notice
+        self.notices[chat] = notice
         return ReuseOutgoing(notice.home, Served(chat, notice.tokens))
 
     @property
@@ -589,7 +589,7 @@
             case Served():
                 return self.receive_served(message, sender)
             case HandOver():
-                self.queue_fetch(message.chat, message.tokens, message.holder)
+                self.receive_hand_over(message, sender)
             case Release():
                 self.receive_release(message, sender)
             case _:
@@ -661,13 +661,22 @@
                 )
         return notices
 
+    def receive_hand_over(self, notice: HandOver, sender: str) -> None:
+        """Fetch a prefix of a leaving engine, or note which other one holds it."""
+        if notice.holder == self.address:
+            return
+        if not self.engine_releases and notice.holder != sender:
+            self.index.record_elsewhere(notice.chat, notice.holder, notice.tokens)
+        else:
+            self.queue_fetch(notice.chat, notice.tokens, notice.holder)
+
     # Background imports
 
     def receive_served(self, notice: Served, sender: str) -> list[ReuseOutgoing]:
         """Note or fetch what another engine added to a chat of this home."""
         if not self.engine_releases:
             self.index.record_elsewhere(notice.chat, sender, notice.tokens)
-            return []
+            return [ReuseOutgoing(sender, Release(notice.chat, 0))]
         entry = self.index.get(notice.chat)
         if entry is not None and entry.tokens >= notice.tokens:
             return [ReuseOutgoing(sender, Release(notice.chat, entry.tokens))]
@@ -708,7 +717,10 @@
         return [ReuseOutgoing(fetch.holder, Release(fetch.chat, tokens))]
 
     def receive_release(self, release: Release, sender: str) -> None:
-        """Let the engine drop a prefix that the chat's home holds."""
+        """Let the engine drop a prefix that the chat's home holds.
+
+        A message with fewer tokens only acknowledges the notice.
+        """
         self.notices.pop(release.chat, None)
         entry = self.index.get(release.chat)
         if entry is None or not entry.guest or entry.tokens > release.tokens:
--- a/packages/medlarridge/tests/features/reuse.feature
+++ b/packages/medlarridge/tests/features/reuse.feature
@@ -19,6 +19,12 @@
     Then each of its chats is prefilled once and stays where it is
     And after the hold-down each of its chats moves back once by import
 
+  Scenario: Engines that cannot drop a prefix
+    # Guards against copies of a chat that displace the prefixes of others.
+    Given a pool of 6 engines that cannot drop a prefix and has served 40 chats
+    When a chat is moved once while its home is over the bound
+    Then the chat returns 3 times to where it was moved and adds no copy
+
   Scenario: A wrong hint costs only a prefill
     # Guards against requests that fail or hang on a prefix that is gone.
     Given a pool of 6 engines that has served 40 chats
--- a/packages/medlarridge/tests/features/test_reuse.py
+++ b/packages/medlarridge/tests/features/test_reuse.py
@@ -47,7 +47,21 @@
 
 @given(parsers.parse("a pool of {size:d} engines that has served {count:d} chats"))
 def served_pool(world, size, count):
-    world.cluster = cluster = PlannerCluster(size)
+    serve_chats(world, PlannerCluster(size), count)
+
+
+@given(
+    parsers.parse(
+        "a pool of {size:d} engines that cannot drop a prefix"
+        " and has served {count:d} chats"
+    )
+)
+def keeping_pool(world, size, count):
+    serve_chats(world, PlannerCluster(size, engine_releases=False), count)
+
+
+def serve_chats(world, cluster, count):
+    world.cluster = cluster
     cluster.advance(2000)
     homes = {
         f"chat-{n}": cluster.serve(f"chat-{n}", FIRST_PROMPT) for n in range(count)
@@ -130,6 +144,36 @@
         assert second[1] > first[2]
 
 
+@when("a chat is moved once while its home is over the bound")
+def move_once(world):
+    cluster = world.cluster
+    request = cluster.request("chat-0", RETURN_PROMPT)
+    cluster.fill(world.gone, 5000)
+    cluster.advance(1000)
+    refusal = cluster.decide(world.gone, request)
+    target = refusal.candidates[0].address
+    cluster.complete(target, request, cluster.decide(target, request))
+    filler = next(iter(cluster.planners[world.gone].running))
+    cluster.planners[world.gone].abandon(filler)
+    cluster.advance(1000)
+    world.result = (target,)
+
+
+@then(
+    parsers.parse(
+        "the chat returns {count:d} times to where it was moved and adds no copy"
+    )
+)
+def returns_to_target(world, count):
+    for turn in range(count):
+        prompt = RETURN_PROMPT + 300 * (turn + 1)
+        target, found, imported = world.cluster.serve("chat-0", prompt)
+        assert target == world.result[0]
+        assert (found, imported) == (prompt - 200, 0)
+    holders = [a for a, cache in world.cluster.caches.items() if "chat-0" in cache]
+    assert sorted(holders) == sorted([world.gone, target])
+
+
 @given("a chat whose home believes that another engine holds its prefix")
 def wrong_hint(world):
     cluster = world.cluster
--- a/packages/medlarridge/tests/unit/coordination/test_reuse_planner.py
+++ b/packages/medlarridge/tests/unit/coordination/test_reuse_planner.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import msgspec
 import pytest
 
@@ -25,6 +27,23 @@
     return cluster
 
 
+def keeping_cluster():
+    """Return a pool whose engines cannot drop a prefix on request."""
+    cluster = PlannerCluster(6, engine_releases=False)
+    cluster.advance(2000)
+    return cluster
+
+
+def move_chat(cluster, prompt=3300):
+    """Move a chat away from its home, which then has room again."""
+    home, _, _ = cluster.serve("chat", 3000)
+    target, run, request = spill(cluster, "chat", prompt)
+    cluster.complete(target, request, run)
+    cluster.planners[home].abandon(next(iter(cluster.planners[home].running)))
+    cluster.advance(1000)
+    return home, target
+
+
 def overload_home(cluster, chat, prompt=3000):
     """Return a request whose home is far over its bound."""
     request = cluster.request(chat, prompt)
@@ -79,10 +98,7 @@
 
     def test_engines_that_cannot_drop_keep_the_prefix_where_it_was_served(self):
         """Guards against duplicates that displace other chats' prefixes."""
-        cluster = PlannerCluster(6)
-        for planner in cluster.planners.values():
-            planner.engine_releases = False
-        cluster.advance(2000)
+        cluster = keeping_cluster()
         home, _, _ = cluster.serve("chat", 3000)
         target, run, request = spill(cluster, "chat", 3300)
         cluster.complete(target, request, run)
@@ -93,6 +109,82 @@
         assert refusal.candidates[0].address == target
         assert refusal.candidates[0].warm
 
+    def test_home_with_room_sends_a_moved_chat_on(self):
+        """Guards against a second copy when a moved chat returns to its home."""
+        cluster = keeping_cluster()
+        home, target = move_chat(cluster)
+        refusal = cluster.decide(home, cluster.request("chat", 3600))
+        assert isinstance(refusal, Refuse)
+        assert refusal.moved
+        assert [c.address for c in refusal.candidates] == [target]
+        assert cluster.serve("chat", 3600) == (target, 3400, 0)
+        assert cluster.caches[home]["chat"] == 3100
+
+    def test_only_the_home_and_only_a_first_attempt_redirects(self):
+        """Guards against a request that is sent to and fro."""
+        cluster = keeping_cluster()
+        home, target = move_chat(cluster, 4000)
+        again = replace(cluster.request("chat", 4300), first_attempt=False)
+        run = cluster.decide(home, again)
+        assert isinstance(run, Run)
+        assert (run.import_from, run.import_tokens) == (target, 4100)
+        # The holder does not redirect, even if it believes that another has more.
+        cluster.planners[target].index.record_elsewhere("chat", home, 4300)
+        run = cluster.decide(target, cluster.request("chat", 4600))
+        assert isinstance(run, Run)
+
+    @pytest.mark.parametrize("draining", [False, True])
+    def test_home_serves_a_chat_whose_holder_leaves(self, draining):
+        """Guards against attempts at an engine that refuses or is gone."""
+        cluster = keeping_cluster()
+        home, target = move_chat(cluster)
+        members = [
+            msgspec.structs.replace(m, draining=m.instance.address == target)
+            for m in cluster.members
+            if draining or m.instance.address != target
+        ]
+        cluster.update(members)
+        assert isinstance(cluster.decide(home, cluster.request("chat", 3600)), Run)
+
+    def test_lost_notice_of_a_move_is_repeated(self):
+        """Guards against a home that sends a chat to an older copy."""
+        cluster = keeping_cluster()
+        home, _, _ = cluster.serve("chat", 3000)
+        target, run, request = spill(cluster, "chat", 3300)
+        cluster.silent = {home}
+        cluster.complete(target, request, run)
+        assert cluster.planners[home].index.get("chat").elsewhere == ""
+        cluster.silent = set()
+        cluster.advance(2500)
+        assert cluster.planners[home].index.get("chat").elsewhere == target
+        assert cluster.planners[target].notices == {}
+        assert cluster.planners[target].index.get("chat").tokens == 3400
+
+    def test_new_home_notes_the_holder_of_a_moved_chat(self):
+        """Guards against another copy when the home of a moved chat leaves."""
+        cluster = keeping_cluster()
+        home, target = move_chat(cluster)
+        notices = cluster.planners[home].hand_over()
+        [following] = [n for n in notices if n.message.chat == "chat"]
+        cluster.send(home, notices)
+        cluster.pump()
+        entry = cluster.planners[following.address].index.get("chat")
+        if following.address == target:
+            assert (entry.tokens, entry.elsewhere) == (3400, "")
+        else:
+            assert (entry.tokens, entry.elsewhere) == (0, target)
+            assert cluster.planners[following.address].take_fetch() is None
+
+    @pytest.mark.parametrize("releases", [False, True])
+    def test_waits_longer_where_a_move_leaves_a_copy(self, releases):
+        """Guards against copies left behind for the sake of a short wait."""
+        cluster = PlannerCluster(6, engine_releases=releases)
+        cluster.advance(2000)
+        cluster.serve("chat", 2000)
+        request = overload_home(cluster, "chat", 2100)
+        patience_ms = cluster.planners[request.ranked[0]].patience_ms(request, 2100)
+        assert patience_ms == (210 if releases else MAX_WAIT_MS)
+
     def test_waits_while_that_is_cheaper_than_prefilling(self, cluster):
         """Guards against a spill for a moment's excess of load."""
         cluster.serve("chat", 8000)
