--- a/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
@@ -589,7 +589,7 @@
             case Served():
                 return self.receive_served(message, sender)
             case HandOver():
-                self.receive_hand_over(message, sender)
+                self.queue_fetch(message.chat, message.tokens, message.holder)
             case Release():
                 self.receive_release(message, sender)
             case _:
@@ -661,15 +661,6 @@
                 )
         return notices
 
-    def receive_hand_over(self, notice: HandOver, sender: str) -> None:
-        """Fetch a prefix of a leaving engine, or note which other one holds it."""
-        if notice.holder == self.address:
-            return
-        if not self.engine_releases and notice.holder != sender:
-            self.index.record_elsewhere(notice.chat, notice.holder, notice.tokens)
-        else:
-            self.queue_fetch(notice.chat, notice.tokens, notice.holder)
-
     # Background imports
 
     def receive_served(self, notice: Served, sender: str) -> list[ReuseOutgoing]:
