Decode datagrams in one place

Cause: four receivers and the gossip module each turned malformed msgpack into a CodecError (found by duplicates), and only gossip also caught RecursionError. Change: protocol.codec.decode_message serves all five. The text of the error is now 'malformed message' everywhere; step and peer are as before. Conclusion: no receiver ends because of a deeply nested message.

--- a/packages/medlarridge-router/src/medlarridge_router/_internal/account_limits.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/account_limits.py
@@ -17,10 +17,10 @@
     Throttled,
 )
 from medlarridge._internal.coordination.placement import Placement
-from medlarridge._internal.errors import CodecError
 from medlarridge._internal.fleet import FleetView
 from medlarridge._internal.identity import Instance, Member
 from medlarridge._internal.node import LIMIT_KIND
+from medlarridge._internal.protocol.codec import decode_message
 from medlarridge._internal.protocol.limits import LimitMessage
 from medlarridge._internal.protocol.tables import AccountLimit
 
@@ -117,14 +117,7 @@
 
     async def receive(self, source: str, payload: bytes) -> None:
         """Handle a datagram of another router's limiter."""
-        try:
-            message = _decoder.decode(payload)
-        except msgspec.MsgspecError as error:
-            raise CodecError(
-                f"malformed limit message: {error}",
-                step="decode datagram",
-                peer=source,
-            ) from error
+        message = decode_message(_decoder, payload, source)
         await self.send_all(self.limiter.receive(message))
 
     async def send_all(self, outgoing: Iterable[Outgoing]) -> None:
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/order_duty.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/order_duty.py
@@ -14,11 +14,11 @@
     WantedState,
     WeightLoadLimit,
 )
-from medlarridge._internal.errors import CodecError
 from medlarridge._internal.events import register
 from medlarridge._internal.fleet import FleetView
 from medlarridge._internal.log import log_event
 from medlarridge._internal.node import ORDER_DUTY, Node
+from medlarridge._internal.protocol.codec import decode_message
 from medlarridge._internal.protocol.tables import PoolKind
 from medlarridge._internal.state.orders_exchange import OrderJournal
 from medlarridge._internal.transport.auth import SharedKey
@@ -66,12 +66,7 @@
 
     async def receive(self, source: str, payload: bytes) -> None:
         """Take the report of a sidecar."""
-        try:
-            report = _decoder.decode(payload)
-        except msgspec.MsgspecError as error:
-            raise CodecError(
-                f"malformed report: {error}", step="decode datagram", peer=source
-            ) from error
+        report = decode_message(_decoder, payload, source)
         controller = self.current()
         if controller is not None and report.server == source:
             controller.on_report(report)
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/crash_gate.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/crash_gate.py
@@ -14,11 +14,11 @@
     WaitIdle,
 )
 from medlarridge._internal.coordination.suspect_requests import ClaimRequest
-from medlarridge._internal.errors import CodecError
 from medlarridge._internal.events import register
 from medlarridge._internal.fleet import FleetView
 from medlarridge._internal.log import log_event
 from medlarridge._internal.node import SUSPECT_KIND
+from medlarridge._internal.protocol.codec import decode_message
 from medlarridge._internal.protocol.messages import NotRun, Refusal
 from medlarridge._internal.protocol.suspects import SuspectNotices
 from medlarridge._internal.state.suspects_exchange import SuspectStore
@@ -180,12 +180,7 @@
 
     async def receive(self, source: str, payload: bytes) -> None:
         """Learn from a peer and push on what is news."""
-        try:
-            message = _decoder.decode(payload)
-        except msgspec.MsgspecError as error:
-            raise CodecError(
-                f"malformed notices: {error}", step="decode datagram", peer=source
-            ) from error
+        message = decode_message(_decoder, payload, source)
         news = self.guard.suspects.receive(message)
         if news is not None:
             await self.send(news)
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/reuse_messages.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/reuse_messages.py
@@ -13,9 +13,9 @@
     ReuseOutgoing,
     ReusePlanner,
 )
-from medlarridge._internal.errors import CodecError
 from medlarridge._internal.fleet import FleetView
 from medlarridge._internal.node import REUSE_KIND
+from medlarridge._internal.protocol.codec import decode_message
 
 MAX_SLEEP_MS = 250
 MIN_SLEEP_MS = 5
@@ -53,12 +53,7 @@
 
     async def receive(self, source: str, payload: bytes) -> None:
         """Handle a datagram from another sidecar."""
-        try:
-            message = _decoder.decode(payload)
-        except msgspec.MsgspecError as error:
-            raise CodecError(
-                f"malformed message: {error}", step="decode datagram", peer=source
-            ) from error
+        message = decode_message(_decoder, payload, source)
         await self.send_all(self.planner.receive(message, source))
         self.on_ready()
 
--- a/packages/medlarridge/src/medlarridge/_internal/protocol/codec.py
+++ b/packages/medlarridge/src/medlarridge/_internal/protocol/codec.py
@@ -1,6 +1,7 @@
-"""Length-prefixed msgpack frames."""
+"""Msgpack messages and length-prefixed frames."""
 
 from collections.abc import Iterator
+from typing import TypeVar
 
 import msgspec
 
@@ -10,10 +11,25 @@
 FRAME_HEADER_BYTES = 4
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 
+T = TypeVar("T")
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Frame)
 
 
+def decode_message(
+    decoder: msgspec.msgpack.Decoder[T],
+    data: bytes,
+    peer: str,
+    step: str = "decode datagram",
+) -> T:
+    """Decode a message of a peer; any malformed one ends in a ``CodecError``."""
+    try:
+        return decoder.decode(data)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise CodecError(f"malformed message: {error}", step=step, peer=peer) from error
+
+
 def encode_frame(frame: Frame) -> bytes:
     """Return the frame with its length prefix."""
     body = _encoder.encode(frame)
--- a/packages/medlarridge/src/medlarridge/_internal/protocol/gossip.py
+++ b/packages/medlarridge/src/medlarridge/_internal/protocol/gossip.py
@@ -6,12 +6,13 @@
 
 import math
 from enum import IntEnum
-from typing import Annotated, TypeVar
+from typing import Annotated
 
 import msgspec
 
 from ..errors import CodecError
 from ..identity import INSTANCE_NUMBER_BITS, Member
+from .codec import decode_message
 
 MAX_INCARNATION = 2**48
 MAX_NAME_BYTES = 64
@@ -19,8 +20,6 @@
 MAX_UPDATES = 64
 MAX_PAGE_RECORDS = 512
 
-T = TypeVar("T")
-
 Number = Annotated[int, msgspec.Meta(ge=0, lt=2**INSTANCE_NUMBER_BITS)]
 Incarnation = Annotated[int, msgspec.Meta(ge=0, le=MAX_INCARNATION)]
 Generation = Annotated[int, msgspec.Meta(ge=0, lt=2**48)]
@@ -206,7 +205,7 @@
 
 def decode_gossip(data: bytes, peer: str) -> GossipMessage:
     """Decode the payload of a gossip datagram."""
-    message = _decode(_gossip_decoder, data, peer, "decode datagram")
+    message = decode_message(_gossip_decoder, data, peer)
     for update in message.updates:
         check_update(update, peer)
     return message
@@ -214,12 +213,12 @@
 
 def decode_request(data: bytes, peer: str) -> ExchangeRequest:
     """Decode a request of the exchange."""
-    return _decode(_request_decoder, data, peer, "decode request")
+    return decode_message(_request_decoder, data, peer, "decode request")
 
 
 def decode_reply(data: bytes, peer: str) -> ExchangeReply:
     """Decode a reply of the exchange."""
-    reply = _decode(_reply_decoder, data, peer, "decode reply")
+    reply = decode_message(_reply_decoder, data, peer, "decode reply")
     if isinstance(reply, MemberPage):
         for record in reply.records:
             check_update(record, peer)
@@ -244,12 +243,3 @@
             step="check member record",
             peer=peer,
         )
-
-
-def _decode(
-    decoder: msgspec.msgpack.Decoder[T], data: bytes, peer: str, step: str
-) -> T:
-    try:
-        return decoder.decode(data)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        raise CodecError(f"malformed message: {error}", step=step, peer=peer) from error
--- a/packages/medlarridge/tests/unit/protocol/test_codec.py
+++ b/packages/medlarridge/tests/unit/protocol/test_codec.py
@@ -1,9 +1,14 @@
+import msgspec
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
 from medlarridge._internal.errors import CodecError
-from medlarridge._internal.protocol.codec import FrameReader, encode_frame
+from medlarridge._internal.protocol.codec import (
+    FrameReader,
+    decode_message,
+    encode_frame,
+)
 from medlarridge._internal.protocol.messages import Chunk, End, Outcome
 
 
@@ -37,3 +42,22 @@
         """Guards against memory filled by an announced length."""
         with pytest.raises(CodecError, match="limit is 10"):
             list(FrameReader("peer", 10).feed(b"\x00\x00\x01\x00"))
+
+
+class TestDecodeMessage:
+    @seed(3)
+    @settings(deadline=None, database=None)
+    @given(st.binary(max_size=400))
+    def test_hostile_datagram_raises_only_codec_errors(self, data):
+        """Guards against a datagram that ends the receiver's task."""
+        try:
+            decode_message(msgspec.msgpack.Decoder(Chunk | End), data, "10.0.0.2:80")
+        except CodecError as error:
+            assert error.peer == "10.0.0.2:80"
+            assert error.step == "decode datagram"
+
+    def test_deep_nesting_is_a_codec_error(self):
+        """Guards against a message that exhausts the stack."""
+        nested = b"\x91" * 100_000
+        with pytest.raises(CodecError, match="malformed message"):
+            decode_message(msgspec.msgpack.Decoder(), nested, "10.0.0.2:80")
