--- a/packages/medlarridge-router/src/medlarridge_router/_internal/account_limits.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/account_limits.py
@@ -20,9 +20,9 @@
 from medlarridge._internal.fleet import FleetView
 from medlarridge._internal.identity import Instance, Member
 from medlarridge._internal.node import LIMIT_KIND
+from medlarridge._internal.protocol.codec import decode_message
 from medlarridge._internal.protocol.limits import LimitMessage
 from medlarridge._internal.protocol.tables import AccountLimit
-from medlarridge._internal.transport.datagrams import decode_payload
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(LimitMessage)
@@ -117,7 +117,7 @@
 
     async def receive(self, source: str, payload: bytes) -> None:
         """Handle a datagram of another router's limiter."""
-        message = decode_payload(_decoder, payload, source)
+        message = decode_message(_decoder, payload, source)
         await self.send_all(self.limiter.receive(message))
 
     async def send_all(self, outgoing: Iterable[Outgoing]) -> None:
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/order_duty.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/order_duty.py
@@ -18,11 +18,11 @@
 from medlarridge._internal.fleet import FleetView
 from medlarridge._internal.log import log_event
 from medlarridge._internal.node import ORDER_DUTY, Node
+from medlarridge._internal.protocol.codec import decode_message
 from medlarridge._internal.protocol.tables import PoolKind
 from medlarridge._internal.state.audit import AuditTrail
 from medlarridge._internal.state.orders_exchange import OrderJournal
 from medlarridge._internal.transport.auth import SharedKey
-from medlarridge._internal.transport.datagrams import decode_payload
 
 PLAN_INTERVAL_MS = 1_000
 SEND_TIMEOUT_MS = 5_000
@@ -71,7 +71,7 @@
 
     async def receive(self, source: str, payload: bytes) -> None:
         """Take the report of a sidecar."""
-        report = decode_payload(_decoder, payload, source)
+        report = decode_message(_decoder, payload, source)
         controller = self.current()
         if controller is not None and report.server == source:
             controller.on_report(report)
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/crash_gate.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/crash_gate.py
@@ -18,10 +18,10 @@
 from medlarridge._internal.fleet import FleetView
 from medlarridge._internal.log import log_event
 from medlarridge._internal.node import SUSPECT_KIND
+from medlarridge._internal.protocol.codec import decode_message
 from medlarridge._internal.protocol.messages import NotRun, Refusal
 from medlarridge._internal.protocol.suspects import SuspectNotices
 from medlarridge._internal.state.suspects_exchange import SuspectStore
-from medlarridge._internal.transport.datagrams import decode_payload
 
 from .gates import Answered
 from .live import LiveAttempt
@@ -180,7 +180,7 @@
 
     async def receive(self, source: str, payload: bytes) -> None:
         """Learn from a peer and push on what is news."""
-        message = decode_payload(_decoder, payload, source)
+        message = decode_message(_decoder, payload, source)
         news = self.guard.suspects.receive(message)
         if news is not None:
             await self.send(news)
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/reuse_messages.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/reuse_messages.py
@@ -15,7 +15,7 @@
 )
 from medlarridge._internal.fleet import FleetView
 from medlarridge._internal.node import REUSE_KIND
-from medlarridge._internal.transport.datagrams import decode_payload
+from medlarridge._internal.protocol.codec import decode_message
 
 MAX_SLEEP_MS = 250
 MIN_SLEEP_MS = 5
@@ -53,7 +53,7 @@
 
     async def receive(self, source: str, payload: bytes) -> None:
         """Handle a datagram from another sidecar."""
-        message = decode_payload(_decoder, payload, source)
+        message = decode_message(_decoder, payload, source)
         await self.send_all(self.planner.receive(message, source))
         self.on_ready()
 
