Admit bursts: count own growth in the mean and wait as a last resort

Cause: a burst on an idle or small pool was refused by every engine until the mean was measured again; requests then ran out of their retry budget although the pool had room. Ruled out: a floor of more requests, which would leave a lightly loaded pool uneven. Change: what an engine took on since the mean was measured raises the mean by its share of the pool; a request that two members refused may wait up to 0.6 s at the third.

--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/engine_gate.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/engine_gate.py
@@ -9,6 +9,7 @@
     Shed,
     ShedReason,
 )
+from medlarridge._internal.coordination.retry import FREE_REDIRECTS
 from medlarridge._internal.coordination.reuse_planner import (
     Refuse,
     Request,
@@ -128,6 +129,7 @@
             tuple(attempt.ranked),
             attempt.import_from,
             attempt.number == FIRST_ATTEMPT,
+            attempt.number > FREE_REDIRECTS,
         )
         local = self.planner.local_tokens(request, self.planner.index.get(attempt.chat))
         work = max(1, round(self.planner.work(request, local)))
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/load_bound.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/load_bound.py
@@ -51,11 +51,16 @@
     above the mean, or the offered request alone. Without the second, a pool could not
     grow past three requests an engine at a bound of 1.25, since a fourth is more than
     the bound times three. Above four requests an engine the floor has no effect.
+
+    ``share`` is this engine's part of the pool's weight. What it has taken on since
+    the mean was measured raises the mean by that part, which matters in small pools:
+    an engine that is alone in its pool is never above the mean.
     """
 
     def __init__(self, bound: float) -> None:
         self.bound = bound
         self.usual_work = 0.0
+        self.share = 0.0
 
     def observe(self, work: float) -> None:
         """Update the usual work, an average over the work admitted here."""
@@ -69,17 +74,19 @@
     ) -> Admitted | OverBound:
         """Decide about work in tokens; ``own_load`` is the load before it."""
         load = own_load + work / weight
-        limit = self.limit(work, weight, mean)
+        limit = self.limit(load, work, weight, mean)
         if load <= limit:
             return Admitted(load)
         return OverBound(load, limit, load - limit)
 
-    def limit(self, work: float, weight: float, mean: MeanEstimate | None) -> float:
-        """Return the highest load after admission of the work."""
+    def limit(
+        self, load: float, work: float, weight: float, mean: MeanEstimate | None
+    ) -> float:
+        """Return the highest load after admission; ``load`` includes the work."""
         least = self.least(work, weight)
         if mean is None:
             return least
-        known = reduced_mean(mean)
+        known = reduced_mean(mean) + self.share * max(0.0, load - mean.own_load)
         limit = self.scale(known, weight)
         if mean.age_ms > STALE_AFTER_MS:
             limit = min(limit, mean.own_load)
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
@@ -33,6 +33,10 @@
 )
 
 MAX_WAIT_MS = 600
+LAST_RESORT_WAIT_MS = 600
+LAST_RESORT_CHECK_MS = 100
+"""A burst on an idle pool is over the bound everywhere until the pool's mean has been
+measured again, which takes a round or two."""
 FIRST_TOKEN_MS = 760
 # Time from the first token target that is kept for the way to the caller.
 FIRST_TOKEN_RESERVE_MS = 60
@@ -59,7 +63,8 @@
 
     ``latest_start_ms`` is on the planner's clock. ``ranked`` are addresses, the
     chat's home first. A home sends only the first attempt on to the holder of the
-    prefix, so redirects cannot loop.
+    prefix, so redirects cannot loop. ``last_resort`` says that others have refused
+    the request already, so a refusal here would most likely be its last.
     """
 
     id: str
@@ -71,6 +76,7 @@
     ranked: tuple[str, ...] = ()
     import_from: str = ""
     first_attempt: bool = True
+    last_resort: bool = False
 
 
 @dataclass(frozen=True)
@@ -217,6 +223,9 @@
         gone = self.members.keys() - {m.instance.address for m in members}
         self.members = {m.instance.address: m for m in members}
         self.mean.set_members(a for a, m in self.members.items() if not m.draining)
+        weights = {a: m.weight for a, m in self.members.items() if not m.draining}
+        weights[self.address] = self.weight
+        self.bound.share = self.weight / sum(weights.values())
         others = [m for m in members if m.instance.address != self.address]
         self.placement.update(others, held_down)
         # Members that are leaving, ranked as before, may still hold prefixes.
@@ -367,6 +376,8 @@
             waiting.since_ms + self.patience_ms(request, local),
             request.latest_start_ms,
         )
+        if request.last_resort and now < until_ms:
+            return Wait(min(until_ms, now + LAST_RESORT_CHECK_MS))
         ahead = 0.0
         for other in self.waiting.values():
             if other is waiting:
@@ -404,6 +415,8 @@
 
     def patience_ms(self, request: Request, local: int) -> int:
         """Return how long a request may wait here for its prefix."""
+        if request.last_resort:
+            return LAST_RESORT_WAIT_MS
         value = local - self.index.shared_tokens(request.route)
         if value < self.costs.block_tokens:
             return 0
@@ -627,8 +640,9 @@
         """
         if not self.takes_work():
             return LoadAnswer(query.number, 2 * FULL_SHARE)
-        limit = self.bound.limit(query.work, self.weight, self.mean.estimate())
-        share = FULL_SHARE * (self.load + query.work / self.weight) / max(limit, 1.0)
+        load = self.load + query.work / self.weight
+        limit = self.bound.limit(load, query.work, self.weight, self.mean.estimate())
+        share = FULL_SHARE * load / max(limit, 1.0)
         return LoadAnswer(query.number, math.ceil(share))
 
     def receive_load(self, answer: LoadAnswer, sender: str) -> None:
--- a/packages/medlarridge/tests/unit/coordination/test_load_bound.py
+++ b/packages/medlarridge/tests/unit/coordination/test_load_bound.py
@@ -26,11 +26,23 @@
         verdict = make_bound().admit(tokens / weight, 100, weight, mean)
         assert isinstance(verdict, Admitted) == admitted
 
+    @pytest.mark.parametrize(
+        ("share", "most"), [(0.0, 125), (0.1, 128), (0.5, 166), (1.0, 10_001)]
+    )
+    def test_own_growth_raises_the_mean_by_its_share(self, share, most):
+        """Guards against refusals in a small pool until its mean is measured again."""
+        bound = make_bound(usual_work=1.0)
+        bound.share = share
+        mean = MeanEstimate(mean=100, age_ms=0, own_load=100)
+        # A load of L after admission needs L <= 1.25 * (100 + share * (L - 100)).
+        loads = [t + 1 for t in range(10_001) if admits(bound, t, mean)]
+        assert loads == list(range(1, most + 1))
+
     def test_margin_grows_with_movement_and_sampling_error(self):
         """Guards against overload when the mean has fallen or members are missing."""
-        still = make_bound().limit(100, 1.0, MeanEstimate(1000, 0))
-        moving = make_bound().limit(100, 1.0, MeanEstimate(1000, 0, spread=200))
-        sampled = make_bound().limit(100, 1.0, MeanEstimate(1000, 0, error=20))
+        still = make_bound().limit(100, 100, 1.0, MeanEstimate(1000, 0))
+        moving = make_bound().limit(100, 100, 1.0, MeanEstimate(1000, 0, spread=200))
+        sampled = make_bound().limit(100, 100, 1.0, MeanEstimate(1000, 0, error=20))
         assert moving < still
         assert sampled < still
 
@@ -56,3 +68,7 @@
         own_load = 100.0 * requests
         verdict = make_bound().admit(own_load, 100, 1.0, MeanEstimate(own_load, 0))
         assert isinstance(verdict, Admitted)
+
+
+def admits(bound, tokens, mean):
+    return isinstance(bound.admit(tokens, 1, 1.0, mean), Admitted)
--- a/packages/medlarridge/tests/unit/coordination/test_reuse_planner.py
+++ b/packages/medlarridge/tests/unit/coordination/test_reuse_planner.py
@@ -12,6 +12,8 @@
     Served,
 )
 from medlarridge._internal.coordination.reuse_planner import (
+    LAST_RESORT_CHECK_MS,
+    LAST_RESORT_WAIT_MS,
     MAX_WAIT_MS,
     Refuse,
     Run,
@@ -201,6 +203,19 @@
         patience_ms = cluster.planners[request.ranked[0]].patience_ms(request, 2100)
         assert patience_ms == (210 if releases else MAX_WAIT_MS)
 
+    def test_a_last_resort_waits_for_the_next_mean(self, cluster):
+        """Guards against refusals of a burst that every engine of an idle pool gives."""
+        request = replace(overload_home(cluster, "chat", 100), last_resort=True)
+        planner = cluster.planners[request.ranked[0]]
+        waits = 0
+        while isinstance(planner.plan(request), Wait):
+            waits += 1
+            cluster.advance(LAST_RESORT_CHECK_MS)
+            assert waits < 20
+        assert waits >= LAST_RESORT_WAIT_MS // LAST_RESORT_CHECK_MS
+        refused = replace(request, id="other", last_resort=False)
+        assert isinstance(cluster.decide(request.ranked[0], refused), Refuse)
+
     def test_waits_while_that_is_cheaper_than_prefilling(self, cluster):
         """Guards against a spill for a moment's excess of load."""
         cluster.serve("chat", 8000)
