--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
@@ -84,6 +84,9 @@
         refusal = first_refusal(self.context, attempt)
         if refusal is not None:
             self.metrics.attempts.labels(refusal.reason).inc()
+            if self.register.find(*key) is not None:
+                # Another target under the same number leaves the earlier record.
+                return refusal
             return self.register.refuse(attempt, refusal)
         return self.start(attempt)
 
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/load_bound.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/load_bound.py
@@ -52,15 +52,13 @@
     grow past three requests an engine at a bound of 1.25, since a fourth is more than
     the bound times three. Above four requests an engine the floor has no effect.
 
-    ``share`` is this engine's part of the pool's weight. What it has taken on since
-    the mean was measured raises the mean by that part, which matters in small pools:
-    an engine that is alone in its pool is never above the mean.
+    An engine that is ``alone`` in its pool is the mean and is never above the bound.
     """
 
     def __init__(self, bound: float) -> None:
         self.bound = bound
         self.usual_work = 0.0
-        self.share = 0.0
+        self.alone = False
 
     def observe(self, work: float) -> None:
         """Update the usual work, an average over the work admitted here."""
@@ -84,9 +82,11 @@
     ) -> float:
         """Return the highest load after admission; ``load`` includes the work."""
         least = self.least(work, weight)
+        if self.alone:
+            return max(least, load)
         if mean is None:
             return least
-        known = reduced_mean(mean) + self.share * max(0.0, load - mean.own_load)
+        known = reduced_mean(mean)
         limit = self.scale(known, weight)
         if mean.age_ms > STALE_AFTER_MS:
             limit = min(limit, mean.own_load)
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/reuse_planner.py
@@ -33,6 +33,8 @@
 )
 
 MAX_WAIT_MS = 600
+ALONE_AFTER_MS = 10_000
+"""A process that has just started knows only itself until it has joined the fleet."""
 LAST_RESORT_WAIT_MS = 600
 LAST_RESORT_CHECK_MS = 100
 """A burst on an idle pool is over the bound everywhere until the pool's mean has been
@@ -209,6 +211,7 @@
         self.finished_work: deque[tuple[int, float]] = deque()
         self.finished_total = 0.0
         self.tokens = 0.0
+        self.alone_since_ms: int | None = None
 
     @property
     def load(self) -> float:
@@ -223,9 +226,11 @@
         gone = self.members.keys() - {m.instance.address for m in members}
         self.members = {m.instance.address: m for m in members}
         self.mean.set_members(a for a, m in self.members.items() if not m.draining)
-        weights = {a: m.weight for a, m in self.members.items() if not m.draining}
-        weights[self.address] = self.weight
-        self.bound.share = self.weight / sum(weights.values())
+        serving = {a for a, m in self.members.items() if not m.draining}
+        if serving != {self.address}:
+            self.alone_since_ms = None
+        elif self.alone_since_ms is None:
+            self.alone_since_ms = self.clock.now_ms()
         others = [m for m in members if m.instance.address != self.address]
         self.placement.update(others, held_down)
         # Members that are leaving, ranked as before, may still hold prefixes.
@@ -246,6 +251,8 @@
     def plan(self, request: Request) -> Run | Wait | Refuse:
         """Decide about a request; a ``Run`` reserves its work."""
         now = self.clock.now_ms()
+        since_ms = self.alone_since_ms
+        self.bound.alone = since_ms is not None and now - since_ms >= ALONE_AFTER_MS
         if request.id not in self.waiting:
             redirect = self.redirect(request)
             if redirect is not None:
--- a/packages/medlarridge/tests/features/not_run.feature
+++ b/packages/medlarridge/tests/features/not_run.feature
@@ -47,6 +47,12 @@
     Then the copy is told that the attempt has ended
     And the server ran 1 calls
 
+  Scenario: A copy of a running attempt names another instance
+    Given a sidecar that has run an attempt
+    When a copy for another instance arrives
+    Then the copy is refused with wrong-instance
+    And the server ran 1 calls
+
   Scenario: An attempt for an earlier instance at the same address
     Given a sidecar that was restarted
     When an attempt for the earlier instance arrives
--- a/packages/medlarridge/tests/features/test_not_run.py
+++ b/packages/medlarridge/tests/features/test_not_run.py
@@ -109,6 +109,12 @@
     world["steps"] = ["newer", "send"]
 
 
+@when("a copy for another instance arrives")
+def copy_for_another(world):
+    world["steps"] = ["send", "other", "send"]
+    run_steps(world)
+
+
 @when("the sidecar serves again and a copy of the attempt arrives")
 @when("a copy of the attempt arrives")
 @when("an attempt for the earlier instance arrives")
@@ -130,6 +136,8 @@
                 sidecar.drain.leave()
             elif step == "return":
                 sidecar.drain.leaving = False
+            elif step == "other":
+                attempt = attempt_for(target=99)
             elif step == "drop":
                 sidecar.live.clear()
             elif step == "newer":
@@ -189,6 +197,11 @@
     assert len(answers[0]) == 2
 
 
+@then("the copy is refused with wrong-instance")
+def copy_refused_with(world):
+    assert world["replies"][1][0].reason == "wrong-instance"
+
+
 @then("the copy is told that the attempt has ended")
 def told_ended(world):
     assert world["replies"][1][0].reason == "duplicate"
--- a/packages/medlarridge/tests/unit/coordination/test_load_bound.py
+++ b/packages/medlarridge/tests/unit/coordination/test_load_bound.py
@@ -26,16 +26,13 @@
         verdict = make_bound().admit(tokens / weight, 100, weight, mean)
         assert isinstance(verdict, Admitted) == admitted
 
-    @pytest.mark.parametrize(
-        ("share", "most"), [(0.0, 125), (0.1, 128), (0.5, 166), (1.0, 10_001)]
-    )
-    def test_own_growth_raises_the_mean_by_its_share(self, share, most):
-        """Guards against refusals in a small pool until its mean is measured again."""
+    @pytest.mark.parametrize(("alone", "most"), [(False, 125), (True, 1001)])
+    def test_an_engine_alone_in_its_pool_is_the_mean(self, alone, most):
+        """Guards against refusals that compare an engine with its own past."""
         bound = make_bound(usual_work=1.0)
-        bound.share = share
+        bound.alone = alone
         mean = MeanEstimate(mean=100, age_ms=0, own_load=100)
-        # A load of L after admission needs L <= 1.25 * (100 + share * (L - 100)).
-        loads = [t + 1 for t in range(10_001) if admits(bound, t, mean)]
+        loads = [t + 1 for t in range(1001) if admits(bound, t, mean)]
         assert loads == list(range(1, most + 1))
 
     def test_margin_grows_with_movement_and_sampling_error(self):
--- a/packages/medlarridge/tests/unit/coordination/test_reuse_planner.py
+++ b/packages/medlarridge/tests/unit/coordination/test_reuse_planner.py
@@ -12,6 +12,7 @@
     Served,
 )
 from medlarridge._internal.coordination.reuse_planner import (
+    ALONE_AFTER_MS,
     LAST_RESORT_CHECK_MS,
     LAST_RESORT_WAIT_MS,
     MAX_WAIT_MS,
@@ -203,6 +204,16 @@
         patience_ms = cluster.planners[request.ranked[0]].patience_ms(request, 2100)
         assert patience_ms == (210 if releases else MAX_WAIT_MS)
 
+    def test_only_a_lasting_solitude_lifts_the_bound(self, cluster):
+        """Guards against a sidecar without a bound until it has joined the fleet."""
+        request = overload_home(cluster, "chat", 100)
+        home = request.ranked[0]
+        planner = cluster.planners[home]
+        planner.set_members([planner.member])
+        assert isinstance(planner.plan(request), Refuse)
+        cluster.clock.advance(ALONE_AFTER_MS)
+        assert isinstance(planner.plan(replace(request, id="later")), Run)
+
     def test_a_last_resort_waits_for_the_next_mean(self, cluster):
         """Guards against refusals of a burst that every engine of an idle pool gives."""
         request = replace(overload_home(cluster, "chat", 100), last_resort=True)
