--- a/packages/medlarridge-router/src/medlarridge_router/commands/check.py
+++ b/packages/medlarridge-router/src/medlarridge_router/commands/check.py
@@ -1,11 +1,13 @@
-"""Validate a tables file."""
+"""Validate a tables or settings file."""
 
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
 import cappa
 
 from medlarridge._internal.command_line import ExitStatus
+from medlarridge._internal.settings import RouterSettings, load_settings
 from medlarridge._internal.tables_admin import TableName
 from medlarridge._internal.tables_file import check_tables_file
 
@@ -15,12 +17,19 @@
 @cappa.command(name="check")
 @dataclass
 class Check:
-    """Validate a tables file without the store."""
+    """Validate a tables file, or a settings file, without starting anything."""
 
     file: Path
+    settings: Annotated[
+        bool, cappa.Arg(long=True, help="The file holds settings of a router.")
+    ] = False
 
     def __call__(self) -> ExitStatus:
         """Check the file and print its problems."""
+        if self.settings:
+            load_settings(self.file, RouterSettings)
+            print(f"{self.file}: valid")
+            return ExitStatus.OK
         checked = check_tables_file(self.file)
         if checked.is_err():
             report_problems(str(self.file), checked.unwrap_err())
--- a/packages/medlarridge/tests/unit/router/test_table_commands.py
+++ b/packages/medlarridge/tests/unit/router/test_table_commands.py
@@ -7,6 +7,7 @@
 
 from medlarridge._internal.clock import ManualClock
 from medlarridge._internal.command_line import ExitStatus
+from medlarridge._internal.errors import UserError
 from medlarridge._internal.state.memory import MemoryStore
 from medlarridge._internal.tables_admin import TablesAdmin
 from medlarridge_router.commands import COMMANDS, Apply, Check, Get, History, Undo
@@ -75,6 +76,14 @@
         assert f"error: {file}: pools.planning.kind: " in output.err
         assert "hint: allowed: one of engine, service" in output.err
 
+    async def test_check_reads_settings_files(self, call, tmp_path):
+        """Guards against a settings file that is only refused at the start."""
+        path = tmp_path / "router.toml"
+        path.write_text('link = "127.0.0.1:1"')
+        with pytest.raises(UserError) as caught:
+            await call("check", str(path), "--settings")
+        assert "callers: Field required" in caught.value.cause
+
     async def test_content_of_get_can_be_applied(self, call, file):
         """Guards against an edit cycle that needs rewriting by hand."""
         await call("apply", str(file))
