Name all objects of the store in one module

Cause: keys stood twice, once with another form; an IPv6 address was refused as part of a key, which would have ended a sidecar at its drain. Change: ledger, leases, suspects and orders use state/keys.py; brackets are allowed. Conclusion: one place decides the keys.

--- a/packages/medlarridge/src/medlarridge/_internal/coordination/lease.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/lease.py
@@ -16,6 +16,7 @@
 from ..events import register
 from ..identity import Instance
 from ..log import log_event
+from ..state.keys import lease_key
 from ..state.store import CREATE, StoredObject
 from .steps import Get, Put, Step, Wait
 
@@ -50,7 +51,7 @@
     def __init__(
         self, duty: str, instance: Instance, clock: Clock, random: Random
     ) -> None:
-        self.key = f"leases/{duty}"
+        self.key = lease_key(duty)
         self.instance = instance
         self.clock = clock
         self.random = random
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/ledger.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/ledger.py
@@ -9,6 +9,7 @@
 from math import ceil
 
 from ..clock import MS_PER_S, Clock
+from ..state.keys import ledger_head_key
 from .ledger_records import CallResult, Entry, call_key
 
 SHARDS_PER_ROUTE = 16
@@ -38,7 +39,7 @@
         another pool of the same route and must still find its entry.
         """
         number = int.from_bytes(self.digest[:4], "big") % SHARDS_PER_ROUTE
-        return f"ledger/{self.route}/{number}"
+        return ledger_head_key(self.route, number)
 
 
 @dataclass(frozen=True)
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/suspect_requests.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/suspect_requests.py
@@ -5,8 +5,8 @@
 import xxhash
 
 from ..protocol.suspects import Claim, Strike, SuspectShard
+from ..state.keys import suspects_key
 
-SUSPECTS_PREFIX = "suspects/"
 SHARDS = 64
 
 
@@ -17,7 +17,7 @@
     write. A hash of the fingerprint would need a write for each of them. A
     fingerprint belongs to one route.
     """
-    return f"{SUSPECTS_PREFIX}{xxhash.xxh32_intdigest(route.encode()) % SHARDS:02d}"
+    return suspects_key(xxhash.xxh32_intdigest(route.encode()) % SHARDS)
 
 
 @dataclass(frozen=True)
--- a/packages/medlarridge/src/medlarridge/_internal/state/keys.py
+++ b/packages/medlarridge/src/medlarridge/_internal/state/keys.py
@@ -11,7 +11,9 @@
 ACCEPTED_CONFIGURATION = "config/accepted"
 TABLE_STATUS = "status/tables"
 
-PART = re.compile(r"[A-Za-z0-9][A-Za-z0-9.:_-]*")
+SUSPECTS_PREFIX = "suspects/"
+
+PART = re.compile(r"[A-Za-z0-9\[][A-Za-z0-9.:_\[\]-]*")
 
 
 def check_part(part: str) -> str:
@@ -39,20 +41,14 @@
     return f"{audit_prefix(what)}{check_number(version):0{VERSION_DIGITS}d}"
 
 
-def ledger_head_key(pool: str, shard: int) -> str:
+def ledger_head_key(route: str, shard: int) -> str:
     """Return the key of the head of a ledger shard."""
-    return f"ledger/{check_part(pool)}/{check_number(shard)}"
-
-
-def ledger_segment_key(pool: str, shard: int, number: int) -> str:
-    """Return the key of a sealed segment of a ledger shard."""
-    segment = f"{check_number(number):0{VERSION_DIGITS}d}"
-    return f"{ledger_head_key(pool, shard)}/segments/{segment}"
+    return f"ledger/{check_part(route)}/{check_number(shard)}"
 
 
 def suspects_key(shard: int) -> str:
     """Return the key of a shard of the requests suspected of crashing servers."""
-    return f"suspects/{check_number(shard)}"
+    return f"{SUSPECTS_PREFIX}{check_number(shard):02d}"
 
 
 def lease_key(duty: str) -> str:
--- a/packages/medlarridge/src/medlarridge/_internal/state/orders_exchange.py
+++ b/packages/medlarridge/src/medlarridge/_internal/state/orders_exchange.py
@@ -6,6 +6,7 @@
 from ..coordination.orders import NO_MARK, Mark, Order, OrderGuard, OrderRefusal
 from ..coordination.steps import Get, Put
 from ..errors import StoreError, StoreErrorKind
+from .keys import orders_key
 from .perform import perform
 from .store import CREATE, ObjectStore
 
@@ -14,11 +15,6 @@
 _decoder = msgspec.msgpack.Decoder(Mark)
 
 
-def order_key(server: str) -> str:
-    """Return the key of the object with the highest mark of a server."""
-    return f"orders/{server}"
-
-
 class OrderJournal:
     """Reads and raises the highest mark of each server."""
 
@@ -39,7 +35,7 @@
                 return Ok(None)
             if mark > order.mark:
                 return Err(OrderRefusal.STALE)
-            put = Put(order_key(order.server), _encoder.encode(order.mark), version)
+            put = Put(orders_key(order.server), _encoder.encode(order.mark), version)
             answer = await perform(self.store, put)
             if isinstance(answer, Ok):
                 return Ok(None)
@@ -52,7 +48,7 @@
 
     async def read(self, server: str) -> Result[tuple[Mark, int], StoreError]:
         """Return the highest mark of a server and the version of its object."""
-        answer = await perform(self.store, Get(order_key(server)))
+        answer = await perform(self.store, Get(orders_key(server)))
         if isinstance(answer, Err):
             return answer
         stored = answer.ok_value
--- a/packages/medlarridge/src/medlarridge/_internal/state/suspects_exchange.py
+++ b/packages/medlarridge/src/medlarridge/_internal/state/suspects_exchange.py
@@ -9,10 +9,11 @@
 from result import Err, Ok, Result
 
 from ..clock import MS_PER_S, Clock
-from ..coordination.suspect_requests import SUSPECTS_PREFIX, ShardView, StoreRequest
+from ..coordination.suspect_requests import ShardView, StoreRequest
 from ..coordination.suspect_rules import decide
 from ..errors import StoreError, StoreErrorKind
 from ..protocol.suspects import SuspectShard
+from .keys import SUSPECTS_PREFIX
 from .store import CREATE, ObjectStore
 
 MAX_STORE_TRIES = 8
