Keep a sidecar alive when one attempt fails

Cause: an unexpected error in one attempt ended the task group of all attempts and with it the process. Change: the error is logged and the attempt ends as unknown, or as not run if its server never saw it. Conclusion: a faulty attempt costs only itself.

--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
@@ -8,8 +8,10 @@
 from medlarridge._internal.clock import MS_PER_S, Clock
 from medlarridge._internal.coordination.attempts import AttemptRegister
 from medlarridge._internal.coordination.drain import Drain
+from medlarridge._internal.events import register
 from medlarridge._internal.fleet import FleetView
 from medlarridge._internal.identity import Instance
+from medlarridge._internal.log import log_event
 from medlarridge._internal.metrics import SidecarMetrics
 from medlarridge._internal.protocol.messages import (
     Accepted,
@@ -28,6 +30,7 @@
 from .server_result import CallState, ServerResult
 
 HOUSEKEEPING_MS = 1_000
+ATTEMPT_FAILED = register(2031, "ERROR", "attempt failed in the sidecar")
 RUN_RESULT = "run"
 
 
@@ -110,7 +113,14 @@
                 await self.pass_gates(live, self.gates)
                 self.conclude(live)
             if live.scope.cancelled_caught and not live.ended:
-                self.end_cancelled(live)
+                self.end_early(live, "cancelled")
+        except Exception as error:
+            # One faulty attempt must not end the process and all other attempts.
+            log_event(
+                ATTEMPT_FAILED, request=live.attempt.request_id, error=repr(error)
+            )
+            if not live.ended:
+                self.end_early(live, "internal error")
         finally:
             self.drain.end_work()
             self.metrics.in_flight.set(self.drain.in_flight)
@@ -181,12 +191,12 @@
         live.stream.end = End(outcome, live.stream.next_number, detail)
         live.produced.set()
 
-    def end_cancelled(self, live: LiveAttempt) -> None:
-        """Mark the end of an attempt that was cancelled."""
+    def end_early(self, live: LiveAttempt, detail: str) -> None:
+        """Mark the end of an attempt that did not come to its usual end."""
         if live.handed_over:
-            self.end(live, Outcome.UNKNOWN, "cancelled")
+            self.end(live, Outcome.UNKNOWN, detail)
         else:
-            self.withdraw(live, self.refusal(Refusal.DEADLINE, "cancelled"))
+            self.withdraw(live, self.refusal(Refusal.DEADLINE, detail))
 
     def set_listed_leaving(self, leaving: bool) -> None:
         """Follow the platform's list, unless the process itself is ending."""
--- a/packages/medlarridge/tests/features/not_run.feature
+++ b/packages/medlarridge/tests/features/not_run.feature
@@ -47,6 +47,13 @@
     Then the copy is told that the attempt has ended
     And the server ran 1 calls
 
+  Scenario: An attempt meets a fault of the sidecar before its server is called
+    Given a service route whose calls may not be repeated
+    And a fault of its sidecar that meets the first attempt
+    When a caller sends an invoice dispatch
+    Then the caller is told complete with status 200
+    And the server ran 1 calls
+
   Scenario: A copy of a running attempt names another instance
     Given a sidecar that has run an attempt
     When a copy for another instance arrives
--- a/packages/medlarridge/tests/features/test_not_run.py
+++ b/packages/medlarridge/tests/features/test_not_run.py
@@ -39,6 +39,25 @@
     world["first_closes"] = True
 
 
+@given("a fault of its sidecar that meets the first attempt")
+def faulty(world):
+    world["gates"] = [FaultyGate()]
+
+
+class FaultyGate:
+    """Fails for the first attempt."""
+
+    failed = False
+
+    async def enter(self, live):
+        if not self.failed:
+            self.failed = True
+            raise KeyError("fault")
+
+    async def leave(self, live):
+        pass
+
+
 @given("its sidecar is replaced while the server runs the call")
 def sidecar_replaced(world):
     world["replaced"] = True
@@ -52,7 +71,12 @@
 async def call_router(world):
     async with local_fleet(service_tables(world["repeatable"])) as fleet:
         for number, server in enumerate(world["servers"]):
-            fleet.add_server(f"service-{number}", "services", server.endpoints())
+            fleet.add_server(
+                f"service-{number}",
+                "services",
+                server.endpoints(),
+                gates=world.get("gates"),
+            )
             if not world["reachable"]:
                 del fleet.transport.applications[f"service-{number}-server:1"]
         fleet.add_router("router")
