Name the poll interval of a drain in both daemons

Cause: the sidecar had a bare number, the router the same value in another unit. Change: one name and unit, milliseconds, in both. Conclusion: behaviour is unchanged.

--- a/packages/medlarridge-router/src/medlarridge_router/_internal/daemon.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/daemon.py
@@ -3,6 +3,7 @@
 import anyio
 import httpx
 
+from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.metrics import RouterMetrics
 from medlarridge._internal.node import LIMIT_KIND, REPORT_KIND, Node
 from medlarridge._internal.operator import operator_endpoints
@@ -17,7 +18,7 @@
 from .order_duty import OrderDuty
 from .router import Router
 
-DRAIN_POLL_S = 0.02
+DRAIN_POLL_MS = 20
 
 
 class RouterDaemon:
@@ -72,7 +73,7 @@
             await stop.wait()
             self.router.drain.leave()
             while self.router.drain.in_flight:
-                await anyio.sleep(DRAIN_POLL_S)
+                await anyio.sleep(DRAIN_POLL_MS / MS_PER_S)
             background.cancel()
             closed.set()
 
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/sidecar.py
@@ -30,6 +30,7 @@
 from .server_result import CallState, ServerResult
 
 HOUSEKEEPING_MS = 1_000
+DRAIN_POLL_MS = 20
 ATTEMPT_FAILED = register(2031, "ERROR", "attempt failed in the sidecar")
 RUN_RESULT = "run"
 
@@ -224,7 +225,7 @@
             self.stopping = True
             self.drain.leave()
             while self.drain.in_flight:
-                await anyio.sleep(0.02)
+                await anyio.sleep(DRAIN_POLL_MS / MS_PER_S)
             tasks.cancel_scope.cancel()
 
     async def keep_house(self) -> None:
