--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/retry_budget.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/retry_budget.py
@@ -6,6 +6,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from medlarridge._internal.clock import MS_PER_S, Clock
 
@@ -13,13 +14,12 @@
 """Part of the budget that is used; windows of the routers do not coincide."""
 
 
-@dataclass(frozen=True, slots=True)
-class BudgetBounds:
+class BudgetBounds(Protocol):
     """Retries allowed in a sliding window: a ratio of the requests, plus a slack."""
 
-    ratio: float = 0.2
-    slack: float = 50.0
-    window_s: float = 10.0
+    ratio: float
+    slack: float
+    window_s: float
 
 
 @dataclass(slots=True)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -20,7 +20,7 @@
 from .protocol.dialect import Dialect, PlatformStore
 from .protocol.requests import ClientRequest
 from .request_handler import RequestHandler
-from .settings import DirectSettings
+from .settings import DirectSettings, split_endpoint
 from .state.configuration_holder import ConfigurationHolder
 from .state.peer_table import PeerTable
 from .state.server_table import ServerTable
@@ -59,7 +59,7 @@
         self.handler = RequestHandler(self.parts, self.log)
         self.peers = PeerTable(
             self.clock,
-            (settings.ip, settings.peer_port),
+            (settings.ip, settings.listen.peer_port),
             self.parts.random.getrandbits(63),
         )
         self.news = PeerNews(
@@ -84,10 +84,10 @@
                 load,
                 PromptCache(clock),
                 self.settings.data_centre,
-                self.settings.load_factor,
+                self.settings.load.factor,
             ),
             health=ServerHealth(clock),
-            budget=RetryBudget(clock, self.settings.budget),
+            budget=RetryBudget(clock, self.settings.retries),
             guard=guard,
             crashes=CrashWatch(clock, guard),
             connections=ConnectionPools(),
@@ -137,12 +137,18 @@
             loop.create_task(self.keep_house()),
         ]
         probes = await self.listen(
-            self.settings.readiness, self.answer_probe, self.probes
+            split_endpoint(self.settings.listen.readiness),
+            self.answer_probe,
+            self.probes,
         )
         clients = await self.listen(
-            self.settings.clients, self.handler.handle, self.connections
+            split_endpoint(self.settings.listen.clients),
+            self.handler.handle,
+            self.connections,
+        )
+        self.log.event(
+            STARTED, role=self.settings.role, clients=self.settings.listen.clients
         )
-        self.log.event(STARTED, role=self.settings.role, clients=self.settings.clients)
         waiting = [loop.create_task(stop.wait()), *background]
         done, _ = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
         for task in done:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -11,6 +11,7 @@
 from medlarridge._internal.events import Event, register
 
 from .parts import RouterParts
+from .protocol.requests import ForwardingFacts
 from .protocol.servers import BackendServer
 
 MAX_LINES_PER_S = 400
@@ -144,12 +145,20 @@
             **fields,
         )
 
-    def sent(self, server: BackendServer, parts: RouterParts, earlier: int) -> None:
+    def sent(
+        self,
+        server: BackendServer,
+        parts: RouterParts,
+        facts: ForwardingFacts,
+        earlier: int,
+    ) -> None:
         """Write that an attempt starts, and what decided for its server."""
         self.write(
             SENT,
             server=server.instance,
             earlier=earlier,
+            left_ms=facts.deadline_ms,
+            fetch_from=facts.fetch_from,
             load=parts.load.of(server.instance),
             list_revision=parts.servers.revision,
             list_age_ms=parts.servers.age_ms(),
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -155,7 +155,7 @@
             self.accepted.fingerprint,
             self.accepted.pool.max_connections // max(limit, 1),
         ) as attempt:
-            self.log.sent(server, self.parts, self.refused_sends + self.runs)
+            self.log.sent(server, self.parts, facts, self.refused_sends + self.runs)
             outcome = await attempt.start(facts, self.patience_ms())
             if outcome.ended is Ended.ANSWER:
                 return await self.deliver(attempt, outcome)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/settings.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/settings.py
@@ -1,32 +1,95 @@
-"""Settings of a direct router, filled by the adapter of a platform."""
+"""Settings of a direct router: a TOML file, checked at the start."""
 
-from dataclasses import dataclass
+import tomllib
+from pathlib import Path
+from typing import Annotated
 
-from .coordination.retry_budget import BudgetBounds
+import msgspec
 
-HostPort = tuple[str, int]
+from medlarridge._internal.clock import MS_PER_S
+from medlarridge._internal.errors import UserError
 
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Endpoint = Annotated[str, msgspec.Meta(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
+Text = Annotated[str, msgspec.Meta(min_length=1)]
 
-@dataclass(frozen=True, slots=True)
-class DirectSettings:
-    """What one router must know at its start.
 
-    ``peer_port`` is the UDP port on which routers exchange news. ``grace_ms`` is the
-    time between the signal to stop and the forced end. ``load_factor`` is the multiple
-    of its pool's mean load that a server may carry.
+class Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of the sections: unknown keys are errors."""
+
+
+class ListenSettings(Section):
+    """Addresses of this process; routers exchange datagrams on ``peer_port``."""
+
+    clients: Endpoint
+    readiness: Endpoint
+    peer_port: Port
+    metrics_port: Port
+
+
+class StoreSettings(Section):
+    """Where the platform's store is."""
+
+    address: Endpoint
+
+
+class StopSettings(Section):
+    """``grace_s`` passes between the signal to stop and the forced end."""
+
+    grace_s: Positive = 8.0
+
+
+class RetrySettings(Section):
+    """Retries allowed for all routers: a ratio of the requests in a sliding window of
+    ``window_s`` seconds, plus ``slack``.
     """
 
-    node: str
-    role: str
-    data_centre: str
-    ip: str
-    clients: HostPort
-    readiness: HostPort
-    store: HostPort
-    peer_port: int
-    grace_ms: int
-    drain_ms: int
-    apply_ms: int
-    budget: BudgetBounds
-    load_factor: float
-    metrics_port: int
+    ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.2
+    slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
+    window_s: Positive = 10.0
+
+
+class LoadSettings(Section):
+    """``factor`` is the multiple of its pool's mean load that a server may carry."""
+
+    factor: Annotated[float, msgspec.Meta(ge=1)] = 2.0
+
+
+class DirectSettings(Section):
+    """Settings of one router."""
+
+    node: Text
+    role: Text
+    ip: Text
+    data_centre: Text
+    listen: ListenSettings
+    store: StoreSettings
+    stop: StopSettings = StopSettings()
+    retries: RetrySettings = RetrySettings()
+    load: LoadSettings = LoadSettings()
+
+    @property
+    def grace_ms(self) -> int:
+        """Return the time between the signal to stop and the forced end."""
+        return int(self.stop.grace_s * MS_PER_S)
+
+
+def load_settings(path: Path) -> DirectSettings:
+    """Read and check a settings file; raise ``UserError`` if it is not valid."""
+    try:
+        return msgspec.convert(tomllib.loads(path.read_text()), DirectSettings)
+    except (OSError, UnicodeDecodeError) as error:
+        raise UserError(f"{path} cannot be read", cause=str(error)) from error
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise UserError(
+            f"{path} is not a valid settings file",
+            cause=str(error),
+            hint="docs/platform.md lists the keys",
+        ) from error
+
+
+def split_endpoint(endpoint: str) -> tuple[str, int]:
+    """Return host and port."""
+    host, _, port = endpoint.rpartition(":")
+    return host, int(port)
--- a/packages/medlarridge-direct/src/medlarridge_direct/dialect.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/dialect.py
@@ -2,7 +2,6 @@
 
 from medlarridge._internal.errors import TransportError, UserError
 
-from ._internal.coordination.retry_budget import BudgetBounds
 from ._internal.daemon import DirectRouter
 from ._internal.protocol.configuration import (
     Account,
@@ -23,14 +22,13 @@
     ServerLoad,
 )
 from ._internal.protocol.servers import BackendServer, ServerListing, ServerState
-from ._internal.settings import DirectSettings
+from ._internal.settings import DirectSettings, load_settings, split_endpoint
 from ._internal.transport.http_client import HttpClient
 
 __all__ = [
     "Account",
     "AnswerHead",
     "BackendServer",
-    "BudgetBounds",
     "ClientLimits",
     "Configuration",
     "Dialect",
@@ -51,4 +49,6 @@
     "ServerState",
     "TransportError",
     "UserError",
+    "load_settings",
+    "split_endpoint",
 ]
