Watch the configuration from the revision of its list

Cause: the watch began at the revision of the configuration object. Ruled out: the exchange of news; one router alone made the calls. Change: the configuration is read with the list of its kind, whose revision is current.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/dialect.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/dialect.py
@@ -50,6 +50,9 @@
         """Return the newest configuration, or None if there is none."""
         ...
 
-    async def watch_configuration(self, revision: int, wait_ms: int) -> bool:
-        """Wait for a newer configuration; return whether there may be one."""
+    async def watch_configuration(self, wait_ms: int) -> bool:
+        """Wait for a configuration newer than the one read last.
+
+        Returns whether there may be one.
+        """
         ...
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -152,8 +152,7 @@
         """Watch for a newer configuration once."""
         configuration = self.parts.configuration
         asked_ms = self.parts.clock.now_ms()
-        revision = configuration.revision
-        if await self.store.watch_configuration(revision, WATCH_MS):
+        if await self.store.watch_configuration(WATCH_MS):
             configuration.behind = True
         else:
             configuration.confirm(asked_ms)
