Let routers without the store follow it through their peers

Ruled out: a shorter life of the list alone; servers are not lost with it. Change: a router that cannot reach the store gets list and configuration from a peer over HTTP; servers that refuse connections are told to peers; connecting takes 200 ms at most. After a restart one router asks the servers what they hold, and peers tell a router that starts. Background work that fails is logged and starts again.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -178,7 +178,11 @@
         self.parts.crashes.note_broken(self.fingerprint, self.server.instance)
 
     def note_down(self) -> None:
-        """Take that the server does not accept connections."""
+        """Take that the server does not accept connections.
+
+        Kept ones may have gone silent with it.
+        """
+        self.parts.connections.close_idle(self.server.instance)
         strikes = self.parts.crashes.note_down(self.server.instance)
         if strikes:
             self.parts.on_strikes(strikes)
--- /dev/null
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/cache_inventory.py
@@ -0,0 +1,115 @@
+"""Learns what servers hold in memory after the routers lost their own knowledge."""
+
+import asyncio
+
+from medlarridge._internal.clock import MS_PER_S
+from medlarridge._internal.errors import TransportError
+
+from .logs import INVENTORY, Log
+from .parts import RouterParts
+from .peer_news import PeerNews
+from .protocol.servers import BackendServer
+from .state.peer_table import PeerTable
+from .transport.exchange import Broken, Data, Exchange, RawHead
+
+FIRST_REPORTS_MS = 300
+"""Time after the start in which a peer that knows more would have reported."""
+
+CHECK_MS = 100
+CALL_TIMEOUT_MS = 500
+"""A server lists its parts in a few milliseconds."""
+
+CALL_CONNECTIONS = 64
+
+
+class CacheInventory:
+    """Asks the servers once, unless another router already knows."""
+
+    def __init__(
+        self, parts: RouterParts, peers: PeerTable, news: PeerNews, log: Log
+    ) -> None:
+        self.parts = parts
+        self.peers = peers
+        self.news = news
+        self.log = log
+
+    async def run(self) -> None:
+        """Wait until the cache is known, or make it known if it is this one's turn."""
+        cache = self.parts.placement.cache
+        await asyncio.sleep(FIRST_REPORTS_MS / MS_PER_S)
+        while not cache.complete:
+            if any(peer.cache_known for peer in self.peers.live()):
+                cache.complete = True
+                self.log.event(INVENTORY, source="peers")
+            elif self.parts.servers.read_ms is not None and self.peers.rank() == 0:
+                await self.ask_servers()
+            await asyncio.sleep(CHECK_MS / MS_PER_S)
+
+    async def ask_servers(self) -> None:
+        """Ask all servers that run models what they hold, and tell the others."""
+        cache = self.parts.placement.cache
+        servers = self.model_servers()
+        lists = await asyncio.gather(*(self.ask(server) for server in servers))
+        answered = 0
+        for server, held in zip(servers, lists, strict=True):
+            if held is None:
+                continue
+            answered += 1
+            for part_id in held:
+                cache.note(part_id, server.instance)
+        cache.complete = True
+        self.news.announce_held(cache.all_held())
+        self.log.event(
+            INVENTORY, source="servers", asked=len(servers), answered=answered
+        )
+
+    def model_servers(self) -> list[BackendServer]:
+        """Return the servers of pools that run models."""
+        configuration = self.parts.configuration.current
+        if configuration is None:
+            return []
+        return [
+            server
+            for name, pool in configuration.pools.items()
+            if pool.runs_models
+            for server in self.parts.servers.ready(name)
+        ]
+
+    async def ask(self, server: BackendServer) -> list[str] | None:
+        """Return the parts that a server holds, or None if it does not say."""
+        try:
+            connection, _ = await self.parts.connections.acquire(
+                server, CALL_CONNECTIONS
+            )
+            exchange = connection.start(
+                b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n"
+                % (self.parts.dialect.inventory_path, server.address.encode())
+            )
+        except TransportError:
+            return None
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_MS / MS_PER_S):
+                body = await collect(exchange)
+        except TimeoutError:
+            body = None
+        if body is None:
+            connection.abort()
+            return None
+        self.parts.connections.release(server, connection, None)
+        return self.parts.dialect.read_inventory(body)
+
+
+async def collect(exchange: Exchange) -> bytes | None:
+    """Return the body of a successful answer, or None."""
+    body = bytearray()
+    successful = False
+    while True:
+        event = await exchange.next_event()
+        if isinstance(event, RawHead):
+            successful = event.status == 200
+        elif isinstance(event, Data):
+            body += event.data
+        elif isinstance(event, Broken):
+            return None
+        else:
+            return bytes(body) if successful else None
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/prompt_cache.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/prompt_cache.py
@@ -35,9 +35,13 @@
 
 @dataclass(slots=True)
 class PromptCache:
-    """Time of last use by part and server."""
+    """Time of last use by part and server.
+
+    ``complete`` is set when the router knows what servers held before it started.
+    """
 
     clock: Clock
+    complete: bool = False
     parts: OrderedDict[str, dict[str, int]] = field(default_factory=OrderedDict)
 
     def note(self, part_id: str, instance: str) -> bool:
@@ -99,3 +103,11 @@
         """Forget what a server held that left or was started again."""
         for holders in self.parts.values():
             holders.pop(instance, None)
+
+    def all_held(self) -> list[tuple[str, str]]:
+        """Return all parts and the servers that hold them."""
+        return [
+            (part_id, instance)
+            for part_id in self.parts
+            for instance in self.holders(part_id)
+        ]
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
@@ -30,6 +30,11 @@
 AVOID_MOST_MS = 4_000
 """Bounds of the time for which a server is avoided; it doubles while it fails."""
 
+PEER_AVOID_MS = 300
+"""Time for which a peer's finding counts; it is repeated with each report."""
+ANSWERED_LATELY_MS = 500
+"""Age of an answer that outweighs what a peer found on its own path."""
+
 
 @dataclass(slots=True)
 class Health:
@@ -39,6 +44,8 @@
     avoid_until_ms: int = 0
     avoid_ms: int = 0
     unreachable: bool = False
+    answered_ms: int | None = None
+    found_here: bool = False
 
 
 @dataclass(slots=True)
@@ -55,11 +62,13 @@
         health.failed_share += SAMPLE_WEIGHT * (failed - health.failed_share)
         if not failed:
             health.unreachable = False
+            health.answered_ms = self.clock.now_ms()
             if health.failed_share < FAILING_SHARE:
                 health.avoid_ms = 0
                 health.avoid_until_ms = 0
             return False
         health.unreachable = result is AttemptResult.UNREACHABLE
+        health.found_here = True
         if not health.unreachable and health.failed_share < FAILING_SHARE:
             return False
         now_ms = self.clock.now_ms()
@@ -90,6 +99,28 @@
             health is not None and health.unreachable and now_ms < health.avoid_until_ms
         )
 
+    def unreachable(self) -> list[str]:
+        """Return the servers that do not accept this router's connections."""
+        now_ms = self.clock.now_ms()
+        return [
+            instance
+            for instance, health in self.servers.items()
+            if health.found_here and self.is_unreachable(instance, now_ms)
+        ]
+
+    def take_unreachable(self, instance: str) -> None:
+        """Avoid a server that a peer cannot reach, unless it answered here lately."""
+        health = self.servers.setdefault(instance, Health())
+        now_ms = self.clock.now_ms()
+        if health.answered_ms is not None and (
+            now_ms - health.answered_ms < ANSWERED_LATELY_MS
+        ):
+            return
+        if now_ms >= health.avoid_until_ms:
+            health.unreachable = True
+            health.found_here = False
+            health.avoid_until_ms = now_ms + PEER_AVOID_MS
+
     def reset(self, instance: str) -> None:
         """Forget a server that left or was started again."""
         self.servers.pop(instance, None)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 
 from medlarridge._internal.clock import MS_PER_S, SystemClock
 
+from .cache_inventory import CacheInventory
 from .coordination.crash_guard import CrashGuard
 from .coordination.crash_watch import CrashWatch, Strike
 from .coordination.load_view import LoadView
@@ -14,8 +15,18 @@
 from .coordination.prompt_cache import PromptCache
 from .coordination.retry_budget import RetryBudget
 from .coordination.server_health import ServerHealth
-from .logs import READINESS, RELOADED, STARTED, STOPPED, STOPPING, Log
+from .logs import (
+    READINESS,
+    RELOADED,
+    STARTED,
+    STOPPED,
+    STOPPING,
+    STRIKE,
+    TASK_FAILED,
+    Log,
+)
 from .parts import RouterParts
+from .peer_copies import PeerCopies
 from .peer_news import PeerNews
 from .protocol.dialect import Dialect, PlatformStore
 from .protocol.requests import ClientRequest
@@ -65,7 +76,12 @@
         self.news = PeerNews(
             self.parts, self.peers, self.log, lambda: self.stopping_ms is not None
         )
-        self.sync = StoreSync(self.parts, store, self.peers, self.log, settings.node)
+        self.inventory = CacheInventory(self.parts, self.peers, self.news, self.log)
+        self.parts.placement.cache.complete = settings.first_start
+        self.copies = PeerCopies(self.parts, self.peers, self.clock)
+        self.sync = StoreSync(
+            self.parts, store, self.peers, self.copies, self.log, settings.node
+        )
 
     def make_parts(self, dialect: Dialect) -> RouterParts:
         """Create the beliefs and decisions."""
@@ -101,7 +117,13 @@
 
     def take_strikes(self, strikes: list[Strike]) -> None:
         """Log strikes and pass them on."""
-        self.sync.log_strikes(strikes)
+        for strike in strikes:
+            self.log.event(
+                STRIKE,
+                fingerprint=f"{strike.fingerprint:016x}",
+                server=strike.server,
+                strikes=self.parts.guard.count(strike.fingerprint),
+            )
         self.news.announce_strikes(strikes)
 
     # Readiness
@@ -130,12 +152,19 @@
         loop.add_signal_handler(signal.SIGHUP, self.log.event, RELOADED)
         await self.news.open(self.peers.own_address)
         background = [
-            loop.create_task(self.news.run()),
-            loop.create_task(self.sync.follow_routers()),
-            loop.create_task(self.sync.follow_servers()),
-            loop.create_task(self.sync.follow_configuration()),
-            loop.create_task(self.keep_house()),
+            loop.create_task(self.supervise(job))
+            for job in (
+                self.news.run,
+                self.sync.follow_routers,
+                self.sync.follow_servers,
+                self.sync.follow_configuration,
+                self.keep_house,
+                self.inventory.run,
+            )
         ]
+        copies = await self.listen(
+            self.peers.own_address, self.copies.answer, self.probes
+        )
         probes = await self.listen(
             split_endpoint(self.settings.listen.readiness),
             self.answer_probe,
@@ -149,17 +178,30 @@
         self.log.event(
             STARTED, role=self.settings.role, clients=self.settings.listen.clients
         )
-        waiting = [loop.create_task(stop.wait()), *background]
-        done, _ = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-        for task in done:
-            task.result()
+        await stop.wait()
         await self.finish(clients)
         probes.close()
+        copies.close()
         for task in background:
             task.cancel()
         self.log.event(STOPPED, in_flight=self.handler.in_flight)
         self.log.flush()
 
+    async def supervise(self, job: Callable[[], Awaitable[None]]) -> None:
+        """Run background work; start it again if it fails."""
+        while True:
+            try:
+                await job()
+                return
+            except Exception as error:
+                self.log.event(
+                    TASK_FAILED,
+                    job=job.__qualname__,
+                    error=type(error).__name__,
+                    detail=str(error),
+                )
+                await asyncio.sleep(HOUSEKEEPING_MS / MS_PER_S)
+
     async def listen(
         self,
         address: tuple[str, int],
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -44,6 +44,8 @@
 STORE_BACK = register(6121, "INFO", "store answers again")
 PEER_FOUND = register(6130, "INFO", "router heard from")
 PEER_LOST = register(6131, "INFO", "router silent")
+INVENTORY = register(6135, "INFO", "prompt parts of servers known")
+TASK_FAILED = register(6141, "ERROR", "background work failed and starts again")
 READINESS = register(6140, "INFO", "readiness changed")
 
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_news.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_news.py
@@ -21,6 +21,12 @@
 MAX_HELD = 200
 """Prompt parts in one report, so that it fits a few packets."""
 
+BACKLOG_MS = 20
+"""Interval of reports while more prompt parts wait than one report holds."""
+
+TELLERS = 2
+"""Routers that tell a new one what servers hold; one report may be lost."""
+
 
 class PeerNews:
     """Sends reports to peers and takes theirs."""
@@ -55,6 +61,8 @@
             self.note_live()
             self.peers.forget_silent()
             interval_ms = max(REPORT_MS, REPORT_PER_PEER_MS * len(self.peers.peers))
+            if self.held:
+                interval_ms = BACKLOG_MS
             await asyncio.sleep(interval_ms / MS_PER_S)
 
     def announce_held(self, held: list[tuple[str, str]]) -> None:
@@ -95,6 +103,9 @@
             list_age_ms=age_or_never(servers.age_ms()),
             configuration=configuration.revision,
             configuration_age_ms=age_or_never(configuration.age_ms()),
+            cache_known=self.parts.placement.cache.complete,
+            store_reachable=self.peers.store_reachable,
+            unreachable=self.parts.health.unreachable(),
         )
 
     def take_datagram(self, data: bytes, address: Address) -> None:
@@ -104,8 +115,11 @@
         except CodecError:
             self.malformed += 1
             return
+        new = self.peers.is_new(address, report.router)
         if not self.peers.take(address, report):
             return
+        if new:
+            self.tell_new_router()
         self.parts.load.take_report(report.router, report.in_flight)
         for part_id, instance in report.held:
             self.parts.placement.cache.note(part_id, instance)
@@ -114,8 +128,16 @@
                 self.log.event(
                     STRIKE, fingerprint=f"{fingerprint:016x}", server=server, peer=True
                 )
+        for instance in report.unreachable:
+            self.parts.health.take_unreachable(instance)
         self.take_store_news(report)
 
+    def tell_new_router(self) -> None:
+        """Announce all that servers hold, for a router that has just started."""
+        cache = self.parts.placement.cache
+        if cache.complete and self.peers.rank() < TELLERS:
+            self.held = cache.all_held()
+
     def take_store_news(self, report: Report) -> None:
         """Confirm what a peer has confirmed, or read the store if it knows more."""
         now_ms = self.parts.clock.now_ms()
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
@@ -100,6 +100,7 @@
     by_host: dict[str, list[Route]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
+        self.by_host = {}
         for route in self.routes:
             self.by_host.setdefault(route.host, []).append(route)
         for routes in self.by_host.values():
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/dialect.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/dialect.py
@@ -30,6 +30,13 @@
         """Return the header lines of a refusal by the router itself."""
         ...
 
+    inventory_path: bytes
+    """Target of the call that lists the prompt parts a server holds."""
+
+    def read_inventory(self, body: bytes) -> list[str] | None:
+        """Return the parts in the answer to that call; None if it is malformed."""
+        ...
+
 
 class PlatformStore(Protocol):
     """Calls to the platform's store; failed ones raise ``TransportError``."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
@@ -12,7 +12,9 @@
     instance. ``held`` names prompt parts and the servers that now hold them.
     ``strikes`` are fingerprints and the servers that went down under them. Digest and
     revision tell which server list and configuration the router knows, the ages how
-    long ago the store confirmed them; an age of -1 means never.
+    long ago the store confirmed them; an age of -1 means never. ``cache_known`` tells that the
+    router knows what servers held before it started. ``unreachable`` names servers that
+    do not accept its connections.
     """
 
     router: int
@@ -25,6 +27,9 @@
     list_age_ms: int
     configuration: int
     configuration_age_ms: int
+    cache_known: bool = False
+    store_reachable: bool = True
+    unreachable: list[str] = []
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/settings.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/settings.py
@@ -57,12 +57,16 @@
 
 
 class DirectSettings(Section):
-    """Settings of one router."""
+    """Settings of one router.
+
+    ``first_start`` is set only when the whole system starts for the first time.
+    """
 
     node: Text
     role: Text
     ip: Text
     data_centre: Text
+    first_start: bool
     listen: ListenSettings
     store: StoreSettings
     stop: StopSettings = StopSettings()
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/configuration_holder.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/configuration_holder.py
@@ -24,8 +24,9 @@
 
     def offer(self, configuration: Configuration, read_ms: int) -> bool:
         """Take a configuration read at ``read_ms``; return whether it is newer."""
-        self.confirm(read_ms)
         self.behind = False
+        if configuration.revision >= self.revision:
+            self.confirm(read_ms)
         if self.current is not None and configuration.revision <= self.current.revision:
             return False
         self.current = configuration
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
@@ -26,16 +26,19 @@
     sequence: int = 0
     heard_ms: int | None = None
     stopping: bool = False
+    cache_known: bool = False
+    store_reachable: bool = False
     registered: bool = False
 
 
 @dataclass(slots=True)
 class PeerTable:
-    """Peers by address."""
+    """Peers by address; ``store_reachable`` is about this router itself."""
 
     clock: Clock
     own_address: Address
     own_router: int
+    store_reachable: bool = True
     peers: dict[Address, Peer] = field(default_factory=dict)
 
     def register(self, addresses: Iterable[Address]) -> None:
@@ -57,9 +60,16 @@
         peer.router = report.router
         peer.sequence = report.sequence
         peer.stopping = report.stopping
+        peer.cache_known = report.cache_known
+        peer.store_reachable = report.store_reachable
         peer.heard_ms = self.clock.now_ms()
         return True
 
+    def is_new(self, address: Address, router: int) -> bool:
+        """Whether a process is heard from for the first time."""
+        peer = self.peers.get(address)
+        return peer is None or peer.router != router
+
     def is_live(self, peer: Peer) -> bool:
         """Whether a peer was heard from lately."""
         return (
@@ -72,9 +82,15 @@
         return [peer for peer in self.peers.values() if self.is_live(peer)]
 
     def rank(self) -> int:
-        """Return how many live routers come before this one in a fixed order."""
+        """Return how many live routers come before this one in a fixed order.
+
+        Only routers that reach the store and do not stop take turns.
+        """
         return sum(
-            peer.router < self.own_router and not peer.stopping for peer in self.live()
+            peer.store_reachable
+            and not peer.stopping
+            and (peer.router < self.own_router or not self.store_reachable)
+            for peer in self.live()
         )
 
     def forget_silent(self) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -51,12 +51,14 @@
     lapsed: set[str] = field(default_factory=set)
     revision: int = 0
     digest: int = 0
+    listing: ServerListing | None = None
     read_ms: int | None = None
     behind: bool = False
     keep_lapsed_until_ms: int = 0
 
     def update(self, listing: ServerListing, read_ms: int) -> list[ServerChange]:
         """Take a list that was asked for at ``read_ms``; return what changed."""
+        self.behind = False
         if self.read_ms is not None and (
             read_ms <= self.read_ms or listing.revision < self.revision
         ):
@@ -73,7 +75,7 @@
         self.known = listed
         self.index()
         self.digest = digest_of(listing)
-        self.behind = False
+        self.listing = listing
         return changes
 
     def confirm(self, read_ms: int) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -1,23 +1,28 @@
-"""Keeps the router's beliefs in step with the platform's store."""
+"""Keeps the router's beliefs in step with the platform's store.
+
+One router in turn reads the store; the others compare its reports with what they know.
+A router that cannot reach the store gets the same from another router.
+"""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.errors import TransportError
 
-from .coordination.crash_watch import Strike
 from .logs import (
     CONFIGURED,
     MALFORMED,
     SERVER_CHANGED,
     STORE_BACK,
     STORE_LOST,
-    STRIKE,
     Log,
 )
 from .parts import RouterParts
+from .peer_copies import PeerCopies
 from .protocol.configuration import Configuration
 from .protocol.dialect import PlatformStore
+from .protocol.servers import ServerListing
 from .state.peer_table import PeerTable
 from .state.server_table import Change, ServerChange
 
@@ -30,7 +35,7 @@
 noticed early enough to read the configuration within its 2 s."""
 
 CONFIRM_MS = 1_000
-"""Age of the configuration at which a router that hears of no newer one reads it."""
+"""Age of the configuration at which a router that hears of no newer one watches."""
 
 TURN_MS = 200
 MAX_TURN_MS = 600
@@ -41,12 +46,12 @@
 
 RETRY_MS = 150
 RETRY_MOST_MS = 600
-"""Pause after a failed call; it doubles, since refused calls cost the store as well."""
+"""Pause after a failed read; it doubles, since refused calls cost the store as well."""
 
 FIRST_REGISTRY_MS = 1_000
 REGISTRY_INTERVAL_MS = 20_000
-"""First and longest interval at which the list of routers is read; new routers also make themselves
-known with their reports."""
+"""First and longest interval at which the list of routers is read; new routers also
+make themselves known with their reports."""
 
 
 class StoreSync:
@@ -57,15 +62,16 @@
         parts: RouterParts,
         store: PlatformStore,
         peers: PeerTable,
+        copies: PeerCopies,
         log: Log,
         node: str,
     ) -> None:
         self.parts = parts
         self.store = store
         self.peers = peers
+        self.copies = copies
         self.log = log
         self.node = node
-        self.reachable = True
         self.malformed = 0
 
     def is_due(self, age_ms: int | None, interval_ms: int) -> bool:
@@ -75,28 +81,46 @@
         turn_ms = min(TURN_MS * self.peers.rank(), MAX_TURN_MS)
         return age_ms >= interval_ms + turn_ms
 
-    async def follow_servers(self) -> None:
-        """Read the server list when no router has read it lately."""
+    async def repeat(self, read: Callable[[], Awaitable[None]]) -> None:
+        """Call ``read`` at an interval that grows while it fails."""
         pause_ms = RETRY_MS
         while True:
-            due = self.is_due(self.parts.servers.age_ms(), LIST_INTERVAL_MS)
-            if not due and not self.parts.servers.behind:
-                await asyncio.sleep(CHECK_MS / MS_PER_S)
-                continue
-            asked_ms = self.parts.clock.now_ms()
             try:
-                listing = await self.store.list_servers()
+                await read()
+                await asyncio.sleep(CHECK_MS / MS_PER_S)
+                pause_ms = RETRY_MS
             except TransportError as error:
                 self.note_reachable(False, error)
                 await asyncio.sleep(pause_ms / MS_PER_S)
                 pause_ms = min(2 * pause_ms, RETRY_MOST_MS)
-                continue
-            self.note_reachable(True)
-            pause_ms = RETRY_MS
-            if listing.malformed != self.malformed:
-                self.malformed = listing.malformed
-                self.log.event(MALFORMED, entries=listing.malformed)
-            self.take_changes(self.parts.servers.update(listing, asked_ms))
+
+    # Servers
+
+    async def follow_servers(self) -> None:
+        """Read the server list when no router has read it lately."""
+        await self.repeat(self.read_servers_if_due)
+
+    async def read_servers_if_due(self) -> None:
+        """Read the list if it is old or known to have changed."""
+        servers = self.parts.servers
+        if not servers.behind and not self.is_due(servers.age_ms(), LIST_INTERVAL_MS):
+            return
+        if not self.peers.store_reachable:
+            copy = await self.copies.servers()
+            if copy is not None:
+                self.take_listing(*copy)
+                return
+        asked_ms = self.parts.clock.now_ms()
+        listing = await self.store.list_servers()
+        self.note_reachable(True)
+        self.take_listing(listing, asked_ms)
+
+    def take_listing(self, listing: ServerListing, read_ms: int) -> None:
+        """Take a list that was the newest at ``read_ms``."""
+        if listing.malformed != self.malformed:
+            self.malformed = listing.malformed
+            self.log.event(MALFORMED, entries=listing.malformed)
+        self.take_changes(self.parts.servers.update(listing, read_ms))
 
     def take_changes(self, changes: list[ServerChange]) -> None:
         """Tell the parts which servers came, left or were started again."""
@@ -120,42 +144,58 @@
             elif change.change is Change.DRAINING:
                 self.parts.connections.close_idle(server.instance)
 
-    async def follow_configuration(self) -> None:
-        """Read newer configurations; the first router in order watches for them."""
-        pause_ms = RETRY_MS
-        while True:
-            configuration = self.parts.configuration
-            try:
-                if configuration.behind or configuration.current is None:
-                    asked_ms = self.parts.clock.now_ms()
-                    self.take_configuration(
-                        await self.store.read_configuration(), asked_ms
-                    )
-                elif self.is_due(configuration.age_ms(), self.confirm_ms()):
-                    await self.watch()
-                else:
-                    await asyncio.sleep(CHECK_MS / MS_PER_S)
-                    continue
-            except TransportError as error:
-                configuration.behind = True
-                self.note_reachable(False, error)
-                await asyncio.sleep(pause_ms / MS_PER_S)
-                pause_ms = min(2 * pause_ms, RETRY_MOST_MS)
-                continue
-            pause_ms = RETRY_MS
+    # Configuration
 
-    def confirm_ms(self) -> int:
-        """Return the age at which this router watches for a newer configuration."""
-        return 0 if self.peers.rank() == 0 else CONFIRM_MS
-
-    async def watch(self) -> None:
-        """Watch for a newer configuration once."""
-        configuration = self.parts.configuration
+    async def follow_configuration(self) -> None:
+        """Read newer configurations; the first router in turn watches for them."""
+        await self.repeat(self.read_configuration_if_due)
+
+    async def read_configuration_if_due(self) -> None:
+        """Read the configuration if it is known to have changed, or watch it."""
+        holder = self.parts.configuration
+        if holder.behind or holder.current is None:
+            await self.read_configuration()
+            return
+        watch_at_ms = 0 if self.peers.rank() == 0 else CONFIRM_MS
+        if not self.is_due(holder.age_ms(), watch_at_ms):
+            return
         asked_ms = self.parts.clock.now_ms()
-        if await self.store.watch_configuration(WATCH_MS):
-            configuration.behind = True
+        try:
+            changed = await self.store.watch_configuration(WATCH_MS)
+        except TransportError:
+            holder.behind = True
+            raise
+        if changed:
+            holder.behind = True
         else:
-            configuration.confirm(asked_ms)
+            holder.confirm(asked_ms)
+
+    async def read_configuration(self) -> None:
+        """Read the configuration from the store, or from a peer without it."""
+        if not self.peers.store_reachable:
+            copy = await self.copies.configuration()
+            if copy is not None:
+                self.take_configuration(*copy)
+                return
+        asked_ms = self.parts.clock.now_ms()
+        configuration = await self.store.read_configuration()
+        if configuration is None:
+            raise TransportError("no configuration yet", step="read configuration")
+        self.note_reachable(True)
+        self.take_configuration(configuration, asked_ms)
+
+    def take_configuration(self, configuration: Configuration, read_ms: int) -> None:
+        """Put a newer configuration in force."""
+        if self.parts.configuration.offer(configuration, read_ms):
+            self.log.event(
+                CONFIGURED,
+                version=configuration.version,
+                revision=configuration.revision,
+                routes=len(configuration.routes),
+                accounts=len(configuration.accounts),
+            )
+
+    # Routers
 
     async def follow_routers(self) -> None:
         """Register this router and learn the addresses of the others."""
@@ -171,39 +211,14 @@
             await asyncio.sleep(pause_ms / MS_PER_S)
             pause_ms = min(2 * pause_ms, REGISTRY_INTERVAL_MS)
 
-    def take_configuration(
-        self, configuration: Configuration | None, asked_ms: int
-    ) -> None:
-        """Put a newer configuration in force."""
-        if configuration is None:
-            raise TransportError("no configuration yet", step="read configuration")
-        if self.parts.configuration.offer(configuration, asked_ms):
-            self.log.event(
-                CONFIGURED,
-                version=configuration.version,
-                revision=configuration.revision,
-                routes=len(configuration.routes),
-                accounts=len(configuration.accounts),
-            )
-
     def note_reachable(
         self, reachable: bool, error: TransportError | None = None
     ) -> None:
         """Log that the store was lost or is back."""
-        if reachable == self.reachable:
+        if reachable == self.peers.store_reachable:
             return
-        self.reachable = reachable
+        self.peers.store_reachable = reachable
         if reachable:
             self.log.event(STORE_BACK)
         else:
             self.log.event(STORE_LOST, error=str(error))
-
-    def log_strikes(self, strikes: list[Strike]) -> None:
-        """Log requests that were running when their server went down."""
-        for strike in strikes:
-            self.log.event(
-                STRIKE,
-                fingerprint=f"{strike.fingerprint:016x}",
-                server=strike.server,
-                strikes=self.parts.guard.count(strike.fingerprint),
-            )
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
@@ -8,7 +8,7 @@
 from ..protocol.servers import BackendServer
 from .exchange import HttpConnection, open_connection
 
-CONNECT_TIMEOUT_MS = 400
+CONNECT_TIMEOUT_MS = 200
 """A server answers in a few milliseconds; a lost opening packet is sent again after a
 second, by when another server has long been tried."""
 
