--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -170,7 +170,8 @@
 
     def observe(self, result: AttemptResult) -> None:
         """Tell the result to the judgement of the server's health."""
-        self.parts.health.observe(self.server.instance, result)
+        if self.parts.health.observe(self.server.instance, result):
+            self.parts.on_avoided(self.server.instance, result)
 
     def note_broken(self) -> None:
         """Take that the connection was lost while the request may have been running."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -25,6 +25,7 @@
     TASK_FAILED,
     Log,
 )
+from .metrics import Metrics
 from .parts import RouterParts
 from .peer_copies import PeerCopies
 from .peer_news import PeerNews
@@ -76,6 +77,7 @@
         self.news = PeerNews(
             self.parts, self.peers, self.log, lambda: self.stopping_ms is not None
         )
+        self.add_gauges()
         self.inventory = CacheInventory(self.parts, self.peers, self.news, self.log)
         self.parts.placement.cache.complete = settings.first_start
         self.copies = PeerCopies(self.parts, self.peers, self.clock)
@@ -107,7 +109,9 @@
             guard=guard,
             crashes=CrashWatch(clock, guard),
             connections=ConnectionPools(),
+            metrics=Metrics(),
             on_held=self.take_held,
+            on_avoided=self.log_avoided,
             on_strikes=self.take_strikes,
         )
 
@@ -115,6 +119,17 @@
         """Pass on which servers hold prompt parts."""
         self.news.announce_held(held)
 
+    def log_avoided(self, instance: str, result: str) -> None:
+        """Log that a server gets no work for a while."""
+        health = self.parts.health.servers[instance]
+        self.log.event(
+            SERVER_AVOIDED,
+            server=instance,
+            result=result,
+            failed_share=round(health.failed_share, 2),
+            for_ms=health.avoid_ms,
+        )
+
     def take_strikes(self, strikes: list[Strike]) -> None:
         """Log strikes and pass them on."""
         for strike in strikes:
@@ -126,6 +141,58 @@
             )
         self.news.announce_strikes(strikes)
 
+    def add_gauges(self) -> None:
+        """Name the values that the metrics show."""
+        parts, settings = self.parts, self.settings
+        add = parts.metrics.add_gauge
+        add("in_flight", "Requests in flight.", lambda: self.handler.in_flight)
+        add("connections", "Connections of clients.", lambda: len(self.connections))
+        add("ready", "1 while the router is ready.", lambda: float(self.ready))
+        add("peers", "Routers heard from lately.", lambda: len(self.peers.live()))
+        add(
+            "store_reachable",
+            "1 while the store answers this router.",
+            lambda: float(self.peers.store_reachable),
+        )
+        add(
+            "list_age_seconds",
+            "Age of the server list, -1 without one.",
+            lambda: age_in_seconds(parts.servers.age_ms()),
+        )
+        add(
+            "configuration_age_seconds",
+            "Time since the configuration was known to be the newest, or -1.",
+            lambda: age_in_seconds(parts.configuration.age_ms()),
+        )
+        add(
+            "configuration_revision",
+            "Revision in force.",
+            lambda: parts.configuration.revision,
+        )
+        add("servers", "Servers listed.", lambda: len(parts.servers.known))
+        add(
+            "servers_unreachable",
+            "Servers that accept no connection of this router.",
+            lambda: len(parts.health.unreachable()),
+        )
+        add(
+            "server_connects",
+            "New connections to servers since the start.",
+            lambda: parts.connections.connects,
+        )
+        add("log_lines_dropped", "Log lines dropped.", lambda: self.log.total_dropped)
+        add(
+            "retry_slack",
+            "Retries of this router's share beyond the ratio.",
+            lambda: settings.retries.slack / max(parts.budget.routers, 1),
+        )
+
+    async def answer_metrics(
+        self, request: ClientRequest, answer: AnswerWriter
+    ) -> None:
+        """Answer with the metrics."""
+        answer.send(200, b"Content-Type: text/plain\r\n", self.parts.metrics.page())
+
     # Readiness
 
     @property
@@ -170,6 +237,11 @@
             self.answer_probe,
             self.probes,
         )
+        metrics = await self.listen(
+            (self.settings.ip, self.settings.listen.metrics_port),
+            self.answer_metrics,
+            self.probes,
+        )
         clients = await self.listen(
             split_endpoint(self.settings.listen.clients),
             self.handler.handle,
@@ -182,6 +254,7 @@
         await self.finish(clients)
         probes.close()
         copies.close()
+        metrics.close()
         for task in background:
             task.cancel()
         self.log.event(STOPPED, in_flight=self.handler.in_flight)
@@ -255,3 +328,8 @@
                 self.log.event(READINESS, ready=self.ready)
             self.log.flush()
             await asyncio.sleep(HOUSEKEEPING_MS / MS_PER_S)
+
+
+def age_in_seconds(age_ms: int | None) -> float:
+    """Return an age in seconds, or -1 if there is none."""
+    return -1.0 if age_ms is None else age_ms / MS_PER_S
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -10,6 +10,7 @@
 from medlarridge._internal.clock import Clock
 from medlarridge._internal.events import Event, register
 
+from .metrics import Metrics
 from .parts import RouterParts
 from .protocol.requests import ForwardingFacts
 from .protocol.servers import BackendServer
@@ -87,6 +88,7 @@
         self.second = 0
         self.lines_left = MAX_LINES_PER_S
         self.dropped = 0
+        self.total_dropped = 0
         os.set_blocking(sys.stdout.fileno(), False)
         self.writer = LogWriter(sys.stdout.fileno())
         logger.remove()
@@ -119,6 +121,7 @@
             self.second, self.lines_left, self.dropped = second, MAX_LINES_PER_S, 0
         if self.lines_left <= 0:
             self.dropped += 1
+            self.total_dropped += 1
             return
         self.lines_left -= 1
         self.event(event, **fields)
@@ -131,9 +134,13 @@
 class RequestLog:
     """Lines of one request."""
 
-    def __init__(self, log: Log, clock: Clock, request_id: str) -> None:
+    def __init__(
+        self, log: Log, clock: Clock, metrics: Metrics, request_id: str
+    ) -> None:
         self.log = log
         self.clock = clock
+        self.metrics = metrics
+        self.kind = "unknown"
         self.request_id = request_id
         self.started_ms = clock.now_ms()
         self.first_bytes_ms: int | None = None
@@ -169,14 +176,18 @@
 
     def attempt_ended(self, server: BackendServer, ended: str, detail: str) -> None:
         """Write that an attempt gave no answer."""
+        self.metrics.attempts[server.pool, ended] += 1
         self.write(ATTEMPT_ENDED, server=server.instance, ended=ended, detail=detail)
 
     def first_bytes(self) -> None:
         """Remember when the answer began."""
         self.first_bytes_ms = self.clock.now_ms() - self.started_ms
+        self.metrics.observe_first_bytes(self.kind, self.first_bytes_ms)
 
     def finished(self, status: int, server: BackendServer) -> None:
         """Write that the answer was delivered."""
+        self.metrics.attempts[server.pool, "answered"] += 1
+        self.metrics.requests[self.kind, f"status-{status}"] += 1
         self.write(
             FINISHED,
             status=status,
@@ -186,12 +197,16 @@
 
     def refused(self, status: int, reason: str, retry_after_s: float) -> None:
         """Write that the router itself ended the request."""
+        self.metrics.requests[self.kind, "refused"] += 1
+        self.metrics.refusals[status, reason] += 1
         self.write(REFUSED, status=status, reason=reason, retry_after_s=retry_after_s)
 
     def cut(self, reason: str) -> None:
         """Write that an answer that had begun is cut."""
+        self.metrics.requests[self.kind, "cut"] += 1
         self.write(CUT, reason=reason)
 
     def client_gone(self) -> None:
         """Write that the client left."""
+        self.metrics.requests[self.kind, "client-gone"] += 1
         self.write(CLIENT_GONE)
--- /dev/null
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
@@ -0,0 +1,101 @@
+"""Counters and latency histograms of a direct router.
+
+The router counts in plain numbers; the library that formats them is loaded when the
+metrics are first asked for, which saves its time and memory at the start.
+"""
+
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from prometheus_client import Metric
+
+LATENCY_BOUNDS_S = (0.01, 0.026, 0.05, 0.1, 0.2, 0.4, 0.76, 1.5, 3.0, 6.0, 15.0)
+MS_PER_S = 1000
+
+
+@dataclass(slots=True)
+class Latencies:
+    """Histogram of times in milliseconds."""
+
+    counts: list[int] = field(default_factory=lambda: [0] * (len(LATENCY_BOUNDS_S) + 1))
+    total_ms: int = 0
+
+    def observe(self, time_ms: int) -> None:
+        """Count one time."""
+        self.counts[bisect_left(LATENCY_BOUNDS_S, time_ms / MS_PER_S)] += 1
+        self.total_ms += time_ms
+
+    def buckets(self) -> Iterator[tuple[str, int]]:
+        """Return the cumulated counts by upper bound."""
+        passed = 0
+        bounds = [*map(str, LATENCY_BOUNDS_S), "+Inf"]
+        for bound, count in zip(bounds, self.counts, strict=True):
+            passed += count
+            yield bound, passed
+
+
+Gauge = Callable[[], float]
+
+
+@dataclass(slots=True, eq=False)
+class Metrics:
+    """What a router counts; ``gauges`` are read when the metrics are asked for."""
+
+    requests: Counter = field(default_factory=Counter)
+    attempts: Counter = field(default_factory=Counter)
+    refusals: Counter = field(default_factory=Counter)
+    first_bytes: dict[str, Latencies] = field(default_factory=dict)
+    gauges: dict[str, tuple[str, Gauge]] = field(default_factory=dict)
+
+    def observe_first_bytes(self, kind: str, time_ms: int) -> None:
+        """Count the time from a request to the first bytes of its answer."""
+        self.first_bytes.setdefault(kind, Latencies()).observe(time_ms)
+
+    def add_gauge(self, name: str, text: str, read: Gauge) -> None:
+        """Show a value that is read when the metrics are asked for."""
+        self.gauges[name] = (text, read)
+
+    def collect(self) -> Iterable["Metric"]:
+        """Return all metrics in the library's types."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        counters = (
+            ("requests", "Requests by kind and outcome.", ["kind", "outcome"]),
+            ("attempts", "Attempts by pool and how they ended.", ["pool", "ended"]),
+            ("refusals", "Requests the router ended itself.", ["status", "reason"]),
+        )
+        for name, text, labels in counters:
+            family = CounterMetricFamily(f"medlarridge_{name}", text, labels=labels)
+            for values, count in getattr(self, name).items():
+                family.add_metric([str(value) for value in values], count)
+            yield family
+        histogram = HistogramMetricFamily(
+            "medlarridge_first_bytes_seconds",
+            "Time to the first bytes of an answer.",
+            labels=["kind"],
+        )
+        for kind, times in self.first_bytes.items():
+            histogram.add_metric(
+                [kind], list(times.buckets()), times.total_ms / MS_PER_S
+            )
+        yield histogram
+        for name, (text, read) in self.gauges.items():
+            family = GaugeMetricFamily(f"medlarridge_{name}", text)
+            family.add_metric([], read())
+            yield family
+
+    def page(self) -> bytes:
+        """Return the metrics as text."""
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)  # type: ignore[arg-type]
+        return generate_latest(registry)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/parts.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/parts.py
@@ -12,6 +12,7 @@
 from .coordination.placement import Placement
 from .coordination.retry_budget import RetryBudget
 from .coordination.server_health import ServerHealth
+from .metrics import Metrics
 from .protocol.dialect import Dialect
 from .state.configuration_holder import ConfigurationHolder
 from .state.server_table import ServerTable
@@ -22,7 +23,8 @@
 class RouterParts:
     """Beliefs, decisions and connections of one router.
 
-    ``on_held`` and ``on_strikes`` pass news on to the other routers.
+    ``on_held`` and ``on_strikes`` pass news on to the other routers;
+    ``on_avoided`` takes a server and the result for which it is avoided.
     """
 
     clock: Clock
@@ -37,5 +39,7 @@
     guard: CrashGuard
     crashes: CrashWatch
     connections: ConnectionPools
+    metrics: Metrics
     on_held: Callable[[list[tuple[str, str]]], None]
+    on_avoided: Callable[[str, str], None]
     on_strikes: Callable[[list[Strike]], None]
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
@@ -39,10 +39,11 @@
         """Answer one request."""
         facts = self.parts.dialect.read_request(request.headers)
         request_id = "" if facts is None else facts.request_id
-        log = RequestLog(self.log, self.parts.clock, request_id)
+        log = RequestLog(self.log, self.parts.clock, self.parts.metrics, request_id)
         self.in_flight += 1
         try:
             accepted = self.accept(request, facts)
+            log.kind = accepted.route.kind
             await RequestRun(self.parts, accepted, answer, log).run()
         except Rejection as rejection:
             self.reject(rejection, answer, log)
@@ -130,6 +131,7 @@
             log.request_id or None,
             retry_after_ms,
         )
+        self.parts.metrics.refusals[rejection.status, rejection.reason] += 1
         log.write(
             REJECTED,
             status=rejection.status,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -63,14 +63,15 @@
             read_ms <= self.read_ms or listing.revision < self.revision
         ):
             return []
-        if self.read_ms is not None and read_ms - self.read_ms > OUTAGE_MS:
+        after_outage = self.read_ms is not None and read_ms - self.read_ms > OUTAGE_MS
+        if after_outage:
             self.keep_lapsed_until_ms = read_ms + REGISTER_AGAIN_MS
         self.read_ms = read_ms
         self.revision = listing.revision
         listed = {server.instance: server for server in listing.servers}
         changes = [
             *self.changes_of_listed(listed),
-            *self.changes_of_missing(listed, read_ms),
+            *self.changes_of_missing(listed, read_ms, after_outage),
         ]
         self.known = listed
         self.index()
@@ -101,16 +102,20 @@
         return changes
 
     def changes_of_missing(
-        self, listed: dict[str, BackendServer], now_ms: int
+        self, listed: dict[str, BackendServer], now_ms: int, after_outage: bool
     ) -> list[ServerChange]:
-        """Drop servers that are not listed, or add lapsed ones back to the list."""
+        """Drop servers that are not listed, or add lapsed ones back to the list.
+
+        Only the first list after an outage can lack servers that lapsed in it.
+        """
         addresses = {server.address for server in listed.values()}
         changes = []
         for instance, server in self.known.items():
             if instance in listed:
                 continue
             believed = (
-                now_ms < self.keep_lapsed_until_ms
+                (after_outage or instance in self.lapsed)
+                and now_ms < self.keep_lapsed_until_ms
                 and server.state is ServerState.READY
                 and server.address not in addresses
             )
--- /dev/null
+++ b/packages/medlarridge-direct/tests/adapter/test_headers.py
@@ -0,0 +1,138 @@
+import pytest
+
+from medlarridge_direct.dialect import ForwardingFacts, PromptPart, ServerLoad
+from medlarridge_platform.headers import HeaderDialect
+
+REQUEST = [
+    (b"Host", b"Ficu95.example:8080"),
+    (b"X-Medlarridge-Request-Id", b"9c41"),
+    (b"X-Medlarridge-Deadline-Ms", b"1500"),
+    (b"X-Medlarridge-Token-Usage", b"1460,80"),
+    (b"X-Medlarridge-Prompt-Prefix", b"5c1e:800,91bd:410"),
+    (b"Authorization", b"Bearer key-1"),
+]
+FACTS = ForwardingFacts(
+    instance="i-1", deadline_ms=900, account="planners", urgency=3, resume_after="7"
+)
+
+
+def forwarded(*headers, facts=FACTS):
+    lines = HeaderDialect().server_headers([*REQUEST, *headers], facts)
+    pairs = [line.split(b": ", 1) for line in lines.split(b"\r\n") if line]
+    return {name.lower(): value for name, value in pairs}
+
+
+class TestReadRequest:
+    def test_what_a_client_says_is_translated_once(self):
+        """Guards against names of the wire beyond the adapter."""
+        facts = HeaderDialect().read_request(REQUEST)
+        assert facts.host == "ficu95.example"
+        assert (facts.request_id, facts.deadline_ms) == ("9c41", 1500)
+        assert facts.account_key == "key-1"
+        assert facts.prompt == (PromptPart("5c1e", 800), PromptPart("91bd", 410))
+        assert (facts.prompt_tokens, facts.output_tokens) == (1460, 80)
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            [],
+            REQUEST[1:],
+            [REQUEST[0]],
+            [*REQUEST, (b"host", b"other.example")],
+        ],
+    )
+    def test_a_request_without_one_host_and_an_id_is_malformed(self, headers):
+        """Guards against a request that two parties take for different ones."""
+        assert HeaderDialect().read_request(headers) is None
+
+    @pytest.mark.parametrize("value", [b"", b"5c1e", b"5c1e:x", b":5", b"a:1,,b:2"])
+    def test_a_malformed_prompt_counts_as_none(self, value):
+        """Guards against a failure for a header that only helps placement."""
+        headers = [*REQUEST[:4], (b"X-Medlarridge-Prompt-Prefix", value)]
+        assert HeaderDialect().read_request(headers).prompt == ()
+
+    @pytest.mark.parametrize("value", [b"Basic a2V5", b"Bearer", b"Bearer  ", b"key-1"])
+    def test_other_credentials_are_no_key(self, value):
+        """Guards against a key taken from a scheme that is not ours."""
+        headers = [*REQUEST[:5], (b"Authorization", value)]
+        assert HeaderDialect().read_request(headers).account_key is None
+
+
+class TestServerHeaders:
+    def test_the_router_states_who_runs_what_for_whom(self):
+        """Guards against a request that the wrong server runs."""
+        fields = forwarded()
+        assert fields[b"x-medlarridge-expected-instance"] == b"i-1"
+        assert fields[b"x-medlarridge-deadline-ms"] == b"900"
+        assert fields[b"x-medlarridge-tenant"] == b"planners"
+        assert fields[b"x-medlarridge-request-priority"] == b"3"
+        assert fields[b"last-event-id"] == b"7"
+        assert b"authorization" not in fields
+
+    @pytest.mark.parametrize(
+        "name",
+        [
+            b"X-Medlarridge-Tenant",
+            b"X-Medlarridge-Hold",
+            b"X-Medlarridge-Pin-Ms",
+            b"X-Medlarridge-Kv-Backup",
+            b"Kv-From",
+            b"Kv-Fetch",
+            b"X-Medlarridge-Expected-Version",
+        ],
+    )
+    def test_a_client_cannot_set_what_is_the_routers(self, name):
+        """Guards against a client that acts as another account or takes memory."""
+        facts = ForwardingFacts("i-1", 900, account=None)
+        assert name.lower() not in forwarded((name, b"forged"), facts=facts)
+
+    def test_headers_of_one_connection_stay_on_it(self):
+        """Guards against framing that a client smuggles through."""
+        fields = forwarded(
+            (b"Connection", b"close, X-Hop, X-Medlarridge-Request-Id"),
+            (b"X-Hop", b"1"),
+            (b"Transfer-Encoding", b"chunked"),
+            (b"X-Other", b"2"),
+        )
+        assert b"x-hop" not in fields
+        assert b"transfer-encoding" not in fields
+        assert fields[b"x-other"] == b"2"
+        assert fields[b"x-medlarridge-request-id"] == b"9c41"
+
+
+class TestReadAnswer:
+    def test_what_a_server_says_is_translated(self):
+        """Guards against a refusal that is taken for an answer."""
+        head = HeaderDialect().read_answer(
+            503,
+            b"Busy",
+            [
+                (b"X-Medlarridge-Not-Executed", b"1"),
+                (b"X-Medlarridge-Server-Load", b"3,0,8"),
+                (b"Keep-Alive", b"timeout=5, max=100"),
+            ],
+        )
+        assert head.not_executed
+        assert not head.signed
+        assert head.load == ServerLoad(3, 0, 8)
+        assert head.keep_alive_ms == 5_000
+
+    @pytest.mark.parametrize("value", [b"", b"1,2", b"a,b,c", b"1,2,3,4"])
+    def test_a_malformed_load_is_none(self, value):
+        """Guards against decisions on a load that nobody reported."""
+        head = HeaderDialect().read_answer(
+            200, b"", [(b"x-medlarridge-server-load", value)]
+        )
+        assert head.load is None
+
+
+class TestInventory:
+    def test_parts_are_read(self):
+        """Guards against an inventory that is thrown away."""
+        body = b'{"epoch":1,"next":2,"held":[["","5c1e",800,"m"]]}'
+        assert HeaderDialect().read_inventory(body) == ["5c1e"]
+
+    @pytest.mark.parametrize("body", [b"", b"{}", b'{"held":[1]}', b'{"held":[[]]}'])
+    def test_a_malformed_one_is_none(self, body):
+        """Guards against a router that fails on a faulty server."""
+        assert HeaderDialect().read_inventory(body) is None
--- /dev/null
+++ b/packages/medlarridge-direct/tests/adapter/test_store.py
@@ -0,0 +1,188 @@
+import msgspec
+import pytest
+
+from medlarridge_direct.dialect import RouteKind, ServerState, TransportError
+from medlarridge_platform.store import ObjectStore, read_server
+
+pytestmark = pytest.mark.anyio
+
+ENTRY = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "zone-anfa",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "coldRemainingMs": 250,
+    "born": 1_780_000_000_000,
+    "sequence": 4,
+}
+ROUTE = {
+    "name": "r-1",
+    "host": "Ficu95.example",
+    "pathPrefix": "/lohu/",
+    "kind": "streaming",
+    "timeoutMs": 15_000,
+    "targetLatencyMs": 800,
+    "priority": 1,
+    "trafficSplit": [
+        {"service": "huvo11a", "weight": 90},
+        {"service": "wuno96b", "weight": 10},
+    ],
+    "maxAttempts": 2,
+    "public": False,
+    "sticky": True,
+    "resumable": True,
+    "gapTargetMs": 400,
+}
+SPEC = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {"name": "huvo11a", "maxConnections": 370, "engine": {"slots": 64}},
+        {"name": "wuno96b", "maxConnections": 110},
+    ],
+    "limits": {"maxHeaderBytes": 100, "idleTimeoutMs": 9_000},
+    "tenants": [{"name": "hule930", "apiKeys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def item(name, spec, revision=3):
+    return {"metadata": {"name": name, "revision": revision}, "spec": spec}
+
+
+class FakeClient:
+    """Answers calls of the store from a list."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.paths = []
+
+    async def get(self, path, timeout_ms, gone_status=None):
+        self.paths.append(path)
+        answer = self.answers.pop(0)
+        return answer if answer is None else msgspec.json.encode(answer)
+
+    async def call(self, method, path, body, timeout_ms):
+        self.paths.append(method + b" " + path)
+        return self.answers.pop(0), b""
+
+
+class TestServers:
+    async def test_all_pages_are_read(self):
+        """Guards against servers that get no work because they are listed late."""
+        client = FakeClient(
+            {"items": [item("i-1", ENTRY)], "hasMore": True, "asOf": 5},
+            {"items": [item("i-2", ENTRY)], "hasMore": False, "asOf": 6},
+        )
+        listing = await ObjectStore(client).list_servers()
+        assert [each.instance for each in listing.servers] == ["i-1", "i-2"]
+        assert listing.revision == 6
+        assert client.paths[1].endswith(b"?afterRevision=i-1")
+
+    def test_an_entry_is_translated(self):
+        """Guards against names of the wire beyond the adapter."""
+        server = read_server(item("i-1", ENTRY))
+        assert (server.address, server.pool) == ("10.128.0.9:8080", "huvo11a")
+        assert server.data_centre == "zone-anfa"
+        assert server.state is ServerState.READY
+        assert (server.cold_ms, server.started_at) == (250, 1_780_000_000_000)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "resting"},
+            {"state": 1},
+            {"address": "10.128.0.9"},
+            {"address": "10.128.0.9:99999"},
+            {"address": None},
+            {"slots": "64"},
+            {"slots": True},
+            {"slots": 0},
+            {"service": 5},
+            {"zone": ""},
+            {"coldRemainingMs": "soon"},
+            {"born": -1},
+        ],
+    )
+    async def test_a_malformed_entry_names_no_server(self, change):
+        """Guards against one faulty writer that hides all servers."""
+        client = FakeClient(
+            {
+                "items": [item("bad", ENTRY | change), item("i-1", ENTRY)],
+                "hasMore": False,
+                "asOf": 5,
+            }
+        )
+        listing = await ObjectStore(client).list_servers()
+        assert [each.instance for each in listing.servers] == ["i-1"]
+        assert listing.malformed == 1
+
+    @pytest.mark.parametrize("entry", [None, 5, [], "x", {"metadata": {"name": "i"}}])
+    def test_anything_else_names_no_server(self, entry):
+        """Guards against bytes that are no entry at all."""
+        assert read_server(entry) is None
+
+
+class TestConfiguration:
+    async def test_it_is_translated(self):
+        """Guards against a route that is read for another."""
+        client = FakeClient({"items": [item("main", SPEC)], "asOf": 40})
+        configuration = await ObjectStore(client).read_configuration()
+        route = configuration.find_route("ficu95.example", "/lohu/2f")
+        assert route.kind is RouteKind.STREAM
+        assert [share.pool for share in route.pools] == ["huvo11a", "wuno96b"]
+        assert route.repeatable
+        assert configuration.pools["huvo11a"].runs_models
+        assert configuration.accounts["k2"].name == "hule930"
+        assert configuration.limits.idle_timeout_ms == 9_000
+        assert (configuration.version, configuration.revision) == (7, 3)
+
+    async def test_a_missing_one_is_none(self):
+        """Guards against serving before the first configuration."""
+        client = FakeClient({"items": [], "asOf": 1})
+        assert await ObjectStore(client).read_configuration() is None
+
+    async def test_a_malformed_one_is_an_error(self):
+        """Guards against half a configuration in force."""
+        client = FakeClient({"items": [item("main", {"version": 7})], "asOf": 40})
+        with pytest.raises(TransportError):
+            await ObjectStore(client).read_configuration()
+
+    async def test_the_watch_begins_at_the_revision_of_the_list(self):
+        """Guards against a watch from a revision that the store has forgotten."""
+        client = FakeClient(
+            {"items": [item("main", SPEC, revision=3)], "asOf": 40},
+            {"events": [], "asOf": 45},
+            {"events": [{}], "asOf": 46},
+            None,
+        )
+        store = ObjectStore(client)
+        await store.read_configuration()
+        assert not await store.watch_configuration(1_000)
+        assert b"watch=40&" in client.paths[1]
+        assert await store.watch_configuration(1_000)
+        assert b"watch=45&" in client.paths[2]
+        assert await store.watch_configuration(1_000)
+
+
+class TestRouters:
+    async def test_a_new_address_replaces_the_old(self):
+        """Guards against a router that peers look for where it was before."""
+        client = FakeClient(409, 200)
+        await ObjectStore(client).register_router("n-1", "10.0.0.1", 7000)
+        assert [path.split(b" ")[0] for path in client.paths] == [b"POST", b"PUT"]
+
+    async def test_entries_of_others_are_left_out(self):
+        """Guards against a list that one faulty entry makes unreadable."""
+        client = FakeClient(
+            {
+                "items": [
+                    item("n-1", {"host": "10.0.0.1", "port": 7000}),
+                    item("n-2", {"host": "10.0.0.2"}),
+                    item("n-3", None),
+                ]
+            }
+        )
+        routers = await ObjectStore(client).list_routers()
+        assert routers == {"n-1": ("10.0.0.1", 7000)}
--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_crash_guard.py
@@ -0,0 +1,75 @@
+from medlarridge import ManualClock
+from medlarridge_direct._internal.coordination.crash_guard import (
+    MAX_STRIKES,
+    STRIKE_MS,
+    CrashGuard,
+    fingerprint_of,
+)
+from medlarridge_direct._internal.coordination.crash_watch import (
+    CONFIRM_MS,
+    CrashWatch,
+)
+
+DEADLY = fingerprint_of(b"POST", b"/plan/1", "planners", b"body")
+
+
+class TestFingerprint:
+    def test_a_repeated_request_is_recognised(self):
+        """Guards against a crashing request that comes again under a new id."""
+        assert fingerprint_of(b"POST", b"/plan/1", "planners", b"body") == DEADLY
+
+    def test_other_requests_differ(self):
+        """Guards against refusing the requests of others."""
+        others = {
+            fingerprint_of(b"GET", b"/plan/1", "planners", b"body"),
+            fingerprint_of(b"POST", b"/plan/2", "planners", b"body"),
+            fingerprint_of(b"POST", b"/plan/1", "clerks", b"body"),
+            fingerprint_of(b"POST", b"/plan/1", "planners", b"other"),
+        }
+        assert len(others) == 4
+        assert DEADLY not in others
+
+
+class TestCrashGuard:
+    def test_a_request_is_refused_after_its_third_server(self):
+        """Guards against a request that takes down one server after another."""
+        guard = CrashGuard(ManualClock(1_000_000))
+        for number in range(MAX_STRIKES):
+            assert not guard.refuses(DEADLY)
+            guard.add(DEADLY, f"s-{number}")
+        assert guard.refuses(DEADLY)
+
+    def test_the_same_server_counts_once(self):
+        """Guards against counting one crash for each router that saw it."""
+        guard = CrashGuard(ManualClock(1_000_000))
+        for _ in range(MAX_STRIKES):
+            guard.add(DEADLY, "s-1")
+        assert not guard.refuses(DEADLY)
+
+    def test_strikes_end(self):
+        """Guards against refusing a request for ever."""
+        clock = ManualClock(1_000_000)
+        guard = CrashGuard(clock)
+        for number in range(MAX_STRIKES):
+            guard.add(DEADLY, f"s-{number}")
+        clock.advance(STRIKE_MS + 1)
+        assert not guard.refuses(DEADLY)
+
+
+class TestCrashWatch:
+    def test_a_lost_connection_alone_is_no_strike(self):
+        """Guards against blaming requests for servers that lose single answers."""
+        clock = ManualClock(1_000_000)
+        watch = CrashWatch(clock, CrashGuard(clock))
+        watch.note_broken(DEADLY, "s-1")
+        clock.advance(CONFIRM_MS + 1)
+        assert watch.note_down("s-1") == []
+
+    def test_a_server_that_goes_down_strikes_what_ran_on_it(self):
+        """Guards against missing the request that crashed a server."""
+        clock = ManualClock(1_000_000)
+        watch = CrashWatch(clock, CrashGuard(clock))
+        watch.note_broken(DEADLY, "s-1")
+        clock.advance(CONFIRM_MS // 2)
+        assert [each.fingerprint for each in watch.note_down("s-1")] == [DEADLY]
+        assert watch.note_down("s-1") == []
--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_placement.py
@@ -0,0 +1,119 @@
+from random import Random
+
+import pytest
+
+from medlarridge import ManualClock
+from medlarridge_direct._internal.coordination.load_view import (
+    PEER_REPORT_MS,
+    LoadView,
+)
+from medlarridge_direct._internal.coordination.placement import Placement
+from medlarridge_direct._internal.coordination.prompt_cache import (
+    HELD_MS,
+    PromptCache,
+)
+
+from ..samples import prompt, server, servers
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(1_000_000)
+
+
+def make_placement(clock, seed=1):
+    return Placement(Random(seed), LoadView(clock), PromptCache(clock), "anfa")
+
+
+class TestPlacementByPrompt:
+    def test_routers_agree_on_a_server_without_news(self, clock):
+        """Guards against a prompt that is read at a server for each router."""
+        chosen = {
+            make_placement(clock, seed).rank(servers(9), prompt())[0].instance
+            for seed in range(5)
+        }
+        assert len(chosen) == 1
+
+    def test_the_holder_comes_before_the_hash(self, clock):
+        """Guards against moves of chats when servers are added."""
+        placement = make_placement(clock)
+        last = placement.rank(servers(9), prompt())[-1]
+        placement.cache.note_sent(prompt(), last.instance)
+        assert placement.rank(servers(12), prompt())[0] == last
+
+    def test_a_holder_over_the_bound_is_passed_over(self, clock):
+        """Guards against a server above a multiple of its pool's mean load."""
+        placement = make_placement(clock)
+        pool = servers(4)
+        placement.cache.note_sent(prompt(), "s-0")
+        for _ in range(12):
+            placement.load.begin("s-0")
+        ranked = [each.instance for each in placement.rank(pool, prompt())]
+        assert ranked[-1] == "s-0"
+
+    def test_a_holder_is_forgotten_after_its_parts_may_be_evicted(self, clock):
+        """Guards against a hot server that is chosen for a cache it lost."""
+        placement = make_placement(clock)
+        by_hash = placement.rank(servers(9), prompt())[0]
+        other = placement.rank(servers(9), prompt())[-1]
+        placement.cache.note_sent(prompt(), other.instance)
+        clock.advance(HELD_MS + 1)
+        assert placement.rank(servers(9), prompt())[0] == by_hash
+
+
+class TestPlacementByLoad:
+    def test_the_least_loaded_server_per_slot_comes_first(self, clock):
+        """Guards against queues at small servers beside idle large ones."""
+        placement = make_placement(clock)
+        small, large = server("small", slots=2), server("large", slots=8)
+        for _ in range(3):
+            placement.load.begin("large")
+        placement.load.begin("small")
+        assert placement.rank([small, large], ())[0] == large
+
+    def test_near_servers_win_where_loads_are_equal(self, clock):
+        """Guards against needless bytes between data centres."""
+        far, near = server("far", data_centre="agdal"), server("near")
+        assert make_placement(clock).rank([far, near], ())[0] == near
+
+
+class TestFetchSource:
+    def test_a_draining_server_hands_out_what_it_holds(self, clock):
+        """Guards against prompts that are read again during a release."""
+        placement = make_placement(clock)
+        old, new = server("old"), server("new")
+        placement.cache.note_sent(prompt(), "old")
+        assert placement.fetch_source(new, prompt(), [old, new]) == old
+
+    def test_nothing_is_fetched_by_a_server_that_holds_the_prompt(self, clock):
+        """Guards against transfers that bring nothing."""
+        placement = make_placement(clock)
+        pool = servers(2)
+        for each in pool:
+            placement.cache.note_sent(prompt(), each.instance)
+        assert placement.fetch_source(pool[0], prompt(), pool) is None
+
+    def test_a_part_counts_only_behind_the_parts_before_it(self, clock):
+        """Guards against a source whose memory of the prompt has a hole."""
+        placement = make_placement(clock)
+        placement.cache.note("chat-1", "s-1")
+        assert placement.fetch_source(server("s-0"), prompt(), servers(2)) is None
+
+
+class TestLoadView:
+    def test_peers_count_until_they_are_silent(self, clock):
+        """Guards against load of a router that is gone."""
+        load = LoadView(clock)
+        load.begin("s-1")
+        load.take_report(9, {"s-1": 4})
+        assert load.of("s-1") == 5
+        clock.advance(PEER_REPORT_MS + 1)
+        load.expire()
+        assert load.of("s-1") == 1
+
+    def test_a_new_report_replaces_the_last(self, clock):
+        """Guards against load that only grows."""
+        load = LoadView(clock)
+        load.take_report(9, {"s-1": 4})
+        load.take_report(9, {"s-2": 1})
+        assert (load.of("s-1"), load.of("s-2")) == (0, 1)
--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_server_health.py
@@ -0,0 +1,91 @@
+import pytest
+
+from medlarridge import ManualClock
+from medlarridge_direct._internal.coordination.server_health import (
+    ANSWERED_LATELY_MS,
+    AVOID_FIRST_MS,
+    PEER_AVOID_MS,
+    AttemptResult,
+    ServerHealth,
+)
+
+POOL = ["a", "b", "c", "d"]
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(1_000_000)
+
+
+@pytest.fixture
+def health(clock):
+    return ServerHealth(clock)
+
+
+def fail(health, *instances, times=3):
+    for instance in instances:
+        for _ in range(times):
+            health.observe(instance, AttemptResult.FAILED)
+
+
+class TestServerHealth:
+    def test_a_failing_server_is_avoided_and_tried_again(self, health, clock):
+        """Guards against a server that fails work while its health check is good."""
+        fail(health, "a")
+        assert health.usable(POOL) == {"b", "c", "d"}
+        clock.advance(AVOID_FIRST_MS)
+        assert health.usable(POOL) == set(POOL)
+
+    def test_one_failure_avoids_nobody(self, health):
+        """Guards against lost capacity for a single failed request."""
+        fail(health, "a", times=1)
+        assert health.usable(POOL) == set(POOL)
+
+    def test_a_pool_that_fails_as_a_whole_stays_in_use(self, health):
+        """Guards against refusing all work when every server fails a part of it."""
+        fail(health, "a", "b", "c")
+        assert health.usable(POOL) == set(POOL)
+
+    def test_unreachable_servers_are_avoided_at_once_in_any_number(self, health):
+        """Guards against waiting for connections to servers that are down."""
+        for instance in ("a", "b", "c"):
+            health.observe(instance, AttemptResult.UNREACHABLE)
+        assert health.usable(POOL) == {"d"}
+
+    def test_the_time_doubles_while_a_server_fails(self, health, clock):
+        """Guards against a dead server that costs a request every half second."""
+        health.observe("a", AttemptResult.UNREACHABLE)
+        clock.advance(AVOID_FIRST_MS)
+        health.observe("a", AttemptResult.UNREACHABLE)
+        clock.advance(AVOID_FIRST_MS)
+        assert "a" not in health.usable(POOL)
+
+    def test_an_answer_ends_the_avoidance(self, health):
+        """Guards against a server that stays out after it has recovered."""
+        health.observe("a", AttemptResult.UNREACHABLE)
+        health.observe("a", AttemptResult.ANSWERED)
+        assert "a" in health.usable(POOL)
+
+
+class TestFindingsOfPeers:
+    def test_a_peer_spares_us_the_wait(self, health, clock):
+        """Guards against each router finding a dead server by itself."""
+        health.take_unreachable("a")
+        assert "a" not in health.usable(POOL)
+        clock.advance(PEER_AVOID_MS)
+        assert "a" in health.usable(POOL)
+
+    def test_an_own_answer_outweighs_a_peer(self, health, clock):
+        """Guards against a router cut off from a server that takes it from all."""
+        health.observe("a", AttemptResult.ANSWERED)
+        health.take_unreachable("a")
+        assert "a" in health.usable(POOL)
+        clock.advance(ANSWERED_LATELY_MS)
+        health.take_unreachable("a")
+        assert "a" not in health.usable(POOL)
+
+    def test_findings_of_peers_are_not_passed_on(self, health):
+        """Guards against a rumour that routers keep alive among themselves."""
+        health.take_unreachable("a")
+        health.observe("b", AttemptResult.UNREACHABLE)
+        assert health.unreachable() == ["b"]
--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -0,0 +1,182 @@
+"""Servers that answer from a script, without a network."""
+
+import asyncio
+from random import Random
+
+from medlarridge import ManualClock, TransportError
+from medlarridge_direct._internal.coordination.crash_guard import CrashGuard
+from medlarridge_direct._internal.coordination.crash_watch import CrashWatch
+from medlarridge_direct._internal.coordination.load_view import LoadView
+from medlarridge_direct._internal.coordination.placement import Placement
+from medlarridge_direct._internal.coordination.prompt_cache import PromptCache
+from medlarridge_direct._internal.coordination.retry_budget import RetryBudget
+from medlarridge_direct._internal.coordination.server_health import ServerHealth
+from medlarridge_direct._internal.metrics import Metrics
+from medlarridge_direct._internal.parts import RouterParts
+from medlarridge_direct._internal.protocol.requests import AnswerHead, RequestFacts
+from medlarridge_direct._internal.settings import RetrySettings
+from medlarridge_direct._internal.state.configuration_holder import ConfigurationHolder
+from medlarridge_direct._internal.state.server_table import ServerTable
+from medlarridge_direct._internal.transport.exchange import HttpConnection
+
+RESET = object()
+"""Step of a script: the connection is reset."""
+CLOSE = object()
+"""Step of a script: the server closes the connection after its bytes."""
+REFUSE = object()
+"""Script of a server that accepts no connection."""
+
+
+class FakeTransport:
+    """Transport that records writes and plays a script after the first of them."""
+
+    def __init__(self, connection=None, script=()):
+        self.connection = connection
+        self.script = script
+        self.written = bytearray()
+        self.closed = False
+        self.aborted = False
+        self.reading = True
+
+    def write(self, data):
+        self.written += data
+        if self.script:
+            asyncio.get_running_loop().call_soon(self.play)
+
+    def play(self):
+        script, self.script = self.script, ()
+        for step in script:
+            if self.closed:
+                return
+            if step is RESET:
+                self.closed = True
+                self.connection.connection_lost(ConnectionResetError("reset"))
+            elif step is CLOSE:
+                self.connection.eof_received()
+                self.closed = True
+                self.connection.connection_lost(None)
+            else:
+                self.connection.data_received(step)
+
+    def get_extra_info(self, name):
+        return None
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def is_closing(self):
+        return self.closed
+
+    def pause_reading(self):
+        self.reading = False
+
+    def resume_reading(self):
+        self.reading = True
+
+    def close(self):
+        self.closed = True
+
+    def abort(self):
+        self.closed = True
+        self.aborted = True
+
+
+def scripted_connection(*script):
+    connection = HttpConnection("server")
+    connection.connection_made(FakeTransport(connection, script))
+    return connection
+
+
+class ScriptedPools:
+    """Connections whose servers answer from scripts, one script an attempt."""
+
+    def __init__(self, scripts):
+        self.scripts = {instance: list(each) for instance, each in scripts.items()}
+        self.sent = []
+        self.released = []
+
+    async def acquire(self, server, limit):
+        script = self.scripts[server.instance].pop(0)
+        if script is REFUSE:
+            raise TransportError("refused", step="connect", peer=server.address)
+        connection = scripted_connection(*script)
+        self.sent.append((server.instance, connection.transport))
+        return connection, False
+
+    def release(self, server, connection, idle_ms):
+        self.released.append((server.instance, connection.release()))
+
+    def close_idle(self, instance):
+        pass
+
+
+class PlainDialect:
+    """Names of these tests for what a platform says in headers."""
+
+    inventory_path = b"/inventory"
+
+    def read_request(self, headers):
+        fields = {name.lower(): value.decode() for name, value in headers}
+        if "id" not in {name.decode() for name in fields}:
+            return None
+        deadline = fields.get(b"deadline")
+        return RequestFacts(
+            request_id=fields[b"id"],
+            host=fields.get(b"host", ""),
+            deadline_ms=None if deadline is None else int(deadline),
+            account_key=fields.get(b"key"),
+        )
+
+    def server_headers(self, headers, facts):
+        lines = [b"instance: %b\r\n" % facts.instance.encode()]
+        lines.append(b"deadline: %d\r\n" % facts.deadline_ms)
+        if facts.resume_after is not None:
+            lines.append(b"resume: %b\r\n" % facts.resume_after.encode())
+        if facts.fetch_from is not None:
+            lines.append(b"fetch: %b\r\n" % facts.fetch_from.encode())
+        return b"".join(lines)
+
+    def read_answer(self, status, reason, headers):
+        fields = {name.lower(): value for name, value in headers}
+        length = fields.get(b"content-length")
+        request_id = fields.get(b"id")
+        return AnswerHead(
+            status=status,
+            reason=reason,
+            headers=headers,
+            request_id=None if request_id is None else request_id.decode(),
+            signed=b"signature" in fields,
+            not_executed=b"not-executed" in fields,
+            encoded=b"content-encoding" in fields,
+            content_length=None if length is None else int(length),
+        )
+
+    def client_headers(self, head):
+        return b"signature: s\r\n" if head.signed else b""
+
+    def refusal_headers(self, request_id, retry_after_ms):
+        return b"retry-after-ms: %d\r\n" % retry_after_ms
+
+
+def make_parts(scripts=None, clock=None, load_factor=2.0):
+    clock = clock or ManualClock(1_000_000)
+    load = LoadView(clock)
+    guard = CrashGuard(clock)
+    return RouterParts(
+        clock=clock,
+        random=Random(7),
+        dialect=PlainDialect(),
+        configuration=ConfigurationHolder(clock),
+        servers=ServerTable(clock),
+        load=load,
+        placement=Placement(Random(7), load, PromptCache(clock), "anfa", load_factor),
+        health=ServerHealth(clock),
+        budget=RetryBudget(clock, RetrySettings(ratio=0.2, slack=50, window_s=10)),
+        guard=guard,
+        crashes=CrashWatch(clock, guard),
+        connections=ScriptedPools(scripts or {}),
+        metrics=Metrics(),
+        on_held=lambda held: None,
+        on_avoided=lambda instance, result: None,
+        on_strikes=lambda strikes: None,
+    )
--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/state/test_peer_table.py
@@ -0,0 +1,88 @@
+import pytest
+
+from medlarridge import CodecError, ManualClock
+from medlarridge_direct._internal.protocol.peer_messages import (
+    Report,
+    decode_report,
+    encode_report,
+)
+from medlarridge_direct._internal.state.peer_table import (
+    FORGET_MS,
+    SILENT_MS,
+    PeerTable,
+)
+
+HOME, OTHER, THIRD = ("10.0.0.1", 7), ("10.0.0.2", 7), ("10.0.0.3", 7)
+
+
+def report(router=2, sequence=1, **changes):
+    fields = {
+        "router": router,
+        "sequence": sequence,
+        "stopping": False,
+        "in_flight": {},
+        "held": [],
+        "strikes": [],
+        "list_digest": 0,
+        "list_age_ms": 0,
+        "configuration": 1,
+        "configuration_age_ms": 0,
+    }
+    return Report(**(fields | changes))
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(1_000_000)
+
+
+@pytest.fixture
+def peers(clock):
+    return PeerTable(clock, HOME, own_router=5)
+
+
+class TestPeerTable:
+    def test_late_and_own_reports_are_dropped(self, peers):
+        """Guards against news that overtakes newer news."""
+        assert peers.take(OTHER, report(sequence=2))
+        assert not peers.take(OTHER, report(sequence=1))
+        assert not peers.take(HOME, report(router=5))
+
+    def test_a_restarted_peer_counts_from_the_start(self, peers):
+        """Guards against deafness to a peer after its restart."""
+        peers.take(OTHER, report(router=2, sequence=900))
+        assert peers.is_new(OTHER, 3)
+        assert peers.take(OTHER, report(router=3, sequence=1))
+
+    def test_silent_peers_are_not_live_and_are_forgotten(self, peers, clock):
+        """Guards against budgets shared with routers that are gone."""
+        peers.take(OTHER, report())
+        peers.register([THIRD])
+        clock.advance(SILENT_MS + 1)
+        assert peers.live() == []
+        clock.advance(FORGET_MS)
+        peers.forget_silent()
+        assert list(peers.peers) == [THIRD]
+
+    def test_routers_that_cannot_read_take_no_turn(self, peers):
+        """Guards against waiting for a reader that is cut off or stops."""
+        peers.take(OTHER, report(router=2))
+        assert peers.rank() == 1
+        peers.take(OTHER, report(router=2, sequence=2, store_reachable=False))
+        assert peers.rank() == 0
+        peers.take(THIRD, report(router=9))
+        peers.store_reachable = False
+        assert peers.rank() == 1
+
+
+class TestReport:
+    def test_it_survives_the_wire(self):
+        """Guards against fields that are lost on the way."""
+        sent = report(in_flight={"s-1": 3}, held=[("part", "s-1")], strikes=[(1, "s")])
+        assert decode_report(encode_report(sent)) == sent
+
+    @pytest.mark.parametrize("data", [b"", b"\x00", b"\x93\x01\x02\x03", b"x" * 100])
+    def test_other_datagrams_are_an_error(self, data):
+        """Guards against a router that fails on stray datagrams."""
+        with pytest.raises(CodecError):
+            decode_report(data)
--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/state/test_server_table.py
@@ -0,0 +1,102 @@
+import pytest
+
+from medlarridge import ManualClock
+from medlarridge_direct._internal.protocol.servers import ServerState
+from medlarridge_direct._internal.state.server_table import (
+    OUTAGE_MS,
+    REGISTER_AGAIN_MS,
+    Change,
+    ServerTable,
+)
+
+from ..samples import listing, server
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(1_000_000)
+
+
+@pytest.fixture
+def table(clock):
+    return ServerTable(clock)
+
+
+def update(table, clock, *servers, revision=1, after_ms=800):
+    clock.advance(after_ms)
+    changes = table.update(listing(*servers, revision=revision), clock.now_ms())
+    return [(each.server.instance, each.change) for each in changes]
+
+
+class TestServerTable:
+    def test_a_draining_server_gets_no_work(self, table, clock):
+        """Guards against new work at a server that is leaving."""
+        update(table, clock, server())
+        changes = update(table, clock, server(state=ServerState.DRAINING), revision=2)
+        assert changes == [("s-1", Change.DRAINING)]
+        assert table.ready("models") == []
+
+    def test_a_missing_server_is_gone(self, table, clock):
+        """Guards against work at a server that left without draining."""
+        update(table, clock, server())
+        assert update(table, clock, revision=2) == [("s-1", Change.GONE)]
+
+    def test_an_older_list_changes_nothing(self, table, clock):
+        """Guards against a late answer that brings a gone server back."""
+        update(table, clock, revision=3)
+        assert update(table, clock, server(), revision=2) == []
+        assert table.ready("models") == []
+
+    def test_a_restart_under_the_same_instance_is_seen(self, table, clock):
+        """Guards against trusting the cache of a server that started again."""
+        update(table, clock, server(started_at=10))
+        changes = update(table, clock, server(started_at=20), revision=2)
+        assert changes == [("s-1", Change.RESTARTED)]
+
+    def test_a_list_that_is_not_newer_ends_the_request_for_one(self, table, clock):
+        """Guards against reading the store again and again without a pause."""
+        update(table, clock, server(), revision=5)
+        table.behind = True
+        update(table, clock, server(), revision=4)
+        assert not table.behind
+
+
+class TestLapsedEntries:
+    def test_they_are_kept_until_servers_could_register_again(self, table, clock):
+        """Guards against refusing all work after the store was away."""
+        update(table, clock, server())
+        changes = update(table, clock, revision=2, after_ms=OUTAGE_MS + 1)
+        assert changes == [("s-1", Change.LAPSED)]
+        assert [each.instance for each in table.ready("models")] == ["s-1"]
+        assert update(table, clock, revision=2, after_ms=REGISTER_AGAIN_MS // 2) == []
+        changes = update(table, clock, revision=2, after_ms=REGISTER_AGAIN_MS // 2)
+        assert changes == [("s-1", Change.GONE)]
+
+    def test_a_server_listed_after_the_outage_is_gone_when_it_is_missing(
+        self, table, clock
+    ):
+        """Guards against work at a server that left just after an outage."""
+        update(table, clock, server(), server("s-2", port=8002))
+        update(table, clock, server(), revision=2, after_ms=OUTAGE_MS + 1)
+        assert update(table, clock, revision=3) == [("s-1", Change.GONE)]
+        assert [each.instance for each in table.ready("models")] == ["s-2"]
+
+    def test_a_server_that_drained_before_is_not_kept(self, table, clock):
+        """Guards against new work at a server that had announced its end."""
+        update(table, clock, server(state=ServerState.DRAINING))
+        changes = update(table, clock, revision=2, after_ms=OUTAGE_MS + 1)
+        assert changes == [("s-1", Change.GONE)]
+
+    def test_an_address_that_another_server_has_now_is_not_kept(self, table, clock):
+        """Guards against sending requests to the successor at an address."""
+        update(table, clock, server("old"))
+        update(table, clock, server("new"), revision=2, after_ms=OUTAGE_MS + 1)
+        assert [each.instance for each in table.ready("models")] == ["new"]
+
+    def test_reports_of_peers_prevent_a_false_outage(self, table, clock):
+        """Guards against keeping gone servers because only this router was cut off."""
+        update(table, clock, server())
+        for _ in range(5):
+            clock.advance(500)
+            table.confirm(clock.now_ms())
+        assert update(table, clock, revision=2) == [("s-1", Change.GONE)]
--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/test_metrics.py
@@ -0,0 +1,26 @@
+from medlarridge_direct._internal.metrics import Metrics
+
+
+class TestMetrics:
+    def test_all_kinds_are_on_the_page(self):
+        """Guards against counts that nobody can read."""
+        metrics = Metrics()
+        metrics.requests["stream", "refused"] += 2
+        metrics.attempts["models", "broken"] += 1
+        metrics.refusals[503, "deadline"] += 1
+        metrics.observe_first_bytes("stream", 300)
+        metrics.observe_first_bytes("stream", 20_000)
+        metrics.add_gauge("peers", "Routers heard from.", lambda: 4)
+        page = metrics.page().decode()
+        assert 'medlarridge_requests_total{kind="stream",outcome="refused"} 2.0' in page
+        assert 'medlarridge_attempts_total{ended="broken",pool="models"} 1.0' in page
+        assert 'medlarridge_refusals_total{reason="deadline",status="503"} 1.0' in page
+        assert 'seconds_bucket{kind="stream",le="0.4"} 1.0' in page
+        assert 'seconds_count{kind="stream"} 2.0' in page
+        assert "medlarridge_peers 4.0" in page
+
+    def test_a_time_on_a_bound_counts_below_it(self):
+        """Guards against a target that looks missed where it is met."""
+        metrics = Metrics()
+        metrics.observe_first_bytes("stream", 760)
+        assert dict(metrics.first_bytes["stream"].buckets())["0.76"] == 1
--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
@@ -0,0 +1,144 @@
+import asyncio
+import re
+
+import pytest
+
+from medlarridge import ManualClock
+from medlarridge_direct._internal.protocol.configuration import ClientLimits
+from medlarridge_direct._internal.transport.client_connection import ClientConnection
+
+from ..scripted import FakeTransport
+
+pytestmark = pytest.mark.anyio
+
+GET = b"GET /a HTTP/1.1\r\nHost: desk.example\r\n\r\n"
+LIMITS = ClientLimits(max_header_bytes=400, max_body_bytes=100)
+
+
+class Client:
+    """A connection, and the requests that its handler saw."""
+
+    def __init__(self, answer_at_once=True, stopping=False):
+        self.clock = ManualClock(1_000_000)
+        self.seen = []
+        self.cancelled = 0
+        self.answer_at_once = answer_at_once
+        self.connection = ClientConnection(
+            self.handle, lambda: LIMITS, self.clock, set(), lambda: stopping
+        )
+        self.transport = FakeTransport(self.connection)
+        self.connection.connection_made(self.transport)
+
+    async def handle(self, request, answer):
+        self.seen.append(request)
+        if not self.answer_at_once:
+            try:
+                await asyncio.sleep(3600)
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+        answer.send(200, b"", b"ok")
+
+    async def send(self, *pieces):
+        for piece in pieces:
+            self.connection.data_received(piece)
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    @property
+    def status_lines(self):
+        return re.findall(rb"HTTP/1.1 (\d+) ", bytes(self.transport.written))
+
+
+class TestRequests:
+    async def test_a_request_is_read_whole_from_any_pieces(self):
+        """Guards against requests that are lost between two packets."""
+        client = Client()
+        raw = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+        await client.send(*(raw[i : i + 1] for i in range(len(raw))))
+        assert [request.body for request in client.seen] == [b"body"]
+
+    async def test_pipelined_requests_are_answered_in_order(self):
+        """Guards against answers that swap places."""
+        client = Client()
+        await client.send(GET + GET.replace(b"/a", b"/b"))
+        assert [request.target for request in client.seen] == [b"/a", b"/b"]
+        assert client.status_lines == [b"200", b"200"]
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+            b"Content-Length: 4\r\nContent-Length: 5\r\n",
+            b"Transfer-Encoding: chunked, identity\r\n",
+            b"Content-Length: +4\r\n",
+            b"Bad Name: x\r\n",
+        ],
+    )
+    async def test_ambiguous_framing_is_rejected(self, headers):
+        """Guards against a request smuggled in the body of another."""
+        client = Client()
+        await client.send(
+            b"POST /a HTTP/1.1\r\nHost: h\r\n" + headers + b"\r\n0\r\n\r\n" + GET
+        )
+        assert client.seen == []
+        assert client.status_lines == [b"400"]
+        assert client.transport.closed
+
+
+class TestLimits:
+    @pytest.mark.parametrize(
+        ("raw", "status"),
+        [
+            (b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 500 + b"\r\n\r\n", b"431"),
+            (
+                b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n",
+                b"413",
+            ),
+            (
+                b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"80\r\n" + b"x" * 128 + b"\r\n",
+                b"413",
+            ),
+            (b"no request\r\n\r\n", b"400"),
+        ],
+    )
+    async def test_what_is_too_large_is_rejected(self, raw, status):
+        """Guards against memory that a client can fill."""
+        client = Client()
+        await client.send(raw)
+        assert client.status_lines == [status]
+        assert client.seen == []
+
+    async def test_an_idle_connection_is_closed_after_the_limit(self):
+        """Guards against descriptors held by clients that are gone."""
+        client = Client()
+        client.clock.advance(LIMITS.idle_timeout_ms)
+        client.connection.watch_time()
+        assert client.transport.closed
+
+    async def test_slow_headers_are_ended(self):
+        """Guards against clients that send a byte at a time."""
+        client = Client()
+        await client.send(GET[:10])
+        client.clock.advance(LIMITS.header_timeout_ms)
+        client.connection.watch_time()
+        assert client.status_lines == [b"408"]
+
+
+class TestEnds:
+    async def test_a_client_that_leaves_cancels_its_request(self):
+        """Guards against work for clients that are gone."""
+        client = Client(answer_at_once=False)
+        await client.send(GET)
+        client.connection.connection_lost(None)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert client.cancelled == 1
+
+    async def test_a_stopping_router_asks_clients_to_come_elsewhere(self):
+        """Guards against connections that hold up a restart."""
+        client = Client(stopping=True)
+        await client.send(GET)
+        assert b"Connection: close" in client.transport.written
+        assert client.transport.closed
--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/transport/test_exchange.py
@@ -0,0 +1,102 @@
+import pytest
+
+from medlarridge_direct._internal.transport.exchange import Broken, Data, End, RawHead
+
+from ..scripted import CLOSE, RESET, scripted_connection
+
+pytestmark = pytest.mark.anyio
+
+ANSWER = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+UNFRAMED = b"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nok"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+
+
+async def exchange_with(*script, belongs=None):
+    connection = scripted_connection(*script)
+    exchange = connection.start(b"GET / HTTP/1.1\r\n\r\n", belongs)
+    events = []
+    while not events or not isinstance(events[-1], End | Broken):
+        events.append(await exchange.next_event())
+    return connection, events
+
+
+def body(events):
+    return b"".join(event.data for event in events if isinstance(event, Data))
+
+
+class TestWholeAnswers:
+    @pytest.mark.parametrize("answer", [ANSWER, CHUNKED])
+    async def test_framed_answers_leave_the_connection_usable(self, answer):
+        """Guards against a new connection for each request."""
+        connection, events = await exchange_with(answer)
+        assert body(events) == b"ok"
+        assert isinstance(events[-1], End)
+        assert connection.release()
+
+    async def test_an_answer_may_end_with_its_connection(self):
+        """Guards against rejecting answers without a length."""
+        connection, events = await exchange_with(UNFRAMED, CLOSE)
+        assert body(events) == b"ok"
+        assert isinstance(events[-1], End)
+        assert not connection.release()
+
+    async def test_interim_answers_are_passed_over(self):
+        """Guards against taking 100 Continue for the answer."""
+        _, events = await exchange_with(b"HTTP/1.1 100 Continue\r\n\r\n", ANSWER)
+        assert events[0].status == 200
+
+
+class TestBrokenAnswers:
+    @pytest.mark.parametrize(
+        "script",
+        [
+            (RESET,),
+            (CLOSE,),
+            (ANSWER[:-1], CLOSE),
+            (ANSWER[:-1], RESET),
+            (UNFRAMED, RESET),
+            (CHUNKED[:-3], CLOSE),
+            (b"no answer at all\r\n\r\n",),
+        ],
+    )
+    async def test_what_is_cut_is_never_complete(self, script):
+        """Guards against a part of an answer that looks like all of it."""
+        connection, events = await exchange_with(*script)
+        assert isinstance(events[-1], Broken)
+        assert not connection.release()
+
+
+class TestForeignBytes:
+    async def test_a_late_answer_of_an_earlier_request_is_dropped(self):
+        """Guards against a caller who gets the answer of another."""
+        late = b"HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 3\r\n\r\nold"
+        connection, events = await exchange_with(
+            late + ANSWER, belongs=lambda headers: (b"Id", b"1") in headers
+        )
+        assert body(events) == b"ok"
+        assert not connection.release()
+
+    async def test_bytes_after_an_answer_end_the_connection(self):
+        """Guards against reuse of a connection that holds a second answer."""
+        connection, events = await exchange_with(ANSWER + ANSWER)
+        assert body(events) == b"ok"
+        assert not connection.release()
+
+    async def test_bytes_on_an_idle_connection_end_it(self):
+        """Guards against an answer that waits for the next request."""
+        connection, _ = await exchange_with(ANSWER)
+        assert connection.release()
+        connection.data_received(ANSWER)
+        assert connection.transport.aborted
+
+
+class TestBackpressure:
+    async def test_reading_pauses_while_the_reader_is_slow(self):
+        """Guards against memory that grows with a slow client."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n"
+        connection = scripted_connection(head + b"x" * 100_000)
+        exchange = connection.start(b"GET / HTTP/1.1\r\n\r\n")
+        assert isinstance(await exchange.next_event(), RawHead)
+        assert not connection.transport.reading
+        await exchange.next_event()
+        assert connection.transport.reading
