Use the room of the load bound, peers' copies and long idle connections

Change: floor of the bound 2.5 in place of 1.5; a change that a peer knows is read from the peer; the connection that is idle for longest is used first.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/placement.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/placement.py
@@ -14,7 +14,7 @@
 from .load_view import LoadView
 from .prompt_cache import PromptCache, shared_key
 
-LOAD_FLOOR = 1.5
+LOAD_FLOOR = 2.5
 """A server takes a prompt up to the settings' multiple of the pool's mean load plus
 this floor. The platform's rule allows 3 more than the multiple; reports of peers lag."""
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -18,6 +18,7 @@
 from .logs import (
     READINESS,
     RELOADED,
+    SERVER_AVOIDED,
     STARTED,
     STOPPED,
     STOPPING,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_news.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_news.py
@@ -145,8 +145,8 @@
         if report.configuration_age_ms >= 0:
             if report.configuration == configuration.revision:
                 configuration.confirm(now_ms - report.configuration_age_ms)
-            elif report.configuration > configuration.revision:
-                configuration.behind = True
+            else:
+                configuration.hear(report.configuration)
         if report.list_age_ms >= 0:
             confirmed_ms = now_ms - report.list_age_ms
             if report.list_digest == servers.digest:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/configuration_holder.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/configuration_holder.py
@@ -19,6 +19,7 @@
         self.clock = clock
         self.current: Configuration | None = None
         self.behind = False
+        self.heard_revision = 0
         self.confirmed_ms: int | None = None
         self.on_change: list[Callable[[Configuration], None]] = []
 
@@ -34,6 +35,17 @@
             notify(configuration)
         return True
 
+    def hear(self, revision: int) -> None:
+        """Take that a peer has a revision."""
+        if revision > self.revision:
+            self.heard_revision = revision
+            self.behind = True
+
+    @property
+    def peer_is_newer(self) -> bool:
+        """Whether a peer has a newer configuration."""
+        return self.heard_revision > self.revision
+
     def confirm(self, read_ms: int) -> None:
         """Note that the current configuration was the newest at ``read_ms``."""
         self.confirmed_ms = max(read_ms, self.confirmed_ms or 0)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -105,7 +105,7 @@
         servers = self.parts.servers
         if not servers.behind and not self.is_due(servers.age_ms(), LIST_INTERVAL_MS):
             return
-        if not self.peers.store_reachable:
+        if servers.behind or not self.peers.store_reachable:
             copy = await self.copies.servers()
             if copy is not None:
                 self.take_listing(*copy)
@@ -171,8 +171,9 @@
             holder.confirm(asked_ms)
 
     async def read_configuration(self) -> None:
-        """Read the configuration from the store, or from a peer without it."""
-        if not self.peers.store_reachable:
+        """Read the configuration, from a peer if one is known to have a newer one."""
+        holder = self.parts.configuration
+        if holder.peer_is_newer or not self.peers.store_reachable:
             copy = await self.copies.configuration()
             if copy is not None:
                 self.take_configuration(*copy)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
@@ -1,6 +1,7 @@
 """Kept connections to backend servers."""
 
 import asyncio
+from collections import deque
 from dataclasses import dataclass, field
 
 from medlarridge._internal.errors import TransportError
@@ -28,9 +29,13 @@
 
 @dataclass(slots=True)
 class ServerConnections:
-    """Connections to one start of a server."""
+    """Connections to one start of a server.
 
-    idle: list[HttpConnection] = field(default_factory=list)
+    The one that is idle for longest is used first, so that none reaches the end of its
+    idle time while there is work; a new one costs the server a handshake.
+    """
+
+    idle: deque[HttpConnection] = field(default_factory=deque)
     timers: dict[HttpConnection, asyncio.TimerHandle] = field(default_factory=dict)
     opened: int = 0
 
@@ -48,7 +53,7 @@
         """Return a connection and whether it was used before."""
         entry = self.servers.setdefault(server.instance, ServerConnections())
         while entry.idle:
-            connection = entry.idle.pop()
+            connection = entry.idle.popleft()
             self.stop_timer(entry, connection)
             if not connection.closed:
                 return connection, True
