Ask the peer with the newest configuration, else the store

Cause: a router that heard of a newer configuration asked its first peer, which often had the old one too; as long as it was told of the change it did not ask the store either. Ruled out: ages that confirm too much; the holder never went back. Change: peers are asked in the order of what they reported, and only if that is newer; without a copy the store is read.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_copies.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_copies.py
@@ -14,7 +14,7 @@
 from .protocol.configuration import Configuration
 from .protocol.requests import ClientRequest
 from .protocol.servers import ServerListing
-from .state.peer_table import Address, PeerTable
+from .state.peer_table import Address, Peer, PeerTable
 from .transport.client_connection import AnswerWriter
 from .transport.http_client import HttpClient
 
@@ -43,28 +43,40 @@
         self.clients: dict[Address, HttpClient] = {}
 
     async def servers(self) -> tuple[ServerListing, int] | None:
-        """Return a peer's server list and when it was the newest."""
-        return await self.ask(SERVERS_PATH, Copy[ServerListing])
+        """Return a newer server list of a peer, and when it was the newest."""
+        read_ms = self.parts.servers.read_ms or 0
+        for peer in self.peers.with_newest_list():
+            if peer.list_confirmed_ms <= read_ms:
+                return None
+            copy = await self.ask(peer, SERVERS_PATH, Copy[ServerListing])
+            if copy is not None:
+                return copy
+        return None
 
     async def configuration(self) -> tuple[Configuration, int] | None:
-        """Return a peer's configuration and when it was the newest."""
-        return await self.ask(CONFIGURATION_PATH, Copy[Configuration])
-
-    async def ask(self, path: bytes, kind: type[Copy[T]]) -> tuple[T, int] | None:
-        """Ask the first live peer that reaches the store; None if none answers."""
-        for peer in self.peers.live():
-            if not peer.store_reachable:
-                continue
-            client = self.clients.setdefault(peer.address, HttpClient(*peer.address))
-            asked_ms = self.clock.now_ms()
-            try:
-                body = await client.get(path, CALL_TIMEOUT_MS)
-                copy = msgspec.msgpack.decode(body or b"", type=kind)
-            except (TransportError, msgspec.DecodeError):
-                continue
-            return copy.content, asked_ms - copy.age_ms
+        """Return a newer configuration of a peer, and when it was the newest."""
+        for peer in self.peers.with_newest_configuration():
+            if peer.configuration <= self.parts.configuration.revision:
+                return None
+            copy = await self.ask(peer, CONFIGURATION_PATH, Copy[Configuration])
+            if copy is not None:
+                return copy
         return None
 
+    async def ask(
+        self, peer: Peer, path: bytes, kind: type[Copy[T]]
+    ) -> tuple[T, int] | None:
+        """Ask a peer; None if it does not answer."""
+        client = self.clients.setdefault(peer.address, HttpClient(*peer.address))
+        asked_ms = self.clock.now_ms()
+        try:
+            body = await client.get(path, CALL_TIMEOUT_MS)
+            copy = msgspec.msgpack.decode(body or b"", type=kind)
+        except (TransportError, msgspec.DecodeError):
+            # The next peer or the store has the same.
+            return None
+        return copy.content, asked_ms - copy.age_ms
+
     async def answer(self, request: ClientRequest, answer: AnswerWriter) -> None:
         """Hand out a copy."""
         servers, holder = self.parts.servers, self.parts.configuration
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
@@ -28,6 +28,8 @@
     stopping: bool = False
     cache_known: bool = False
     store_reachable: bool = False
+    configuration: int = 0
+    list_confirmed_ms: int = 0
     registered: bool = False
 
 
@@ -62,7 +64,10 @@
         peer.stopping = report.stopping
         peer.cache_known = report.cache_known
         peer.store_reachable = report.store_reachable
+        peer.configuration = report.configuration
         peer.heard_ms = self.clock.now_ms()
+        if report.list_age_ms >= 0:
+            peer.list_confirmed_ms = peer.heard_ms - report.list_age_ms
         return True
 
     def is_new(self, address: Address, router: int) -> bool:
@@ -81,6 +86,14 @@
         """Return the peers that were heard from lately."""
         return [peer for peer in self.peers.values() if self.is_live(peer)]
 
+    def with_newest_list(self) -> list[Peer]:
+        """Return the live peers, that with the newest server list first."""
+        return sorted(self.live(), key=lambda peer: -peer.list_confirmed_ms)
+
+    def with_newest_configuration(self) -> list[Peer]:
+        """Return the live peers, that with the newest configuration first."""
+        return sorted(self.live(), key=lambda peer: -peer.configuration)
+
     def rank(self) -> int:
         """Return how many live routers come before this one in a fixed order.
 
--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/test_store_sync.py
@@ -0,0 +1,229 @@
+import msgspec
+import pytest
+
+from medlarridge import ManualClock, TransportError
+from medlarridge_direct._internal.logs import Log
+from medlarridge_direct._internal.peer_copies import (
+    CONFIGURATION_PATH,
+    SERVERS_PATH,
+    Copy,
+    PeerCopies,
+)
+from medlarridge_direct._internal.peer_news import PeerNews
+from medlarridge_direct._internal.protocol.peer_messages import encode_report
+from medlarridge_direct._internal.state.peer_table import PeerTable
+from medlarridge_direct._internal.store_sync import (
+    CONFIRM_MS,
+    LIST_INTERVAL_MS,
+    MAX_TURN_MS,
+    TURN_MS,
+    StoreSync,
+)
+
+from .samples import configuration, listing, server
+from .scripted import make_parts
+from .state.test_peer_table import HOME, OTHER, THIRD, report
+
+pytestmark = pytest.mark.anyio
+
+DRAIN_MS = 2_000
+APPLY_MS = 2_000
+CALL_TIMEOUT_MS = 700
+"""Time after which a call of the store is given up."""
+
+
+class FakeStore:
+    """Store whose contents and reachability tests set."""
+
+    def __init__(self):
+        self.revision = 5
+        self.listing = listing(server())
+        self.down = False
+        self.changed = False
+        self.calls = []
+
+    def call(self, name):
+        self.calls.append(name)
+        if self.down:
+            raise TransportError("down", step=name)
+
+    async def list_servers(self):
+        self.call("list")
+        return self.listing
+
+    async def read_configuration(self):
+        self.call("read")
+        return configuration(revision=self.revision)
+
+    async def watch_configuration(self, wait_ms):
+        self.call("watch")
+        return self.changed
+
+    async def list_routers(self):
+        self.call("routers")
+        return {}
+
+
+class FakePeerClient:
+    """A peer that hands out copies."""
+
+    def __init__(self, content, age_ms=0):
+        self.content = content
+        self.age_ms = age_ms
+
+    async def get(self, path, timeout_ms):
+        if self.content is None:
+            raise TransportError("down")
+        return msgspec.msgpack.encode(Copy(self.content, self.age_ms))
+
+
+class Node:
+    """A router's view of the store, with one or two peers."""
+
+    def __init__(self, own_router=5):
+        self.clock = ManualClock(1_000_000)
+        self.parts = make_parts(clock=self.clock)
+        self.store = FakeStore()
+        self.peers = PeerTable(self.clock, HOME, own_router)
+        self.log = Log(self.clock, "node")
+        self.copies = PeerCopies(self.parts, self.peers, self.clock)
+        self.news = PeerNews(self.parts, self.peers, self.log, lambda: False)
+        self.sync = StoreSync(
+            self.parts, self.store, self.peers, self.copies, self.log, "node"
+        )
+        self.sequence = 0
+
+    def hear(self, address=OTHER, **changes):
+        self.sequence += 1
+        data = encode_report(report(sequence=self.sequence, **changes))
+        self.news.take_datagram(data, address)
+
+    async def start(self):
+        await self.sync.read_servers_if_due()
+        await self.sync.read_configuration_if_due()
+        self.store.calls.clear()
+
+
+class TestTurns:
+    async def test_what_a_peer_has_confirmed_is_not_read_again(self):
+        """Guards against store calls that grow with the number of routers."""
+        node = Node()
+        await node.start()
+        for _ in range(50):
+            node.clock.advance(100)
+            node.hear(
+                router=2,
+                list_digest=node.parts.servers.digest,
+                configuration=5,
+            )
+            await node.sync.read_servers_if_due()
+            await node.sync.read_configuration_if_due()
+        assert node.store.calls == []
+
+    async def test_another_router_takes_over_within_the_bounds(self):
+        """Guards against a server that leaves while the reading router is lost."""
+        node = Node()
+        node.hear(router=2)
+        await node.start()
+        waited_ms = 0
+        while "list" not in node.store.calls or "watch" not in node.store.calls:
+            node.clock.advance(50)
+            waited_ms += 50
+            await node.sync.read_servers_if_due()
+            await node.sync.read_configuration_if_due()
+        assert waited_ms <= LIST_INTERVAL_MS + TURN_MS + CONFIRM_MS
+        assert LIST_INTERVAL_MS + MAX_TURN_MS + CALL_TIMEOUT_MS / 2 < DRAIN_MS
+        assert CONFIRM_MS + MAX_TURN_MS < APPLY_MS
+
+
+class TestChanges:
+    async def test_a_change_a_peer_knows_is_read_from_the_peer(self):
+        """Guards against a read of the store by each router for each change."""
+        node = Node()
+        await node.start()
+        node.copies.clients[OTHER] = FakePeerClient(configuration(revision=6))
+        node.hear(configuration=6, list_digest=node.parts.servers.digest)
+        await node.sync.read_configuration_if_due()
+        assert node.parts.configuration.revision == 6
+        assert node.store.calls == []
+
+    async def test_a_peer_that_hands_out_nothing_leaves_the_store(self):
+        """Guards against an old configuration because a peer just died."""
+        node = Node()
+        await node.start()
+        node.store.revision = 6
+        node.copies.clients[OTHER] = FakePeerClient(None)
+        node.hear(configuration=6, list_digest=node.parts.servers.digest)
+        await node.sync.read_configuration_if_due()
+        assert node.parts.configuration.revision == 6
+        assert node.store.calls == ["read"]
+
+    async def test_a_peer_with_an_old_copy_is_not_asked(self):
+        """Guards against a change that peers without it keep from each other."""
+        node = Node()
+        await node.start()
+        node.store.revision = 6
+        node.copies.clients[THIRD] = FakePeerClient(configuration(revision=5))
+        node.copies.clients[OTHER] = FakePeerClient(configuration(revision=6))
+        node.hear(THIRD, router=3, configuration=5)
+        node.hear(OTHER, router=2, configuration=6)
+        await node.sync.read_configuration_if_due()
+        assert node.parts.configuration.revision == 6
+
+    async def test_a_change_found_by_the_watch_comes_from_the_store(self):
+        """Guards against a newest change that only peers are asked for."""
+        node = Node()
+        await node.start()
+        node.copies.clients[OTHER] = FakePeerClient(configuration(revision=5))
+        node.hear(router=9, configuration=5)
+        node.store.revision, node.store.changed = 6, True
+        await node.sync.read_configuration_if_due()
+        await node.sync.read_configuration_if_due()
+        assert node.parts.configuration.revision == 6
+
+
+class TestRouterWithoutTheStore:
+    async def test_it_follows_a_peer(self):
+        """Guards against work at servers that left while the store refused us."""
+        node = Node()
+        await node.start()
+        node.store.down = True
+        node.clock.advance(LIST_INTERVAL_MS)
+        with pytest.raises(TransportError):
+            await node.sync.read_servers_if_due()
+        node.sync.note_reachable(False, TransportError("down"))
+        moved = listing(server("s-2", port=8002), revision=2)
+        node.copies.clients[OTHER] = FakePeerClient(moved)
+        node.hear(list_digest=1)
+        await node.sync.read_servers_if_due()
+        assert [each.instance for each in node.parts.servers.ready("models")] == ["s-2"]
+
+    async def test_its_beliefs_do_not_go_back_to_an_older_copy(self):
+        """Guards against a peer that was cut off for longer than we were."""
+        node = Node()
+        await node.start()
+        old = listing(server("old"), revision=0)
+        node.copies.clients[OTHER] = FakePeerClient(old, age_ms=60_000)
+        node.peers.store_reachable = False
+        node.hear(list_digest=1, list_age_ms=60_000)
+        node.clock.advance(LIST_INTERVAL_MS)
+        await node.sync.read_servers_if_due()
+        assert [each.instance for each in node.parts.servers.ready("models")] == ["s-1"]
+
+
+class TestHandingOut:
+    @pytest.mark.parametrize("path", [SERVERS_PATH, CONFIGURATION_PATH, b"/other"])
+    async def test_nothing_is_handed_out_before_it_is_known(self, path):
+        """Guards against an empty copy that replaces a full one."""
+        node = Node()
+        sent = []
+
+        class Request:
+            target = path
+
+        class Answer:
+            def send(self, status, headers, body):
+                sent.append(status)
+
+        await node.copies.answer(Request(), Answer())
+        assert sent == [404]
