Send clients away for longer while no configuration is known

Ruled out: holding them until the store is back. Change: a router without a configuration, or with one too old to reject a request, sends clients away for 1 to 3 s.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
@@ -10,13 +10,19 @@
 from .protocol.configuration import Account, Configuration, Pool, Route
 from .protocol.requests import ClientRequest, RequestFacts
 from .refusals import send_refusal
-from .request_run import RETRY_AFTER_MS, Accepted, RequestRun
+from .request_run import Accepted, RequestRun
 from .transport.client_connection import AnswerWriter, ClientGone
 
+UNAVAILABLE = 503
 CERTAIN_MS = 2_000
 """Age of the configuration up to which a request that it does not allow is rejected;
 with an older one the client is asked to come back."""
 
+UNPREPARED_MS = 1_000
+UNPREPARED_SPREAD_MS = 2_000
+"""When a client may return to a router that knows no configuration yet, or only an old
+one: an outage of the store lasts seconds, and a client returns once or twice."""
+
 
 class Rejection(Exception):
     """The request is not allowed; ``status`` is the answer."""
@@ -63,7 +69,7 @@
             raise Rejection(400, "malformed headers")
         configuration = self.parts.configuration.current
         if configuration is None:
-            raise Rejection(503, "no configuration")
+            raise Rejection(UNAVAILABLE, "no configuration")
         path = request.target.split(b"?", 1)[0].decode("latin-1")
         route = configuration.find_route(facts.host, path)
         if route is None:
@@ -115,14 +121,17 @@
         """Return the rejection, or a refusal if the configuration may be outdated."""
         age_ms = self.parts.configuration.age_ms()
         if age_ms is None or age_ms > CERTAIN_MS:
-            return Rejection(503, "configuration may be outdated")
+            return Rejection(UNAVAILABLE, "configuration may be outdated")
         return rejection
 
     def reject(
         self, rejection: Rejection, answer: AnswerWriter, log: RequestLog
     ) -> None:
         """Send the answer to a request that is not allowed."""
-        retry_after_ms = RETRY_AFTER_MS if rejection.status == 503 else 0
+        retry_after_ms = 0
+        if rejection.status == UNAVAILABLE:
+            spread_ms = self.parts.random.randrange(UNPREPARED_SPREAD_MS)
+            retry_after_ms = UNPREPARED_MS + spread_ms
         send_refusal(
             self.parts.dialect,
             answer,
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -8,7 +8,12 @@
 from medlarridge_direct._internal.logs import Log
 from medlarridge_direct._internal.protocol.configuration import RouteKind
 from medlarridge_direct._internal.protocol.requests import ClientRequest
-from medlarridge_direct._internal.request_handler import CERTAIN_MS, RequestHandler
+from medlarridge_direct._internal.request_handler import (
+    CERTAIN_MS,
+    UNPREPARED_MS,
+    UNPREPARED_SPREAD_MS,
+    RequestHandler,
+)
 
 from .samples import configuration, listing, route, server
 from .scripted import CLOSE, REFUSE, RESET, make_parts
@@ -211,6 +216,19 @@
         await RequestHandler(parts, Log(parts.clock, "n")).handle(request, answer)
         assert answer.status == 503
 
+    async def test_clients_return_spread_over_seconds_to_a_restarted_fleet(self):
+        """Guards against clients that use up their retries while the store is away."""
+        parts = make_parts()
+        request = ClientRequest(b"GET", b"/", [(b"id", b"1")], b"", 0, True)
+        handler = RequestHandler(parts, Log(parts.clock, "n"))
+        waits = []
+        for _ in range(50):
+            answer = Answer()
+            await handler.handle(request, answer)
+            waits.append(int(answer.headers.split(b": ")[1]))
+        assert min(waits) >= UNPREPARED_MS
+        assert max(waits) - min(waits) > UNPREPARED_SPREAD_MS / 2
+
     @pytest.mark.parametrize(("age_ms", "status"), [(0, 404), (CERTAIN_MS + 1, 503)])
     async def test_an_old_configuration_rejects_nothing(self, age_ms, status):
         """Guards against rejecting a route that was added during an outage."""
