Avoid servers that send nothing while work waits for them

Ruled out: resetting such attempts; a silent server may still run them. Change: a server from which no byte arrives on any connection for 300 ms while attempts wait gets no new work, and peers are told.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -78,6 +78,7 @@
         self.parts.load.end(self.server.instance)
         if self.exchange is None:
             return
+        self.parts.health.note_ended(self.server.instance)
         connection = self.exchange.connection
         if self.exchange.finished:
             idle_ms = self.head.keep_alive_ms if self.head is not None else None
@@ -106,6 +107,7 @@
             )
         except TransportError as error:
             return AttemptOutcome(Ended.NOT_SENT, error.message)
+        self.parts.health.note_sent(self.server.instance)
         return await self.read_head(timeout_ms)
 
     def payload(self, facts: ForwardingFacts) -> bytes:
@@ -135,6 +137,7 @@
             self.note_broken()
             return AttemptOutcome(Ended.BROKEN, event.detail)
         assert isinstance(event, RawHead)
+        self.parts.health.note_bytes(self.server.instance)
         self.head = self.parts.dialect.read_answer(
             event.status, event.reason, event.headers
         )
@@ -166,6 +169,7 @@
         if isinstance(event, Broken):
             self.note_broken()
             return event
+        self.parts.health.note_bytes(self.server.instance)
         return event if isinstance(event, Data) else None
 
     def observe(self, result: AttemptResult) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
@@ -1,6 +1,7 @@
 """Which servers are avoided for a while, judged from the attempts of this router.
 
-A server that refuses connections or lets attempts hang is avoided at once. One that
+A server that refuses connections is avoided at once. So is one from which nothing
+arrives on any connection while attempts wait for it; it may be hanging or cut off. One that
 fails a share of its answers is avoided only while most of its pool does better: when
 the whole pool fails, moving work helps nobody.
 """
@@ -30,6 +31,9 @@
 AVOID_MOST_MS = 4_000
 """Bounds of the time for which a server is avoided; it doubles while it fails."""
 
+SILENT_MS = 300
+"""Time without a byte from a server with attempts in flight; a busy engine produces
+tokens for some request every few milliseconds."""
 PEER_AVOID_MS = 300
 """Time for which a peer's finding counts; it is repeated with each report."""
 ANSWERED_LATELY_MS = 500
@@ -46,6 +50,8 @@
     unreachable: bool = False
     answered_ms: int | None = None
     found_here: bool = False
+    waiting: int = 0
+    quiet_since_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -55,6 +61,29 @@
     clock: Clock
     servers: dict[str, Health] = field(default_factory=dict)
 
+    def note_sent(self, instance: str) -> None:
+        """Take that an attempt waits for a server."""
+        health = self.servers.setdefault(instance, Health())
+        if health.waiting == 0:
+            health.quiet_since_ms = self.clock.now_ms()
+        health.waiting += 1
+
+    def note_bytes(self, instance: str) -> None:
+        """Take that something arrived from a server."""
+        health = self.servers.get(instance)
+        if health is not None:
+            health.quiet_since_ms = self.clock.now_ms()
+
+    def note_ended(self, instance: str) -> None:
+        """Take that an attempt no longer waits."""
+        health = self.servers.get(instance)
+        if health is not None and health.waiting > 0:
+            health.waiting -= 1
+
+    def is_silent(self, health: Health, now_ms: int) -> bool:
+        """Whether nothing arrives although attempts wait."""
+        return health.waiting > 0 and now_ms - health.quiet_since_ms > SILENT_MS
+
     def observe(self, instance: str, result: AttemptResult) -> bool:
         """Take the result of an attempt; return whether the server became avoided."""
         health = self.servers.setdefault(instance, Health())
@@ -84,7 +113,9 @@
         reachable, avoided = [], 0
         for instance in instances:
             health = self.servers.get(instance)
-            if health is None or now_ms >= health.avoid_until_ms:
+            if health is None or not (
+                now_ms < health.avoid_until_ms or self.is_silent(health, now_ms)
+            ):
                 reachable.append(instance)
             elif not health.unreachable:
                 avoided += 1
@@ -100,12 +131,13 @@
         )
 
     def unreachable(self) -> list[str]:
-        """Return the servers that do not accept this router's connections."""
+        """Return the servers that do not answer this router at all."""
         now_ms = self.clock.now_ms()
         return [
             instance
             for instance, health in self.servers.items()
-            if health.found_here and self.is_unreachable(instance, now_ms)
+            if (health.found_here and self.is_unreachable(instance, now_ms))
+            or self.is_silent(health, now_ms)
         ]
 
     def take_unreachable(self, instance: str) -> None:
--- a/packages/medlarridge-direct/tests/direct/coordination/test_server_health.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_server_health.py
@@ -5,6 +5,7 @@
     ANSWERED_LATELY_MS,
     AVOID_FIRST_MS,
     PEER_AVOID_MS,
+    SILENT_MS,
     AttemptResult,
     ServerHealth,
 )
@@ -67,6 +68,43 @@
         assert "a" in health.usable(POOL)
 
 
+class TestSilentServers:
+    def test_a_server_that_sends_nothing_while_work_waits_is_avoided(
+        self, health, clock
+    ):
+        """Guards against chats sent to a server that went dark."""
+        health.note_sent("a")
+        health.note_sent("a")
+        clock.advance(SILENT_MS + 1)
+        assert "a" not in health.usable(POOL)
+        assert health.unreachable() == ["a"]
+        health.note_bytes("a")
+        assert "a" in health.usable(POOL)
+
+    def test_one_long_prompt_beside_other_work_is_no_silence(self, health, clock):
+        """Guards against leaving a server for a prompt that takes its time."""
+        for _ in range(20):
+            health.note_sent("a")
+            clock.advance(SILENT_MS // 2)
+            health.note_bytes("a")
+        clock.advance(SILENT_MS // 2)
+        assert "a" in health.usable(POOL)
+
+    def test_an_idle_server_is_not_silent(self, health, clock):
+        """Guards against avoiding servers that nobody asked."""
+        health.note_sent("a")
+        health.note_ended("a")
+        clock.advance(10 * SILENT_MS)
+        assert "a" in health.usable(POOL)
+
+    def test_a_pool_that_is_silent_as_a_whole_stays_in_use(self, health, clock):
+        """Guards against refusing work because this router itself was cut off."""
+        for instance in POOL:
+            health.note_sent(instance)
+        clock.advance(SILENT_MS + 1)
+        assert health.usable(POOL) == set(POOL)
+
+
 class TestFindingsOfPeers:
     def test_a_peer_spares_us_the_wait(self, health, clock):
         """Guards against each router finding a dead server by itself."""
