--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/test_pages.py
@@ -0,0 +1,40 @@
+import re
+from pathlib import Path
+
+from medlarridge_direct._internal.metrics import Metrics
+from medlarridge_direct._internal.request_run import Stop
+from medlarridge_direct._internal.settings import DirectSettings, Section
+
+DOCS = Path(__file__).parents[4] / "docs"
+OPERATIONS = (DOCS / "OPERATIONS.md").read_text()
+PLATFORM = (DOCS / "platform.md").read_text()
+GAUGE = re.compile(r'add\(\s*"([a-z_]+)"')
+
+
+class TestOperationsPage:
+    def test_every_metric_is_listed(self):
+        """Guards against metrics that nobody knows the use of."""
+        source = Path(Metrics.add_gauge.__code__.co_filename).parent / "daemon.py"
+        names = GAUGE.findall(source.read_text())
+        families = [family.name for family in Metrics().collect()]
+        wanted = [*families, *(f"medlarridge_{name}" for name in names)]
+        assert len(names) > 10
+        assert [name for name in wanted if name not in OPERATIONS] == []
+
+    def test_every_reason_is_explained(self):
+        """Guards against refusals that the on-call engineer cannot look up."""
+        assert [stop for stop in Stop if f"`{stop}`" not in OPERATIONS] == []
+
+
+class TestPlatformPage:
+    def test_every_setting_is_listed(self):
+        """Guards against settings that operators cannot look up."""
+        missing = []
+        for name in DirectSettings.__struct_fields__:
+            section = DirectSettings.__annotations__[name]
+            if isinstance(section, type) and issubclass(section, Section):
+                names = [f"{name}.{key}" for key in section.__struct_fields__]
+            else:
+                names = [name]
+            missing += [each for each in names if f"`{each}`" not in PLATFORM]
+        assert missing == []
--- a/packages/medlarridge/tests/unit/test_docs.py
+++ b/packages/medlarridge/tests/unit/test_docs.py
@@ -6,6 +6,7 @@
 import pytest
 
 import medlarridge
+import medlarridge_direct
 import medlarridge_router
 import medlarridge_sidecar
 from medlarridge import coordination, protocol, state
@@ -111,7 +112,12 @@
 class TestLogEventsPage:
     def test_every_event_is_listed(self):
         """Guards against a catalogue that differs from the registered events."""
-        for package in (medlarridge, medlarridge_router, medlarridge_sidecar):
+        for package in (
+            medlarridge,
+            medlarridge_direct,
+            medlarridge_router,
+            medlarridge_sidecar,
+        ):
             import_all(package)
         listed = EVENT_ROW.findall(page("log-events.md"))
         rows = {(int(number), level, text) for number, level, text, _ in listed}
