--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -3,9 +3,11 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from random import Random
 
 from medlarridge._internal.clock import MS_PER_S, SystemClock
+from medlarridge._internal.errors import UserError
 
 from .cache_inventory import CacheInventory
 from .coordination.crash_guard import CrashGuard
@@ -17,6 +19,7 @@
 from .coordination.server_health import ServerHealth
 from .logs import (
     READINESS,
+    RELOAD_FAILED,
     RELOADED,
     SERVER_AVOIDED,
     STARTED,
@@ -33,7 +36,7 @@
 from .protocol.dialect import Dialect, PlatformStore
 from .protocol.requests import ClientRequest
 from .request_handler import RequestHandler
-from .settings import DirectSettings, split_endpoint
+from .settings import DirectSettings, load_settings, split_endpoint
 from .state.configuration_holder import ConfigurationHolder
 from .state.peer_table import PeerTable, new_router_number
 from .state.server_table import ServerTable
@@ -59,9 +62,15 @@
     """One router process."""
 
     def __init__(
-        self, settings: DirectSettings, dialect: Dialect, store: PlatformStore
+        self,
+        settings: DirectSettings,
+        settings_path: Path,
+        dialect: Dialect,
+        store: PlatformStore,
     ) -> None:
         self.settings = settings
+        self.settings_path = settings_path
+        self.settings_changed_ns = modified_ns(settings_path)
         self.clock = SystemClock()
         self.log = Log(self.clock, settings.node)
         self.connections: set[ClientConnection] = set()
@@ -209,6 +218,28 @@
         """Answer whether the router is ready."""
         answer.send(200 if self.ready else 503, b"", b"")
 
+    # Settings
+
+    def reload_if_changed(self) -> None:
+        """Read the settings again if the file was written; not each write is signalled."""
+        changed_ns = modified_ns(self.settings_path)
+        if changed_ns != self.settings_changed_ns:
+            self.settings_changed_ns = changed_ns
+            self.reload()
+
+    def reload(self) -> None:
+        """Read the settings again; limits are put in force, addresses stay."""
+        try:
+            settings = load_settings(self.settings_path)
+        except UserError as error:
+            self.log.event(RELOAD_FAILED, error=error.message, cause=error.cause)
+            return
+        changed = settings != self.settings
+        self.settings = settings
+        self.parts.budget.bounds = settings.retries
+        self.parts.placement.load_factor = settings.load.factor
+        self.log.event(RELOADED, changed=changed)
+
     # Life of the process
 
     async def run(self) -> None:
@@ -217,7 +248,7 @@
         stop = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, self.begin_stop, stop)
         loop.add_signal_handler(signal.SIGINT, self.begin_stop, stop)
-        loop.add_signal_handler(signal.SIGHUP, self.log.event, RELOADED)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.news.open(self.peers.own_address)
         background = [
             loop.create_task(self.supervise(job))
@@ -324,6 +355,7 @@
         while True:
             self.parts.load.expire()
             self.parts.crashes.expire()
+            self.reload_if_changed()
             if self.ready != self.was_ready:
                 self.was_ready = self.ready
                 self.log.event(READINESS, ready=self.ready)
@@ -331,6 +363,14 @@
             await asyncio.sleep(HOUSEKEEPING_MS / MS_PER_S)
 
 
+def modified_ns(path: Path) -> int | None:
+    """Return when a file was written last, or None if it cannot be told."""
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return None
+
+
 def age_in_seconds(age_ms: int | None) -> float:
     """Return an age in seconds, or -1 if there is none."""
     return -1.0 if age_ms is None else age_ms / MS_PER_S
