Ask a server whose address another has now only once

Ruled out: a larger budget; the entry stays listed for 3.6 s. Change: 421 counts as a server that is gone: avoided for 4 s and told to peers. The new test fails on the version before (5 sends in place of 1).

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -145,6 +145,9 @@
 
     def judge(self, head: AnswerHead) -> AttemptOutcome:
         """Tell refusals and faulty answers from the server's own answers."""
+        if head.status == MISDIRECTED:
+            self.observe(AttemptResult.REPLACED)
+            self.note_down()
         if head.not_executed or head.status == MISDIRECTED:
             return AttemptOutcome(Ended.NOT_RUN, f"status {head.status}", head)
         if head.encoded:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
@@ -1,9 +1,9 @@
 """Which servers are avoided for a while, judged from the attempts of this router.
 
-A server that refuses connections is avoided at once. So is one from which nothing
-arrives on any connection while attempts wait for it; it may be hanging or cut off. One that
-fails a share of its answers is avoided only while most of its pool does better: when
-the whole pool fails, moving work helps nobody.
+A server that refuses connections, or whose address another server has now, is avoided
+at once. So is one from which nothing arrives on any connection while attempts wait for
+it; it may be hanging or cut off. One that fails a share of its answers is avoided only
+while most of its pool does better: when the whole pool fails, moving work helps nobody.
 """
 
 from dataclasses import dataclass, field
@@ -19,8 +19,12 @@
     FAILED = "failed"
     BROKEN = "broken"
     UNREACHABLE = "unreachable"
+    REPLACED = "replaced"
 
 
+GONE = frozenset({AttemptResult.UNREACHABLE, AttemptResult.REPLACED})
+"""Results that say that no server answers under this instance."""
+
 SAMPLE_WEIGHT = 0.25
 """Weight of the newest attempt; three failures in a row bring the share over half."""
 FAILING_SHARE = 0.4
@@ -96,7 +100,7 @@
                 health.avoid_ms = 0
                 health.avoid_until_ms = 0
             return False
-        health.unreachable = result is AttemptResult.UNREACHABLE
+        health.unreachable = result in GONE
         health.found_here = True
         if not health.unreachable and health.failed_share < FAILING_SHARE:
             return False
@@ -104,6 +108,8 @@
         if now_ms < health.avoid_until_ms:
             return False
         health.avoid_ms = min(max(2 * health.avoid_ms, AVOID_FIRST_MS), AVOID_MOST_MS)
+        if result is AttemptResult.REPLACED:
+            health.avoid_ms = AVOID_MOST_MS
         health.avoid_until_ms = now_ms + health.avoid_ms
         return True
 
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -22,6 +22,7 @@
 
 OK = b"HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok"
 SHED = b"HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+MISDIRECTED = b"HTTP/1.1 421 Elsewhere\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
 BARE_503 = b"HTTP/1.1 503 Busy\r\nId: 1\r\nSignature: s\r\nContent-Length: 0\r\n\r\n"
 ERROR = b"HTTP/1.1 500 Error\r\nId: 1\r\nSignature: s\r\nContent-Length: 0\r\n\r\n"
 UNSIGNED = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nno"
@@ -138,6 +139,20 @@
         assert answer.status == 503
 
 
+class TestReplacedServers:
+    async def test_a_server_that_is_no_longer_at_its_address_is_asked_once(self):
+        """Guards against retries spent on an entry that outlived its server."""
+        parts = make_parts({"a": [(MISDIRECTED,)], "b": [(OK,)] * 9})
+        parts.load.begin("b")
+        for _ in range(5):
+            answer, _ = await play(
+                {"a": 0, "b": 0}, RouteKind.AT_MOST_ONCE, parts=parts
+            )
+            assert answer.status == 200
+            parts.clock.advance(500)
+        assert sent_to(parts).count("a") == 1
+
+
 class TestTruth:
     async def test_a_promise_is_given_only_if_nothing_ran(self):
         """Guards against "not run" for a request that may have run."""
