Rank failing servers behind sound ones instead of leaving them out

Cause: servers that fail a share of their work were left out until most of a pool failed, and then all were used alike; between the two, few servers carried the pool, judged by a mean of only themselves. Change: one order: servers under the bound of the whole pool's mean, sound ones first, then failing ones, then servers over the bound. Attempts are logged with route, account and pool. The new test of a mostly failing pool keeps the bound.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/placement.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/placement.py
@@ -4,7 +4,7 @@
 rendezvous hashing, among servers under the load bound. Others go to the least loaded.
 """
 
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 from dataclasses import dataclass
 from random import Random
 
@@ -15,7 +15,7 @@
 from .prompt_cache import PromptCache, shared_key
 
 LOAD_FLOOR = 2.5
-"""A server takes a prompt up to the settings' multiple of the pool's mean load plus
+"""A server takes work up to the settings' multiple of the pool's mean load plus
 this floor. The platform's rule allows 3 more than the multiple; reports of peers lag."""
 
 COLD_FACTOR = 1.5
@@ -30,7 +30,7 @@
     """Chooses servers.
 
     ``data_centre`` is the router's own, ``load_factor`` the multiple of the pool's mean
-    load up to which a server takes prompts that it holds.
+    load up to which a server takes work while others have room.
     """
 
     random: Random
@@ -40,39 +40,41 @@
     load_factor: float = 2.0
 
     def rank(
-        self, servers: Sequence[BackendServer], prompt: Sequence[PromptPart]
+        self,
+        servers: Sequence[BackendServer],
+        prompt: Sequence[PromptPart],
+        failing: Set[str] = frozenset(),
     ) -> list[BackendServer]:
-        """Return the servers in the order in which they should be tried."""
-        key = shared_key(prompt)
-        if key is None:
-            return sorted(servers, key=self.load_key)
-        return self.by_prompt(servers, key)
-
-    def load_key(self, server: BackendServer) -> tuple[float, bool, float]:
-        """Rank by load per slot; near servers first where loads are equal."""
-        load = (self.load.of(server.instance) + 1) / max(server.slots, 1)
-        if server.cold_ms > 0:
-            load *= COLD_FACTOR
-        return load, server.data_centre != self.data_centre, self.random.random()
+        """Return the servers in the order in which they should be tried.
 
-    def by_prompt(
-        self, servers: Sequence[BackendServer], key: str
-    ) -> list[BackendServer]:
-        """Rank holders first, then by rendezvous hash; overloaded servers last."""
+        Servers over the load bound come last, ``failing`` ones before them.
+        """
         limit = LOAD_FLOOR + self.load_factor * self.load.mean(
             server.instance for server in servers
         )
-        holders = self.cache.holders(key)
+        key = shared_key(prompt)
+        holders = {} if key is None else self.cache.holders(key)
 
-        def order(server: BackendServer) -> tuple[bool, bool, float]:
+        def order(server: BackendServer) -> tuple:
             load = self.load.of(server.instance)
             if load + 1 > limit:
-                return True, False, load
-            holds = server.instance in holders
-            return False, not holds, -hash_point(key, server.instance)
+                return True, server.instance in failing, load
+            if key is None:
+                fit = self.load_key(server)
+            else:
+                holds = server.instance in holders
+                fit = not holds, -hash_point(key, server.instance)
+            return False, server.instance in failing, *fit
 
         return sorted(servers, key=order)
 
+    def load_key(self, server: BackendServer) -> tuple[float, bool, float]:
+        """Rank by load per slot; near servers first where loads are equal."""
+        load = (self.load.of(server.instance) + 1) / max(server.slots, 1)
+        if server.cold_ms > 0:
+            load *= COLD_FACTOR
+        return load, server.data_centre != self.data_centre, self.random.random()
+
     def fetch_source(
         self,
         server: BackendServer,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
@@ -1,9 +1,9 @@
 """Which servers are avoided for a while, judged from the attempts of this router.
 
-A server that refuses connections, or whose address another server has now, is avoided
-at once. So is one from which nothing arrives on any connection while attempts wait for
-it; it may be hanging or cut off. One that fails a share of its answers is avoided only
-while most of its pool does better: when the whole pool fails, moving work helps nobody.
+A server that refuses connections, or whose address another server has now, gets no work
+at once. So does one from which nothing arrives on any connection while attempts wait for
+it; it may be hanging or cut off. One that fails a share of its answers gets work only
+when the others are at their load bound: when most of a pool fails, all of it is needed.
 """
 
 from dataclasses import dataclass, field
@@ -29,8 +29,8 @@
 """Weight of the newest attempt; three failures in a row bring the share over half."""
 FAILING_SHARE = 0.4
 """Share of failed attempts from which a server counts as failing."""
-POOL_FAILING_SHARE = 0.5
-"""Share of failing servers from which the pool, and not a server, is at fault."""
+POOL_SILENT_SHARE = 0.5
+"""Share of silent servers from which this router, and not a server, is cut off."""
 AVOID_FIRST_MS = 500
 AVOID_MOST_MS = 4_000
 """Bounds of the time for which a server is avoided; it doubles while it fails."""
@@ -84,9 +84,14 @@
         if health is not None and health.waiting > 0:
             health.waiting -= 1
 
-    def is_silent(self, health: Health, now_ms: int) -> bool:
+    def is_silent(self, instance: str, now_ms: int) -> bool:
         """Whether nothing arrives although attempts wait."""
-        return health.waiting > 0 and now_ms - health.quiet_since_ms > SILENT_MS
+        health = self.servers.get(instance)
+        return (
+            health is not None
+            and health.waiting > 0
+            and now_ms - health.quiet_since_ms > SILENT_MS
+        )
 
     def observe(self, instance: str, result: AttemptResult) -> bool:
         """Take the result of an attempt; return whether the server became avoided."""
@@ -113,21 +118,26 @@
         health.avoid_until_ms = now_ms + health.avoid_ms
         return True
 
-    def usable(self, instances: list[str]) -> set[str]:
-        """Return the servers of a pool that should get work now."""
+    def reachable(self, instances: list[str]) -> set[str]:
+        """Return the servers of a pool that answer, or all if that is in doubt."""
+        now_ms = self.clock.now_ms()
+        silent = {each for each in instances if self.is_silent(each, now_ms)}
+        if len(silent) > POOL_SILENT_SHARE * len(instances):
+            silent = set()
+        return {
+            each
+            for each in instances
+            if each not in silent and not self.is_unreachable(each, now_ms)
+        }
+
+    def failing(self, instances: list[str]) -> set[str]:
+        """Return the servers of a pool that fail a share of their answers."""
         now_ms = self.clock.now_ms()
-        reachable, avoided = [], 0
-        for instance in instances:
-            health = self.servers.get(instance)
-            if health is None or not (
-                now_ms < health.avoid_until_ms or self.is_silent(health, now_ms)
-            ):
-                reachable.append(instance)
-            elif not health.unreachable:
-                avoided += 1
-        if avoided > POOL_FAILING_SHARE * len(instances):
-            return {each for each in instances if not self.is_unreachable(each, now_ms)}
-        return set(reachable)
+        return {
+            each
+            for each in instances
+            if each in self.servers and now_ms < self.servers[each].avoid_until_ms
+        }
 
     def is_unreachable(self, instance: str, now_ms: int) -> bool:
         """Whether the server does not accept connections."""
@@ -143,7 +153,7 @@
             instance
             for instance, health in self.servers.items()
             if (health.found_here and self.is_unreachable(instance, now_ms))
-            or self.is_silent(health, now_ms)
+            or self.is_silent(instance, now_ms)
         ]
 
     def take_unreachable(self, instance: str) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -143,6 +143,7 @@
         self.clock = clock
         self.metrics = metrics
         self.kind = "unknown"
+        self.route = ""
         self.request_id = request_id
         self.started_ms = clock.now_ms()
         self.first_bytes_ms: int | None = None
@@ -166,6 +167,9 @@
         """Write that an attempt starts, and what decided for its server."""
         self.write(
             SENT,
+            route=self.route,
+            account=facts.account,
+            pool=server.pool,
             server=server.instance,
             earlier=earlier,
             left_ms=facts.deadline_ms,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
@@ -49,7 +49,7 @@
         self.in_flight += 1
         try:
             accepted = self.accept(request, facts)
-            log.kind = accepted.route.kind
+            log.kind, log.route = accepted.route.kind, accepted.route.name
             await RequestRun(self.parts, accepted, answer, log).run()
         except Rejection as rejection:
             self.reject(rejection, answer, log)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -134,14 +134,14 @@
     def choose(self) -> BackendServer | None:
         """Return the next server to try."""
         listed = self.parts.servers.ready(self.accepted.pool.name)
-        usable = self.parts.health.usable([each.instance for each in listed])
-        prompt = self.facts.prompt if self.route.uses_prompt_cache else ()
+        instances = [each.instance for each in listed]
+        reachable = self.parts.health.reachable(instances)
         left = [each for each in listed if each.instance not in self.tried]
-        healthy = [each for each in left if each.instance in usable]
-        ranked = self.parts.placement.rank(healthy or left, prompt)
-        if not ranked:
-            return None
-        return ranked[0]
+        candidates = [each for each in left if each.instance in reachable] or left
+        prompt = self.facts.prompt if self.route.uses_prompt_cache else ()
+        failing = self.parts.health.failing(instances)
+        ranked = self.parts.placement.rank(candidates, prompt, failing)
+        return ranked[0] if ranked else None
 
     async def attempt(self, server: BackendServer) -> bool:
         """Send the request to a server; return whether the request has ended."""
--- a/packages/medlarridge-direct/tests/direct/coordination/test_placement.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_placement.py
@@ -78,6 +78,30 @@
         assert make_placement(clock).rank([far, near], ())[0] == near
 
 
+class TestFailingServers:
+    @pytest.mark.parametrize("parts", [prompt(), ()])
+    def test_they_get_work_when_the_others_are_full(self, clock, parts):
+        """Guards against a few sound servers that carry a pool which mostly fails."""
+        placement = make_placement(clock)
+        pool = servers(5)
+        failing = {"s-0", "s-1", "s-2"}
+        chosen = []
+        for _ in range(40):
+            instance = placement.rank(pool, parts, failing)[0].instance
+            placement.load.begin(instance)
+            chosen.append(instance)
+        loads = [placement.load.of(each.instance) for each in pool]
+        assert chosen[0] not in failing
+        assert failing & set(chosen)
+        assert max(loads) <= 2 * sum(loads) / len(loads) + 3
+
+    def test_a_failing_holder_is_passed_over(self, clock):
+        """Guards against losing a chat's answers for the sake of its cache."""
+        placement = make_placement(clock)
+        placement.cache.note_sent(prompt(), "s-0")
+        assert placement.rank(servers(3), prompt(), {"s-0"})[0].instance != "s-0"
+
+
 class TestFetchSource:
     def test_a_draining_server_hands_out_what_it_holds(self, clock):
         """Guards against prompts that are read again during a release."""
