Keep failures out of resumed streams; charge retries only for sends that arrived

Cause, found by reading: when a stream was resumed and the second server answered with a failure, its body was written into the stream; a retry was charged although the send before had reached no server. Fields that nothing used stood in types and adapter. Change: a stream that has begun goes on with events or is cut; sends that reached nobody are free; the unused fields are gone.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.errors import TransportError
 
 from .coordination.server_health import AttemptResult
@@ -38,10 +39,15 @@
     detail: str = ""
     head: AnswerHead | None = None
 
+    @property
+    def reached_server(self) -> bool:
+        """Whether a server got the request, run or not."""
+        return self.ended not in (Ended.NOT_SENT, Ended.NO_CONNECTION)
+
     @property
     def may_have_run(self) -> bool:
         """Whether the server may have run the request."""
-        return self.ended not in (Ended.NOT_SENT, Ended.NOT_RUN, Ended.NO_CONNECTION)
+        return self.reached_server and self.ended is not Ended.NOT_RUN
 
 
 class Attempt:
@@ -68,7 +74,6 @@
         self.connection_limit = connection_limit
         self.exchange: Exchange | None = None
         self.head: AnswerHead | None = None
-        self.reused = False
 
     def __enter__(self) -> "Attempt":
         self.parts.load.begin(self.server.instance)
@@ -90,7 +95,7 @@
     async def start(self, facts: ForwardingFacts, timeout_ms: int) -> AttemptOutcome:
         """Send the request and wait for the head of the answer."""
         try:
-            connection, self.reused = await self.parts.connections.acquire(
+            connection = await self.parts.connections.acquire(
                 self.server, self.connection_limit
             )
         except NoConnectionLeft as error:
@@ -129,7 +134,7 @@
         """Wait for the head and judge it."""
         assert self.exchange is not None
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
                 event = await self.exchange.next_event()
         except TimeoutError:
             return AttemptOutcome(Ended.SILENT, f"no answer in {timeout_ms} ms")
@@ -167,7 +172,7 @@
         if self.exchange.events:
             event = await self.exchange.next_event()
         else:
-            async with asyncio.timeout(timeout_ms / 1000):
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
                 event = await self.exchange.next_event()
         if isinstance(event, Broken):
             self.note_broken()
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/cache_inventory.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/cache_inventory.py
@@ -10,7 +10,7 @@
 from .peer_news import PeerNews
 from .protocol.servers import BackendServer
 from .state.peer_table import PeerTable
-from .transport.exchange import Broken, Data, Exchange, RawHead
+from .transport.exchange import STATUS_OK, Broken, Data, Exchange, RawHead
 
 FIRST_REPORTS_MS = 120
 """Time after the start in which routers that start together make themselves known; an
@@ -79,9 +79,7 @@
     async def ask(self, server: BackendServer) -> list[str] | None:
         """Return the parts that a server holds, or None if it does not say."""
         try:
-            connection, _ = await self.parts.connections.acquire(
-                server, CALL_CONNECTIONS
-            )
+            connection = await self.parts.connections.acquire(server, CALL_CONNECTIONS)
             exchange = connection.start(
                 b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n"
                 % (self.parts.dialect.inventory_path, server.address.encode())
@@ -107,7 +105,7 @@
     while True:
         event = await exchange.next_event()
         if isinstance(event, RawHead):
-            successful = event.status == 200
+            successful = event.status == STATUS_OK
         elif isinstance(event, Data):
             body += event.data
         elif isinstance(event, Broken):
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -7,7 +7,7 @@
 import msgspec
 from loguru import logger
 
-from medlarridge._internal.clock import Clock
+from medlarridge._internal.clock import MS_PER_S, Clock
 from medlarridge._internal.events import Event, register
 
 from .metrics import Metrics
@@ -116,7 +116,7 @@
 
     def request_event(self, event: Event, **fields: object) -> None:
         """Write a line of a request, unless the second has had its share."""
-        second = self.clock.now_ms() // 1000
+        second = self.clock.now_ms() // MS_PER_S
         if second != self.second:
             if self.dropped:
                 self.event(LINES_DROPPED, lines=self.dropped)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
@@ -1,6 +1,5 @@
 """Configuration in force: routes, pools, client accounts, limits."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -54,15 +53,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Pool:
-    """A pool of backend servers; ``max_connections`` holds for all routers together.
-
-    ``slots`` and ``cache_tokens`` of a server are 0 where the pool does not say them.
-    """
+    """A pool of backend servers; ``max_connections`` holds for all routers together."""
 
     name: str
     max_connections: int
-    slots: int = 0
-    cache_tokens: int = 0
     runs_models: bool = False
 
 
@@ -124,8 +118,3 @@
     if account is not None and account.priority is not None:
         return account.priority
     return route.priority
-
-
-def pool_names(routes: Iterable[Route]) -> set[str]:
-    """Return the pools that the routes use."""
-    return {share.pool for route in routes for share in route.pools}
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
@@ -30,18 +30,13 @@
     """What a client says of its request.
 
     ``deadline_ms`` is the time the client waits, counted from its sending.
-    ``output_tokens`` is the maximum, ``length_hint`` the client's estimate.
     """
 
     request_id: str
     host: str
     deadline_ms: int | None = None
     account_key: str | None = None
-    model: str = ""
     prompt: tuple[PromptPart, ...] = ()
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    length_hint: int | None = None
     resume_after: str | None = None
 
 
@@ -61,15 +56,6 @@
     fetch_from: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ServerLoad:
-    """Load that a server reports in an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
     """Head of a server's answer.
@@ -88,5 +74,4 @@
     not_executed: bool
     encoded: bool
     content_length: int | None
-    load: ServerLoad | None = None
     keep_alive_ms: int | None = None
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
@@ -86,7 +86,6 @@
             fingerprint=fingerprint_of(
                 request.method, request.target, name, request.body
             ),
-            configuration_version=configuration.version,
         )
 
     def find_account(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -38,12 +38,15 @@
 BUFFERED_ANSWER_BYTES = 1_048_576
 """Answers up to this size are sent only when they are whole."""
 
-DEFAULT_URGENCY = 5
 MAX_URGENCY = 9
 URGENCY_OF_FIRST = 3
 """Urgency given to priority 0; a server serves lower numbers first."""
 
 
+SUCCESS_CLASS = 2
+FIRST_SERVER_ERROR = 500
+
+
 class Stop(StrEnum):
     """Why a request is given up."""
 
@@ -65,7 +68,6 @@
     pool: Pool
     account: ClientAccount | None
     fingerprint: int
-    configuration_version: int
 
 
 class RequestRun:
@@ -89,10 +91,10 @@
             waits_ms = min(waits_ms, accepted.facts.deadline_ms)
         self.end_ms = accepted.request.received_ms + waits_ms
         self.tried: set[str] = set()
+        self.arrivals = 0
         self.refused_sends = 0
         self.runs = 0
         self.last_event = accepted.facts.resume_after
-        self.status = 0
 
     def left_ms(self) -> int:
         """Return the time that is left for the answer."""
@@ -110,7 +112,7 @@
             if server is None:
                 self.give_up(Stop.NO_SERVER)
                 return
-            if self.tried and not self.parts.budget.take(self.accepted.pool.name):
+            if self.arrivals and not self.parts.budget.take(self.accepted.pool.name):
                 self.give_up(Stop.BUDGET)
                 return
             self.tried.add(server.instance)
@@ -157,6 +159,8 @@
         ) as attempt:
             self.log.sent(server, self.parts, facts, self.refused_sends + self.runs)
             outcome = await attempt.start(facts, self.patience_ms())
+            if outcome.reached_server:
+                self.arrivals += 1
             if outcome.ended is Ended.ANSWER:
                 return await self.deliver(attempt, outcome)
             self.count(attempt, outcome)
@@ -227,18 +231,16 @@
         """Deliver an answer; return whether the request has ended."""
         head = outcome.head
         assert head is not None
-        if head.status >= 500:
-            attempt.observe(AttemptResult.FAILED)
-            if self.may_repeat():
-                self.runs += 1
-                self.log.attempt_ended(
-                    attempt.server, Ended.FAULTY, f"status {head.status}"
-                )
-                return False
-        else:
-            attempt.observe(AttemptResult.ANSWERED)
-        self.status = head.status
-        if self.route.kind is RouteKind.STREAM and head.status // 100 == 2:
+        failed = head.status >= FIRST_SERVER_ERROR
+        attempt.observe(AttemptResult.FAILED if failed else AttemptResult.ANSWERED)
+        successful = head.status // 100 == SUCCESS_CLASS
+        # A stream that has begun can only go on with events, never with a failure.
+        if (failed and self.may_repeat()) or (self.answer.started and not successful):
+            self.runs += 1
+            detail = f"status {head.status}"
+            self.log.attempt_ended(attempt.server, Ended.FAULTY, detail)
+            return False
+        if self.route.kind is RouteKind.STREAM and successful:
             return await self.deliver_stream(attempt, head)
         return await self.deliver_whole(attempt, head)
 
@@ -271,7 +273,7 @@
         self.begin(head, len(collected) if not self.answer.started else None)
         await self.answer.write(bytes(collected))
         self.answer.end()
-        self.log.finished(self.status, attempt.server)
+        self.log.finished(head.status, attempt.server)
         return True
 
     async def deliver_stream(self, attempt: Attempt, head: AnswerHead) -> bool:
@@ -300,7 +302,7 @@
         self.begin(head, None)
         await self.answer.write(splitter.take_rest())
         self.answer.end()
-        self.log.finished(self.status, attempt.server)
+        self.log.finished(head.status, attempt.server)
         return True
 
     async def deliver_bytes(self, attempt: Attempt, head: AnswerHead) -> bool:
@@ -318,7 +320,7 @@
             await self.answer.write(event.data)
         self.begin(head, head.content_length)
         self.answer.end()
-        self.log.finished(self.status, attempt.server)
+        self.log.finished(head.status, attempt.server)
         return True
 
     def begin(self, head: AnswerHead, content_length: int | None) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/configuration_holder.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/configuration_holder.py
@@ -4,8 +4,6 @@
 newer one up to the store's revision ``watched_to``.
 """
 
-from collections.abc import Callable
-
 from medlarridge._internal.clock import Clock
 
 from ..protocol.configuration import ClientLimits, Configuration
@@ -23,7 +21,6 @@
         self.heard_revision = 0
         self.watched_to = 0
         self.confirmed_ms: int | None = None
-        self.on_change: list[Callable[[Configuration], None]] = []
 
     def offer(
         self, configuration: Configuration, read_ms: int, watched_to: int = 0
@@ -36,8 +33,6 @@
         if self.current is not None and configuration.revision <= self.current.revision:
             return False
         self.current = configuration
-        for notify in self.on_change:
-            notify(configuration)
         return True
 
     def hear(self, revision: int, watched_to: int) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from medlarridge._internal.clock import Clock
+from medlarridge._internal.clock import MS_PER_S, Clock
 
 from ..protocol.configuration import ClientLimits
 from ..protocol.requests import ClientRequest, Headers
@@ -207,7 +207,7 @@
             if left_ms <= 0:
                 self.close()
                 return
-        self.timer = self.loop.call_later(max(left_ms, 1) / 1000, self.watch_time)
+        self.timer = self.loop.call_later(max(left_ms, 1) / MS_PER_S, self.watch_time)
 
     # Reading
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/exchange.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/exchange.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.errors import TransportError
 
 from ..protocol.requests import Headers
@@ -273,7 +274,7 @@
     peer = f"{host}:{port}"
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_ms / 1000):
+        async with asyncio.timeout(timeout_ms / MS_PER_S):
             _, connection = await loop.create_connection(
                 lambda: HttpConnection(peer), host, port
             )
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_client.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_client.py
@@ -5,14 +5,12 @@
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.errors import TransportError
 
-from .exchange import Broken, Data, HttpConnection, RawHead, open_connection
+from .exchange import STATUS_OK, Broken, Data, HttpConnection, RawHead, open_connection
 
 CONNECT_TIMEOUT_MS = 400
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Larger than any page of the store, which holds values up to a megabyte."""
 
-STATUS_OK = 200
-
 
 class HttpClient:
     """Client of one HTTP service; a failed call closes its connection."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
@@ -4,6 +4,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.errors import TransportError
 
 from ..protocol.servers import BackendServer
@@ -47,16 +48,14 @@
         self.servers: dict[str, ServerConnections] = {}
         self.connects = 0
 
-    async def acquire(
-        self, server: BackendServer, limit: int
-    ) -> tuple[HttpConnection, bool]:
-        """Return a connection and whether it was used before."""
+    async def acquire(self, server: BackendServer, limit: int) -> HttpConnection:
+        """Return a kept connection, or a new one."""
         entry = self.servers.setdefault(server.instance, ServerConnections())
         while entry.idle:
             connection = entry.idle.popleft()
             self.stop_timer(entry, connection)
             if not connection.closed:
-                return connection, True
+                return connection
         if entry.opened >= max(limit, MIN_CONNECTIONS):
             raise NoConnectionLeft(
                 "no connection left", step="connect", peer=server.address
@@ -71,7 +70,7 @@
             entry.opened -= 1
             raise
         connection.on_closed = lambda closed: self.forget(server.instance, closed)
-        return connection, False
+        return connection
 
     def release(
         self, server: BackendServer, connection: HttpConnection, idle_ms: int | None
@@ -87,7 +86,7 @@
             return
         entry.idle.append(connection)
         entry.timers[connection] = asyncio.get_running_loop().call_later(
-            lifetime_ms / 1000, connection.close
+            lifetime_ms / MS_PER_S, connection.close
         )
 
     def stop_timer(self, entry: ServerConnections, connection: HttpConnection) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/dialect.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/dialect.py
@@ -24,7 +24,6 @@
     Headers,
     PromptPart,
     RequestFacts,
-    ServerLoad,
 )
 from ._internal.protocol.servers import BackendServer, ServerListing, ServerState
 from ._internal.settings import DirectSettings, load_settings, split_endpoint
@@ -52,7 +51,6 @@
     "Route",
     "RouteKind",
     "ServerListing",
-    "ServerLoad",
     "ServerState",
     "TransportError",
     "UserError",
--- a/packages/medlarridge-direct/tests/adapter/test_headers.py
+++ b/packages/medlarridge-direct/tests/adapter/test_headers.py
@@ -1,6 +1,6 @@
 import pytest
 
-from medlarridge_direct.dialect import ForwardingFacts, PromptPart, ServerLoad
+from medlarridge_direct.dialect import ForwardingFacts, PromptPart
 from medlarridge_platform.headers import HeaderDialect
 
 REQUEST = [
@@ -30,7 +30,6 @@
         assert (facts.request_id, facts.deadline_ms) == ("9c41", 1500)
         assert facts.account_key == "key-1"
         assert facts.prompt == (PromptPart("5c1e", 800), PromptPart("91bd", 410))
-        assert (facts.prompt_tokens, facts.output_tokens) == (1460, 80)
 
     @pytest.mark.parametrize(
         "headers",
@@ -108,23 +107,13 @@
             b"Busy",
             [
                 (b"X-Medlarridge-Not-Executed", b"1"),
-                (b"X-Medlarridge-Server-Load", b"3,0,8"),
                 (b"Keep-Alive", b"timeout=5, max=100"),
             ],
         )
         assert head.not_executed
         assert not head.signed
-        assert head.load == ServerLoad(3, 0, 8)
         assert head.keep_alive_ms == 5_000
 
-    @pytest.mark.parametrize("value", [b"", b"1,2", b"a,b,c", b"1,2,3,4"])
-    def test_a_malformed_load_is_none(self, value):
-        """Guards against decisions on a load that nobody reported."""
-        head = HeaderDialect().read_answer(
-            200, b"", [(b"x-medlarridge-server-load", value)]
-        )
-        assert head.load is None
-
 
 class TestInventory:
     def test_parts_are_read(self):
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -101,7 +101,7 @@
             raise TransportError("refused", step="connect", peer=server.address)
         connection = scripted_connection(*script)
         self.sent.append((server.instance, connection.transport))
-        return connection, False
+        return connection
 
     def release(self, server, connection, idle_ms):
         self.released.append((server.instance, connection.release()))
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -25,6 +25,9 @@
 MISDIRECTED = b"HTTP/1.1 421 Elsewhere\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
 BARE_503 = b"HTTP/1.1 503 Busy\r\nId: 1\r\nSignature: s\r\nContent-Length: 0\r\n\r\n"
 ERROR = b"HTTP/1.1 500 Error\r\nId: 1\r\nSignature: s\r\nContent-Length: 0\r\n\r\n"
+ERROR_BODY = (
+    b"HTTP/1.1 500 Error\r\nId: 1\r\nSignature: s\r\nContent-Length: 4\r\n\r\noops"
+)
 UNSIGNED = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nno"
 STREAM = (
     b"HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -128,6 +131,16 @@
         _, parts = await play(scripts, max_attempts=2)
         assert len(parts.connections.sent) == 2
 
+    async def test_what_reached_no_server_costs_no_retry(self):
+        """Guards against a budget spent on servers that accept no connection."""
+        scripts = {"a": [REFUSE], "b": [(OK,)]}
+        parts = make_parts(scripts)
+        parts.load.begin("b")
+        while parts.budget.take("models"):
+            pass
+        answer, _ = await play(scripts, parts=parts)
+        assert answer.status == 200
+
     async def test_an_empty_budget_ends_the_retries(self):
         """Guards against retries that add to an overload."""
         scripts = {name: [(SHED,)] for name in "abc"}
@@ -202,6 +215,17 @@
         assert answer.ended
         assert b"resume: 2\r\n" in parts.connections.sent[1][1].written
 
+    @pytest.mark.parametrize("second", [(ERROR_BODY,), (UNSIGNED,), (SHED,)])
+    async def test_a_failure_on_resuming_is_not_part_of_the_stream(self, second):
+        """Guards against bytes of another answer inside a stream."""
+        parts = make_parts({"a": [(STREAM + event(1), RESET)], "b": [second]})
+        parts.load.begin("b")
+        answer, _ = await play(
+            {"a": 0, "b": 0}, RouteKind.STREAM, parts=parts, resumable=True
+        )
+        assert bytes(answer.body) == b"id: 1\ndata: x\n\n"
+        assert not answer.ended
+
     async def test_another_stream_is_cut_and_not_ended(self):
         """Guards against a cut stream that looks complete."""
         answer, parts = await play(
