Do not handle requests whose clients have left

Cause: a request and the close behind it can be read together after a VM stood still or a link was full; the request was sent on before the close was seen. Change: a request waits for one turn of the loop, and the end of the client's bytes cancels it; the metric of the retry slack follows reloaded settings.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -153,7 +153,7 @@
 
     def add_gauges(self) -> None:
         """Name the values that the metrics show."""
-        parts, settings = self.parts, self.settings
+        parts = self.parts
         add = parts.metrics.add_gauge
         add("in_flight", "Requests in flight.", lambda: self.handler.in_flight)
         add("connections", "Connections of clients.", lambda: len(self.connections))
@@ -194,7 +194,7 @@
         add(
             "retry_slack",
             "Retries of this router's share beyond the ratio.",
-            lambda: settings.retries.slack / max(parts.budget.routers, 1),
+            lambda: parts.budget.bounds.slack / max(parts.budget.routers, 1),
         )
 
     async def answer_metrics(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -146,6 +146,8 @@
             self.task.cancel()
 
     def eof_received(self) -> bool:
+        if self.task is not None:
+            self.task.cancel()
         return False
 
     def pause_writing(self) -> None:
@@ -301,6 +303,9 @@
         """Handle one request, then the next."""
         answer = AnswerWriter(self, request)
         try:
+            # The loop reads on once more: a client that gave up while this process
+            # stood still has its close right behind the request.
+            await asyncio.sleep(0)
             await self.handler(request, answer)
         except (asyncio.CancelledError, ClientGone):
             self.abort()
--- a/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
@@ -136,6 +136,16 @@
         await asyncio.sleep(0)
         assert client.cancelled == 1
 
+    async def test_a_request_whose_client_has_left_is_not_handled(self):
+        """Guards against work for clients that gave up while the VM stood still."""
+        client = Client()
+        client.connection.data_received(GET)
+        await asyncio.sleep(0)
+        client.connection.eof_received()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        assert client.seen == []
+
     async def test_a_stopping_router_asks_clients_to_come_elsewhere(self):
         """Guards against connections that hold up a restart."""
         client = Client(stopping=True)
