--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -149,7 +149,7 @@
         return self.judge(self.head)
 
     def judge(self, head: AnswerHead) -> AttemptOutcome:
-        """Tell refusals and faulty answers from the server's own answers."""
+        """Distinguish refusals and faulty answers from the server's own answers."""
         if head.status == MISDIRECTED:
             self.observe(AttemptResult.REPLACED)
             self.note_down()
@@ -181,17 +181,17 @@
         return event if isinstance(event, Data) else None
 
     def observe(self, result: AttemptResult) -> None:
-        """Tell the result to the judgement of the server's health."""
+        """Record the result for the server's health."""
         if self.parts.health.observe(self.server.instance, result):
             self.parts.on_avoided(self.server.instance, result)
 
     def note_broken(self) -> None:
-        """Take that the connection was lost while the request may have been running."""
+        """Record that the connection was lost while the request may have been running."""
         self.observe(AttemptResult.BROKEN)
         self.parts.crashes.note_broken(self.fingerprint, self.server.instance)
 
     def note_down(self) -> None:
-        """Take that the server does not accept connections.
+        """Record that the server does not accept connections.
 
         Kept ones may have gone silent with it.
         """
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crash_watch.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crash_watch.py
@@ -42,7 +42,7 @@
         attempts.append(BrokenAttempt(fingerprint, self.clock.now_ms()))
 
     def note_down(self, server: str) -> list[Strike]:
-        """Take that a server is down; return the strikes that are new."""
+        """Record that a server is down; return the strikes that are new."""
         oldest_ms = self.clock.now_ms() - CONFIRM_MS
         strikes = []
         for attempt in self.broken.pop(server, ()):
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/load_view.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/load_view.py
@@ -44,7 +44,7 @@
             self.own.pop(key, None)
 
     def take_report(self, router: int, in_flight: dict[int, int]) -> None:
-        """Take the report of a peer."""
+        """Process the report of a peer."""
         self.peers[router] = PeerLoad(in_flight, self.clock.now_ms())
         self.sum_peers()
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/prompt_cache.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/prompt_cache.py
@@ -45,7 +45,7 @@
     parts: OrderedDict[str, dict[str, int]] = field(default_factory=OrderedDict)
 
     def note(self, part_id: str, instance: str) -> bool:
-        """Take that a server holds a part; return whether that is news."""
+        """Record that a server holds a part; return whether that is news."""
         holders = self.parts.setdefault(part_id, {})
         self.parts.move_to_end(part_id)
         now_ms = self.clock.now_ms()
@@ -60,7 +60,7 @@
     def note_sent(
         self, prompt: Sequence[PromptPart], instance: str
     ) -> list[tuple[str, str]]:
-        """Take that a server reads a prompt; return what is news."""
+        """Record that a server reads a prompt; return what is news."""
         return [
             (part.part_id, instance)
             for part in shared_parts(prompt)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
@@ -66,20 +66,20 @@
     servers: dict[str, Health] = field(default_factory=dict)
 
     def note_sent(self, instance: str) -> None:
-        """Take that an attempt waits for a server."""
+        """Record that an attempt waits for a server."""
         health = self.servers.setdefault(instance, Health())
         if health.waiting == 0:
             health.quiet_since_ms = self.clock.now_ms()
         health.waiting += 1
 
     def note_bytes(self, instance: str) -> None:
-        """Take that something arrived from a server."""
+        """Record that something arrived from a server."""
         health = self.servers.get(instance)
         if health is not None:
             health.quiet_since_ms = self.clock.now_ms()
 
     def note_ended(self, instance: str) -> None:
-        """Take that an attempt no longer waits."""
+        """Record that an attempt no longer waits."""
         health = self.servers.get(instance)
         if health is not None and health.waiting > 0:
             health.waiting -= 1
@@ -94,7 +94,7 @@
         )
 
     def observe(self, instance: str, result: AttemptResult) -> bool:
-        """Take the result of an attempt; return whether the server became avoided."""
+        """Record the result of an attempt; return whether the server became avoided."""
         health = self.servers.setdefault(instance, Health())
         failed = result is not AttemptResult.ANSWERED
         health.failed_share += SAMPLE_WEIGHT * (failed - health.failed_share)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -61,7 +61,7 @@
         self.dropped = 0
 
     def write(self, line: bytes) -> None:
-        """Take a line."""
+        """Queue a line."""
         if len(self.waiting) >= MAX_WAITING_LINES:
             self.waiting.popleft()
             self.dropped += 1
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_news.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_news.py
@@ -68,11 +68,11 @@
         return max(REPORT_MS, REPORT_PER_PEER_MS * len(self.peers.peers))
 
     def announce_held(self, held: list[tuple[str, str]]) -> None:
-        """Tell peers with the next report which servers hold prompt parts."""
+        """Announce to peers with the next report which servers hold prompt parts."""
         self.held += held
 
     def announce_strikes(self, strikes: list[Strike]) -> None:
-        """Tell peers at once of requests that were running when a server went down."""
+        """Announce to peers at once requests that were running when a server went down."""
         self.strikes += [(strike.fingerprint, strike.server) for strike in strikes]
         self.send_report()
 
@@ -112,7 +112,7 @@
         )
 
     def take_datagram(self, data: bytes, address: Address) -> None:
-        """Take a report of a peer."""
+        """Process the report of a peer."""
         try:
             report = decode_report(data)
         except CodecError:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/events.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/events.py
@@ -21,7 +21,7 @@
     rest: bytearray = field(default_factory=bytearray)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Take bytes; return the events that are now complete."""
+        """Add bytes; return the events that are now complete."""
         self.rest += data
         events = []
         start = 0
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -331,7 +331,7 @@
             self.log.first_bytes()
 
     def broken_answer(self, attempt: Attempt, detail: str) -> bool:
-        """Take the end of an answer that is not complete; return whether it is final.
+        """Handle the end of an answer that is not complete; return whether it is final.
 
         A stream that has begun continues at another server if it may.
         """
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/configuration_holder.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/configuration_holder.py
@@ -25,7 +25,7 @@
     def offer(
         self, configuration: Configuration, read_ms: int, watched_to: int = 0
     ) -> bool:
-        """Take a configuration read at ``read_ms``; return whether it is newer."""
+        """Apply a configuration read at ``read_ms``; return whether it is newer."""
         self.behind = False
         if configuration.revision >= self.revision:
             self.confirm(read_ms)
@@ -36,7 +36,7 @@
         return True
 
     def hear(self, revision: int, watched_to: int) -> None:
-        """Take what a peer knows."""
+        """Merge what a peer knows."""
         if revision == self.revision:
             self.watched_to = max(self.watched_to, watched_to)
         elif revision > self.revision:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
@@ -56,7 +56,7 @@
     peers: dict[Address, Peer] = field(default_factory=dict)
 
     def register(self, addresses: Iterable[Address]) -> None:
-        """Take the addresses that the store lists."""
+        """Record the addresses that the store lists."""
         listed = set(addresses)
         listed.discard(self.own_address)
         for peer in self.peers.values():
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -57,7 +57,7 @@
     keep_lapsed_until_ms: int = 0
 
     def update(self, listing: ServerListing, read_ms: int) -> list[ServerChange]:
-        """Take a list that was asked for at ``read_ms``; return what changed."""
+        """Apply a list that was asked for at ``read_ms``; return what changed."""
         self.behind = False
         if self.read_ms is not None and (
             read_ms <= self.read_ms or listing.revision < self.revision
@@ -80,7 +80,7 @@
         return changes
 
     def confirm(self, read_ms: int) -> None:
-        """Take that the list was still the newest at ``read_ms``.
+        """Record that the list was still the newest at ``read_ms``.
 
         Lapsed entries need a list of our own to be dropped.
         """
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -137,14 +137,14 @@
         self.take_listing(listing, asked_ms)
 
     def take_listing(self, listing: ServerListing, read_ms: int) -> None:
-        """Take a list that was the newest at ``read_ms``."""
+        """Apply a list that was the newest at ``read_ms``."""
         if listing.malformed != self.malformed:
             self.malformed = listing.malformed
             self.log.event(MALFORMED, entries=listing.malformed)
         self.take_changes(self.parts.servers.update(listing, read_ms))
 
     def take_changes(self, changes: list[ServerChange]) -> None:
-        """Tell the parts which servers came, left or were started again."""
+        """Update the parts for servers that came, left or were restarted."""
         for change in changes:
             server = change.server
             self.log.event(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/exchange.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/exchange.py
@@ -258,7 +258,7 @@
         self.finish_message()
 
     def finish_message(self) -> None:
-        """Take the end of a message, declared or by the end of the connection."""
+        """Handle the end of a message, declared or by the end of the connection."""
         self.in_message = False
         if self.dropping:
             self.dropping = False
