Close connections whose streams outlast a stop

The head of a stream that begins before SIGTERM cannot say that the connection will close. When it ended, the connection stayed open until the next look at idle connections, up to 100 ms; a request taken in that time was passed on and cut.

Ruled out: new connections (the listener was closed 2.5 s after SIGTERM); the limit of the grace time (the process kept to it).

Change: a connection is closed when its answer ends after SIGTERM, unless a request was read from it before. The test of a stream that outlasts the stop failed before.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -189,6 +189,14 @@
         """Whether no request is read, waits or runs."""
         return self.task is None and not self.pending and self.head_since_ms is None
 
+    def ends_with_process(self) -> bool:
+        """Whether the process stops and no request was read before that.
+
+        A stream that began before the stop could not announce the end of its
+        connection; a request taken on it now may be cut with the process.
+        """
+        return self.closing_politely() and not self.pending
+
     # Time limits
 
     def watch_time(self) -> None:
@@ -315,7 +323,7 @@
         self.idle_since_ms = self.clock.now_ms()
         if not answer.ended:
             self.abort()
-        elif not answer.keep_alive or self.failed:
+        elif not answer.keep_alive or self.failed or self.ends_with_process():
             self.close()
         else:
             if len(self.pending) < MAX_PIPELINED and self.transport is not None:
--- a/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
@@ -23,8 +23,9 @@
         self.seen = []
         self.cancelled = 0
         self.answer_at_once = answer_at_once
+        self.stopping = stopping
         self.connection = ClientConnection(
-            self.handle, lambda: LIMITS, self.clock, set(), lambda: stopping
+            self.handle, lambda: LIMITS, self.clock, set(), lambda: self.stopping
         )
         self.transport = FakeTransport(self.connection)
         self.connection.connection_made(self.transport)
@@ -152,3 +153,45 @@
         await client.send(GET)
         assert b"Connection: close" in client.transport.written
         assert client.transport.closed
+
+    async def test_a_stream_that_outlasts_the_stop_ends_its_connection(self):
+        """Guards against a request taken on it just before the process ends.
+
+        The head of the stream was sent before the stop and could not say that the
+        connection would close.
+        """
+        client = Client()
+        ended = asyncio.Event()
+
+        async def stream(request, answer):
+            client.seen.append(request)
+            answer.begin(200, b"OK", b"", None)
+            await ended.wait()
+            answer.end()
+
+        client.connection.handler = stream
+        await client.send(GET)
+        client.stopping = True
+        ended.set()
+        await client.send()
+        assert client.transport.closed
+
+    async def test_requests_read_before_the_stop_are_still_served(self):
+        """Guards against pipelined requests that a stop loses."""
+        client = Client()
+        ended = asyncio.Event()
+
+        async def stream(request, answer):
+            client.seen.append(request)
+            answer.begin(200, b"OK", b"", None)
+            await ended.wait()
+            answer.end()
+
+        client.connection.handler = stream
+        await client.send(GET + GET)
+        client.stopping = True
+        ended.set()
+        await client.send()
+        await client.send()
+        assert len(client.seen) == 2
+        assert client.transport.closed
