Add a fault soak with real processes

Cause: no test of ours ran the programs as they run on the platform while faults came from outside.

Change: routers as processes, stand-ins of store and servers on the platform's wire, proxies that delay, reset, silence or cut one way, signals that kill, stop, pause and restart. Clients keep their connections until the process is gone. Promises are checked from what clients and servers saw; faults come alone, in series and overlapping, then planned work without faults.

Ruled out as faults of the product (faults of the soak, mended in it): two starts of one router at a time; parallel runs on the same loopback addresses; a settings file read while the soak wrote it.

Not played: steps of the time of day, which need root. The routers decide by the steady clock; a paused process is what shifts it against others.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 export PYTHONPATH := $(CURDIR)/$(subst $(eval) ,:$(CURDIR)/,$(strip $(patsubst %/pyproject.toml,%/src,$(PACKAGES))))
 
-.PHONY: setup format lint unit test demo measure capacity clean
+.PHONY: setup format lint unit test demo measure capacity soak clean
 
 setup: $(STAMP)
 
@@ -16,7 +16,7 @@
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install -q -c constraints.txt hatchling editables
 	$(BIN)/python -m pip install -q -c constraints.txt --no-build-isolation \
-		$(EDITABLE) pytest pytest-bdd hypothesis ruff
+		$(EDITABLE) pytest pytest-bdd hypothesis ruff h11
 	touch $(STAMP)
 
 format: setup
@@ -41,5 +41,10 @@
 capacity: setup
 	MEDLARRIDGE_COMMIT=$$(git rev-parse --short HEAD) $(BIN)/python -m medlarridge_standins.capacity $(ARGS)
 
+# Plays fresh seeds with real processes for some minutes; not a part of the tests.
+soak: setup
+	PYTHONPATH=$(PYTHONPATH):$(CURDIR)/platform:$(CURDIR)/packages/medlarridge-direct/tests \
+		$(BIN)/python -m soak $(ARGS)
+
 clean:
 	rm -rf $(VENV)
--- /dev/null
+++ b/packages/medlarridge-direct/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real routers, stand-ins of the platform, faults from outside."""
