Fetch prompts from servers that have just left the list

Some servers leave without draining: their entry goes first and they serve on for a while. Their prompts were forgotten with the entry.

Ruled out: lost news between routers.

Change: a server that left the list is a source of prompt parts for 2 s more, unless it was unreachable, its address has another server, or it started again.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
@@ -146,6 +146,11 @@
             health is not None and health.unreachable and now_ms < health.avoid_until_ms
         )
 
+    def was_unreachable(self, instance: str) -> bool:
+        """Whether the last attempt found nobody who answers for the server."""
+        health = self.servers.get(instance)
+        return health is not None and health.unreachable
+
     def unreachable(self) -> list[str]:
         """Return the servers that do not answer this router at all."""
         now_ms = self.clock.now_ms()
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -204,18 +204,14 @@
         )
 
     def fetch_source(self, server: BackendServer) -> BackendServer | None:
-        """Return where cached parts of the prompt come from; note where they will be.
-
-        A server that drains still hands out what it holds.
-        """
+        """Return where cached parts of the prompt come from; note where they will be."""
         if not self.route.uses_prompt_cache or not self.facts.prompt:
             return None
         health, now_ms = self.parts.health, self.parts.clock.now_ms()
         others = [
             other
-            for other in self.parts.servers.known.values()
-            if other.pool == server.pool
-            and not health.is_unreachable(other.instance, now_ms)
+            for other in self.parts.servers.sources(server.pool)
+            if not health.is_unreachable(other.instance, now_ms)
         ]
         placement = self.parts.placement
         source = placement.fetch_source(server, self.facts.prompt, others)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -23,6 +23,11 @@
 platform states two seconds."""
 
 
+DEPARTED_MS = 2_000
+"""Time for which a server that left the list may still hand out what it holds; the
+platform lets servers serve at least so long after their entries are removed."""
+
+
 class Change(StrEnum):
     """What a list changed about a server."""
 
@@ -41,9 +46,17 @@
     change: Change
 
 
+@dataclass(frozen=True, slots=True)
+class Departed:
+    """A server that has left the list, and when that was noticed."""
+
+    server: BackendServer
+    noticed_ms: int
+
+
 @dataclass(slots=True)
 class ServerTable:
-    """The newest list, and lapsed entries that are still believed."""
+    """The newest list, lapsed entries that are still believed, and servers that left."""
 
     clock: Clock
     known: dict[str, BackendServer] = field(default_factory=dict)
@@ -55,6 +68,7 @@
     read_ms: int | None = None
     behind: bool = False
     keep_lapsed_until_ms: int = 0
+    departed: dict[str, Departed] = field(default_factory=dict)
 
     def update(self, listing: ServerListing, read_ms: int) -> list[ServerChange]:
         """Apply a list that was asked for at ``read_ms``; return what changed."""
@@ -91,8 +105,12 @@
         """Compare listed servers with what was known."""
         changes = []
         for instance, server in listed.items():
+            departed = self.departed.pop(instance, None)
             before = self.known.get(instance)
             self.lapsed.discard(instance)
+            if departed and departed.server.started_at != server.started_at:
+                changes.append(ServerChange(server, Change.RESTARTED))
+                continue
             if before is None:
                 changes.append(ServerChange(server, Change.ADDED))
             elif before.started_at != server.started_at:
@@ -126,6 +144,8 @@
                     changes.append(ServerChange(server, Change.LAPSED))
             else:
                 self.lapsed.discard(instance)
+                if server.address not in addresses:
+                    self.departed[instance] = Departed(server, self.clock.now_ms())
                 changes.append(ServerChange(server, Change.GONE))
         return changes
 
@@ -140,6 +160,35 @@
         """Return the servers of a pool that take work."""
         return self.by_pool.get(pool, [])
 
+    def sources(self, pool: str) -> list[BackendServer]:
+        """Return the servers of a pool that may hand out prompt parts.
+
+        Those that drain do, and those that have just left the list.
+        """
+        oldest_ms = self.clock.now_ms() - DEPARTED_MS
+        departed = [
+            each.server
+            for each in self.departed.values()
+            if each.noticed_ms >= oldest_ms
+        ]
+        return [
+            server
+            for server in (*self.known.values(), *departed)
+            if server.pool == pool
+        ]
+
+    def forget_departed(self) -> list[str]:
+        """Drop the departed servers that have ended; return their instances."""
+        oldest_ms = self.clock.now_ms() - DEPARTED_MS
+        ended = [
+            instance
+            for instance, each in self.departed.items()
+            if each.noticed_ms < oldest_ms
+        ]
+        for instance in ended:
+            del self.departed[instance]
+        return ended
+
     def age_ms(self) -> int | None:
         """Return the age of the list, or None if there is none."""
         return None if self.read_ms is None else self.clock.now_ms() - self.read_ms
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -22,7 +22,7 @@
 from .peer_copies import PeerCopies
 from .protocol.configuration import Configuration
 from .protocol.dialect import HistoryGone, PlatformStore
-from .protocol.servers import ServerListing
+from .protocol.servers import BackendServer, ServerListing
 from .state.peer_table import PeerTable
 from .state.server_table import Change, ServerChange
 
@@ -142,6 +142,8 @@
             self.malformed = listing.malformed
             self.log.event(MALFORMED, entries=listing.malformed)
         self.take_changes(self.parts.servers.update(listing, read_ms))
+        for instance in self.parts.servers.forget_departed():
+            self.parts.placement.cache.forget_server(instance)
 
     def take_changes(self, changes: list[ServerChange]) -> None:
         """Update the parts for servers that came, left or were restarted."""
@@ -156,8 +158,10 @@
                 revision=self.parts.servers.revision,
             )
             if change.change in (Change.GONE, Change.RESTARTED):
+                if change.change is Change.RESTARTED or not self.still_serves(server):
+                    self.parts.servers.departed.pop(server.instance, None)
+                    self.parts.placement.cache.forget_server(server.instance)
                 self.parts.health.reset(server.instance)
-                self.parts.placement.cache.forget_server(server.instance)
                 self.parts.connections.close_idle(server.instance)
                 strikes = self.parts.crashes.note_down(server.instance)
                 if strikes:
@@ -165,6 +169,13 @@
             elif change.change is Change.DRAINING:
                 self.parts.connections.close_idle(server.instance)
 
+    def still_serves(self, server: BackendServer) -> bool:
+        """Whether a server that left the list may still hand out what it holds."""
+        return (
+            server.instance in self.parts.servers.departed
+            and not self.parts.health.was_unreachable(server.instance)
+        )
+
     # Configuration
 
     async def follow_configuration(self) -> None:
--- a/packages/medlarridge-direct/tests/direct/test_store_sync.py
+++ b/packages/medlarridge-direct/tests/direct/test_store_sync.py
@@ -4,6 +4,7 @@
 import pytest
 
 from medlarridge import ManualClock, TransportError
+from medlarridge_direct._internal.coordination.server_health import AttemptResult
 from medlarridge_direct._internal.logs import Log
 from medlarridge_direct._internal.peer_copies import (
     CONFIGURATION_PATH,
@@ -19,6 +20,7 @@
     PeerTable,
     new_router_number,
 )
+from medlarridge_direct._internal.state.server_table import DEPARTED_MS
 from medlarridge_direct._internal.store_sync import (
     CONFIRM_MS,
     CONFIRM_TURN_MS,
@@ -29,7 +31,7 @@
     StoreSync,
 )
 
-from .samples import configuration, listing, route, server
+from .samples import configuration, listing, prompt, route, server
 from .scripted import make_parts
 from .state.test_peer_table import HOME, OTHER, THIRD, report
 
@@ -292,3 +294,61 @@
 
         await node.copies.answer(Request(), Answer())
         assert sent == [404]
+
+
+def fetched_from(node, server):
+    """Return the server from which another one would fetch a held prompt."""
+    others = node.parts.servers.sources("models")
+    source = node.parts.placement.fetch_source(server, prompt(), others)
+    return None if source is None else source.instance
+
+
+class TestDepartedServers:
+    """Pattern: servers leave without notice while their chats go on."""
+
+    async def start(self, *after, **changes):
+        node = Node()
+        left, stays = server("s-1"), server("s-2", port=8001)
+        node.store.listing = listing(left, stays)
+        await node.start()
+        node.parts.placement.cache.note_sent(prompt(), "s-1")
+        for result in changes.get("results", ()):
+            node.parts.health.observe("s-1", result)
+        node.clock.advance(LIST_INTERVAL_MS)
+        node.store.listing = listing(stays, *after, revision=2)
+        await node.sync.read_servers_if_due()
+        return node, stays
+
+    async def test_their_prompts_are_fetched_while_they_still_serve(self):
+        """Guards against chats that are read again though their server is there."""
+        node, stays = await self.start()
+        assert [each.instance for each in node.parts.servers.ready("models")] == ["s-2"]
+        assert fetched_from(node, stays) == "s-1"
+
+    async def test_they_are_forgotten_when_they_have_ended(self):
+        """Guards against calls to addresses where nobody or another one is."""
+        node, stays = await self.start()
+        node.clock.advance(DEPARTED_MS + 1)
+        assert fetched_from(node, stays) is None
+        node.store.listing = listing(stays, revision=3)
+        await node.sync.read_servers_if_due()
+        assert node.parts.placement.cache.all_held() == []
+
+    async def test_a_crashed_server_is_forgotten_at_once(self):
+        """Guards against fetching from a server that accepts no connection."""
+        node, stays = await self.start(results=[AttemptResult.UNREACHABLE])
+        assert fetched_from(node, stays) is None
+
+    async def test_an_address_that_another_server_has_now_is_not_called(self):
+        """Guards against fetching from a server that never read the prompt."""
+        node, stays = await self.start(server("s-3"))
+        assert fetched_from(node, stays) is None
+
+    async def test_a_server_that_started_again_holds_nothing(self):
+        """Guards against trusting the memory of a server that came back empty."""
+        node, stays = await self.start()
+        back = server("s-1", started_at=99)
+        node.clock.advance(LIST_INTERVAL_MS)
+        node.store.listing = listing(stays, back, revision=3)
+        await node.sync.read_servers_if_due()
+        assert node.parts.placement.cache.all_held() == []
