--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
@@ -93,6 +93,11 @@
             and now_ms - health.quiet_since_ms > SILENT_MS
         )
 
+    def silent(self) -> set[str]:
+        """Return the servers from which nothing arrives although attempts wait."""
+        now_ms = self.clock.now_ms()
+        return {each for each in self.servers if self.is_silent(each, now_ms)}
+
     def observe(self, instance: str, result: AttemptResult) -> bool:
         """Record the result of an attempt; return whether the server became avoided."""
         health = self.servers.setdefault(instance, Health())
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -25,6 +25,9 @@
     RELOAD_FAILED,
     RELOADED,
     SERVER_AVOIDED,
+    SERVER_HEARD,
+    SERVER_SILENT,
+    STALLED,
     STARTED,
     STOPPED,
     STOPPING,
@@ -50,6 +53,10 @@
 HOUSEKEEPING_MS = 100
 """Interval of log flushes and of the expiry of old beliefs."""
 
+STALL_MS = 250
+"""Delay of that work from which the process counts as having stood still; a busy loop
+delays it by some ten milliseconds."""
+
 OUT_OF_ROTATION_MS = 2_500
 """Time for which a stopping router still takes connections: the balancer asks once a
 second and takes it out after two misses."""
@@ -80,6 +87,8 @@
         self.probes: set[ClientConnection] = set()
         self.stopping_ms: int | None = None
         self.was_ready = False
+        self.silent: set[str] = set()
+        self.kept_house_ms: int | None = None
         self.parts = self.make_parts(dialect)
         self.handler = RequestHandler(self.parts, self.log)
         self.peers = PeerTable(
@@ -369,6 +378,8 @@
     async def keep_house(self) -> None:
         """Flush the log and expire old beliefs."""
         while True:
+            self.note_stall()
+            self.note_silent()
             self.parts.load.expire()
             self.parts.crashes.expire()
             self.reload_if_changed()
@@ -378,6 +389,24 @@
             self.log.flush()
             await asyncio.sleep(HOUSEKEEPING_MS / MS_PER_S)
 
+    def note_stall(self) -> None:
+        """Log that the process did not run for a while."""
+        now_ms = self.clock.now_ms()
+        if self.kept_house_ms is not None:
+            late_ms = now_ms - self.kept_house_ms - HOUSEKEEPING_MS
+            if late_ms > STALL_MS:
+                self.log.event(STALLED, late_ms=late_ms)
+        self.kept_house_ms = now_ms
+
+    def note_silent(self) -> None:
+        """Log which servers went silent, and which send again or have left."""
+        silent = self.parts.health.silent()
+        for instance in silent - self.silent:
+            self.log.event(SERVER_SILENT, server=instance)
+        for instance in self.silent - silent:
+            self.log.event(SERVER_HEARD, server=instance)
+        self.silent = silent
+
 
 def modified_ns(path: Path) -> int | None:
     """Return when a file was written last, or None if it cannot be told."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -45,6 +45,8 @@
 SERVER_AVOIDED = register(6112, "WARNING", "server avoided for a while")
 STRIKE = register(6113, "WARNING", "request was running when its server went down")
 MALFORMED = register(6114, "WARNING", "entries of the store left out as malformed")
+SERVER_SILENT = register(6115, "WARNING", "server sends nothing while work waits")
+SERVER_HEARD = register(6116, "INFO", "server sends again")
 STORE_LOST = register(6120, "WARNING", "store cannot be reached")
 STORE_BACK = register(6121, "INFO", "store answers again")
 COPY_FAILED = register(6122, "WARNING", "peer hands out no copy")
@@ -53,6 +55,7 @@
 INVENTORY = register(6135, "INFO", "prompt parts of servers known")
 TASK_FAILED = register(6141, "ERROR", "background work failed and starts again")
 READINESS = register(6140, "INFO", "readiness changed")
+STALLED = register(6142, "WARNING", "process stood still")
 
 
 class LogWriter:
--- a/packages/medlarridge-direct/tests/direct/test_daemon.py
+++ b/packages/medlarridge-direct/tests/direct/test_daemon.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from medlarridge_direct._internal.daemon import DirectRouter
+from medlarridge import ManualClock
+from medlarridge_direct._internal.coordination.server_health import SILENT_MS
+from medlarridge_direct._internal.daemon import (
+    HOUSEKEEPING_MS,
+    STALL_MS,
+    DirectRouter,
+)
 from medlarridge_direct._internal.settings import load_settings
 
 from .scripted import PlainDialect
@@ -59,3 +65,57 @@
     def test_a_router_without_beliefs_is_not_ready(self, router):
         """Guards against traffic for a router that knows no routes."""
         assert not router.ready
+
+
+class RecordedLog:
+    """Log that keeps the codes and fields of its lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def event(self, event, **fields):
+        self.lines.append((event.code, fields))
+
+
+@pytest.fixture
+def watched(router):
+    """Return a router with a clock and a log that tests read."""
+    router.clock = router.parts.health.clock = ManualClock(1_000_000)
+    router.log = RecordedLog()
+    router.note_stall()
+    return router
+
+
+class TestBeliefs:
+    def test_a_server_that_goes_silent_is_logged_once_and_when_it_is_heard(
+        self, watched
+    ):
+        """Guards against late answers whose cause no line shows."""
+        health = watched.parts.health
+        health.note_sent("s-1")
+        watched.note_silent()
+        watched.clock.advance(SILENT_MS + 1)
+        watched.note_silent()
+        watched.note_silent()
+        assert watched.log.lines == [("MR6115", {"server": "s-1"})]
+        health.note_bytes("s-1")
+        watched.note_silent()
+        assert watched.log.lines[1:] == [("MR6116", {"server": "s-1"})]
+
+    def test_a_server_that_is_forgotten_is_no_longer_silent(self, watched):
+        """Guards against lines about servers that have left."""
+        watched.parts.health.note_sent("s-1")
+        watched.clock.advance(SILENT_MS + 1)
+        watched.note_silent()
+        watched.parts.health.reset("s-1")
+        watched.note_silent()
+        assert watched.silent == set()
+
+    def test_a_process_that_stood_still_says_for_how_long(self, watched):
+        """Guards against late requests of a paused VM that look like a slow server."""
+        watched.clock.advance(HOUSEKEEPING_MS + STALL_MS)
+        watched.note_stall()
+        assert watched.log.lines == []
+        watched.clock.advance(HOUSEKEEPING_MS + 3_000)
+        watched.note_stall()
+        assert watched.log.lines == [("MR6142", {"late_ms": 3_000})]
