Judge the silence of a server by attempts that nothing overtook; try it again

The load limit came from the mean of the servers that the router could use. One of ten was out for 2.6 s as silent: its answer to one request was lost, and an attempt that waits for a lost answer made the server silent until the request's deadline, since nobody sent it work that could have been answered. Without its low load the mean and the limit were too high.

Ruled out: lost reports (believed and true loads differ by one or two); draining servers (none then).

Change: an attempt that a later one overtook no longer counts as waiting. A silent server gets a request again after 0.5 s, then ever more rarely, at first only one that may run again. The limit counts all servers that accept connections.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -74,6 +74,7 @@
         self.connection_limit = connection_limit
         self.exchange: Exchange | None = None
         self.head: AnswerHead | None = None
+        self.number = 0
 
     def __enter__(self) -> "Attempt":
         self.parts.load.begin(self.server.instance)
@@ -83,7 +84,7 @@
         self.parts.load.end(self.server.instance)
         if self.exchange is None:
             return
-        self.parts.health.note_ended(self.server.instance)
+        self.parts.health.note_ended(self.server.instance, self.number)
         connection = self.exchange.connection
         if self.exchange.finished:
             idle_ms = self.head.keep_alive_ms if self.head is not None else None
@@ -112,7 +113,7 @@
             )
         except TransportError as error:
             return AttemptOutcome(Ended.NOT_SENT, error.message)
-        self.parts.health.note_sent(self.server.instance)
+        self.number = self.parts.health.note_sent(self.server.instance)
         return await self.read_head(timeout_ms)
 
     def payload(self, facts: ForwardingFacts) -> bytes:
@@ -142,7 +143,7 @@
             self.note_broken()
             return AttemptOutcome(Ended.BROKEN, event.detail)
         assert isinstance(event, RawHead)
-        self.parts.health.note_bytes(self.server.instance)
+        self.parts.health.note_bytes(self.server.instance, self.number)
         self.head = self.parts.dialect.read_answer(
             event.status, event.reason, event.headers
         )
@@ -177,7 +178,7 @@
         if isinstance(event, Broken):
             self.note_broken()
             return event
-        self.parts.health.note_bytes(self.server.instance)
+        self.parts.health.note_bytes(self.server.instance, self.number)
         return event if isinstance(event, Data) else None
 
     def observe(self, result: AttemptResult) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/placement.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/placement.py
@@ -44,12 +44,15 @@
         servers: Sequence[BackendServer],
         prompt: Sequence[PromptPart],
         failing: Set[str] = frozenset(),
+        limit: float | None = None,
     ) -> list[BackendServer]:
         """Return the servers in the order in which they should be tried.
 
-        Servers over the load bound come last, ``failing`` ones before them.
+        Servers over ``limit`` come last, ``failing`` ones before them. Without it, the
+        limit is that of the given servers.
         """
-        limit = self.load_limit(servers)
+        if limit is None:
+            limit = self.load_limit(servers)
         key = shared_key(prompt)
         holders = {} if key is None else self.cache.holders(key)
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
@@ -2,7 +2,8 @@
 
 A server that refuses connections, or whose address another server has now, gets no work
 at once. So does one from which nothing arrives on any connection while attempts wait for
-it; it may be hanging or cut off. One that fails a share of its answers gets work only
+it; it may be hanging or cut off. An attempt that later ones overtook says nothing: its
+answer was lost. A silent server is tried again now and then. One that fails a share of its answers gets work only
 when the others are at their load bound: when most of a pool fails, all of it is needed.
 """
 
@@ -44,9 +45,21 @@
 """Age of an answer that outweighs what a peer found on its own path."""
 
 
+@dataclass(slots=True)
+class WaitingAttempt:
+    """When an attempt was sent and when its last bytes came, if any did."""
+
+    sent_ms: int
+    last_ms: int
+
+
 @dataclass(slots=True)
 class Health:
-    """What is known about one start of a server."""
+    """What is known about one start of a server.
+
+    ``waiting`` holds the attempts whose silence would be the server's. At ``trial_ms``
+    a silent server is tried again.
+    """
 
     failed_share: float = 0.0
     avoid_until_ms: int = 0
@@ -54,8 +67,10 @@
     unreachable: bool = False
     answered_ms: int | None = None
     found_here: bool = False
-    waiting: int = 0
+    waiting: dict[int, WaitingAttempt] = field(default_factory=dict)
     quiet_since_ms: int = 0
+    trial_ms: int = 0
+    trial_pause_ms: int = AVOID_FIRST_MS
 
 
 @dataclass(slots=True)
@@ -64,35 +79,70 @@
 
     clock: Clock
     servers: dict[str, Health] = field(default_factory=dict)
+    attempts: int = 0
 
-    def note_sent(self, instance: str) -> None:
-        """Record that an attempt waits for a server."""
+    def note_sent(self, instance: str) -> int:
+        """Record that an attempt waits for a server; return its number."""
         health = self.servers.setdefault(instance, Health())
-        if health.waiting == 0:
-            health.quiet_since_ms = self.clock.now_ms()
-        health.waiting += 1
-
-    def note_bytes(self, instance: str) -> None:
-        """Record that something arrived from a server."""
+        now_ms = self.clock.now_ms()
+        if not health.waiting:
+            health.quiet_since_ms = now_ms
+            health.trial_pause_ms = AVOID_FIRST_MS
+            health.trial_ms = now_ms + SILENT_MS + AVOID_FIRST_MS
+        elif now_ms >= health.trial_ms:
+            health.trial_pause_ms = min(2 * health.trial_pause_ms, AVOID_MOST_MS)
+            health.trial_ms = now_ms + health.trial_pause_ms
+        self.attempts += 1
+        health.waiting[self.attempts] = WaitingAttempt(now_ms, now_ms)
+        return self.attempts
+
+    def note_bytes(self, instance: str, number: int) -> None:
+        """Record that something of an attempt's answer arrived."""
         health = self.servers.get(instance)
-        if health is not None:
-            health.quiet_since_ms = self.clock.now_ms()
-
-    def note_ended(self, instance: str) -> None:
+        if health is None:
+            return
+        now_ms = self.clock.now_ms()
+        health.quiet_since_ms = now_ms
+        health.trial_pause_ms = AVOID_FIRST_MS
+        health.trial_ms = now_ms + SILENT_MS + AVOID_FIRST_MS
+        attempt = health.waiting.get(number)
+        if attempt is None:
+            return
+        if attempt.last_ms == attempt.sent_ms:
+            overtaken_ms = attempt.sent_ms - SILENT_MS
+            for other in [
+                each
+                for each, waiting in health.waiting.items()
+                if waiting.last_ms <= overtaken_ms
+            ]:
+                del health.waiting[other]
+        attempt.last_ms = now_ms
+
+    def note_ended(self, instance: str, number: int) -> None:
         """Record that an attempt no longer waits."""
         health = self.servers.get(instance)
-        if health is not None and health.waiting > 0:
-            health.waiting -= 1
+        if health is not None:
+            health.waiting.pop(number, None)
 
     def is_silent(self, instance: str, now_ms: int) -> bool:
         """Whether nothing arrives although attempts wait."""
         health = self.servers.get(instance)
         return (
             health is not None
-            and health.waiting > 0
+            and bool(health.waiting)
             and now_ms - health.quiet_since_ms > SILENT_MS
         )
 
+    def is_due_for_trial(self, instance: str, now_ms: int, repeatable: bool) -> bool:
+        """Whether a silent server should get a request, to see if it answers.
+
+        After the longest time it gets any: a dead one has left the list by then.
+        """
+        health = self.servers[instance]
+        if now_ms - health.quiet_since_ms > SILENT_MS + AVOID_MOST_MS:
+            return now_ms >= health.trial_ms
+        return repeatable and now_ms >= health.trial_ms
+
     def silent(self) -> set[str]:
         """Return the servers from which nothing arrives although attempts wait."""
         now_ms = self.clock.now_ms()
@@ -123,8 +173,11 @@
         health.avoid_until_ms = now_ms + health.avoid_ms
         return True
 
-    def reachable(self, instances: list[str]) -> set[str]:
-        """Return the servers of a pool that answer, or all if that is in doubt."""
+    def reachable(self, instances: list[str], repeatable: bool = False) -> set[str]:
+        """Return the servers of a pool that answer, or all if that is in doubt.
+
+        A silent one that is due for a trial counts if the request is ``repeatable``.
+        """
         now_ms = self.clock.now_ms()
         silent = {each for each in instances if self.is_silent(each, now_ms)}
         if len(silent) > POOL_SILENT_SHARE * len(instances):
@@ -132,7 +185,8 @@
         return {
             each
             for each in instances
-            if each not in silent and not self.is_unreachable(each, now_ms)
+            if not self.is_unreachable(each, now_ms)
+            and (each not in silent or self.is_due_for_trial(each, now_ms, repeatable))
         }
 
     def failing(self, instances: list[str]) -> set[str]:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/explanation.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/explanation.py
@@ -8,7 +8,7 @@
 from .protocol.requests import ClientRequest, PromptPart, RequestFacts
 from .protocol.servers import BackendServer
 from .request_handler import Rejection, RequestHandler
-from .request_run import Accepted, rank_servers
+from .request_run import Accepted, rank_servers, sharing_load
 
 EXPLAIN_PATH = b"/explain"
 
@@ -65,8 +65,9 @@
         return Explanation(f"{rejection.status}: {rejection.reason}", **ages)
     prompt = accepted.facts.prompt if accepted.route.uses_prompt_cache else ()
     ranked = rank_servers(parts, accepted.pool, prompt)
-    limit = parts.placement.load_limit(ranked)
-    instances = [server.instance for server in parts.servers.ready(accepted.pool.name)]
+    listed = parts.servers.ready(accepted.pool.name)
+    limit = parts.placement.load_limit(sharing_load(parts, listed))
+    instances = [server.instance for server in listed]
     reachable = parts.health.reachable(instances)
     failing = parts.health.failing(instances)
     return Explanation(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -82,14 +82,35 @@
     pool: Pool,
     prompt: Sequence[PromptPart],
     tried: Set[str] = frozenset(),
+    repeatable: bool = False,
 ) -> list[BackendServer]:
-    """Return the servers of a pool that may be tried, the next one first."""
+    """Return the servers of a pool that may be tried, the next one first.
+
+    A ``repeatable`` request may be a trial for a server that was silent.
+    """
     listed = parts.servers.ready(pool.name)
     instances = [each.instance for each in listed]
-    reachable = parts.health.reachable(instances)
+    reachable = parts.health.reachable(instances, repeatable)
     left = [each for each in listed if each.instance not in tried]
     candidates = [each for each in left if each.instance in reachable] or left
-    return parts.placement.rank(candidates, prompt, parts.health.failing(instances))
+    failing = parts.health.failing(instances)
+    limit = parts.placement.load_limit(sharing_load(parts, listed))
+    return parts.placement.rank(candidates, prompt, failing, limit)
+
+
+def sharing_load(
+    parts: RouterParts, listed: Sequence[BackendServer]
+) -> Sequence[BackendServer]:
+    """Return the servers whose mean load bounds that of each.
+
+    A server that is silent here may work for other routers.
+    """
+    now_ms = parts.clock.now_ms()
+    return [
+        each
+        for each in listed
+        if not parts.health.is_unreachable(each.instance, now_ms)
+    ] or listed
 
 
 class RequestRun:
@@ -162,6 +183,7 @@
             self.accepted.pool,
             self.facts.prompt if self.route.uses_prompt_cache else (),
             self.tried,
+            self.may_run_again(),
         )
         return ranked[0] if ranked else None
 
@@ -223,7 +245,7 @@
     def patience_ms(self) -> int:
         """Return how long a server may be silent before another is tried."""
         left_ms = max(self.left_ms(), 1)
-        if not self.route.repeatable or self.runs + 1 >= self.route.max_attempts:
+        if not self.may_run_again():
             return left_ms
         least_ms = MIN_REPEAT_MS
         if self.route.kind is RouteKind.STREAM:
@@ -260,11 +282,14 @@
             return await self.deliver_stream(attempt, head)
         return await self.deliver_whole(attempt, head)
 
+    def may_run_again(self) -> bool:
+        """Whether the route allows another run after the next one."""
+        return self.route.repeatable and self.runs + 1 < self.route.max_attempts
+
     def may_repeat(self) -> bool:
         """Whether another attempt could follow one that may have run."""
         return (
-            self.route.repeatable
-            and self.runs + 1 < self.route.max_attempts
+            self.may_run_again()
             and self.left_ms() >= MIN_ATTEMPT_MS
             and self.parts.budget.left(self.accepted.pool.name) >= 1
         )
--- a/packages/medlarridge-direct/tests/direct/coordination/test_server_health.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_server_health.py
@@ -4,6 +4,7 @@
 from medlarridge_direct._internal.coordination.server_health import (
     ANSWERED_LATELY_MS,
     AVOID_FIRST_MS,
+    AVOID_MOST_MS,
     PEER_AVOID_MS,
     SILENT_MS,
     AttemptResult,
@@ -74,27 +75,27 @@
         self, health, clock
     ):
         """Guards against chats sent to a server that went dark."""
-        health.note_sent("a")
+        number = health.note_sent("a")
         health.note_sent("a")
         clock.advance(SILENT_MS + 1)
         assert "a" not in health.reachable(POOL)
         assert health.unreachable() == ["a"]
-        health.note_bytes("a")
+        health.note_bytes("a", number)
         assert "a" in health.reachable(POOL)
 
     def test_one_long_prompt_beside_other_work_is_no_silence(self, health, clock):
         """Guards against leaving a server for a prompt that takes its time."""
         for _ in range(20):
-            health.note_sent("a")
+            number = health.note_sent("a")
             clock.advance(SILENT_MS // 2)
-            health.note_bytes("a")
+            health.note_bytes("a", number)
         clock.advance(SILENT_MS // 2)
         assert "a" in health.reachable(POOL)
 
     def test_an_idle_server_is_not_silent(self, health, clock):
         """Guards against avoiding servers that nobody asked."""
-        health.note_sent("a")
-        health.note_ended("a")
+        number = health.note_sent("a")
+        health.note_ended("a", number)
         clock.advance(10 * SILENT_MS)
         assert "a" in health.reachable(POOL)
 
@@ -105,6 +106,71 @@
         clock.advance(SILENT_MS + 1)
         assert health.reachable(POOL) == set(POOL)
 
+    def test_a_lost_answer_does_not_make_its_server_silent(self, health, clock):
+        """Guards against avoiding a server for as long as one lost answer is awaited."""
+        health.note_sent("a")
+        clock.advance(SILENT_MS)
+        answered = health.note_sent("a")
+        clock.advance(SILENT_MS // 2)
+        health.note_bytes("a", answered)
+        health.note_ended("a", answered)
+        clock.advance(SILENT_MS + 1)
+        assert "a" in health.reachable(POOL)
+
+    def test_a_stream_that_stops_beside_others_does_not_either(self, health, clock):
+        """Guards against avoiding a server for one stream that it dropped."""
+        stopped = health.note_sent("a")
+        health.note_bytes("a", stopped)
+        clock.advance(SILENT_MS + 1)
+        answered = health.note_sent("a")
+        health.note_bytes("a", answered)
+        health.note_ended("a", answered)
+        clock.advance(SILENT_MS + 1)
+        assert "a" in health.reachable(POOL)
+
+    def test_streams_that_all_stop_make_their_server_silent(self, health, clock):
+        """Guards against chats sent to a server that went dark within its answers."""
+        for _ in range(3):
+            clock.advance(SILENT_MS // 2)
+            health.note_bytes("a", health.note_sent("a"))
+        clock.advance(SILENT_MS + 1)
+        assert "a" not in health.reachable(POOL)
+
+    def test_a_silent_server_is_tried_again_with_what_may_be_repeated(
+        self, health, clock
+    ):
+        """Guards against a server that stays out for the deadline of one request."""
+        health.note_sent("a")
+        clock.advance(SILENT_MS + 1)
+        assert "a" not in health.reachable(POOL, repeatable=True)
+        clock.advance(AVOID_FIRST_MS)
+        assert "a" not in health.reachable(POOL)
+        assert "a" in health.reachable(POOL, repeatable=True)
+        trial = health.note_sent("a")
+        assert "a" not in health.reachable(POOL, repeatable=True)
+        health.note_bytes("a", trial)
+        assert "a" in health.reachable(POOL)
+
+    def test_trials_of_a_dark_server_become_rarer(self, health, clock):
+        """Guards against a dark server that takes one request after the other."""
+        health.note_sent("a")
+        trials = 0
+        for _ in range(80):
+            clock.advance(50)
+            if "a" in health.reachable(POOL, repeatable=True):
+                if health.is_silent("a", clock.now_ms()):
+                    trials += 1
+                health.note_sent("a")
+        assert trials <= 3
+
+    def test_a_silent_server_is_tried_with_anything_when_it_must_be_alive(
+        self, health, clock
+    ):
+        """Guards against a pool without repeatable requests that loses a server."""
+        health.note_sent("a")
+        clock.advance(SILENT_MS + AVOID_MOST_MS + 1)
+        assert "a" in health.reachable(POOL)
+
 
 class TestFindingsOfPeers:
     def test_a_peer_spares_us_the_wait(self, health, clock):
--- a/packages/medlarridge-direct/tests/direct/test_daemon.py
+++ b/packages/medlarridge-direct/tests/direct/test_daemon.py
@@ -92,13 +92,13 @@
     ):
         """Guards against late answers whose cause no line shows."""
         health = watched.parts.health
-        health.note_sent("s-1")
+        number = health.note_sent("s-1")
         watched.note_silent()
         watched.clock.advance(SILENT_MS + 1)
         watched.note_silent()
         watched.note_silent()
         assert watched.log.lines == [("MR6115", {"server": "s-1"})]
-        health.note_bytes("s-1")
+        health.note_bytes("s-1", number)
         watched.note_silent()
         assert watched.log.lines[1:] == [("MR6116", {"server": "s-1"})]
 
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -5,8 +5,9 @@
     MAX_STRIKES,
     fingerprint_of,
 )
+from medlarridge_direct._internal.coordination.server_health import SILENT_MS
 from medlarridge_direct._internal.logs import Log
-from medlarridge_direct._internal.protocol.configuration import RouteKind
+from medlarridge_direct._internal.protocol.configuration import Pool, RouteKind
 from medlarridge_direct._internal.protocol.requests import ClientRequest
 from medlarridge_direct._internal.request_handler import (
     CERTAIN_MS,
@@ -14,8 +15,9 @@
     UNPREPARED_SPREAD_MS,
     RequestHandler,
 )
+from medlarridge_direct._internal.request_run import rank_servers
 
-from .samples import configuration, listing, route, server
+from .samples import configuration, listing, prompt, route, server
 from .scripted import CLOSE, REFUSE, RESET, make_parts
 
 pytestmark = pytest.mark.anyio
@@ -152,6 +154,29 @@
         assert answer.status == 503
 
 
+class TestLoadBound:
+    async def test_servers_that_are_silent_here_count_in_the_mean(self):
+        """Guards against more load than the bound while one server gets no work."""
+        parts = make_parts()
+        pool = [server(f"s-{n}", port=8000 + n) for n in range(5)]
+        parts.servers.update(listing(*pool), 1_000_000)
+        for each in ("s-1", "s-2", "s-3"):
+            for _ in range(4):
+                parts.load.begin(each)
+        for _ in range(8):
+            parts.load.begin("s-0")
+        parts.placement.cache.note_sent(prompt(), "s-0")
+        chosen = rank_servers(parts, Pool("models", 0), prompt())[0]
+        assert chosen.instance == "s-0"
+        for _ in range(3):
+            parts.load.begin("s-0")
+        parts.health.note_sent("s-4")
+        parts.clock.advance(SILENT_MS + 1)
+        ranked = rank_servers(parts, Pool("models", 0), prompt())
+        assert "s-4" not in [each.instance for each in ranked]
+        assert ranked[0].instance != "s-0"
+
+
 class TestReplacedServers:
     async def test_a_server_that_is_no_longer_at_its_address_is_asked_once(self):
         """Guards against retries spent on an entry that outlived its server."""
