--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/explanation.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/explanation.py
@@ -65,9 +65,8 @@
         return Explanation(f"{rejection.status}: {rejection.reason}", **ages)
     prompt = accepted.facts.prompt if accepted.route.uses_prompt_cache else ()
     ranked = rank_servers(parts, accepted.pool, prompt)
-    listed = parts.servers.ready(accepted.pool.name)
-    limit = parts.placement.load_limit(sharing_load(parts, listed))
-    instances = [server.instance for server in listed]
+    limit = parts.placement.load_limit(sharing_load(parts, accepted.pool))
+    instances = [server.instance for server in parts.servers.ready(accepted.pool.name)]
     reachable = parts.health.reachable(instances)
     failing = parts.health.failing(instances)
     return Explanation(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -94,23 +94,21 @@
     left = [each for each in listed if each.instance not in tried]
     candidates = [each for each in left if each.instance in reachable] or left
     failing = parts.health.failing(instances)
-    limit = parts.placement.load_limit(sharing_load(parts, listed))
+    limit = parts.placement.load_limit(sharing_load(parts, pool))
     return parts.placement.rank(candidates, prompt, failing, limit)
 
 
-def sharing_load(
-    parts: RouterParts, listed: Sequence[BackendServer]
-) -> Sequence[BackendServer]:
-    """Return the servers whose mean load bounds that of each.
+def sharing_load(parts: RouterParts, pool: Pool) -> Sequence[BackendServer]:
+    """Return the servers of a pool whose mean load bounds that of each.
 
-    A server that is silent here may work for other routers.
+    A server that is silent here may work for other routers, and one that drains still
+    works on what it has.
     """
     now_ms = parts.clock.now_ms()
+    known = [each for each in parts.servers.known.values() if each.pool == pool.name]
     return [
-        each
-        for each in listed
-        if not parts.health.is_unreachable(each.instance, now_ms)
-    ] or listed
+        each for each in known if not parts.health.is_unreachable(each.instance, now_ms)
+    ] or known
 
 
 class RequestRun:
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -9,6 +9,7 @@
 from medlarridge_direct._internal.logs import Log
 from medlarridge_direct._internal.protocol.configuration import Pool, RouteKind
 from medlarridge_direct._internal.protocol.requests import ClientRequest
+from medlarridge_direct._internal.protocol.servers import ServerState
 from medlarridge_direct._internal.request_handler import (
     CERTAIN_MS,
     UNPREPARED_MS,
@@ -176,6 +177,22 @@
         assert "s-4" not in [each.instance for each in ranked]
         assert ranked[0].instance != "s-0"
 
+    async def test_servers_that_drain_count_in_the_mean(self):
+        """Guards against more load than the bound while a release goes on."""
+        parts = make_parts()
+        pool = [server(f"s-{n}", port=8000 + n) for n in range(4)]
+        leaving = server("s-4", port=8004, state=ServerState.DRAINING)
+        parts.servers.update(listing(*pool, leaving), 1_000_000)
+        for each in ("s-1", "s-2", "s-3"):
+            for _ in range(4):
+                parts.load.begin(each)
+        for _ in range(11):
+            parts.load.begin("s-0")
+        parts.placement.cache.note_sent(prompt(), "s-0")
+        ranked = rank_servers(parts, Pool("models", 0), prompt())
+        assert ranked[0].instance != "s-0"
+        assert "s-4" not in [each.instance for each in ranked]
+
 
 class TestReplacedServers:
     async def test_a_server_that_is_no_longer_at_its_address_is_asked_once(self):
