Test the log writer; state what lines of requests cost

Tried and reverted: many lines in one write and one dictionary less for each line.

Conclusion: what is left of the cost is the encoding, the lines' kilobytes and the values that they collect; fewer fields would be the next try.

--- a/packages/medlarridge-direct/tests/direct/test_logs.py
+++ b/packages/medlarridge-direct/tests/direct/test_logs.py
@@ -1,4 +1,5 @@
 import json
+import os
 
 import pytest
 
@@ -6,8 +7,10 @@
 from medlarridge_direct._internal.logs import (
     FINISHED,
     MAX_LINES_PER_S,
+    MAX_WAITING_LINES,
     READINESS,
     Log,
+    LogWriter,
 )
 
 
@@ -53,3 +56,35 @@
             log.request_event(FINISHED, request="r-1")
         log.event(READINESS, ready=False)
         assert written(log, capfd)[-1]["code"] == "MR6140"
+
+
+class TestWriter:
+    def test_a_slow_reader_gets_whole_lines_and_blocks_nobody(self):
+        """Guards against torn lines, and against a router that waits for its log."""
+        reading, writing = os.pipe()
+        os.set_blocking(writing, False)
+        writer = LogWriter(writing)
+        lines = [b'{"line": %d, "pad": "%b"}\n' % (n, b"x" * 200) for n in range(900)]
+        for line in lines:
+            writer.write(line)
+        taken = b""
+        while writer.waiting:
+            writer.flush()
+            taken += os.read(reading, 30_000)
+        os.set_blocking(reading, False)
+        while len(taken) < sum(map(len, lines)):
+            taken += os.read(reading, 30_000)
+        assert taken == b"".join(lines)
+        os.close(reading)
+        os.close(writing)
+
+    def test_lines_beyond_the_bound_are_dropped_and_counted(self):
+        """Guards against memory that a reader which stopped can fill."""
+        reading, writing = os.pipe()
+        writer = LogWriter(writing)
+        for number in range(MAX_WAITING_LINES + 3):
+            writer.write(b"%d\n" % number)
+        assert (len(writer.waiting), writer.dropped) == (MAX_WAITING_LINES, 3)
+        assert writer.waiting[0] == b"3\n"
+        os.close(reading)
+        os.close(writing)
