--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
@@ -3,8 +3,9 @@
 A server that refuses connections, or whose address another server has now, gets no work
 at once. So does one from which nothing arrives on any connection while attempts wait for
 it; it may be hanging or cut off. An attempt that later ones overtook says nothing: its
-answer was lost. A silent server is tried again now and then. One that fails a share of its answers gets work only
-when the others are at their load bound: when most of a pool fails, all of it is needed.
+answer was lost. A silent server is tried again now and then. One that fails a share of
+its answers gets work only when the others are at their load bound: when most of a pool
+fails, all of it is needed.
 """
 
 from dataclasses import dataclass, field
@@ -109,13 +110,7 @@
         if attempt is None:
             return
         if attempt.last_ms == attempt.sent_ms:
-            overtaken_ms = attempt.sent_ms - SILENT_MS
-            for other in [
-                each
-                for each, waiting in health.waiting.items()
-                if waiting.last_ms <= overtaken_ms
-            ]:
-                del health.waiting[other]
+            forget_overtaken(health, attempt)
         attempt.last_ms = now_ms
 
     def note_ended(self, instance: str, number: int) -> None:
@@ -236,3 +231,15 @@
     def reset(self, instance: str) -> None:
         """Forget a server that left or was started again."""
         self.servers.pop(instance, None)
+
+
+def forget_overtaken(health: Health, answered: WaitingAttempt) -> None:
+    """Drop attempts that were silent before one was sent that has its answer now."""
+    overtaken_ms = answered.sent_ms - SILENT_MS
+    overtaken = [
+        number
+        for number, waiting in health.waiting.items()
+        if waiting.last_ms <= overtaken_ms
+    ]
+    for number in overtaken:
+        del health.waiting[number]
