Split the choice of a server and the gauges out; index servers by pool

The mean over all servers of a pool went through the whole list for each request.

Ruled out: a change of behaviour; the functions moved as they were, and the index holds the servers that the search found.

Change: server_choice.py, gauges.py, and an index of all servers by pool beside that of the ready ones. The test of the metrics page reads the names where they now stand.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -20,6 +20,7 @@
 from .coordination.retry_budget import RetryBudget
 from .coordination.server_health import ServerHealth
 from .explanation import EXPLAIN_PATH, Question, explain
+from .gauges import add_gauges
 from .logs import (
     READINESS,
     RELOAD_FAILED,
@@ -99,7 +100,7 @@
         self.news = PeerNews(
             self.parts, self.peers, self.log, lambda: self.stopping_ms is not None
         )
-        self.add_gauges()
+        add_gauges(self)
         self.inventory = CacheInventory(self.parts, self.peers, self.news, self.log)
         self.parts.placement.cache.complete = settings.first_start
         self.copies = PeerCopies(self.parts, self.peers, self.clock, self.log)
@@ -163,52 +164,6 @@
             )
         self.news.announce_strikes(strikes)
 
-    def add_gauges(self) -> None:
-        """Name the values that the metrics show."""
-        parts = self.parts
-        add = parts.metrics.add_gauge
-        add("in_flight", "Requests in flight.", lambda: self.handler.in_flight)
-        add("connections", "Connections of clients.", lambda: len(self.connections))
-        add("ready", "1 while the router is ready.", lambda: float(self.ready))
-        add("peers", "Routers heard from lately.", lambda: len(self.peers.live()))
-        add(
-            "store_reachable",
-            "1 while the store answers this router.",
-            lambda: float(self.peers.store_reachable),
-        )
-        add(
-            "list_age_seconds",
-            "Age of the server list, -1 without one.",
-            lambda: age_in_seconds(parts.servers.age_ms()),
-        )
-        add(
-            "configuration_age_seconds",
-            "Time since the configuration was known to be the newest, or -1.",
-            lambda: age_in_seconds(parts.configuration.age_ms()),
-        )
-        add(
-            "configuration_revision",
-            "Revision in force.",
-            lambda: parts.configuration.revision,
-        )
-        add("servers", "Servers listed.", lambda: len(parts.servers.known))
-        add(
-            "servers_unreachable",
-            "Servers that accept no connection of this router.",
-            lambda: len(parts.health.unreachable()),
-        )
-        add(
-            "server_connects",
-            "New connections to servers since the start.",
-            lambda: parts.connections.connects,
-        )
-        add("log_lines_dropped", "Log lines dropped.", lambda: self.log.total_dropped)
-        add(
-            "retry_slack",
-            "Retries of this router's share beyond the ratio.",
-            lambda: parts.budget.bounds.slack / max(parts.budget.routers, 1),
-        )
-
     async def answer_operator(
         self, request: ClientRequest, answer: AnswerWriter
     ) -> None:
@@ -414,8 +369,3 @@
         return path.stat().st_mtime_ns
     except OSError:
         return None
-
-
-def age_in_seconds(age_ms: int | None) -> float:
-    """Return an age in seconds, or -1 if there is none."""
-    return -1.0 if age_ms is None else age_ms / MS_PER_S
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/explanation.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/explanation.py
@@ -8,7 +8,8 @@
 from .protocol.requests import ClientRequest, PromptPart, RequestFacts
 from .protocol.servers import BackendServer
 from .request_handler import Rejection, RequestHandler
-from .request_run import Accepted, rank_servers, sharing_load
+from .request_run import Accepted
+from .server_choice import rank_servers, sharing_load
 
 EXPLAIN_PATH = b"/explain"
 
--- /dev/null
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
@@ -0,0 +1,60 @@
+"""Values of a router that the metrics show."""
+
+from typing import TYPE_CHECKING
+
+from medlarridge._internal.clock import MS_PER_S
+
+if TYPE_CHECKING:
+    from .daemon import DirectRouter
+
+
+def add_gauges(router: "DirectRouter") -> None:
+    """Name the values that the metrics show."""
+    parts = router.parts
+    add = parts.metrics.add_gauge
+    add("in_flight", "Requests in flight.", lambda: router.handler.in_flight)
+    add("connections", "Connections of clients.", lambda: len(router.connections))
+    add("ready", "1 while the router is ready.", lambda: float(router.ready))
+    add("peers", "Routers heard from lately.", lambda: len(router.peers.live()))
+    add(
+        "store_reachable",
+        "1 while the store answers this router.",
+        lambda: float(router.peers.store_reachable),
+    )
+    add(
+        "list_age_seconds",
+        "Age of the server list, -1 without one.",
+        lambda: age_in_seconds(parts.servers.age_ms()),
+    )
+    add(
+        "configuration_age_seconds",
+        "Time since the configuration was known to be the newest, or -1.",
+        lambda: age_in_seconds(parts.configuration.age_ms()),
+    )
+    add(
+        "configuration_revision",
+        "Revision in force.",
+        lambda: parts.configuration.revision,
+    )
+    add("servers", "Servers listed.", lambda: len(parts.servers.known))
+    add(
+        "servers_unreachable",
+        "Servers that accept no connection of this router.",
+        lambda: len(parts.health.unreachable()),
+    )
+    add(
+        "server_connects",
+        "New connections to servers since the start.",
+        lambda: parts.connections.connects,
+    )
+    add("log_lines_dropped", "Log lines dropped.", lambda: router.log.total_dropped)
+    add(
+        "retry_slack",
+        "Retries of this router's share beyond the ratio.",
+        lambda: parts.budget.bounds.slack / max(parts.budget.routers, 1),
+    )
+
+
+def age_in_seconds(age_ms: int | None) -> float:
+    """Return an age in seconds, or -1 if there is none."""
+    return -1.0 if age_ms is None else age_ms / MS_PER_S
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -61,6 +61,7 @@
     clock: Clock
     known: dict[str, BackendServer] = field(default_factory=dict)
     by_pool: dict[str, list[BackendServer]] = field(default_factory=dict)
+    all_by_pool: dict[str, list[BackendServer]] = field(default_factory=dict)
     lapsed: set[str] = field(default_factory=set)
     revision: int = 0
     digest: int = 0
@@ -150,9 +151,11 @@
         return changes
 
     def index(self) -> None:
-        """Group the servers that take work by pool, in a fixed order."""
+        """Group the servers by pool in a fixed order, all and those that take work."""
+        self.all_by_pool = {}
         self.by_pool = {}
         for server in sorted(self.known.values(), key=lambda each: each.instance):
+            self.all_by_pool.setdefault(server.pool, []).append(server)
             if server.state is ServerState.READY:
                 self.by_pool.setdefault(server.pool, []).append(server)
 
@@ -160,6 +163,10 @@
         """Return the servers of a pool that take work."""
         return self.by_pool.get(pool, [])
 
+    def of_pool(self, pool: str) -> list[BackendServer]:
+        """Return the servers of a pool, draining ones too."""
+        return self.all_by_pool.get(pool, [])
+
     def sources(self, pool: str) -> list[BackendServer]:
         """Return the servers of a pool that may hand out prompt parts.
 
@@ -169,13 +176,9 @@
         departed = [
             each.server
             for each in self.departed.values()
-            if each.noticed_ms >= oldest_ms
-        ]
-        return [
-            server
-            for server in (*self.known.values(), *departed)
-            if server.pool == pool
+            if each.noticed_ms >= oldest_ms and each.server.pool == pool
         ]
+        return [*self.of_pool(pool), *departed]
 
     def forget_departed(self) -> list[str]:
         """Drop the departed servers that have ended; return their instances."""
--- a/packages/medlarridge-direct/tests/direct/test_pages.py
+++ b/packages/medlarridge-direct/tests/direct/test_pages.py
@@ -14,7 +14,7 @@
 class TestOperationsPage:
     def test_every_metric_is_listed(self):
         """Guards against metrics that nobody knows the use of."""
-        source = Path(Metrics.add_gauge.__code__.co_filename).parent / "daemon.py"
+        source = Path(Metrics.add_gauge.__code__.co_filename).parent / "gauges.py"
         names = GAUGE.findall(source.read_text())
         families = [family.name for family in Metrics().collect()]
         wanted = [*families, *(f"medlarridge_{name}" for name in names)]
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -16,7 +16,7 @@
     UNPREPARED_SPREAD_MS,
     RequestHandler,
 )
-from medlarridge_direct._internal.request_run import rank_servers
+from medlarridge_direct._internal.server_choice import rank_servers
 
 from .samples import configuration, listing, prompt, route, server
 from .scripted import CLOSE, REFUSE, RESET, make_parts
