Tell engines that process long prompts from servers that stopped

Cause: a server with attempts in flight counted as silent after 300 ms without a byte. An engine that reads a prompt of 30,000 tokens takes longer, and with 25 routers each has one or two attempts there.

Change: a quiet server counts as silent if it is quiet for most peers with attempts there too, or for 1.5 times the longest quiet time that servers of its pool ended by going on, between 300 and 2,000 ms.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -116,7 +116,9 @@
             )
         except TransportError as error:
             return AttemptOutcome(OutcomeKind.NOT_SENT, error.message)
-        self.attempt_number = self.components.health.record_sent(self.server.instance)
+        self.attempt_number = self.components.health.record_sent(
+            self.server.instance, self.server.pool
+        )
         return await self.read_head(timeout_ms)
 
     def request_bytes(self, metadata: ForwardingMetadata) -> bytes:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
@@ -3,8 +3,9 @@
 - Unreachable: the server refuses connections, or another server now has its address.
   It gets no work for a back-off period.
 - Silent: attempts are waiting but no byte arrives on any connection, so the server may
-  hang or be cut off. It gets no work except occasional probe requests. An attempt that
-  is still waiting after a later one was answered does not count: its response was lost.
+  hang or be cut off. It counts as silent when it is quiet for most peers as well, or
+  for longer than servers of its pool are quiet while they work. It gets no work except occasional probe requests. An attempt that is still waiting
+  after a later one was answered does not count: its response was lost.
 - Failing: a share of the attempts fails. The server gets work only when the others are
   at their load limit, because the whole pool is needed when most of it fails.
 """
@@ -14,6 +15,9 @@
 
 from medlarridge._internal.clock import Clock
 
+from .load_view import LoadView
+from .quiet_times import MIN_TIMEOUT_MS, QuietTimes
+
 
 class AttemptResult(StrEnum):
     """Result of an attempt as far as it concerns the server's health."""
@@ -40,9 +44,8 @@
 """Bounds of the back-off of an avoided server and of the interval of probes. Both
 double while the server fails."""
 
-SILENCE_TIMEOUT_MS = 300
-"""Time without a byte after which a server with attempts in flight counts as silent. A
-busy engine produces tokens for some request every few milliseconds."""
+SILENCE_TIMEOUT_MS = MIN_TIMEOUT_MS
+"""Time without a byte after which a server with attempts in flight counts as quiet. A busy engine produces tokens for some request every few milliseconds."""
 PEER_AVOID_MS = 300
 """Time for which a peer's finding is valid. Peers repeat it with each report."""
 RECENT_RESPONSE_MS = 500
@@ -56,6 +59,11 @@
     sent_ms: int
     last_received_ms: int
 
+    @property
+    def responding(self) -> bool:
+        """Return whether a part of the response has arrived."""
+        return self.last_received_ms > self.sent_ms
+
 
 @dataclass(slots=True)
 class InstanceHealth:
@@ -69,6 +77,7 @@
     from ``next_probe_ms`` on.
     """
 
+    pool: str = ""
     failed_share: float = 0.0
     avoid_until_ms: int = 0
     avoid_ms: int = 0
@@ -89,12 +98,15 @@
     """
 
     clock: Clock
+    quiet_times: QuietTimes
+    load: LoadView
     servers: dict[str, InstanceHealth] = field(default_factory=dict)
     last_number: int = 0
 
-    def record_sent(self, instance: str) -> int:
+    def record_sent(self, instance: str, pool: str) -> int:
         """Record that an attempt was sent to a server; return the attempt's number."""
         health = self.servers.setdefault(instance, InstanceHealth())
+        health.pool = pool
         now_ms = self.clock.now_ms()
         if not health.waiting:
             health.silent_since_ms = now_ms
@@ -113,13 +125,16 @@
         if health is None:
             return
         now_ms = self.clock.now_ms()
+        self.quiet_times.record(
+            health.pool, is_responding(health), now_ms - health.silent_since_ms
+        )
         health.silent_since_ms = now_ms
         health.probe_interval_ms = MIN_AVOID_MS
         health.next_probe_ms = now_ms + SILENCE_TIMEOUT_MS + MIN_AVOID_MS
         attempt = health.waiting.get(number)
         if attempt is None:
             return
-        if attempt.last_received_ms == attempt.sent_ms:
+        if not attempt.responding:
             drop_overtaken(health, attempt)
         attempt.last_received_ms = now_ms
 
@@ -130,6 +145,17 @@
             health.waiting.pop(number, None)
 
     def is_silent(self, instance: str, now_ms: int) -> bool:
+        """Return whether a quiet server must be taken for one that stopped."""
+        if not self.is_quiet(instance, now_ms):
+            return False
+        health = self.servers[instance]
+        timeout_ms = self.quiet_times.timeout_ms(health.pool, is_responding(health))
+        return (
+            now_ms - health.silent_since_ms > timeout_ms
+            or self.load.is_quiet_for_peers(instance)
+        )
+
+    def is_quiet(self, instance: str, now_ms: int) -> bool:
         """Return whether attempts are waiting but no bytes arrive."""
         health = self.servers.get(instance)
         return (
@@ -138,6 +164,11 @@
             and now_ms - health.silent_since_ms > SILENCE_TIMEOUT_MS
         )
 
+    def quiet_instances(self) -> list[str]:
+        """Return the servers that send nothing although attempts wait for them."""
+        now_ms = self.clock.now_ms()
+        return [each for each in self.servers if self.is_quiet(each, now_ms)]
+
     def is_probe_due(self, instance: str, now_ms: int, repeatable: bool) -> bool:
         """Return whether a silent server may get a request as a probe.
 
@@ -249,6 +280,11 @@
         self.servers.pop(instance, None)
 
 
+def is_responding(health: InstanceHealth) -> bool:
+    """Return whether the response to an attempt in flight is under way."""
+    return any(waiting.responding for waiting in health.waiting.values())
+
+
 def drop_overtaken(health: InstanceHealth, answered: WaitingAttempt) -> None:
     """Drop attempts that had been silent for the timeout when ``answered`` was sent.
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -18,6 +18,7 @@
 from .coordination.load_view import LoadView
 from .coordination.placement import Placement
 from .coordination.prompt_cache_index import PromptCacheIndex
+from .coordination.quiet_times import QuietTimes
 from .coordination.retry_budget import RetryBudget
 from .coordination.server_health import ServerHealth
 from .explanation import EXPLAIN_PATH, ExplainRequest, explain
@@ -139,7 +140,7 @@
                 self.settings.data_centre,
                 self.settings.load.factor,
             ),
-            health=ServerHealth(clock),
+            health=ServerHealth(clock, QuietTimes(clock), load),
             retry_budget=RetryBudget(clock, self.settings.retries),
             crash_guard=crash_guard,
             crash_detector=CrashDetector(clock, crash_guard),
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -115,6 +115,7 @@
             store_reachable=self.peers.store_reachable,
             unreachable=self.components.health.unreachable_instances(),
             configuration_watched_revision=configuration.watched_revision,
+            quiet=self.components.health.quiet_instances(),
         )
 
     def handle_datagram(self, data: bytes, address: Address) -> None:
@@ -129,7 +130,9 @@
             return
         if is_new:
             self.announce_all_cached_parts()
-        self.components.load.apply_report(report.router_id, report.in_flight)
+        self.components.load.apply_report(
+            report.router_id, report.in_flight, report.quiet
+        )
         for part_id, instance in report.cached_parts:
             self.components.placement.cache_index.record(part_id, instance)
         for fingerprint, server in report.strikes:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
@@ -17,7 +17,8 @@
     never. ``cache_index_synced`` tells whether the router knows what servers cached
     before it started. ``unreachable`` lists servers that do not respond to this router.
     The configuration is known to be the newest up to the store's revision
-    ``configuration_watched_revision``.
+    ``configuration_watched_revision``. ``quiet`` are the servers that send this router
+    nothing although attempts wait for them.
     """
 
     router_id: int
@@ -34,6 +35,7 @@
     store_reachable: bool = True
     unreachable: list[str] = []
     configuration_watched_revision: int = 0
+    quiet: list[str] = []
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/packages/medlarridge-direct/tests/direct/coordination/test_server_health.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_server_health.py
@@ -1,6 +1,8 @@
 import pytest
 
 from medlarridge import ManualClock
+from medlarridge_direct._internal.coordination.load_view import LoadView
+from medlarridge_direct._internal.coordination.quiet_times import QuietTimes
 from medlarridge_direct._internal.coordination.server_health import (
     MAX_AVOID_MS,
     MIN_AVOID_MS,
@@ -21,7 +23,7 @@
 
 @pytest.fixture
 def health(clock):
-    return ServerHealth(clock)
+    return ServerHealth(clock, QuietTimes(clock), LoadView(clock))
 
 
 def fail(health, *instances, times=3):
@@ -75,8 +77,8 @@
         self, health, clock
     ):
         """Guards against sending chats to a server that stopped sending."""
-        number = health.record_sent("a")
-        health.record_sent("a")
+        number = health.record_sent("a", "models")
+        health.record_sent("a", "models")
         clock.advance(SILENCE_TIMEOUT_MS + 1)
         assert "a" not in health.reachable(POOL)
         assert health.unreachable_instances() == ["a"]
@@ -86,7 +88,7 @@
     def test_one_long_prompt_does_not_make_a_busy_server_silent(self, health, clock):
         """Guards against avoiding a server because one prompt takes long."""
         for _ in range(20):
-            number = health.record_sent("a")
+            number = health.record_sent("a", "models")
             clock.advance(SILENCE_TIMEOUT_MS // 2)
             health.record_received("a", number)
         clock.advance(SILENCE_TIMEOUT_MS // 2)
@@ -94,7 +96,7 @@
 
     def test_an_idle_server_is_not_silent(self, health, clock):
         """Guards against avoiding servers without requests in flight."""
-        number = health.record_sent("a")
+        number = health.record_sent("a", "models")
         health.record_ended("a", number)
         clock.advance(10 * SILENCE_TIMEOUT_MS)
         assert "a" in health.reachable(POOL)
@@ -102,15 +104,15 @@
     def test_a_pool_that_is_silent_as_a_whole_stays_in_use(self, health, clock):
         """Guards against refusing work because this router itself is cut off."""
         for instance in POOL:
-            health.record_sent(instance)
+            health.record_sent(instance, "models")
         clock.advance(SILENCE_TIMEOUT_MS + 1)
         assert health.reachable(POOL) == set(POOL)
 
     def test_a_lost_response_does_not_make_its_server_silent(self, health, clock):
         """Guards against avoiding a server while one lost response is awaited."""
-        health.record_sent("a")
+        health.record_sent("a", "models")
         clock.advance(SILENCE_TIMEOUT_MS)
-        answered = health.record_sent("a")
+        answered = health.record_sent("a", "models")
         clock.advance(SILENCE_TIMEOUT_MS // 2)
         health.record_received("a", answered)
         health.record_ended("a", answered)
@@ -119,10 +121,10 @@
 
     def test_a_stalled_stream_does_not_make_its_server_silent(self, health, clock):
         """Guards against avoiding a server because of one stream that it dropped."""
-        stalled = health.record_sent("a")
+        stalled = health.record_sent("a", "models")
         health.record_received("a", stalled)
         clock.advance(SILENCE_TIMEOUT_MS + 1)
-        answered = health.record_sent("a")
+        answered = health.record_sent("a", "models")
         health.record_received("a", answered)
         health.record_ended("a", answered)
         clock.advance(SILENCE_TIMEOUT_MS + 1)
@@ -132,38 +134,38 @@
         """Guards against sending chats to a server that hangs in mid-response."""
         for _ in range(3):
             clock.advance(SILENCE_TIMEOUT_MS // 2)
-            health.record_received("a", health.record_sent("a"))
+            health.record_received("a", health.record_sent("a", "models"))
         clock.advance(SILENCE_TIMEOUT_MS + 1)
         assert "a" not in health.reachable(POOL)
 
     def test_a_silent_server_is_probed_with_repeatable_requests(self, health, clock):
         """Guards against avoiding a server until the deadline of one request."""
-        health.record_sent("a")
+        health.record_sent("a", "models")
         clock.advance(SILENCE_TIMEOUT_MS + 1)
         assert "a" not in health.reachable(POOL, repeatable=True)
         clock.advance(MIN_AVOID_MS)
         assert "a" not in health.reachable(POOL)
         assert "a" in health.reachable(POOL, repeatable=True)
-        probe = health.record_sent("a")
+        probe = health.record_sent("a", "models")
         assert "a" not in health.reachable(POOL, repeatable=True)
         health.record_received("a", probe)
         assert "a" in health.reachable(POOL)
 
     def test_probes_of_a_silent_server_become_rarer(self, health, clock):
         """Guards against losing one request after another to a silent server."""
-        health.record_sent("a")
+        health.record_sent("a", "models")
         probes = 0
         for _ in range(80):
             clock.advance(50)
             if "a" in health.reachable(POOL, repeatable=True):
                 if health.is_silent("a", clock.now_ms()):
                     probes += 1
-                health.record_sent("a")
+                health.record_sent("a", "models")
         assert probes <= 3
 
     def test_any_request_may_probe_a_server_that_is_still_listed(self, health, clock):
         """Guards against never probing where no request is repeatable."""
-        health.record_sent("a")
+        health.record_sent("a", "models")
         clock.advance(SILENCE_TIMEOUT_MS + MAX_AVOID_MS + 1)
         assert "a" in health.reachable(POOL)
 
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -12,6 +12,7 @@
 from medlarridge_direct._internal.coordination.prompt_cache_index import (
     PromptCacheIndex,
 )
+from medlarridge_direct._internal.coordination.quiet_times import QuietTimes
 from medlarridge_direct._internal.coordination.retry_budget import RetryBudget
 from medlarridge_direct._internal.coordination.server_health import ServerHealth
 from medlarridge_direct._internal.metrics import Metrics
@@ -174,7 +175,7 @@
         placement=Placement(
             Random(7), load, PromptCacheIndex(clock), "anfa", load_factor
         ),
-        health=ServerHealth(clock),
+        health=ServerHealth(clock, QuietTimes(clock), load),
         retry_budget=RetryBudget(
             clock, RetrySettings(ratio=0.2, slack=50, window_s=10)
         ),
--- a/packages/medlarridge-direct/tests/direct/test_daemon.py
+++ b/packages/medlarridge-direct/tests/direct/test_daemon.py
@@ -92,7 +92,7 @@
     def test_silence_of_a_server_and_its_end_are_logged_once(self, observed_router):
         """Guards against late responses whose cause is not logged."""
         health = observed_router.components.health
-        number = health.record_sent("s-1")
+        number = health.record_sent("s-1", "models")
         observed_router.log_silent_servers()
         observed_router.clock.advance(SILENCE_TIMEOUT_MS + 1)
         observed_router.log_silent_servers()
@@ -104,7 +104,7 @@
 
     def test_removed_server_is_no_longer_silent(self, observed_router):
         """Guards against servers that stay listed as silent after they left."""
-        observed_router.components.health.record_sent("s-1")
+        observed_router.components.health.record_sent("s-1", "models")
         observed_router.clock.advance(SILENCE_TIMEOUT_MS + 1)
         observed_router.log_silent_servers()
         observed_router.components.health.reset("s-1")
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -185,7 +185,7 @@
         assert chosen.instance == "s-0"
         for _ in range(3):
             components.load.begin_attempt("s-0")
-        components.health.record_sent("s-4")
+        components.health.record_sent("s-4", "models")
         components.clock.advance(SILENCE_TIMEOUT_MS + 1)
         ranked = rank_servers(components, Pool("models", 0), prompt())
         assert "s-4" not in [each.instance for each in ranked]
