Follow the server list by a watch and report departures at once

Each report is delayed on the way, so an age that routers report back to each other grows slower than time, and the first router, which reads the list once its age reaches 800 ms, waits longer the later reports arrive. A router then fetched the whole list over a connection beside the configuration.

Change: ages are those of a router's own reads and are not passed on; which list is newer is told by the store's revision. The first router watches the list (900 ms a wait) in place of reading it whole; a watch that ends without a change confirms up to its end. Routers that rank later confirm the configuration with a short watch. A router that learns from the store that a server left sends this at once in a report and repeats it for 1 s; peers stop using the server before they have the list.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -119,6 +119,7 @@
             self.peer_snapshots,
             self.log,
             settings.node,
+            self.peer_reports.announce_departures,
         )
 
     def create_components(self, dialect: Dialect) -> RouterComponents:
@@ -255,6 +256,7 @@
                 self.peer_reports.run,
                 self.store_sync.sync_routers,
                 self.store_sync.sync_servers,
+                self.store_sync.watch_servers,
                 self.store_sync.sync_configuration,
                 self.run_housekeeping,
                 self.cache_inventory.run,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -8,8 +8,13 @@
 
 from .components import RouterComponents
 from .coordination.crash_detector import Strike
-from .logs import CRASH_STRIKE, PEER_FOUND, PEER_LOST, Log
-from .protocol.peer_messages import Report, decode_report, encode_report
+from .logs import CRASH_STRIKE, PEER_FOUND, PEER_LOST, SERVER_LEAVING, Log
+from .protocol.peer_messages import (
+    Departure,
+    Report,
+    decode_report,
+    encode_report,
+)
 from .state.peer_table import Address, PeerTable
 from .transport.datagrams import DatagramSocket
 
@@ -24,6 +29,10 @@
 BACKLOG_INTERVAL_MS = 20
 """Interval of reports while prompt parts are left over from the last report."""
 
+DEPARTURE_REPEAT_MS = 1_000
+"""Time for which reports repeat that a server left, since single reports may be
+lost."""
+
 MAX_CATCH_UP_SENDERS = 2
 """Number of routers that send all cached parts to a new router, since reports of one
 may be lost."""
@@ -46,6 +55,7 @@
         self.socket = DatagramSocket(self.handle_datagram)
         self.pending_parts: list[tuple[str, str]] = []
         self.pending_strikes: list[tuple[int, str]] = []
+        self.departures: list[tuple[int, Departure]] = []
         self.sequence = 0
         self.live_addresses: set[Address] = set()
         self.malformed_reports = 0
@@ -72,6 +82,21 @@
         """Queue pairs of a part and a server that caches it for the next reports."""
         self.pending_parts += cached_parts
 
+    def announce_departures(self, departures: list[Departure]) -> None:
+        """Report at once, and again for a while, which servers left the list.
+
+        A list is fetched over a connection, where it may wait behind other content.
+        """
+        now_ms = self.components.clock.now_ms()
+        self.departures += [(now_ms, departure) for departure in departures]
+        self.send_report()
+
+    def recent_departures(self) -> list[Departure]:
+        """Return the departures that are still reported."""
+        oldest_ms = self.components.clock.now_ms() - DEPARTURE_REPEAT_MS
+        self.departures = [each for each in self.departures if each[0] >= oldest_ms]
+        return [departure for _, departure in self.departures]
+
     def announce_strikes(self, strikes: list[Strike]) -> None:
         """Report at once the requests that were running when a server went down."""
         self.pending_strikes += [
@@ -108,13 +133,15 @@
             cached_parts=cached_parts,
             strikes=strikes,
             list_digest=servers.digest,
-            list_age_ms=encode_age(servers.age_ms()),
+            list_age_ms=encode_age(servers.own_read_age_ms()),
             configuration_revision=configuration.revision,
-            configuration_age_ms=encode_age(configuration.age_ms()),
+            configuration_age_ms=encode_age(configuration.own_read_age_ms()),
             cache_index_synced=self.components.placement.cache_index.synced,
             store_reachable=self.peers.store_reachable,
             unreachable=self.components.health.unreachable_instances(),
             configuration_watched_revision=configuration.watched_revision,
+            list_revision=servers.revision,
+            departures=self.recent_departures(),
             quiet=self.components.health.quiet_instances(),
         )
 
@@ -143,10 +170,23 @@
                     server=server,
                     peer=True,
                 )
+        for departure in report.departures:
+            self.apply_departure(departure)
         for instance in report.unreachable:
             self.components.health.record_peer_unreachable(instance)
         self.apply_store_state(report)
 
+    def apply_departure(self, departure: Departure) -> None:
+        """Stop using a server that a peer has seen leave the list."""
+        if self.components.servers.record_departure(
+            departure.instance, departure.started_at, departure.revision
+        ):
+            self.log.event(
+                SERVER_LEAVING,
+                server=departure.instance,
+                revision=departure.revision,
+            )
+
     def announce_all_cached_parts(self) -> None:
         """Queue all cached parts for a router that has just started."""
         cache_index = self.components.placement.cache_index
@@ -157,18 +197,19 @@
         """Confirm state that equals the peer's, and mark older state as outdated."""
         now_ms = self.components.clock.now_ms()
         servers, configuration = self.components.servers, self.components.configuration
-        if report.configuration_age_ms >= 0:
-            if report.configuration_revision == configuration.revision:
-                configuration.confirm(now_ms - report.configuration_age_ms)
-            configuration.record_peer_revision(
-                report.configuration_revision, report.configuration_watched_revision
-            )
-        if report.list_age_ms >= 0:
-            confirmed_ms = now_ms - report.list_age_ms
-            if report.list_digest == servers.digest:
-                servers.confirm(confirmed_ms)
-            elif confirmed_ms > (servers.confirmed_ms or 0):
-                servers.outdated = True
+        if (
+            report.configuration_age_ms >= 0
+            and report.configuration_revision == configuration.revision
+        ):
+            configuration.confirm(now_ms - report.configuration_age_ms)
+        configuration.record_peer_revision(
+            report.configuration_revision, report.configuration_watched_revision
+        )
+        if report.list_digest == servers.digest:
+            if report.list_age_ms >= 0:
+                servers.confirm(now_ms - report.list_age_ms)
+        elif report.list_revision > servers.revision:
+            servers.outdated = True
 
     def update_live_peers(self) -> None:
         """Log peers that were found or lost, and update the number of routers."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_snapshots.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_snapshots.py
@@ -63,9 +63,8 @@
 
     async def fetch_servers(self) -> tuple[ServerListing, int] | None:
         """Return a peer's newer server list and when it was confirmed, or None."""
-        confirmed_ms = self.components.servers.confirmed_ms or 0
         for peer in self.peers.by_newest_list():
-            if peer.list_confirmed_ms <= confirmed_ms:
+            if peer.list_revision <= self.components.servers.revision:
                 return None
             snapshot = await self.request_snapshot(peer, SERVERS_PATH, ServerListing)
             if snapshot is not None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
@@ -5,6 +5,17 @@
 from medlarridge._internal.errors import CodecError
 
 
+class Departure(msgspec.Struct, frozen=True, array_like=True):
+    """A server that gets no new work since a revision of the store.
+
+    ``started_at`` distinguishes starts with the same instance.
+    """
+
+    instance: str
+    started_at: int
+    revision: int
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """State of one router and what it learned since its last report.
 
@@ -13,12 +24,14 @@
     prompt part and a server that now caches it, ``strikes`` pairs of a request
     fingerprint and a server that went down while running it. ``list_digest`` and
     ``configuration_revision`` identify the server list and the configuration of the
-    router; the ages tell how long ago these were known to be the newest, -1 meaning
-    never. ``cache_index_synced`` tells whether the router knows what servers cached
+    router; the ages tell how long ago it read them from the store itself, -1 meaning
+    never. They are not passed on: an age that routers report back to each other grows
+    slower than time, by the delay of each report. ``cache_index_synced`` tells whether the router knows what servers cached
     before it started. ``unreachable`` lists servers that do not respond to this router.
     The configuration is known to be the newest up to the store's revision
-    ``configuration_watched_revision``. ``quiet`` are the servers that send this router
-    nothing although attempts wait for them.
+    ``configuration_watched_revision``, and the list is that of the store's revision
+    ``list_revision``. ``departures`` are the servers that left the list lately, and
+    ``quiet`` those that send this router nothing although attempts wait for them.
     """
 
     router_id: int
@@ -35,6 +48,8 @@
     store_reachable: bool = True
     unreachable: list[str] = []
     configuration_watched_revision: int = 0
+    list_revision: int = 0
+    departures: list[Departure] = []
     quiet: list[str] = []
 
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
@@ -73,6 +73,16 @@
         """Return all servers as of a time not before the call."""
         ...
 
+    async def watch_servers(
+        self, listing: ServerListing, wait_ms: int
+    ) -> ServerListing:
+        """Wait until the list differs from ``listing``; return the list after that.
+
+        After ``wait_ms`` without a change, return the same servers at a later revision.
+        Raise ``HistoryGone`` if changes may have been missed.
+        """
+        ...
+
     async def read_configuration(self) -> ConfigurationSnapshot:
         """Return the newest configuration."""
         ...
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/servers.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/servers.py
@@ -4,6 +4,7 @@
 routers of another version.
 """
 
+from collections.abc import Iterable, Set
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -51,3 +52,19 @@
     revision: int
     servers: tuple[BackendServer, ...]
     malformed: int = 0
+
+    def with_changes(
+        self, revision: int, changed: Iterable[BackendServer], removed: Set[str]
+    ) -> "ServerListing":
+        """Return the list at a later revision."""
+        servers = {server.instance: server for server in self.servers}
+        servers |= {server.instance: server for server in changed}
+        return ServerListing(
+            revision,
+            tuple(
+                server
+                for instance, server in servers.items()
+                if instance not in removed
+            ),
+            self.malformed,
+        )
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
@@ -33,9 +33,9 @@
 class Peer:
     """Another router and the contents of its last report.
 
-    ``router_id`` identifies one start of its process. ``list_confirmed_ms`` is the time
-    at which its server list was last known to be the newest. ``registered`` tells
-    whether the store lists its address.
+    ``router_id`` identifies one start of its process. ``list_revision`` is the store's
+    revision of its server list. ``registered`` tells whether the store lists its
+    address.
     """
 
     address: Address
@@ -46,7 +46,7 @@
     cache_index_synced: bool = False
     store_reachable: bool = False
     configuration_revision: int = 0
-    list_confirmed_ms: int = 0
+    list_revision: int = 0
     registered: bool = False
 
 
@@ -86,8 +86,7 @@
         peer.store_reachable = report.store_reachable
         peer.configuration_revision = report.configuration_revision
         peer.last_report_ms = self.clock.now_ms()
-        if report.list_age_ms >= 0:
-            peer.list_confirmed_ms = peer.last_report_ms - report.list_age_ms
+        peer.list_revision = report.list_revision
         return True
 
     def is_new_router(self, address: Address, router_id: int) -> bool:
@@ -108,7 +107,9 @@
 
     def by_newest_list(self) -> list[Peer]:
         """Return the live peers, the one with the newest server list first."""
-        return sorted(self.live_peers(), key=lambda peer: -peer.list_confirmed_ms)
+        return sorted(
+            self.live_peers(), key=lambda peer: (-peer.list_revision, peer.router_id)
+        )
 
     def by_newest_configuration(self) -> list[Peer]:
         """Return the live peers, the one with the newest configuration first."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -61,7 +61,10 @@
     """The newest server list, lapsed entries that are kept, and servers that left.
 
     ``outdated`` is set while a peer is known to have a newer list. ``confirmed_ms`` is
-    the last time at which the list was known to be the newest.
+    the last time at which the list was known to be the newest, and ``own_read_ms`` the
+    last time at which this router itself read it from the store. ``leaving`` holds the
+    servers that a peer has seen leave since the revision of the list, by instance with
+    the revision at which they left.
     """
 
     clock: Clock
@@ -73,6 +76,8 @@
     digest: int = 0
     listing: ServerListing | None = None
     confirmed_ms: int | None = None
+    own_read_ms: int | None = None
+    leaving: dict[str, int] = field(default_factory=dict)
     outdated: bool = False
     keep_lapsed_until_ms: int = 0
     departed: dict[str, DepartedServer] = field(default_factory=dict)
@@ -81,7 +86,8 @@
         """Apply a list that was requested at ``read_ms``; return the changes."""
         self.outdated = False
         if self.confirmed_ms is not None and (
-            read_ms <= self.confirmed_ms or listing.revision < self.revision
+            listing.revision < self.revision
+            or (listing.revision == self.revision and read_ms <= self.confirmed_ms)
         ):
             return []
         after_outage = (
@@ -90,7 +96,7 @@
         )
         if after_outage:
             self.keep_lapsed_until_ms = read_ms + REREGISTRATION_MS
-        self.confirmed_ms = read_ms
+        self.confirmed_ms = max(read_ms, self.confirmed_ms or 0)
         self.revision = listing.revision
         listed = {server.instance: server for server in listing.servers}
         changes = [
@@ -98,11 +104,44 @@
             *self.diff_missing(listed, read_ms, after_outage),
         ]
         self.by_instance = listed
+        self.leaving = {
+            instance: revision
+            for instance, revision in self.leaving.items()
+            if revision > listing.revision
+        }
         self.rebuild_indexes()
         self.digest = listing_digest(listing)
         self.listing = listing
         return changes
 
+    def record_own_read(self, read_ms: int) -> None:
+        """Record that this router read the list from the store at ``read_ms``."""
+        self.own_read_ms = max(read_ms, self.own_read_ms or 0)
+
+    def own_read_age_ms(self) -> int | None:
+        """Return the time since this router read the list itself, None if never."""
+        if self.own_read_ms is None:
+            return None
+        return self.clock.now_ms() - self.own_read_ms
+
+    def record_departure(self, instance: str, started_at: int, revision: int) -> bool:
+        """Stop using a server that a peer has seen leave; return whether it was used.
+
+        The rest of the change follows with the list of that revision.
+        """
+        server = self.by_instance.get(instance)
+        if (
+            server is None
+            or server.started_at != started_at
+            or server.state is not ServerState.READY
+            or revision <= self.revision
+            or instance in self.leaving
+        ):
+            return False
+        self.leaving[instance] = revision
+        self.rebuild_indexes()
+        return True
+
     def confirm(self, read_ms: int) -> None:
         """Record that the list was still the newest at ``read_ms``.
 
@@ -174,7 +213,10 @@
         self.ready_by_pool = {}
         for server in sorted(self.by_instance.values(), key=lambda each: each.instance):
             self.all_by_pool.setdefault(server.pool, []).append(server)
-            if server.state is ServerState.READY:
+            if (
+                server.state is ServerState.READY
+                and server.instance not in self.leaving
+            ):
                 self.ready_by_pool.setdefault(server.pool, []).append(server)
 
     def ready(self, pool: str) -> list[BackendServer]:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -21,26 +21,30 @@
 )
 from .peer_snapshots import PeerSnapshots
 from .protocol.configuration import Configuration
+from .protocol.peer_messages import Departure
 from .protocol.platform_interface import HistoryGone, PlatformStore
 from .protocol.servers import BackendServer, ServerListing
 from .state.peer_table import PeerTable
 from .state.server_table import ServerChange, ServerChangeKind
 
-LIST_MAX_AGE_MS = 800
-"""Age of the server list at which it is read again. A server must get no requests later
-than 2 s after it left; routers learn of it in time even if one call is lost."""
+WATCH_TIMEOUT_MS = 900
+"""Longest wait of one watch. A broken or silent watch is noticed early enough to apply
+a change within the required 2 s."""
 
-WATCH_TIMEOUT_MS = 600
-"""Longest wait of one watch of the configuration. A broken or silent watch is noticed
-early enough to apply a configuration within the required 2 s."""
+LIST_MAX_AGE_MS = 1_150
+"""Age of the server list at which it is read as a whole. A server must get no requests
+later than 2 s after it left. In normal operation the age reaches one watch and one
+interval of reports."""
 
-CONFIGURATION_MAX_AGE_MS = 1_400
-"""Age of the configuration at which a router that does not rank first watches as well.
-A watch confirms the configuration as of its start, so in normal operation the age
-reaches two watches and one interval of reports."""
+CONFIGURATION_MAX_AGE_MS = 1_150
+"""Age of the configuration at which a router that does not rank first asks the store as
+well."""
+
+SHORT_WATCH_MS = 1
+"""Wait of a watch that only confirms the configuration."""
 
 LIST_RANK_DELAY_MS = 200
-CONFIGURATION_RANK_DELAY_MS = 50
+CONFIGURATION_RANK_DELAY_MS = 150
 MAX_DELAYED_RANK = 3
 """The maximum age grows by this delay for each rank, up to the maximum rank. Normally
 only the first router reads, and the next ones take over if it fails."""
@@ -74,6 +78,7 @@
         peer_snapshots: PeerSnapshots,
         log: Log,
         node: str,
+        on_departures: Callable[[list[Departure]], None],
     ) -> None:
         self.components = components
         self.store = store
@@ -81,6 +86,7 @@
         self.peer_snapshots = peer_snapshots
         self.log = log
         self.node = node
+        self.on_departures = on_departures
         self.malformed = 0
 
     def is_due(self, age_ms: int | None, max_age_ms: int, rank_delay_ms: int) -> bool:
@@ -122,6 +128,42 @@
         """Read the server list whenever no router has read it recently."""
         await self.poll(self.read_servers_if_due)
 
+    async def watch_servers(self) -> None:
+        """Watch the server list while this router ranks first."""
+        await self.poll(self.watch_servers_if_first)
+
+    async def watch_servers_if_first(self) -> None:
+        """Wait once for changes of the list if no other router does."""
+        servers = self.components.servers
+        if (
+            servers.listing is None
+            or servers.outdated
+            or not self.peers.store_reachable
+            or self.peers.store_reader_rank() > 0
+            or (servers.age_ms() or 0) > LIST_MAX_AGE_MS
+        ):
+            return
+        watched = servers.listing
+        requested_ms = self.components.clock.now_ms()
+        try:
+            listing = await self.store.watch_servers(watched, WATCH_TIMEOUT_MS)
+        except HistoryGone:
+            self.apply_own_listing(await self.store.list_servers(), requested_ms)
+            return
+        if listing.servers == watched.servers:
+            read_ms = self.end_of_watch_ms(requested_ms, WATCH_TIMEOUT_MS)
+        else:
+            read_ms = self.components.clock.now_ms()
+        self.apply_own_listing(listing, read_ms)
+
+    def end_of_watch_ms(self, requested_ms: int, wait_ms: int) -> int:
+        """Return up to when a watch without a result shows that nothing changed.
+
+        The store responds only when the wait is over, or earlier if it ends the watch.
+        """
+        end_ms = requested_ms + wait_ms
+        return end_ms if end_ms <= self.components.clock.now_ms() else requested_ms
+
     async def read_servers_if_due(self) -> None:
         """Read the list if it is old or known to be outdated."""
         servers = self.components.servers
@@ -137,16 +179,31 @@
         requested_ms = self.components.clock.now_ms()
         listing = await self.store.list_servers()
         self.set_store_reachable(True)
-        self.apply_listing(listing, requested_ms)
-
-    def apply_listing(self, listing: ServerListing, read_ms: int) -> None:
-        """Apply a list that was current at ``read_ms``."""
+        self.apply_own_listing(listing, requested_ms)
+
+    def apply_own_listing(self, listing: ServerListing, read_ms: int) -> None:
+        """Apply a list from the store and report the servers that left it."""
+        self.components.servers.record_own_read(read_ms)
+        departures = [
+            Departure(
+                change.server.instance, change.server.started_at, listing.revision
+            )
+            for change in self.apply_listing(listing, read_ms)
+            if change.kind in (ServerChangeKind.GONE, ServerChangeKind.DRAINING)
+        ]
+        if departures:
+            self.on_departures(departures)
+
+    def apply_listing(self, listing: ServerListing, read_ms: int) -> list[ServerChange]:
+        """Apply a list that was current at ``read_ms``; return the changes."""
         if listing.malformed != self.malformed:
             self.malformed = listing.malformed
             self.log.event(MALFORMED_ENTRIES, entries=listing.malformed)
-        self.apply_server_changes(self.components.servers.update(listing, read_ms))
+        changes = self.components.servers.update(listing, read_ms)
+        self.apply_server_changes(changes)
         for instance in self.components.servers.remove_expired_departed():
             self.components.placement.cache_index.remove_server(instance)
+        return changes
 
     def apply_server_changes(self, changes: list[ServerChange]) -> None:
         """Update the components for servers that joined, left or restarted."""
@@ -194,15 +251,15 @@
         if holder.outdated or holder.current is None:
             await self.read_configuration()
             return
-        max_age_ms = (
-            0 if self.peers.store_reader_rank() == 0 else CONFIGURATION_MAX_AGE_MS
-        )
+        is_first = self.peers.store_reader_rank() == 0
+        max_age_ms = 0 if is_first else CONFIGURATION_MAX_AGE_MS
+        wait_ms = WATCH_TIMEOUT_MS if is_first else SHORT_WATCH_MS
         if not self.is_due(holder.age_ms(), max_age_ms, CONFIGURATION_RANK_DELAY_MS):
             return
         requested_ms = self.components.clock.now_ms()
         try:
             result = await self.store.watch_configuration(
-                holder.watched_revision, WATCH_TIMEOUT_MS
+                holder.watched_revision, wait_ms
             )
         except HistoryGone:
             holder.outdated = True
@@ -211,12 +268,15 @@
             holder.outdated = True
             raise
         if result.configuration is None:
-            holder.confirm(requested_ms)
+            end_ms = self.end_of_watch_ms(requested_ms, wait_ms)
+            holder.confirm(end_ms)
+            holder.record_own_read(end_ms)
             holder.watched_revision = max(
                 holder.watched_revision, result.store_revision
             )
         else:
             read_ms = self.components.clock.now_ms()
+            holder.record_own_read(read_ms)
             self.apply_configuration(
                 result.configuration, read_ms, result.store_revision
             )
@@ -236,6 +296,7 @@
                 "store has no configuration yet", step="read configuration"
             )
         self.set_store_reachable(True)
+        holder.record_own_read(requested_ms)
         self.apply_configuration(
             result.configuration, requested_ms, result.store_revision
         )
