Number the reports in the test of delayed reports

The test of the commit before passed on the old code as well: its reports all had the same number, so peers dropped them. With numbered reports it fails there as it should: five routers whose reports are 400 ms late read the list once in 10 s; with ages of own reads the longest gap is 1,550 ms.

--- a/packages/medlarridge-direct/tests/direct/test_delayed_reports.py
+++ b/packages/medlarridge-direct/tests/direct/test_delayed_reports.py
@@ -10,9 +10,6 @@
 from medlarridge_direct._internal.logs import Log
 from medlarridge_direct._internal.peer_reports import PeerReports
 from medlarridge_direct._internal.peer_snapshots import PeerSnapshots
-from medlarridge_direct._internal.protocol.peer_messages import (
-    encode_report,
-)
 from medlarridge_direct._internal.protocol.servers import ServerState
 from medlarridge_direct._internal.state.peer_table import PeerTable
 from medlarridge_direct._internal.store_sync import (
@@ -66,7 +63,7 @@
             for router in self.routers:
                 offset_ms = router.number * STEP_MS
                 if (elapsed_ms + offset_ms) % REPORT_INTERVAL_MS == 0:
-                    router.send()
+                    router.reports.send_report()
                 await router.sync.read_servers_if_due()
 
     def deliver(self):
@@ -103,14 +100,8 @@
         self.reports.socket.send = self.transmit
         self.snapshots = snapshots
 
-    def send(self):
-        data = encode_report(self.reports.build_report([], []))
-        self.fleet.in_transit.append(
-            (self.fleet.clock.now_ms() + self.fleet.delay_ms, self, data)
-        )
-
     def transmit(self, data, address):
-        """Queue the datagrams that are sent outside the interval, once for all."""
+        """Queue a datagram, once for all other routers."""
         if address == min(self.peers.peers):
             self.fleet.in_transit.append(
                 (self.fleet.clock.now_ms() + self.fleet.delay_ms, self, data)
