Wait for a prompt that a server is processing; query caches at once

Ruled out: eviction, late announcements (most pairs were on one router or further apart than a report).

Change: a request whose prompt its server is still processing waits once, for the time left by the observed pace of the pool and at most half of the route's objective, and then chooses a server again. Reports tell parts that were just sent from parts that a server has had for longer. The router whose address is the first registered one queries the servers as soon as it has list and configuration; the parts with most tokens are announced first.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/cache_inventory.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/cache_inventory.py
@@ -8,6 +8,7 @@
 from .components import RouterComponents
 from .logs import CACHE_INDEX_SYNCED, Log
 from .peer_reports import PeerReports
+from .protocol.requests import PromptPart
 from .protocol.servers import BackendServer
 from .state.peer_table import PeerTable
 from .transport.http_connection import (
@@ -22,7 +23,7 @@
 """Time after the start in which routers that start together discover each other; one
 interval of their reports is added."""
 
-CHECK_INTERVAL_MS = 100
+CHECK_INTERVAL_MS = 20
 CALL_TIMEOUT_MS = 500
 """A server lists its cached prompt parts in a few milliseconds."""
 
@@ -45,18 +46,27 @@
         self.log = log
 
     async def run(self) -> None:
-        """Wait until a peer has synced the index, or sync it if ranked first."""
+        """Wait until a peer has synced the index, or sync it if ranked first.
+
+        Requests arrive as soon as the router is ready, so the router with the first
+        address does not wait until the rank is known.
+        """
         cache_index = self.components.placement.cache_index
-        await asyncio.sleep(
-            (PEER_DISCOVERY_MS + self.peer_reports.interval_ms()) / MS_PER_S
+        discovered_ms = (
+            self.components.clock.now_ms()
+            + PEER_DISCOVERY_MS
+            + self.peer_reports.interval_ms()
         )
         while not cache_index.synced:
             if any(peer.cache_index_synced for peer in self.peers.live_peers()):
                 cache_index.synced = True
                 self.log.event(CACHE_INDEX_SYNCED, source="peers")
-            elif (
-                self.components.servers.confirmed_ms is not None
-                and self.peers.store_reader_rank() == 0
+            elif self.model_servers() and (
+                self.peers.has_first_address()
+                or (
+                    self.components.clock.now_ms() >= discovered_ms
+                    and self.peers.store_reader_rank() == 0
+                )
             ):
                 await self.query_servers()
             await asyncio.sleep(CHECK_INTERVAL_MS / MS_PER_S)
@@ -68,17 +78,23 @@
         inventories = await asyncio.gather(
             *(self.query_server(server) for server in servers)
         )
-        answered = 0
-        for server, part_ids in zip(servers, inventories, strict=True):
-            if part_ids is None:
-                continue
-            answered += 1
-            for part_id in part_ids:
-                cache_index.record(part_id, server.instance)
+        cached = [
+            (part, server.instance)
+            for server, parts in zip(servers, inventories, strict=True)
+            for part in parts or ()
+        ]
+        # Reports take some time; the parts that take longest to process come first.
+        cached.sort(key=lambda entry: -entry[0].tokens)
+        entries = [(part.part_id, instance) for part, instance in cached]
+        for part_id, instance in entries:
+            cache_index.record_processed_part(part_id, instance)
         cache_index.synced = True
-        self.peer_reports.announce_cached_parts(cache_index.entries())
+        self.peer_reports.announce_processed_parts(entries)
         self.log.event(
-            CACHE_INDEX_SYNCED, source="servers", asked=len(servers), answered=answered
+            CACHE_INDEX_SYNCED,
+            source="servers",
+            asked=len(servers),
+            answered=sum(parts is not None for parts in inventories),
         )
 
     def model_servers(self) -> list[BackendServer]:
@@ -93,8 +109,8 @@
             for server in self.components.servers.ready(name)
         ]
 
-    async def query_server(self, server: BackendServer) -> list[str] | None:
-        """Return the IDs of the parts that a server caches, or None on failure."""
+    async def query_server(self, server: BackendServer) -> list[PromptPart] | None:
+        """Return the parts that a server caches, or None on failure."""
         try:
             connection = await self.components.connections.acquire(
                 server, CONNECTION_LIMIT
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/placement.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/placement.py
@@ -6,14 +6,15 @@
 """
 
 from collections.abc import Sequence, Set
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from ..protocol.requests import PromptPart
 from ..protocol.servers import BackendServer
 from .hashing import hash_to_fraction
 from .load_view import LoadView
-from .prompt_cache_index import PromptCacheIndex, affinity_key
+from .processing_pace import ProcessingPace
+from .prompt_cache_index import PromptCacheIndex, affinity_key, shared_prefix
 
 LOAD_ALLOWANCE = 2.5
 """Attempts that a server may carry beyond ``load_factor`` times the mean of its pool.
@@ -39,6 +40,25 @@
     cache_index: PromptCacheIndex
     data_centre: str
     load_factor: float = 2.0
+    pace: ProcessingPace = field(default_factory=ProcessingPace)
+
+    def processing_ms_left(
+        self, server: BackendServer, prompt: Sequence[PromptPart]
+    ) -> float:
+        """Return for how long a server still processes shared parts of a prompt.
+
+        The time is estimated from when the parts were sent to the server.
+        """
+        now_ms = self.cache_index.clock.now_ms()
+        left_ms = 0.0
+        for part in shared_prefix(prompt):
+            holding = self.cache_index.holders(part.part_id).get(server.instance)
+            if holding is None:
+                break
+            if holding.since_ms:
+                duration_ms = self.pace.duration_ms(server.pool, part.tokens)
+                left_ms = max(left_ms, holding.since_ms + duration_ms - now_ms)
+        return left_ms
 
     def rank(
         self,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/prompt_cache_index.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/prompt_cache_index.py
@@ -33,9 +33,21 @@
     return parts[-1].part_id if parts else None
 
 
+@dataclass(slots=True)
+class Holding:
+    """Use of a part by a server.
+
+    ``since_ms`` is the time at which the server was first sent the part, or 0 once it
+    is known to have processed it.
+    """
+
+    since_ms: int
+    last_used_ms: int
+
+
 @dataclass(slots=True)
 class PromptCacheIndex:
-    """Time of last use by part and server instance; the least recent parts are evicted.
+    """Use of parts by server instance; the least recent parts are evicted.
 
     ``synced`` is set once the index covers what servers cached before this router
     started.
@@ -43,17 +55,20 @@
 
     clock: Clock
     synced: bool = False
-    parts: OrderedDict[str, dict[str, int]] = field(default_factory=OrderedDict)
+    parts: OrderedDict[str, dict[str, Holding]] = field(default_factory=OrderedDict)
 
     def record(self, part_id: str, instance: str) -> bool:
         """Record that a server uses a part; return whether to announce it to peers."""
         holders = self.parts.setdefault(part_id, {})
         self.parts.move_to_end(part_id)
         now_ms = self.clock.now_ms()
-        last_used_ms = holders.get(instance)
-        if last_used_ms is not None and now_ms - last_used_ms < ANNOUNCE_INTERVAL_MS:
+        holding = holders.get(instance)
+        if holding is None or now_ms - holding.last_used_ms > CACHE_ENTRY_TTL_MS:
+            holders[instance] = Holding(now_ms, now_ms)
+        elif now_ms - holding.last_used_ms < ANNOUNCE_INTERVAL_MS:
             return False
-        holders[instance] = now_ms
+        else:
+            holding.last_used_ms = now_ms
         while len(self.parts) > MAX_PARTS:
             self.parts.popitem(last=False)
         return True
@@ -68,16 +83,28 @@
             if self.record(part.part_id, instance)
         ]
 
-    def holders(self, part_id: str) -> dict[str, int]:
-        """Return the servers that cache a part, with the time of its last use."""
+    def record_processed_part(self, part_id: str, instance: str) -> None:
+        """Record that a server caches a part."""
+        self.record(part_id, instance)
+        self.parts[part_id][instance].since_ms = 0
+
+    def record_processed(self, prompt: Sequence[PromptPart], instance: str) -> None:
+        """Record that a server has processed a prompt."""
+        for part in shared_prefix(prompt):
+            holding = self.parts.get(part.part_id, {}).get(instance)
+            if holding is not None:
+                holding.since_ms = 0
+
+    def holders(self, part_id: str) -> dict[str, Holding]:
+        """Return the servers that cache a part or are processing it."""
         holders = self.parts.get(part_id)
         if not holders:
             return {}
         oldest_ms = self.clock.now_ms() - CACHE_ENTRY_TTL_MS
         return {
-            instance: last_used_ms
-            for instance, last_used_ms in holders.items()
-            if last_used_ms >= oldest_ms
+            instance: holding
+            for instance, holding in holders.items()
+            if holding.last_used_ms >= oldest_ms
         }
 
     def cached_tokens(self, prompt: Sequence[PromptPart], instance: str) -> int:
@@ -89,6 +116,11 @@
             tokens += part.tokens
         return tokens
 
+    def uncached_tokens(self, prompt: Sequence[PromptPart], instance: str) -> int:
+        """Return the number of shared tokens of a prompt that a server lacks."""
+        shared = sum(part.tokens for part in shared_prefix(prompt))
+        return shared - self.cached_tokens(prompt, instance)
+
     def best_source(
         self, prompt: Sequence[PromptPart], candidates: Sequence[str]
     ) -> tuple[str | None, int]:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -54,6 +54,7 @@
         self.is_stopping = is_stopping
         self.socket = DatagramSocket(self.handle_datagram)
         self.pending_parts: list[tuple[str, str]] = []
+        self.pending_processed_parts: list[tuple[str, str]] = []
         self.pending_strikes: list[tuple[int, str]] = []
         self.departures: list[tuple[int, Departure]] = []
         self.sequence = 0
@@ -71,7 +72,8 @@
             self.send_report()
             self.update_live_peers()
             self.peers.remove_silent()
-            pause_ms = BACKLOG_INTERVAL_MS if self.pending_parts else self.interval_ms()
+            has_backlog = self.pending_parts or self.pending_processed_parts
+            pause_ms = BACKLOG_INTERVAL_MS if has_backlog else self.interval_ms()
             await asyncio.sleep(pause_ms / MS_PER_S)
 
     def interval_ms(self) -> int:
@@ -79,9 +81,13 @@
         return max(REPORT_INTERVAL_MS, INTERVAL_PER_PEER_MS * len(self.peers.peers))
 
     def announce_cached_parts(self, cached_parts: list[tuple[str, str]]) -> None:
-        """Queue pairs of a part and a server that caches it for the next reports."""
+        """Queue pairs of a part and a server that was sent it for the next reports."""
         self.pending_parts += cached_parts
 
+    def announce_processed_parts(self, parts: list[tuple[str, str]]) -> None:
+        """Queue pairs of a part and a server that has it for the next reports."""
+        self.pending_processed_parts = parts
+
     def announce_departures(self, departures: list[Departure]) -> None:
         """Report at once, and again for a while, which servers left the list.
 
@@ -108,20 +114,27 @@
         """Send a report to all peers."""
         if not self.peers.peers:
             self.pending_parts.clear()
+            self.pending_processed_parts.clear()
             self.pending_strikes.clear()
             return
         self.sequence += 1
-        cached_parts, self.pending_parts = (
-            self.pending_parts[:MAX_PARTS_PER_REPORT],
-            self.pending_parts[MAX_PARTS_PER_REPORT:],
+        cached_parts, self.pending_parts = take_first(
+            self.pending_parts, MAX_PARTS_PER_REPORT
+        )
+        processed_parts, self.pending_processed_parts = take_first(
+            self.pending_processed_parts, MAX_PARTS_PER_REPORT - len(cached_parts)
         )
         strikes, self.pending_strikes = self.pending_strikes, []
-        data = encode_report(self.build_report(cached_parts, strikes))
+        report = self.build_report(cached_parts, processed_parts, strikes)
+        data = encode_report(report)
         for address in self.peers.peers:
             self.socket.send(data, address)
 
     def build_report(
-        self, cached_parts: list[tuple[str, str]], strikes: list[tuple[int, str]]
+        self,
+        cached_parts: list[tuple[str, str]],
+        processed_parts: list[tuple[str, str]],
+        strikes: list[tuple[int, str]],
     ) -> Report:
         """Return the router's state as a report."""
         servers, configuration = self.components.servers, self.components.configuration
@@ -143,6 +156,7 @@
             list_revision=servers.revision,
             departures=self.recent_departures(),
             quiet=self.components.health.quiet_instances(),
+            processed_parts=processed_parts,
         )
 
     def handle_datagram(self, data: bytes, address: Address) -> None:
@@ -160,8 +174,11 @@
         self.components.load.apply_report(
             report.router_id, report.in_flight, report.quiet
         )
+        cache_index = self.components.placement.cache_index
         for part_id, instance in report.cached_parts:
-            self.components.placement.cache_index.record(part_id, instance)
+            cache_index.record(part_id, instance)
+        for part_id, instance in report.processed_parts:
+            cache_index.record_processed_part(part_id, instance)
         for fingerprint, server in report.strikes:
             if self.components.crash_guard.add_strike(fingerprint, server):
                 self.log.event(
@@ -191,7 +208,7 @@
         """Queue all cached parts for a router that has just started."""
         cache_index = self.components.placement.cache_index
         if cache_index.synced and self.peers.store_reader_rank() < MAX_CATCH_UP_SENDERS:
-            self.pending_parts = cache_index.entries()
+            self.announce_processed_parts(cache_index.entries())
 
     def apply_store_state(self, report: Report) -> None:
         """Confirm state that equals the peer's, and mark older state as outdated."""
@@ -222,6 +239,13 @@
         self.components.retry_budget.router_count = len(live) + 1
 
 
+def take_first(
+    entries: list[tuple[str, str]], count: int
+) -> tuple[list[tuple[str, str]], list[tuple[str, str]]]:
+    """Split a list after its first entries."""
+    return entries[:count], entries[count:]
+
+
 def encode_age(age_ms: int | None) -> int:
     """Return an age as reports encode it: -1 if there is none."""
     return -1 if age_ms is None else max(age_ms, 0)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
@@ -21,7 +21,8 @@
 
     The fields are encoded by position. ``router_id`` identifies one start of a router.
     ``in_flight`` counts attempts by instance key. ``cached_parts`` are pairs of a
-    prompt part and a server that now caches it, ``strikes`` pairs of a request
+    prompt part and a server that was just sent it, ``processed_parts`` pairs of a part
+    and a server that has cached it for longer, ``strikes`` pairs of a request
     fingerprint and a server that went down while running it. ``list_digest`` and
     ``configuration_revision`` identify the server list and the configuration of the
     router; the ages tell how long ago it read them from the store itself, -1 meaning
@@ -51,6 +52,7 @@
     list_revision: int = 0
     departures: list[Departure] = []
     quiet: list[str] = []
+    processed_parts: list[tuple[str, str]] = []
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
@@ -6,7 +6,13 @@
 from medlarridge._internal.errors import TransportError
 
 from .configuration import Configuration
-from .requests import ForwardingMetadata, Headers, RequestMetadata, ResponseHead
+from .requests import (
+    ForwardingMetadata,
+    Headers,
+    PromptPart,
+    RequestMetadata,
+    ResponseHead,
+)
 from .servers import ServerListing
 
 
@@ -38,8 +44,8 @@
     inventory_path: bytes
     """Request target of the call that lists the prompt parts a server caches."""
 
-    def parse_inventory(self, body: bytes) -> list[str] | None:
-        """Return the part IDs in the response body, or None if it is malformed."""
+    def parse_inventory(self, body: bytes) -> list[PromptPart] | None:
+        """Return the parts in the response body, or None if it is malformed."""
         ...
 
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -1,5 +1,6 @@
 """Forwarding of one client request: attempts, retries and delivery of the response."""
 
+import asyncio
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -52,6 +53,10 @@
 SUCCESS_STATUS_CLASS = 2
 MIN_SERVER_ERROR_STATUS = 500
 
+MAX_PROMPT_WAIT_SHARE = 0.5
+"""Longest wait for a prompt that a server is processing, as a share of the route's
+latency objective."""
+
 
 class GiveUpReason(StrEnum):
     """Reasons for giving up a request."""
@@ -81,6 +86,8 @@
 
     ``attempts_received`` counts the attempts that a server received, ``runs`` those
     that may have run there and ``attempts_not_run`` those that did not run.
+    ``new_tokens`` is the number of shared tokens of the prompt that the server of the
+    last attempt had to process.
     """
 
     def __init__(
@@ -104,6 +111,8 @@
         self.attempts_received = 0
         self.attempts_not_run = 0
         self.runs = 0
+        self.waited_for_prompt = False
+        self.new_tokens = 0
         self.last_event_id = accepted.metadata.resume_after
 
     def remaining_ms(self) -> int:
@@ -122,6 +131,8 @@
             if server is None:
                 self.give_up(GiveUpReason.NO_SERVER)
                 return
+            if await self.wait_for_prompt(server):
+                continue
             if self.attempts_received and not self.components.retry_budget.take(
                 self.accepted.pool.name
             ):
@@ -131,6 +142,23 @@
             if await self.attempt(server):
                 return
 
+    async def wait_for_prompt(self, server: BackendServer) -> bool:
+        """Wait while the server processes the same prompt; return whether it did.
+
+        Sent now, the request would make the server process the prompt a second time.
+        """
+        if self.waited_for_prompt or not self.route.uses_prompt_cache:
+            return False
+        left_ms = min(
+            self.components.placement.processing_ms_left(server, self.metadata.prompt),
+            MAX_PROMPT_WAIT_SHARE * self.route.objective_ms,
+        )
+        if left_ms < 1:
+            return False
+        self.waited_for_prompt = True
+        await asyncio.sleep(left_ms / MS_PER_S)
+        return True
+
     def reason_to_give_up(self) -> GiveUpReason | None:
         """Return why no further attempt may be made, or None."""
         if self.remaining_ms() < MIN_ATTEMPT_TIME_MS:
@@ -171,14 +199,26 @@
             self.log.attempt_sent(
                 server, self.components, metadata, self.attempts_not_run + self.runs
             )
+            sent_ms = self.components.clock.now_ms()
             outcome = await attempt.start(metadata, self.attempt_timeout_ms())
             if outcome.reached_server:
                 self.attempts_received += 1
             if outcome.kind is OutcomeKind.RESPONSE:
+                self.record_prompt_processed(server, sent_ms)
                 return await self.deliver(attempt, outcome)
             self.record_failure(attempt, outcome)
             return False
 
+    def record_prompt_processed(self, server: BackendServer, sent_ms: int) -> None:
+        """Record that the server has processed the prompt, and how fast it was."""
+        if not self.route.uses_prompt_cache:
+            return
+        placement = self.components.placement
+        if self.new_tokens:
+            elapsed_ms = self.components.clock.now_ms() - sent_ms
+            placement.pace.record(server.pool, self.new_tokens, elapsed_ms)
+        placement.cache_index.record_processed(self.metadata.prompt, server.instance)
+
     def forwarding_metadata(self, server: BackendServer) -> ForwardingMetadata:
         """Return the metadata that the router adds to an attempt."""
         account = self.accepted.account
@@ -208,6 +248,11 @@
         ]
         placement = self.components.placement
         source = placement.fetch_source(server, self.metadata.prompt, others)
+        self.new_tokens = 0
+        if source is None:
+            self.new_tokens = placement.cache_index.uncached_tokens(
+                self.metadata.prompt, server.instance
+            )
         cached_parts = placement.cache_index.record_prompt(
             self.metadata.prompt, server.instance
         )
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
@@ -94,6 +94,14 @@
         peer = self.peers.get(address)
         return peer is None or peer.router_id != router_id
 
+    def has_first_address(self) -> bool:
+        """Return whether this router's address is the first of the registered ones.
+
+        This is known before the peers have reported; without any it is False.
+        """
+        registered = [peer.address for peer in self.peers.values() if peer.registered]
+        return bool(registered) and self.own_address < min(registered)
+
     def is_live(self, peer: Peer) -> bool:
         """Return whether a peer has reported recently."""
         return (
--- a/packages/medlarridge-direct/tests/adapter/test_headers.py
+++ b/packages/medlarridge-direct/tests/adapter/test_headers.py
@@ -119,7 +119,7 @@
     def test_part_ids_are_returned(self):
         """Guards against ignoring a valid inventory."""
         body = b'{"epoch":1,"next":2,"held":[["","5c1e",800,"m"]]}'
-        assert HeaderDialect().parse_inventory(body) == ["5c1e"]
+        assert HeaderDialect().parse_inventory(body) == [PromptPart("5c1e", 800)]
 
     @pytest.mark.parametrize("body", [b"", b"{}", b'{"held":[1]}', b'{"held":[[]]}'])
     def test_a_malformed_inventory_is_none(self, body):
--- a/packages/medlarridge-direct/tests/direct/test_delayed_reports.py
+++ b/packages/medlarridge-direct/tests/direct/test_delayed_reports.py
@@ -4,6 +4,8 @@
 by some hundred milliseconds and lets copies of the list fail.
 """
 
+from itertools import pairwise
+
 import pytest
 
 from medlarridge import ManualClock
@@ -117,10 +119,7 @@
         fleet = Fleet(size=5, delay_ms=DATAGRAM_DELAY_MS)
         await fleet.run(10_000)
         times_ms = fleet.store.read_times_ms
-        gaps_ms = [
-            later - earlier
-            for earlier, later in zip(times_ms, times_ms[1:], strict=False)
-        ]
+        gaps_ms = [later - earlier for earlier, later in pairwise(times_ms)]
         max_gap_ms = LIST_MAX_AGE_MS + DATAGRAM_DELAY_MS + STEP_MS
         assert max(gaps_ms) <= max_gap_ms
         assert times_ms[-1] >= fleet.clock.now_ms() - max_gap_ms
