Let one router wait for the first configuration

Cause: a store without a configuration counted as unreachable. At the first start all routers logged MR6120 and MR6121 several times and polled the store with growing delays until the operator had written one.

Change: that there is none is a result of the read. The first router watches for the configuration, the others copy it from their peers.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/configuration_holder.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/configuration_holder.py
@@ -10,6 +10,7 @@
 class ConfigurationHolder:
     """Holds the newest known configuration.
 
+    ``missing`` is set while the store is known to have none, as before its first start.
     ``outdated`` is set while the store or a peer is known to have a newer one.
     ``peer_revision`` is the last newer revision that a peer reported.
     ``watched_revision`` is the revision of the store up to which no newer configuration
@@ -20,6 +21,7 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.current: Configuration | None = None
+        self.missing = False
         self.outdated = False
         self.peer_revision = 0
         self.watched_revision = 0
@@ -39,8 +41,21 @@
         if self.current is not None and configuration.revision <= self.current.revision:
             return False
         self.current = configuration
+        self.missing = False
         return True
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether the configuration, or that there is none, has been read."""
+        return self.current is not None or self.missing
+
+    def record_missing(self, read_ms: int, store_revision: int) -> None:
+        """Record that the store had no configuration at a revision."""
+        self.missing = True
+        self.outdated = False
+        self.watched_revision = max(self.watched_revision, store_revision)
+        self.confirm(read_ms)
+
     def record_peer_revision(self, revision: int, watched_revision: int) -> None:
         """Record the revisions that a peer reported."""
         if revision == self.revision:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -248,7 +248,7 @@
     async def read_configuration_if_due(self) -> None:
         """Read the configuration if it is known to be outdated, or watch it if due."""
         holder = self.components.configuration
-        if holder.outdated or holder.current is None:
+        if holder.outdated or not holder.is_known:
             await self.read_configuration()
             return
         is_first = self.peers.store_reader_rank() == 0
@@ -291,12 +291,11 @@
                 return
         requested_ms = self.components.clock.now_ms()
         result = await self.store.read_configuration()
-        if result.configuration is None:
-            raise TransportError(
-                "store has no configuration yet", step="read configuration"
-            )
         self.set_store_reachable(True)
         holder.record_own_read(requested_ms)
+        if result.configuration is None:
+            holder.record_missing(requested_ms, result.store_revision)
+            return
         self.apply_configuration(
             result.configuration, requested_ms, result.store_revision
         )
--- a/packages/medlarridge-direct/tests/direct/test_store_sync.py
+++ b/packages/medlarridge-direct/tests/direct/test_store_sync.py
@@ -76,9 +76,8 @@
 
     async def read_configuration(self):
         self.call("read")
-        return ConfigurationSnapshot(
-            configuration(revision=self.revision), self.store_revision
-        )
+        stored = self.revision and configuration(revision=self.revision)
+        return ConfigurationSnapshot(stored, self.store_revision)
 
     async def watch_configuration(self, watched_revision, wait_ms):
         self.call("watch")
@@ -198,6 +197,46 @@
         assert "watch" not in node.store.calls
 
 
+class TestFirstStart:
+    """Routers that start before the operator has written a configuration."""
+
+    async def test_only_the_first_router_waits_for_a_configuration(self):
+        """Guards against all routers polling an empty store."""
+        node = Node()
+        node.store.revision = None
+        node.receive_report(router_id=2, configuration_revision=0)
+        await node.sync.read_configuration_if_due()
+        assert node.store.calls == ["read"]
+        for _ in range(20):
+            node.clock.advance(100)
+            node.receive_report(router_id=2, configuration_revision=0)
+            await node.sync.read_configuration_if_due()
+        assert node.store.calls == ["read"]
+        assert node.peers.store_reachable
+
+    async def test_the_first_configuration_is_found_by_a_watch(self):
+        """Guards against a first configuration that is applied only after a delay."""
+        node = Node()
+        node.store.revision = None
+        await node.sync.read_configuration_if_due()
+        node.store.revision, node.store.changed = 6, True
+        await node.sync.read_configuration_if_due()
+        assert node.store.calls == ["read", "watch"]
+        assert node.store.watched_revision == node.store.store_revision
+        assert node.components.configuration.revision == 6
+
+    async def test_the_first_configuration_is_read_from_a_peer(self):
+        """Guards against a router that goes on waiting while others serve."""
+        node = Node()
+        node.store.revision = None
+        await node.sync.read_configuration_if_due()
+        node.peer_snapshots.clients[OTHER] = FakePeerClient(configuration(revision=6))
+        node.receive_report(router_id=2, configuration_revision=6)
+        await node.sync.read_configuration_if_due()
+        assert node.components.configuration.revision == 6
+        assert node.store.calls == ["read"]
+
+
 class TestChanges:
     async def test_change_known_to_a_peer_is_read_from_the_peer(self):
         """Guards against every router reading the store for every change."""
