Count control traffic and store calls; untie the gauges from the daemon

Reports and copies between routers are counted in bytes by direction and kind, store calls by kind.

The gauges took the daemon and imported it for its type while the daemon imported them; they now take what they read.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -104,7 +104,14 @@
             self.log,
             lambda: self.stopping_since_ms is not None,
         )
-        add_gauges(self)
+        add_gauges(
+            self.components,
+            self.handler,
+            self.peers,
+            self.connections,
+            self.log,
+            lambda: self.ready,
+        )
         self.cache_inventory = CacheInventory(
             self.components, self.peers, self.peer_reports, self.log
         )
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
@@ -1,25 +1,33 @@
 """Gauges of a router's current state."""
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Sized
 
 from medlarridge._internal.clock import MS_PER_S
 
-if TYPE_CHECKING:
-    from .daemon import DirectRouter
+from .components import RouterComponents
+from .logs import Log
+from .request_handler import RequestHandler
+from .state.peer_table import PeerTable
 
 
-def add_gauges(router: "DirectRouter") -> None:
+def add_gauges(
+    components: RouterComponents,
+    handler: RequestHandler,
+    peers: PeerTable,
+    client_connections: Sized,
+    log: Log,
+    is_ready: Callable[[], bool],
+) -> None:
     """Register the gauges of a router in its metrics."""
-    components = router.components
     add = components.metrics.add_gauge
-    add("in_flight", "Requests in flight.", lambda: router.handler.in_flight)
-    add("connections", "Connections of clients.", lambda: len(router.connections))
-    add("ready", "1 while the router is ready.", lambda: float(router.ready))
-    add("peers", "Routers heard from lately.", lambda: len(router.peers.live_peers()))
+    add("in_flight", "Requests in flight.", lambda: handler.in_flight)
+    add("connections", "Connections of clients.", lambda: len(client_connections))
+    add("ready", "1 while the router is ready.", lambda: float(is_ready()))
+    add("peers", "Routers heard from lately.", lambda: len(peers.live_peers()))
     add(
         "store_reachable",
         "1 while the store answers this router.",
-        lambda: float(router.peers.store_reachable),
+        lambda: float(peers.store_reachable),
     )
     add(
         "list_age_seconds",
@@ -47,7 +55,7 @@
         "New connections to servers since the start.",
         lambda: components.connections.connections_opened,
     )
-    add("log_lines_dropped", "Log lines dropped.", lambda: router.log.total_dropped)
+    add("log_lines_dropped", "Log lines dropped.", lambda: log.total_dropped)
     add(
         "retry_slack",
         "Retries of this router's share beyond the ratio.",
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
@@ -48,6 +48,8 @@
     requests: Counter = field(default_factory=Counter)
     attempts: Counter = field(default_factory=Counter)
     refusals: Counter = field(default_factory=Counter)
+    control_bytes: Counter = field(default_factory=Counter)
+    store_calls: Counter = field(default_factory=Counter)
     first_bytes: dict[str, LatencyHistogram] = field(default_factory=dict)
     gauges: dict[str, tuple[str, Gauge]] = field(default_factory=dict)
 
@@ -71,6 +73,12 @@
             ("requests", "Requests by kind and outcome.", ["kind", "outcome"]),
             ("attempts", "Attempts by pool and how they ended.", ["pool", "ended"]),
             ("refusals", "Requests the router ended itself.", ["status", "reason"]),
+            (
+                "control_bytes",
+                "Bytes of messages between routers, without headers.",
+                ["direction", "message"],
+            ),
+            ("store_calls", "Calls to the store.", ["call"]),
         )
         for name, text, labels in counters:
             family = CounterMetricFamily(f"medlarridge_{name}", text, labels=labels)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -129,6 +129,8 @@
         data = encode_report(report)
         for address in self.peers.peers:
             self.socket.send(data, address)
+        control_bytes = self.components.metrics.control_bytes
+        control_bytes["sent", "report"] += len(data) * len(self.peers.peers)
 
     def build_report(
         self,
@@ -161,6 +163,7 @@
 
     def handle_datagram(self, data: bytes, address: Address) -> None:
         """Apply the report of a peer."""
+        self.components.metrics.control_bytes["received", "report"] += len(data)
         try:
             report = decode_report(data)
         except CodecError:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_snapshots.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_snapshots.py
@@ -90,8 +90,9 @@
         client = self.clients.setdefault(peer.address, HttpClient(*peer.address))
         requested_ms = self.clock.now_ms()
         try:
-            body = await client.get(path, CALL_TIMEOUT_MS)
-            snapshot = msgspec.msgpack.decode(body or b"", type=Snapshot)
+            body = await client.get(path, CALL_TIMEOUT_MS) or b""
+            self.count_bytes("received", path, len(body))
+            snapshot = msgspec.msgpack.decode(body, type=Snapshot)
             return decode_content(
                 snapshot.content, as_type
             ), requested_ms - snapshot.age_ms
@@ -117,9 +118,14 @@
         if content is None:
             response.send(404, b"", b"")
         else:
-            response.send(
-                200, b"", msgspec.msgpack.encode(Snapshot(content, age_ms or 0))
-            )
+            body = msgspec.msgpack.encode(Snapshot(content, age_ms or 0))
+            self.count_bytes("sent", request.target, len(body))
+            response.send(200, b"", body)
+
+    def count_bytes(self, direction: str, path: bytes, size: int) -> None:
+        """Count the bytes of a snapshot in the metrics."""
+        kind = path.decode().removeprefix("/")
+        self.components.metrics.control_bytes[direction, kind] += size
 
     def encoded_configuration(self, configuration: Configuration) -> bytes:
         """Return the encoded configuration, which is encoded once per revision."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -89,6 +89,10 @@
         self.on_departures = on_departures
         self.malformed = 0
 
+    def count_call(self, call: str) -> None:
+        """Count a call to the store in the metrics."""
+        self.components.metrics.store_calls[call] += 1
+
     def is_due(self, age_ms: int | None, max_age_ms: int, rank_delay_ms: int) -> bool:
         """Return whether this router should read state of this age."""
         if age_ms is None:
@@ -146,8 +150,10 @@
         watched = servers.listing
         requested_ms = self.components.clock.now_ms()
         try:
+            self.count_call("watch-servers")
             listing = await self.store.watch_servers(watched, WATCH_TIMEOUT_MS)
         except HistoryGone:
+            self.count_call("list-servers")
             self.apply_own_listing(await self.store.list_servers(), requested_ms)
             return
         if listing.servers == watched.servers:
@@ -177,6 +183,7 @@
                 self.apply_listing(*snapshot)
                 return
         requested_ms = self.components.clock.now_ms()
+        self.count_call("list-servers")
         listing = await self.store.list_servers()
         self.set_store_reachable(True)
         self.apply_own_listing(listing, requested_ms)
@@ -258,6 +265,7 @@
             return
         requested_ms = self.components.clock.now_ms()
         try:
+            self.count_call("watch-configuration")
             result = await self.store.watch_configuration(
                 holder.watched_revision, wait_ms
             )
@@ -290,6 +298,7 @@
                 self.apply_configuration(*snapshot)
                 return
         requested_ms = self.components.clock.now_ms()
+        self.count_call("read-configuration")
         result = await self.store.read_configuration()
         self.set_store_reachable(True)
         holder.record_own_read(requested_ms)
@@ -322,9 +331,11 @@
         delay_ms = MIN_REGISTRY_INTERVAL_MS
         while True:
             try:
+                self.count_call("list-routers")
                 routers = await self.store.list_routers()
                 self.peers.register(routers.values())
                 if routers.get(self.node) != self.peers.own_address:
+                    self.count_call("register-router")
                     await self.store.register_router(self.node, *self.peers.own_address)
             except TransportError as error:
                 self.set_store_reachable(False, error)
