Send a new prompt to the least loaded of four servers

Cause: a prompt that no server caches went to the first server by rendezvous hashing.

Change: the least loaded of the first four servers by hashing. The few choices keep routers that see the prompt at the same time together.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/placement.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/placement.py
@@ -1,8 +1,8 @@
 """Order in which the servers of a pool are tried for a request.
 
 A request with a prompt goes to a server that caches the shared prefix of the prompt, or
-else to the first server by rendezvous hashing, as long as the server is under the load
-limit. Other requests go to the least loaded server.
+else to the least loaded of the first servers by rendezvous hashing, as long as the server
+is under the load limit. Other requests go to the least loaded server.
 """
 
 from collections.abc import Sequence, Set
@@ -23,6 +23,11 @@
 COLD_LOAD_FACTOR = 1.5
 """Factor applied to the load of a server that is still slow after its start."""
 
+NEW_PROMPT_CHOICES = 4
+"""Number of servers by rendezvous hashing of which the least loaded one gets a prompt
+that none caches. With more choices, routers that get the prompt at the same time send it
+to different servers."""
+
 MIN_FETCH_TOKENS = 64
 """Fetching fewer cached tokens from another server is not worth a call."""
 
@@ -88,7 +93,15 @@
                 preference = not is_holder, -hash_to_fraction(key, server.instance)
             return False, server.instance in failing, *preference
 
-        return sorted(servers, key=sort_key)
+        ranked = sorted(servers, key=sort_key)
+        if key is not None and not holders:
+            choices = [
+                server
+                for server in ranked[:NEW_PROMPT_CHOICES]
+                if sort_key(server)[:2] == (False, False)
+            ]
+            move_least_loaded_first(ranked, choices, self.load)
+        return ranked
 
     def load_limit(self, servers: Sequence[BackendServer]) -> float:
         """Return the load up to which a server takes work before others are tried."""
@@ -119,3 +132,13 @@
         if source is None or tokens - cached < MIN_FETCH_TOKENS:
             return None
         return by_instance[source]
+
+
+def move_least_loaded_first(
+    ranked: list[BackendServer], choices: Sequence[BackendServer], load: LoadView
+) -> None:
+    """Move the least loaded of some servers to the front of a list."""
+    if choices:
+        best = min(choices, key=lambda server: load.in_flight(server.instance))
+        ranked.remove(best)
+        ranked.insert(0, best)
--- a/packages/medlarridge-direct/tests/direct/coordination/test_load_patterns.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_load_patterns.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from medlarridge import ManualClock
+from medlarridge_direct._internal.coordination import placement
 from medlarridge_direct._internal.coordination.load_view import LoadView
 from medlarridge_direct._internal.coordination.placement import Placement
 from medlarridge_direct._internal.coordination.prompt_cache_index import (
@@ -147,6 +148,28 @@
         assert fleet.over_bound <= MAX_OVER_BOUND_SHARE * fleet.sent
 
 
+class TestManyChatsReturnAtOnce:
+    """All caches are empty and many chats with long prompts return within seconds."""
+
+    def busiest_share(self, seed):
+        """Return the prompts that the busiest server processes against the mean."""
+        fleet = Fleet(servers(9), seed)
+
+        def session_of(tick):
+            return f"chat-{fleet.random.randrange(72)}"
+
+        fleet.run(3, 40, session_of, duration_ms=1_500)
+        processed = [len(prompts) for prompts in fleet.caches.values()]
+        return max(processed) / (sum(processed) / len(processed))
+
+    def test_new_prompts_are_spread_better_than_by_hashing(self, monkeypatch):
+        """Guards against a queue of long prompts at one server while others idle."""
+        seeds = range(8)
+        spread = sum(self.busiest_share(seed) for seed in seeds)
+        monkeypatch.setattr(placement, "NEW_PROMPT_CHOICES", 1)
+        assert spread < sum(self.busiest_share(seed) for seed in seeds)
+
+
 class TestReleaseUnderLoad:
     def test_prompts_of_draining_servers_are_fetched(self):
         """Guards against recomputing the prompts of servers that a release replaces."""
