Log why a server counts as silent and which prompts are waited for

Both decisions were made without the inputs in the log. The line of a silent server now has how long it sent nothing, the timeout and whether peers hear from it; a request that waits for a prompt writes a line. The test of the first line asserts these fields as well.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/quiet_times.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/quiet_times.py
@@ -1,6 +1,6 @@
 """Times for which servers send nothing although they work.
 
-An engine is quiet while it reads long prompts, a service while it computes. How long
+An engine is quiet while it processes long prompts, a service while it computes. How long
 that takes differs between pools and changes with their load, so it is observed.
 """
 
@@ -21,7 +21,7 @@
 
 
 @dataclass(slots=True)
-class Longest:
+class LongestQuietTime:
     """Longest quiet time in the current window and in the one before it."""
 
     window: int = 0
@@ -46,11 +46,11 @@
     """
 
     clock: Clock
-    longest: dict[tuple[str, bool], Longest] = field(default_factory=dict)
+    longest: dict[tuple[str, bool], LongestQuietTime] = field(default_factory=dict)
 
     def record(self, pool: str, responding: bool, quiet_ms: int) -> None:
         """Record that a server went on after a quiet time."""
-        entry = self.longest.setdefault((pool, responding), Longest())
+        entry = self.longest.setdefault((pool, responding), LongestQuietTime())
         entry.roll(self.clock.now_ms() // WINDOW_MS)
         entry.current_ms = max(entry.current_ms, quiet_ms)
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
@@ -3,9 +3,10 @@
 - Unreachable: the server refuses connections, or another server now has its address.
   It gets no work for a back-off period.
 - Silent: attempts are waiting but no byte arrives on any connection, so the server may
-  hang or be cut off. It counts as silent when it is quiet for most peers as well, or
-  for longer than servers of its pool are quiet while they work. It gets no work except occasional probe requests. An attempt that is still waiting
-  after a later one was answered does not count: its response was lost.
+  hang or be cut off. A quiet server counts as silent when it is quiet for most peers as
+  well, or for longer than servers of its pool are quiet while they work. It gets no
+  work except occasional probe requests. An attempt that is still waiting after a later
+  one was answered does not count: its response was lost.
 - Failing: a share of the attempts fails. The server gets work only when the others are
   at their load limit, because the whole pool is needed when most of it fails.
 """
@@ -45,7 +46,8 @@
 double while the server fails."""
 
 SILENCE_TIMEOUT_MS = MIN_TIMEOUT_MS
-"""Time without a byte after which a server with attempts in flight counts as quiet. A busy engine produces tokens for some request every few milliseconds."""
+"""Time without a byte after which a server with attempts in flight counts as quiet. A
+busy engine produces tokens for some request every few milliseconds."""
 PEER_AVOID_MS = 300
 """Time for which a peer's finding is valid. Peers repeat it with each report."""
 RECENT_RESPONSE_MS = 500
@@ -148,13 +150,19 @@
         """Return whether a quiet server must be taken for one that stopped."""
         if not self.is_quiet(instance, now_ms):
             return False
-        health = self.servers[instance]
-        timeout_ms = self.quiet_times.timeout_ms(health.pool, is_responding(health))
-        return (
-            now_ms - health.silent_since_ms > timeout_ms
-            or self.load.is_quiet_for_peers(instance)
+        return self.load.is_quiet_for_peers(instance) or (
+            self.quiet_ms(instance, now_ms) > self.silence_timeout_ms(instance)
         )
 
+    def quiet_ms(self, instance: str, now_ms: int) -> int:
+        """Return for how long a server has sent nothing."""
+        return now_ms - self.servers[instance].silent_since_ms
+
+    def silence_timeout_ms(self, instance: str) -> float:
+        """Return for how long a server may be quiet, whatever it is for peers."""
+        health = self.servers[instance]
+        return self.quiet_times.timeout_ms(health.pool, is_responding(health))
+
     def is_quiet(self, instance: str, now_ms: int) -> bool:
         """Return whether attempts are waiting but no bytes arrive."""
         health = self.servers.get(instance)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -385,9 +385,16 @@
 
     def log_silent_servers(self) -> None:
         """Log which servers became silent and which no longer are or have left."""
-        silent = self.components.health.silent_instances()
+        health, now_ms = self.components.health, self.clock.now_ms()
+        silent = health.silent_instances()
         for instance in silent - self.silent_servers:
-            self.log.event(SERVER_SILENT, server=instance)
+            self.log.event(
+                SERVER_SILENT,
+                server=instance,
+                quiet_ms=health.quiet_ms(instance, now_ms),
+                timeout_ms=round(health.silence_timeout_ms(instance)),
+                quiet_for_peers=health.load.is_quiet_for_peers(instance),
+            )
         for instance in self.silent_servers - silent:
             self.log.event(SERVER_RESPONDING, server=instance)
         self.silent_servers = silent
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -36,6 +36,9 @@
 REQUEST_REJECTED = register(6006, "INFO", "request rejected")
 REQUEST_FAILED = register(6007, "ERROR", "internal error while handling a request")
 LINES_DROPPED = register(6008, "WARNING", "log lines dropped")
+PROMPT_AWAITED = register(
+    6009, "INFO", "waiting for a prompt that the server is processing"
+)
 
 STARTED = register(6100, "INFO", "router started")
 STOPPING = register(6101, "INFO", "router is stopping, waiting for requests in flight")
@@ -209,6 +212,10 @@
             configuration=components.configuration.revision,
         )
 
+    def prompt_awaited(self, server: BackendServer, wait_ms: float) -> None:
+        """Log that the request waits for a prompt that the server is processing."""
+        self.write(PROMPT_AWAITED, server=server.instance, wait_ms=round(wait_ms))
+
     def attempt_ended(self, server: BackendServer, ended: str, detail: str) -> None:
         """Log that an attempt ended without a response."""
         self.metrics.attempts[server.pool, ended] += 1
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -156,6 +156,7 @@
         if left_ms < 1:
             return False
         self.waited_for_prompt = True
+        self.log.prompt_awaited(server, left_ms)
         await asyncio.sleep(left_ms / MS_PER_S)
         return True
 
--- a/packages/medlarridge-direct/tests/direct/test_daemon.py
+++ b/packages/medlarridge-direct/tests/direct/test_daemon.py
@@ -97,7 +97,13 @@
         observed_router.clock.advance(SILENCE_TIMEOUT_MS + 1)
         observed_router.log_silent_servers()
         observed_router.log_silent_servers()
-        assert observed_router.log.lines == [("MR6115", {"server": "s-1"})]
+        inputs = {
+            "server": "s-1",
+            "quiet_ms": SILENCE_TIMEOUT_MS + 1,
+            "timeout_ms": SILENCE_TIMEOUT_MS,
+            "quiet_for_peers": False,
+        }
+        assert observed_router.log.lines == [("MR6115", inputs)]
         health.record_received("s-1", number)
         observed_router.log_silent_servers()
         assert observed_router.log.lines[1:] == [("MR6116", {"server": "s-1"})]
