Split prompt handling and the operators' endpoint from their callers

What a request does with cached prompts (waiting, choosing a source, indexing) is in prompt_reuse.py, the metrics and explain endpoint in operator_endpoint.py. Behaviour stands.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -6,8 +6,6 @@
 from pathlib import Path
 from random import Random
 
-import msgspec
-
 from medlarridge._internal.clock import MS_PER_S, SystemClock
 from medlarridge._internal.errors import UserError
 
@@ -21,7 +19,6 @@
 from .coordination.quiet_times import QuietTimes
 from .coordination.retry_budget import RetryBudget
 from .coordination.server_health import ServerHealth
-from .explanation import EXPLAIN_PATH, ExplainRequest, explain
 from .gauges import add_gauges
 from .logs import (
     CRASH_STRIKE,
@@ -39,6 +36,7 @@
     Log,
 )
 from .metrics import Metrics
+from .operator_endpoint import OperatorEndpoint
 from .peer_reports import PeerReports
 from .peer_snapshots import PeerSnapshots
 from .protocol.platform_interface import Dialect, PlatformStore
@@ -185,27 +183,6 @@
             )
         self.peer_reports.announce_strikes(strikes)
 
-    async def handle_operator_request(
-        self, request: ClientRequest, response: ResponseWriter
-    ) -> None:
-        """Serve an explain request, or the metrics for any other target."""
-        if request.target == EXPLAIN_PATH:
-            self.handle_explain(request, response)
-            return
-        response.send(
-            200, b"Content-Type: text/plain\r\n", self.components.metrics.render()
-        )
-
-    def handle_explain(self, request: ClientRequest, response: ResponseWriter) -> None:
-        """Respond with the server that a request would get."""
-        try:
-            explain_request = msgspec.json.decode(request.body, type=ExplainRequest)
-        except msgspec.DecodeError as error:
-            response.send(400, b"Content-Type: text/plain\r\n", str(error).encode())
-            return
-        explanation = msgspec.json.encode(explain(self.handler, explain_request))
-        response.send(200, b"Content-Type: application/json\r\n", explanation)
-
     # Readiness
 
     @property
@@ -281,7 +258,7 @@
         )
         operator_listener = await self.listen(
             (self.settings.ip, self.settings.listen.metrics_port),
-            self.handle_operator_request,
+            OperatorEndpoint(self.handler).handle,
             self.internal_connections,
         )
         client_listener = await self.listen(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -1,6 +1,5 @@
 """Forwarding of one client request: attempts, retries and delivery of the response."""
 
-import asyncio
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -10,6 +9,7 @@
 from .components import RouterComponents
 from .coordination.server_health import AttemptResult
 from .logs import RequestLog
+from .prompt_reuse import PromptReuse
 from .protocol.configuration import Account as ClientAccount
 from .protocol.configuration import Pool, Route, RouteKind, effective_priority
 from .protocol.events import EventSplitter, is_after
@@ -53,10 +53,6 @@
 SUCCESS_STATUS_CLASS = 2
 MIN_SERVER_ERROR_STATUS = 500
 
-MAX_PROMPT_WAIT_SHARE = 0.5
-"""Longest wait for a prompt that a server is processing, as a share of the route's
-latency objective."""
-
 
 class GiveUpReason(StrEnum):
     """Reasons for giving up a request."""
@@ -86,8 +82,6 @@
 
     ``attempts_received`` counts the attempts that a server received, ``runs`` those
     that may have run there and ``attempts_not_run`` those that did not run.
-    ``new_tokens`` is the number of shared tokens of the prompt that the server of the
-    last attempt had to process.
     """
 
     def __init__(
@@ -103,6 +97,9 @@
         self.metadata = accepted.metadata
         self.response = response
         self.log = log
+        self.prompt_reuse = PromptReuse(
+            components, accepted.route, accepted.metadata.prompt, log
+        )
         timeout_ms = accepted.route.timeout_ms
         if accepted.metadata.deadline_ms is not None:
             timeout_ms = min(timeout_ms, accepted.metadata.deadline_ms)
@@ -111,8 +108,6 @@
         self.attempts_received = 0
         self.attempts_not_run = 0
         self.runs = 0
-        self.waited_for_prompt = False
-        self.new_tokens = 0
         self.last_event_id = accepted.metadata.resume_after
 
     def remaining_ms(self) -> int:
@@ -131,7 +126,7 @@
             if server is None:
                 self.give_up(GiveUpReason.NO_SERVER)
                 return
-            if await self.wait_for_prompt(server):
+            if await self.prompt_reuse.wait_until_processed(server):
                 continue
             if self.attempts_received and not self.components.retry_budget.take(
                 self.accepted.pool.name
@@ -142,24 +137,6 @@
             if await self.attempt(server):
                 return
 
-    async def wait_for_prompt(self, server: BackendServer) -> bool:
-        """Wait while the server processes the same prompt; return whether it did.
-
-        Sent now, the request would make the server process the prompt a second time.
-        """
-        if self.waited_for_prompt or not self.route.uses_prompt_cache:
-            return False
-        left_ms = min(
-            self.components.placement.processing_ms_left(server, self.metadata.prompt),
-            MAX_PROMPT_WAIT_SHARE * self.route.objective_ms,
-        )
-        if left_ms < 1:
-            return False
-        self.waited_for_prompt = True
-        self.log.prompt_awaited(server, left_ms)
-        await asyncio.sleep(left_ms / MS_PER_S)
-        return True
-
     def reason_to_give_up(self) -> GiveUpReason | None:
         """Return why no further attempt may be made, or None."""
         if self.remaining_ms() < MIN_ATTEMPT_TIME_MS:
@@ -179,7 +156,7 @@
         ranked = rank_servers(
             self.components,
             self.accepted.pool,
-            self.metadata.prompt if self.route.uses_prompt_cache else (),
+            self.prompt_reuse.prompt,
             self.tried_instances,
             self.may_run_again(),
         )
@@ -205,21 +182,12 @@
             if outcome.reached_server:
                 self.attempts_received += 1
             if outcome.kind is OutcomeKind.RESPONSE:
-                self.record_prompt_processed(server, sent_ms)
+                elapsed_ms = self.components.clock.now_ms() - sent_ms
+                self.prompt_reuse.record_processed(server, elapsed_ms)
                 return await self.deliver(attempt, outcome)
             self.record_failure(attempt, outcome)
             return False
 
-    def record_prompt_processed(self, server: BackendServer, sent_ms: int) -> None:
-        """Record that the server has processed the prompt, and how fast it was."""
-        if not self.route.uses_prompt_cache:
-            return
-        placement = self.components.placement
-        if self.new_tokens:
-            elapsed_ms = self.components.clock.now_ms() - sent_ms
-            placement.pace.record(server.pool, self.new_tokens, elapsed_ms)
-        placement.cache_index.record_processed(self.metadata.prompt, server.instance)
-
     def forwarding_metadata(self, server: BackendServer) -> ForwardingMetadata:
         """Return the metadata that the router adds to an attempt."""
         account = self.accepted.account
@@ -227,7 +195,7 @@
         if self.accepted.pool.runs_models:
             priority = effective_priority(self.route, account)
             urgency = min(BASE_URGENCY + priority, MAX_URGENCY)
-        source = self.fetch_source(server)
+        source = self.prompt_reuse.record_sent(server)
         return ForwardingMetadata(
             instance=server.instance,
             deadline_ms=max(self.remaining_ms(), 1),
@@ -237,30 +205,6 @@
             fetch_from=None if source is None else source.address,
         )
 
-    def fetch_source(self, server: BackendServer) -> BackendServer | None:
-        """Return the server to fetch parts from; index what this attempt caches."""
-        if not self.route.uses_prompt_cache or not self.metadata.prompt:
-            return None
-        health, now_ms = self.components.health, self.components.clock.now_ms()
-        others = [
-            other
-            for other in self.components.servers.fetch_sources(server.pool)
-            if not health.is_unreachable(other.instance, now_ms)
-        ]
-        placement = self.components.placement
-        source = placement.fetch_source(server, self.metadata.prompt, others)
-        self.new_tokens = 0
-        if source is None:
-            self.new_tokens = placement.cache_index.uncached_tokens(
-                self.metadata.prompt, server.instance
-            )
-        cached_parts = placement.cache_index.record_prompt(
-            self.metadata.prompt, server.instance
-        )
-        if cached_parts:
-            self.components.on_parts_cached(cached_parts)
-        return source
-
     def attempt_timeout_ms(self) -> int:
         """Return how long to wait for data before another server is tried."""
         remaining_ms = max(self.remaining_ms(), 1)
--- a/packages/medlarridge-direct/tests/direct/test_simultaneous_prompts.py
+++ b/packages/medlarridge-direct/tests/direct/test_simultaneous_prompts.py
@@ -9,7 +9,7 @@
 import pytest
 
 from medlarridge import ManualClock
-from medlarridge_direct._internal import request_run
+from medlarridge_direct._internal import prompt_reuse
 from medlarridge_direct._internal.cache_inventory import (
     CHECK_INTERVAL_MS,
     CacheInventory,
@@ -20,18 +20,10 @@
 )
 from medlarridge_direct._internal.logs import Log, RequestLog
 from medlarridge_direct._internal.peer_reports import PeerReports
-from medlarridge_direct._internal.protocol.configuration import Pool, RouteKind
+from medlarridge_direct._internal.prompt_reuse import MAX_WAIT_SHARE, PromptReuse
+from medlarridge_direct._internal.protocol.configuration import RouteKind
 from medlarridge_direct._internal.protocol.peer_messages import encode_report
-from medlarridge_direct._internal.protocol.requests import (
-    ClientRequest,
-    PromptPart,
-    RequestMetadata,
-)
-from medlarridge_direct._internal.request_run import (
-    MAX_PROMPT_WAIT_SHARE,
-    AcceptedRequest,
-    RequestRun,
-)
+from medlarridge_direct._internal.protocol.requests import PromptPart
 from medlarridge_direct._internal.state.peer_table import PeerTable
 
 from .samples import configuration, listing, prompt, route, server, servers
@@ -57,28 +49,23 @@
     async def sleep(delay_s):
         clock.advance(round(delay_s * 1_000))
 
-    monkeypatch.setattr(request_run.asyncio, "sleep", sleep)
+    monkeypatch.setattr(prompt_reuse.asyncio, "sleep", sleep)
     components = make_components(clock=clock)
     components.servers.update(listing(*servers(3)), clock.now_ms())
     components.placement.pace.record("models", TOKENS, round(MS_PER_TOKEN * TOKENS))
     return components
 
 
-def make_run(components):
-    accepted = AcceptedRequest(
-        request=ClientRequest(b"POST", b"/", [], b"", components.clock.now_ms(), True),
-        metadata=RequestMetadata("1", "desk.example", prompt=prompt(tokens=TOKENS)),
-        route=route(
-            RouteKind.STREAM, uses_prompt_cache=True, objective_ms=OBJECTIVE_MS
-        ),
-        pool=Pool("models", max_connections=100, runs_models=True),
-        account=None,
-        fingerprint=1,
-    )
+def make_reuse(components):
     log = RequestLog(
         Log(components.clock, "node"), components.clock, components.metrics, "1"
     )
-    return RequestRun(components, accepted, None, log)
+    return PromptReuse(
+        components,
+        route(RouteKind.STREAM, uses_prompt_cache=True, objective_ms=OBJECTIVE_MS),
+        prompt(tokens=TOKENS),
+        log,
+    )
 
 
 class TestWaiting:
@@ -86,39 +73,39 @@
         self, components, clock
     ):
         """Guards against a prompt that the same engine processes twice."""
-        first, second = make_run(components), make_run(components)
-        target = first.select_server()
-        first.forwarding_metadata(target)
+        first, second = make_reuse(components), make_reuse(components)
+        target = server("s-1")
+        first.record_sent(target)
         clock.advance(50)
-        assert await second.wait_for_prompt(target)
+        assert await second.wait_until_processed(target)
         assert clock.now_ms() == 1_000_000 + round(MS_PER_TOKEN * TOKENS)
-        assert not await second.wait_for_prompt(target)
+        assert not await second.wait_until_processed(target)
 
     async def test_a_processed_prompt_is_not_waited_for(self, components, clock):
         """Guards against delays of chats whose prompt is in the cache."""
-        first, second = make_run(components), make_run(components)
-        target = first.select_server()
-        first.forwarding_metadata(target)
-        first.record_prompt_processed(target, clock.now_ms())
-        assert not await second.wait_for_prompt(target)
+        first, second = make_reuse(components), make_reuse(components)
+        target = server("s-1")
+        first.record_sent(target)
+        first.record_processed(target, 0)
+        assert not await second.wait_until_processed(target)
 
     async def test_the_wait_is_a_share_of_the_objective(self, components, clock):
         """Guards against late responses because an engine processes slowly."""
         for _ in range(100):
             components.placement.pace.record("models", TOKENS, 60_000)
-        first, second = make_run(components), make_run(components)
-        target = first.select_server()
-        first.forwarding_metadata(target)
-        assert await second.wait_for_prompt(target)
+        first, second = make_reuse(components), make_reuse(components)
+        target = server("s-1")
+        first.record_sent(target)
+        assert await second.wait_until_processed(target)
         waited_ms = clock.now_ms() - 1_000_000
-        assert waited_ms == round(MAX_PROMPT_WAIT_SHARE * OBJECTIVE_MS)
+        assert waited_ms == round(MAX_WAIT_SHARE * OBJECTIVE_MS)
 
     async def test_a_prompt_that_a_peer_sent_is_waited_for(self, components):
         """Guards against processing a prompt twice for two routers."""
         node_reports = make_reports(components)
         entries = [(part.part_id, "s-1") for part in prompt(tokens=TOKENS)[:-1]]
         node_reports.handle_datagram(encode_report(report(cached_parts=entries)), OTHER)
-        assert await make_run(components).wait_for_prompt(server("s-1"))
+        assert await make_reuse(components).wait_until_processed(server("s-1"))
 
     async def test_a_prompt_that_a_peer_knows_from_before_is_not_waited_for(
         self, components
@@ -129,7 +116,7 @@
         data = encode_report(report(processed_parts=entries))
         node_reports.handle_datagram(data, OTHER)
         assert components.placement.cache_index.holders("chat-1").keys() == {"s-1"}
-        assert not await make_run(components).wait_for_prompt(server("s-1"))
+        assert not await make_reuse(components).wait_until_processed(server("s-1"))
 
 
 class TestProcessingPace:
