--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/configuration_holder.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/configuration_holder.py
@@ -3,6 +3,7 @@
 from medlarridge._internal.clock import Clock
 
 from ..protocol.configuration import ClientLimits, Configuration
+from .own_read import OwnRead
 
 DEFAULT_LIMITS = ClientLimits()
 
@@ -15,7 +16,7 @@
     ``peer_revision`` is the last newer revision that a peer reported.
     ``watched_revision`` is the revision of the store up to which no newer configuration
     exists. ``confirmed_ms`` is the last time at which the configuration was known to be
-    the newest, and ``own_read_ms`` the last time at which the store told so itself.
+    the newest, and ``own_read`` the last time at which this router read it.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -26,7 +27,7 @@
         self.peer_revision = 0
         self.watched_revision = 0
         self.confirmed_ms: int | None = None
-        self.own_read_ms: int | None = None
+        self.own_read = OwnRead(clock)
 
     def apply_if_newer(
         self, configuration: Configuration, read_ms: int, watched_revision: int = 0
@@ -73,16 +74,6 @@
         """Record that the current configuration was the newest at ``read_ms``."""
         self.confirmed_ms = max(read_ms, self.confirmed_ms or 0)
 
-    def record_own_read(self, read_ms: int) -> None:
-        """Record that this router read the configuration itself at ``read_ms``."""
-        self.own_read_ms = max(read_ms, self.own_read_ms or 0)
-
-    def own_read_age_ms(self) -> int | None:
-        """Return the time since this router read the configuration, None if never."""
-        if self.own_read_ms is None:
-            return None
-        return self.clock.now_ms() - self.own_read_ms
-
     @property
     def revision(self) -> int:
         """Return the revision of the configuration, or 0 if there is none."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -12,6 +12,7 @@
 from medlarridge._internal.clock import Clock
 
 from ..protocol.servers import BackendServer, ServerListing, ServerState
+from .own_read import OwnRead
 
 STORE_OUTAGE_MS = 1_500
 """Time without a new list that counts as an outage of the store. The list is read at
@@ -61,7 +62,7 @@
     """The newest server list, lapsed entries that are kept, and servers that left.
 
     ``outdated`` is set while a peer is known to have a newer list. ``confirmed_ms`` is
-    the last time at which the list was known to be the newest, and ``own_read_ms`` the
+    the last time at which the list was known to be the newest, and ``own_read`` the
     last time at which this router itself read it from the store. ``leaving`` holds the
     servers that a peer has seen leave since the revision of the list, by instance with
     the revision at which they left.
@@ -76,11 +77,14 @@
     digest: int = 0
     listing: ServerListing | None = None
     confirmed_ms: int | None = None
-    own_read_ms: int | None = None
     leaving: dict[str, int] = field(default_factory=dict)
     outdated: bool = False
     keep_lapsed_until_ms: int = 0
     departed: dict[str, DepartedServer] = field(default_factory=dict)
+    own_read: OwnRead = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.own_read = OwnRead(self.clock)
 
     def update(self, listing: ServerListing, read_ms: int) -> list[ServerChange]:
         """Apply a list that was requested at ``read_ms``; return the changes."""
@@ -114,16 +118,6 @@
         self.listing = listing
         return changes
 
-    def record_own_read(self, read_ms: int) -> None:
-        """Record that this router read the list from the store at ``read_ms``."""
-        self.own_read_ms = max(read_ms, self.own_read_ms or 0)
-
-    def own_read_age_ms(self) -> int | None:
-        """Return the time since this router read the list itself, None if never."""
-        if self.own_read_ms is None:
-            return None
-        return self.clock.now_ms() - self.own_read_ms
-
     def record_departure(self, instance: str, started_at: int, revision: int) -> bool:
         """Stop using a server that a peer has seen leave; return whether it was used.
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -190,7 +190,7 @@
 
     def apply_own_listing(self, listing: ServerListing, read_ms: int) -> None:
         """Apply a list from the store and report the servers that left it."""
-        self.components.servers.record_own_read(read_ms)
+        self.components.servers.own_read.record(read_ms)
         departures = [
             Departure(
                 change.server.instance, change.server.started_at, listing.revision
@@ -278,13 +278,13 @@
         if result.configuration is None:
             end_ms = self.end_of_watch_ms(requested_ms, wait_ms)
             holder.confirm(end_ms)
-            holder.record_own_read(end_ms)
+            holder.own_read.record(end_ms)
             holder.watched_revision = max(
                 holder.watched_revision, result.store_revision
             )
         else:
             read_ms = self.components.clock.now_ms()
-            holder.record_own_read(read_ms)
+            holder.own_read.record(read_ms)
             self.apply_configuration(
                 result.configuration, read_ms, result.store_revision
             )
@@ -301,7 +301,7 @@
         self.count_call("read-configuration")
         result = await self.store.read_configuration()
         self.set_store_reachable(True)
-        holder.record_own_read(requested_ms)
+        holder.own_read.record(requested_ms)
         if result.configuration is None:
             holder.record_missing(requested_ms, result.store_revision)
             return
