--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/load_view.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/load_view.py
@@ -11,19 +11,13 @@
 """Age after which the report of a peer is discarded. Peers report several times a
 second."""
 
-PEER_MAJORITY = 0.5
-
 
 @dataclass(slots=True)
 class PeerLoad:
-    """The last report of a peer: its attempts in flight by instance key.
-
-    ``quiet`` holds the keys of the servers that send the peer nothing at the moment.
-    """
+    """The last report of a peer: its attempts in flight by instance key."""
 
     in_flight: dict[int, int]
     received_ms: int
-    quiet: frozenset[int] = frozenset()
 
 
 @dataclass(slots=True)
@@ -53,13 +47,9 @@
         else:
             self.own.pop(key, None)
 
-    def apply_report(
-        self, router_id: int, in_flight: dict[int, int], quiet: Iterable[str] = ()
-    ) -> None:
+    def apply_report(self, router_id: int, in_flight: dict[int, int]) -> None:
         """Replace the previous report of a peer."""
-        self.peers[router_id] = PeerLoad(
-            in_flight, self.clock.now_ms(), frozenset(map(instance_key, quiet))
-        )
+        self.peers[router_id] = PeerLoad(in_flight, self.clock.now_ms())
         self.update_peer_totals()
 
     def expire(self) -> None:
@@ -82,13 +72,6 @@
             for key, count in load.in_flight.items():
                 self.peer_totals[key] = self.peer_totals.get(key, 0) + count
 
-    def is_quiet_for_peers(self, instance: str) -> bool:
-        """Return whether a server is quiet for most peers with attempts there."""
-        key = instance_key(instance)
-        waiting = [load for load in self.peers.values() if key in load.in_flight]
-        quiet = sum(key in load.quiet for load in waiting)
-        return quiet > PEER_MAJORITY * len(waiting)
-
     def in_flight(self, instance: str) -> int:
         """Return the number of attempts in flight at a server."""
         key = instance_key(instance)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
@@ -2,11 +2,10 @@
 
 - Unreachable: the server refuses connections, or another server now has its address.
   It gets no work for a back-off period.
-- Silent: attempts are waiting but no byte arrives on any connection, so the server may
-  hang or be cut off. A quiet server counts as silent when it is quiet for most peers as
-  well, or for longer than servers of its pool are quiet while they work. It gets no
-  work except occasional probe requests. An attempt that is still waiting after a later
-  one was answered does not count: its response was lost.
+- Silent: attempts are waiting but no byte arrives on any connection for longer than
+  servers of its pool are quiet while they work, so the server may hang or be cut off.
+  It gets no work except occasional probe requests. An attempt that is still waiting
+  after a later one was answered does not count: its response was lost.
 - Failing: a share of the attempts fails. The server gets work only when the others are
   at their load limit, because the whole pool is needed when most of it fails.
 """
@@ -16,7 +15,6 @@
 
 from medlarridge._internal.clock import Clock
 
-from .load_view import LoadView
 from .quiet_times import MIN_TIMEOUT_MS, QuietTimes
 
 
@@ -46,8 +44,8 @@
 double while the server fails."""
 
 SILENCE_TIMEOUT_MS = MIN_TIMEOUT_MS
-"""Time without a byte after which a server with attempts in flight counts as quiet. A
-busy engine produces tokens for some request every few milliseconds."""
+"""Shortest time without a byte after which a server with attempts in flight counts as
+silent. A busy engine produces tokens for some request every few milliseconds."""
 PEER_AVOID_MS = 300
 """Time for which a peer's finding is valid. Peers repeat it with each report."""
 RECENT_RESPONSE_MS = 500
@@ -101,7 +99,6 @@
 
     clock: Clock
     quiet_times: QuietTimes
-    load: LoadView
     servers: dict[str, InstanceHealth] = field(default_factory=dict)
     last_number: int = 0
 
@@ -148,35 +145,20 @@
 
     def is_silent(self, instance: str, now_ms: int) -> bool:
         """Return whether a quiet server must be taken for one that stopped."""
-        if not self.is_quiet(instance, now_ms):
+        health = self.servers.get(instance)
+        if health is None or not health.waiting:
             return False
-        return self.load.is_quiet_for_peers(instance) or (
-            self.quiet_ms(instance, now_ms) > self.silence_timeout_ms(instance)
-        )
+        return self.quiet_ms(instance, now_ms) > self.silence_timeout_ms(instance)
 
     def quiet_ms(self, instance: str, now_ms: int) -> int:
         """Return for how long a server has sent nothing."""
         return now_ms - self.servers[instance].silent_since_ms
 
     def silence_timeout_ms(self, instance: str) -> float:
-        """Return for how long a server may be quiet, whatever it is for peers."""
+        """Return for how long a server may be quiet before it counts as silent."""
         health = self.servers[instance]
         return self.quiet_times.timeout_ms(health.pool, is_responding(health))
 
-    def is_quiet(self, instance: str, now_ms: int) -> bool:
-        """Return whether attempts are waiting but no bytes arrive."""
-        health = self.servers.get(instance)
-        return (
-            health is not None
-            and bool(health.waiting)
-            and now_ms - health.silent_since_ms > SILENCE_TIMEOUT_MS
-        )
-
-    def quiet_instances(self) -> list[str]:
-        """Return the servers that send nothing although attempts wait for them."""
-        now_ms = self.clock.now_ms()
-        return [each for each in self.servers if self.is_quiet(each, now_ms)]
-
     def is_probe_due(self, instance: str, now_ms: int, repeatable: bool) -> bool:
         """Return whether a silent server may get a request as a probe.
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -146,7 +146,7 @@
                 self.settings.data_centre,
                 self.settings.load.factor,
             ),
-            health=ServerHealth(clock, QuietTimes(clock), load),
+            health=ServerHealth(clock, QuietTimes(clock)),
             retry_budget=RetryBudget(clock, self.settings.retries),
             crash_guard=crash_guard,
             crash_detector=CrashDetector(clock, crash_guard),
@@ -370,7 +370,6 @@
                 server=instance,
                 quiet_ms=health.quiet_ms(instance, now_ms),
                 timeout_ms=round(health.silence_timeout_ms(instance)),
-                quiet_for_peers=health.load.is_quiet_for_peers(instance),
             )
         for instance in self.silent_servers - silent:
             self.log.event(SERVER_RESPONDING, server=instance)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -157,7 +157,6 @@
             configuration_watched_revision=configuration.watched_revision,
             list_revision=servers.revision,
             departures=self.recent_departures(),
-            quiet=self.components.health.quiet_instances(),
             processed_parts=processed_parts,
         )
 
@@ -174,9 +173,7 @@
             return
         if is_new:
             self.announce_all_cached_parts()
-        self.components.load.apply_report(
-            report.router_id, report.in_flight, report.quiet
-        )
+        self.components.load.apply_report(report.router_id, report.in_flight)
         cache_index = self.components.placement.cache_index
         for part_id, instance in report.cached_parts:
             cache_index.record(part_id, instance)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
@@ -31,8 +31,7 @@
     before it started. ``unreachable`` lists servers that do not respond to this router.
     The configuration is known to be the newest up to the store's revision
     ``configuration_watched_revision``, and the list is that of the store's revision
-    ``list_revision``. ``departures`` are the servers that left the list lately, and
-    ``quiet`` those that send this router nothing although attempts wait for them.
+    ``list_revision``. ``departures`` are the servers that left the list lately.
     """
 
     router_id: int
@@ -51,7 +50,6 @@
     configuration_watched_revision: int = 0
     list_revision: int = 0
     departures: list[Departure] = []
-    quiet: list[str] = []
     processed_parts: list[tuple[str, str]] = []
 
 
