Log and count how a server's response was framed and how it ended

MR6002, and MR6001 of a response that had begun, now have framing, body_bytes, events and open_bytes; medlarridge_responses_total counts by framing and ending. No decision changes: the splitter of a passed-through stream only counts.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -11,6 +11,7 @@
 from .coordination.server_health import AttemptResult
 from .protocol.requests import ClientRequest, ForwardingMetadata, Headers, ResponseHead
 from .protocol.servers import BackendServer
+from .received_body import ReceivedBody
 from .transport.http_connection import Broken, Data, Exchange, RawResponseHead
 from .transport.server_connections import ConnectionLimitReached
 
@@ -76,6 +77,7 @@
         self.exchange: Exchange | None = None
         self.head: ResponseHead | None = None
         self.attempt_number = 0
+        self.received = ReceivedBody()
 
     def __enter__(self) -> "Attempt":
         self.components.load.begin_attempt(self.server.instance)
@@ -153,6 +155,7 @@
         self.components.health.record_received(
             self.server.instance, self.attempt_number
         )
+        self.received.framing = event.framing
         self.head = self.components.dialect.parse_response(
             event.status, event.reason, event.headers
         )
@@ -192,7 +195,10 @@
         self.components.health.record_received(
             self.server.instance, self.attempt_number
         )
-        return event if isinstance(event, Data) else None
+        if not isinstance(event, Data):
+            return None
+        self.received.size += len(event.data)
+        return event
 
     def record_result(self, result: AttemptResult) -> None:
         """Record the result in the health of the server."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -15,6 +15,7 @@
 from .metrics import Metrics
 from .protocol.requests import ForwardingMetadata
 from .protocol.servers import BackendServer
+from .received_body import ReceivedBody
 
 MAX_LINES_PER_S = 400
 """Request lines that a process writes per second; further ones are counted and dropped.
@@ -221,13 +222,34 @@
         self.metrics.attempts[server.pool, ended] += 1
         self.write(ATTEMPT_ENDED, server=server.instance, ended=ended, detail=detail)
 
+    def response_broken(
+        self, server: BackendServer, detail: str, received: ReceivedBody
+    ) -> None:
+        """Log that a response broke off after its head."""
+        self.count_response(received, "broken")
+        self.metrics.attempts[server.pool, "broken"] += 1
+        self.write(
+            ATTEMPT_ENDED,
+            server=server.instance,
+            ended="broken",
+            detail=detail,
+            **received.log_fields(),
+        )
+
+    def count_response(self, received: ReceivedBody, ending: str) -> None:
+        """Count a response by its framing and ending."""
+        self.metrics.responses[received.framing, ending] += 1
+
     def response_started(self) -> None:
         """Record when the response began."""
         self.first_bytes_ms = self.clock.now_ms() - self.started_ms
         self.metrics.observe_first_bytes(self.kind, self.first_bytes_ms)
 
-    def response_delivered(self, status: int, server: BackendServer) -> None:
+    def response_delivered(
+        self, status: int, server: BackendServer, received: ReceivedBody
+    ) -> None:
         """Log that the response was delivered."""
+        self.count_response(received, "complete")
         self.metrics.attempts[server.pool, "answered"] += 1
         self.metrics.requests[self.kind, f"status-{status}"] += 1
         self.write(
@@ -235,6 +257,7 @@
             status=status,
             server=server.instance,
             first_bytes_ms=self.first_bytes_ms,
+            **received.log_fields(),
         )
 
     def request_refused(self, status: int, reason: str, retry_after_s: float) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
@@ -47,6 +47,7 @@
 
     requests: Counter = field(default_factory=Counter)
     attempts: Counter = field(default_factory=Counter)
+    responses: Counter = field(default_factory=Counter)
     refusals: Counter = field(default_factory=Counter)
     control_bytes: Counter = field(default_factory=Counter)
     store_calls: Counter = field(default_factory=Counter)
@@ -72,6 +73,11 @@
         counters = (
             ("requests", "Requests by kind and outcome.", ["kind", "outcome"]),
             ("attempts", "Attempts by pool and how they ended.", ["pool", "ended"]),
+            (
+                "responses",
+                "Responses of servers by framing and ending.",
+                ["framing", "ending"],
+            ),
             ("refusals", "Requests the router ended itself.", ["status", "reason"]),
             (
                 "control_bytes",
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
@@ -1,6 +1,7 @@
 """Requests and responses in the router's own types."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -58,6 +59,15 @@
     fetch_from: str | None = None
 
 
+class Framing(StrEnum):
+    """What marks the end of a response body."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+    NO_BODY = "no-body"
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a server's response.
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -12,7 +12,7 @@
 from .prompt_reuse import PromptReuse
 from .protocol.configuration import Account as ClientAccount
 from .protocol.configuration import Pool, Route, RouteKind, effective_priority
-from .protocol.events import EventSplitter, is_after
+from .protocol.events import is_after
 from .protocol.requests import (
     ClientRequest,
     ForwardingMetadata,
@@ -281,14 +281,14 @@
         self.begin_response(head, len(buffered) if not self.response.started else None)
         await self.response.write(bytes(buffered))
         self.response.end()
-        self.log.response_delivered(head.status, attempt.server)
+        self.log_delivered(attempt, head)
         return True
 
     async def deliver_stream(self, attempt: Attempt, head: ResponseHead) -> bool:
         """Relay the events of a stream so that it can resume at another server."""
         if not self.route.resumable:
             return await self.deliver_passthrough(attempt, head)
-        splitter = EventSplitter()
+        splitter = attempt.received.splitter
         while True:
             try:
                 event = await attempt.next_event(self.attempt_timeout_ms())
@@ -302,7 +302,9 @@
             if event is None:
                 break
             new_events = bytearray()
-            for stream_event in splitter.feed(event.data):
+            stream_events = splitter.feed(event.data)
+            attempt.received.events += len(stream_events)
+            for stream_event in stream_events:
                 if is_after(stream_event.event_id, self.last_event_id):
                     new_events += stream_event.data
                     self.last_event_id = stream_event.event_id or self.last_event_id
@@ -310,9 +312,9 @@
                 self.begin_response(head, None)
                 await self.response.write(bytes(new_events))
         self.begin_response(head, None)
+        self.log_delivered(attempt, head)
         await self.response.write(splitter.take_remainder())
         self.response.end()
-        self.log.response_delivered(head.status, attempt.server)
         return True
 
     async def deliver_passthrough(self, attempt: Attempt, head: ResponseHead) -> bool:
@@ -326,11 +328,12 @@
                 return self.handle_broken_response(attempt, event.detail)
             if event is None:
                 break
+            attempt.received.events += len(attempt.received.splitter.feed(event.data))
             self.begin_response(head, head.content_length)
             await self.response.write(event.data)
         self.begin_response(head, head.content_length)
         self.response.end()
-        self.log.response_delivered(head.status, attempt.server)
+        self.log_delivered(attempt, head)
         return True
 
     def begin_response(self, head: ResponseHead, content_length: int | None) -> None:
@@ -340,13 +343,17 @@
             self.response.begin(head.status, head.reason, headers, content_length)
             self.log.response_started()
 
+    def log_delivered(self, attempt: Attempt, head: ResponseHead) -> None:
+        """Log a complete response and how its end was told."""
+        self.log.response_delivered(head.status, attempt.server, attempt.received)
+
     def handle_broken_response(self, attempt: Attempt, detail: str) -> bool:
         """Handle an incomplete response; return whether the request is finished.
 
         A resumable stream that has begun continues at another server.
         """
         self.runs += 1
-        self.log.attempt_ended(attempt.server, OutcomeKind.BROKEN, detail)
+        self.log.response_broken(attempt.server, detail, attempt.received)
         resumable = self.route.kind is RouteKind.STREAM and self.route.resumable
         if self.response.started and not resumable:
             self.log.response_truncated(detail)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
@@ -10,7 +10,7 @@
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.errors import TransportError
 
-from ..protocol.requests import Headers
+from ..protocol.requests import Framing, Headers
 from .sockets import set_socket_options
 
 MAX_BUFFERED_BYTES = 65_536
@@ -27,6 +27,7 @@
     status: int
     reason: bytes
     headers: Headers
+    framing: Framing
 
 
 @dataclass(frozen=True, slots=True)
@@ -233,21 +234,26 @@
         if status < STATUS_OK:
             self.discarding = True
             return
-        header_names = {name.lower() for name, _ in self.headers}
-        self.ends_at_close = (
-            b"content-length" not in header_names
-            and b"transfer-encoding" not in header_names
-            and status not in STATUSES_WITHOUT_BODY
-        )
+        framing = self.response_framing(status)
+        self.ends_at_close = framing is Framing.CLOSE
         if self.matches_request is not None and not self.matches_request(self.headers):
             self.discarding = True
             self.must_close = True
             return
-        self.exchange.push(RawResponseHead(status, self.reason, self.headers))
+        self.exchange.push(RawResponseHead(status, self.reason, self.headers, framing))
         if self.is_head_request:
             self.must_close = True
             self.exchange.push(End())
 
+    def response_framing(self, status: int) -> Framing:
+        """Return what marks the end of the body."""
+        if self.is_head_request or status in STATUSES_WITHOUT_BODY:
+            return Framing.NO_BODY
+        header_names = {name.lower() for name, _ in self.headers}
+        if b"transfer-encoding" in header_names:
+            return Framing.CHUNKED
+        return Framing.LENGTH if b"content-length" in header_names else Framing.CLOSE
+
     def on_body(self, data: bytes) -> None:
         if self.exchange is None or self.exchange.finished or self.discarding:
             return
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -40,6 +40,8 @@
     b"HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 END = b"0\r\n\r\n"
+UNFRAMED_STREAM = b"HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\n\r\n"
+EVENT = b"id: 1\ndata: x\n\n"
 
 
 def stream_event(number):
@@ -317,6 +319,24 @@
         assert response.status == 502
 
 
+class TestResponseCounts:
+    @pytest.mark.parametrize(
+        ("script", "counted"),
+        [
+            ((STREAM + stream_event(1) + END,), ("chunked", "complete")),
+            ((UNFRAMED_STREAM + EVENT, CLOSE), ("close", "complete")),
+            ((UNFRAMED_STREAM + EVENT, RESET), ("close", "broken")),
+            ((OK,), ("length", "complete")),
+        ],
+    )
+    async def test_framing_and_ending_are_counted(self, script, counted):
+        """Guards against a truncated response whose framing nobody can tell later."""
+        _, components = await handle_request(
+            {"a": [script]}, RouteKind.STREAM, resumable=False
+        )
+        assert components.metrics.responses == {counted: 1}
+
+
 class TestRejections:
     async def test_request_before_the_first_configuration_gets_503(self):
         """Guards against 404 from a router that has no routes yet."""
