--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -42,13 +42,29 @@
 END = b"0\r\n\r\n"
 UNFRAMED_STREAM = b"HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\n\r\n"
 EVENT = b"id: 1\ndata: x\n\n"
+PARTIAL_EVENT = b"id: 2\nda"
+FRAMED_STREAM = (
+    b"HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nContent-Length: %d\r\n\r\n"
+    % len(EVENT + PARTIAL_EVENT)
+)
 
 
-def stream_event(number):
-    data = b"id: %d\ndata: x\n\n" % number
+def chunk(data):
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+def stream_event(number):
+    return chunk(b"id: %d\ndata: x\n\n" % number)
+
+
+STREAMS_ENDING_INSIDE_AN_EVENT = {
+    "closed": (UNFRAMED_STREAM + EVENT + PARTIAL_EVENT, CLOSE),
+    "closed after the field": (UNFRAMED_STREAM + EVENT + b"id: 2\ndata: x\n", CLOSE),
+    "last chunk": (STREAM + chunk(EVENT + PARTIAL_EVENT) + END,),
+    "length": (FRAMED_STREAM + EVENT + PARTIAL_EVENT,),
+}
+
+
 class RecordedResponse:
     """Records the response that a client gets."""
 
@@ -311,6 +327,45 @@
         assert not response.ended
         assert len(components.connections.sent) == 1
 
+    @pytest.mark.parametrize("ending", STREAMS_ENDING_INSIDE_AN_EVENT)
+    async def test_stream_that_ends_inside_an_event_is_truncated(self, ending):
+        """Guards against a response framed as complete that the server broke off."""
+        response, _ = await handle_request(
+            {"a": [STREAMS_ENDING_INSIDE_AN_EVENT[ending]]},
+            RouteKind.STREAM,
+            resumable=False,
+            max_attempts=1,
+        )
+        assert response.started
+        assert not response.ended
+        assert response.content_length is None
+
+    @pytest.mark.parametrize("ending", STREAMS_ENDING_INSIDE_AN_EVENT)
+    async def test_stream_that_ends_inside_an_event_is_resumed(self, ending):
+        """Guards against a resumable stream framed as complete with part of an event."""
+        second = (STREAM + stream_event(2) + END,)
+        components = make_components(
+            {"a": [STREAMS_ENDING_INSIDE_AN_EVENT[ending]], "b": [second]}
+        )
+        components.load.begin_attempt("b")
+        response, _ = await handle_request(
+            {"a": 0, "b": 0},
+            RouteKind.STREAM,
+            components=components,
+            resumable=True,
+            max_attempts=2,
+        )
+        assert bytes(response.body) == EVENT + b"id: 2\ndata: x\n\n"
+        assert response.ended
+
+    @pytest.mark.parametrize("resumable", [False, True])
+    async def test_stream_closed_before_its_first_event_gets_an_error(self, resumable):
+        """Guards against an empty success for a server that crashed before an event."""
+        response, _ = await handle_request(
+            {"a": [(UNFRAMED_STREAM, CLOSE)]}, RouteKind.STREAM, resumable=resumable
+        )
+        assert (response.status, response.ended) == (502, True)
+
     async def test_stream_that_breaks_before_its_first_event_gets_an_error(self):
         """Guards against an empty response that looks like a success."""
         response, _ = await handle_request(
