Accept all line ends of event streams, split at any byte

The splitter of resumable streams knew only LF LF. With CR LF or CR no event was ever complete: all of a stream was held back until its end, and after a break it started again without Last-Event-Id (test_stream_with_other_line_ends_is_resumed fails on the code before with exactly that).

It also tells whether a stream stands inside an event; blank lines and complete comments belong to none. A property test draws line ends and cuts at any byte.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/received_body.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/received_body.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from .protocol.events import EventSplitter
+from medlarridge._internal.protocol.server_sent_events import EventSplitter
+
 from .protocol.requests import Framing
 
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 from medlarridge._internal.clock import MS_PER_S
+from medlarridge._internal.protocol.server_sent_events import is_after
 
 from .attempt import Attempt, AttemptOutcome, OutcomeKind
 from .components import RouterComponents
@@ -12,7 +13,6 @@
 from .prompt_reuse import PromptReuse
 from .protocol.configuration import Account as ClientAccount
 from .protocol.configuration import Pool, Route, RouteKind, effective_priority
-from .protocol.events import is_after
 from .protocol.requests import (
     ClientRequest,
     ForwardingMetadata,
@@ -313,7 +313,7 @@
                 await self.response.write(bytes(new_events))
         self.begin_response(head, None)
         self.log_delivered(attempt, head)
-        await self.response.write(splitter.take_remainder())
+        await self.response.write(bytes(splitter.buffer))
         self.response.end()
         return True
 
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -327,6 +327,27 @@
         assert not response.ended
         assert len(components.connections.sent) == 1
 
+    @pytest.mark.parametrize("line_end", [b"\r\n", b"\r"])
+    async def test_stream_with_other_line_ends_is_resumed(self, line_end):
+        """Guards against streams that are held back and start over after a break."""
+        first, second = (
+            chunk(b"id: %d" % number + line_end + b"data: x" + line_end * 2)
+            for number in (1, 2)
+        )
+        components = make_components(
+            {"a": [(STREAM + first, RESET)], "b": [(STREAM + second + END,)]}
+        )
+        components.load.begin_attempt("b")
+        response, _ = await handle_request(
+            {"a": 0, "b": 0},
+            RouteKind.STREAM,
+            components=components,
+            resumable=True,
+            max_attempts=2,
+        )
+        assert b"resume: 1\r\n" in components.connections.sent[1][1].written
+        assert bytes(response.body).count(b"id: ") == 2
+
     @pytest.mark.parametrize("ending", STREAMS_ENDING_INSIDE_AN_EVENT)
     async def test_stream_that_ends_inside_an_event_is_truncated(self, ending):
         """Guards against a response framed as complete that the server broke off."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/events.py
+++ b/packages/medlarridge/src/medlarridge/_internal/protocol/server_sent_events.py
@@ -1,8 +1,15 @@
 """Parser of server-sent events (text/event-stream) that keeps their bytes unchanged."""
 
+import re
 from dataclasses import dataclass, field
 
-EVENT_END = b"\n\n"
+MEDIA_TYPE = "text/event-stream"
+
+LINE_END = rb"(?:\r\n|\r(?!\n)|\n)"
+EVENT_END = re.compile(LINE_END + LINE_END)
+MAX_EVENT_END_BYTES = 4
+LINE_END_BYTES = b"\r\n"
+COMMENT = b":"
 ID_FIELD = b"id:"
 
 
@@ -16,35 +23,41 @@
 
 @dataclass(slots=True)
 class EventSplitter:
-    """Splits a byte stream into complete events and buffers an incomplete one."""
+    """Splits a byte stream into complete events and buffers an incomplete one.
+
+    A CR at the end of the received bytes ends a line at once. If an LF of the same line
+    end follows, it is passed on at the start of the next event.
+    """
 
     buffer: bytearray = field(default_factory=bytearray)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes; return the events that are now complete."""
+        search_from = max(len(self.buffer) - MAX_EVENT_END_BYTES, 0)
         self.buffer += data
         events = []
         start = 0
-        while True:
-            end = self.buffer.find(EVENT_END, start)
-            if end < 0:
-                break
-            end += len(EVENT_END)
-            events.append(parse_event(bytes(self.buffer[start:end])))
-            start = end
+        for match in EVENT_END.finditer(self.buffer, search_from):
+            events.append(parse_event(bytes(self.buffer[start : match.end()])))
+            start = match.end()
         del self.buffer[:start]
         return events
 
-    def take_remainder(self) -> bytes:
-        """Return and clear the bytes after the last complete event."""
-        remainder = bytes(self.buffer)
-        self.buffer.clear()
-        return remainder
+    @property
+    def inside_event(self) -> bool:
+        """Return whether an event has begun that is not complete.
+
+        Blank lines and complete comment lines belong to no event.
+        """
+        if self.buffer and self.buffer[-1] not in LINE_END_BYTES:
+            return True
+        lines = bytes(self.buffer).splitlines()
+        return any(line and not line.startswith(COMMENT) for line in lines)
 
 
 def parse_event(data: bytes) -> StreamEvent:
     """Parse the ID of an event."""
-    for line in data.split(b"\n"):
+    for line in data.splitlines():
         if line.startswith(ID_FIELD):
             return StreamEvent(data, line[len(ID_FIELD) :].strip().decode("latin-1"))
     return StreamEvent(data, None)
--- /dev/null
+++ b/packages/medlarridge/tests/unit/protocol/test_server_sent_events.py
@@ -0,0 +1,109 @@
+from itertools import pairwise
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from medlarridge._internal.protocol.server_sent_events import EventSplitter, is_after
+
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+LINE_ENDS = (b"\n", b"\r\n", b"\r")
+SEEDED = settings(derandomize=True, max_examples=300, deadline=None, database=None)
+
+
+@st.composite
+def event_streams(draw):
+    """Return the events of a stream, each line with a line end of its own choice."""
+    events = []
+    for number in range(draw(st.integers(1, 4))):
+        event = b"id: %d" % number
+        for line in (b"data: x", b"", b""):
+            line_end = draw(st.sampled_from(LINE_ENDS))
+            if event.endswith(b"\r") and not line and line_end == b"\n":
+                # CR and LF would be one line end.
+                line_end = b"\r\n"
+            event += line_end + line if line else line_end
+        events.append(event)
+    return events
+
+
+def feed_in_pieces(splitter, data, cuts):
+    events = []
+    edges = [0, *sorted(cut % (len(data) + 1) for cut in cuts), len(data)]
+    for start, end in pairwise(edges):
+        events += splitter.feed(data[start:end])
+    return events
+
+
+class TestEventSplitter:
+    @pytest.mark.parametrize("size", [1, 2, 5, 100])
+    def test_events_are_complete_for_any_chunk_size(self, size):
+        """Guards against forwarding part of an event when a server crashes."""
+        splitter = EventSplitter()
+        events = []
+        for start in range(0, len(EVENTS), size):
+            events += splitter.feed(EVENTS[start : start + size])
+        assert b"".join(event.data for event in events) == EVENTS
+        assert [event.event_id for event in events] == ["1", "2"]
+
+    @SEEDED
+    @given(event_streams(), st.lists(st.integers(0, 200), max_size=6))
+    def test_events_with_any_line_ends_are_found_when_they_are_complete(
+        self, stream, cuts
+    ):
+        """Guards against servers whose lines end with CR LF or CR."""
+        splitter = EventSplitter()
+        data = b"".join(stream)
+        events = feed_in_pieces(splitter, data, cuts)
+        ids = [event.event_id for event in events if event.event_id is not None]
+        assert ids == [str(number) for number in range(len(stream))]
+        forwarded = b"".join(event.data for event in events)
+        assert forwarded + bytes(splitter.buffer) == data
+        assert not splitter.inside_event
+
+    @SEEDED
+    @given(event_streams(), st.lists(st.integers(0, 200), max_size=6), st.data())
+    def test_a_cut_inside_an_event_is_noticed(self, stream, cuts, data):
+        """Guards against taking a stream for complete that stops inside an event."""
+        splitter = EventSplitter()
+        last = stream[-1].lstrip(b"\r\n")
+        kept = data.draw(st.integers(1, len(last.rstrip(b"\r\n"))))
+        broken = b"".join(stream[:-1]) + last[:kept]
+        feed_in_pieces(splitter, broken, cuts)
+        assert splitter.inside_event
+
+    @pytest.mark.parametrize("size", [1, 100])
+    def test_an_event_is_complete_as_soon_as_its_blank_line_begins(self, size):
+        """Guards against events that wait for the next one to arrive."""
+        data = b"id: 1\r\rid: 2\r\n\r"
+        splitter = EventSplitter()
+        events = feed_in_pieces(splitter, data, range(0, len(data), size))
+        assert [event.event_id for event in events] == ["1", "2"]
+
+    @pytest.mark.parametrize(
+        ("rest", "inside"),
+        [
+            (b"", False),
+            (b"\n", False),
+            (b": keep-alive\n", False),
+            (b": keep-al", True),
+            (b"id: 3\n", True),
+            (b": comment\ndata: c\r\n", True),
+            (b"d", True),
+        ],
+    )
+    def test_comments_and_blank_lines_belong_to_no_event(self, rest, inside):
+        """Guards against streams that break off because of a keep-alive comment."""
+        splitter = EventSplitter()
+        splitter.feed(EVENTS + rest)
+        assert splitter.inside_event == inside
+
+
+class TestOrder:
+    @pytest.mark.parametrize(
+        ("event_id", "last", "after"),
+        [("10", "9", True), ("9", "9", False), ("8", "9", False), (None, "9", True)],
+    )
+    def test_ids_are_compared_as_numbers(self, event_id, last, after):
+        """Guards against events that a client receives twice after a resume."""
+        assert is_after(event_id, last) == after
