Break off a response whose stream ends inside an event

Cause: the end of a response was taken from the framing of the server's message alone. A response without length and chunks ends with its connection, so a crash that closes the connection properly looked like a whole body, and the router then wrote its own last chunk. A server that ends its chunks or its length inside an event had the same effect; with Content-Length the client even saw the length fulfilled. It is the class 'the end of the transport is taken for the end of the content'.

Change: what was received of a body decides in one place, ReceivedBody.truncation, for both kinds of stream and for a stream on a route of another kind. A stream that ends inside an event, or one that is closed before its first event, is broken: it resumes where it may, otherwise the response is cut or replaced by a 502. It counts as broken for the health of the server and for the crash guard. Streams are sent to clients without a length, as only the end of the content shows that they are whole. The media type decides what a stream is; without one the route does.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -6,15 +6,20 @@
 
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.errors import TransportError
+from medlarridge._internal.protocol.server_sent_events import (
+    MEDIA_TYPE as EVENT_STREAM_TYPE,
+)
+from medlarridge._internal.protocol.server_sent_events import EventSplitter
 
 from .components import RouterComponents
 from .coordination.server_health import AttemptResult
 from .protocol.requests import ClientRequest, ForwardingMetadata, Headers, ResponseHead
 from .protocol.servers import BackendServer
-from .received_body import ReceivedBody
+from .received_body import BodyPart, ReceivedBody
 from .transport.http_connection import Broken, Data, Exchange, RawResponseHead
 from .transport.server_connections import ConnectionLimitReached
 
+SUCCESS_STATUS_CLASS = 2
 MISDIRECTED_REQUEST = 421
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that tell a client that its request did not run and never will. A server's
@@ -67,6 +72,7 @@
         request_id: str,
         fingerprint: int,
         connection_limit: int,
+        is_stream: bool,
     ) -> None:
         self.components = components
         self.server = server
@@ -74,6 +80,7 @@
         self.request_id = request_id
         self.fingerprint = fingerprint
         self.connection_limit = connection_limit
+        self.is_stream = is_stream
         self.exchange: Exchange | None = None
         self.head: ResponseHead | None = None
         self.attempt_number = 0
@@ -155,12 +162,25 @@
         self.components.health.record_received(
             self.server.instance, self.attempt_number
         )
-        self.received.framing = event.framing
         self.head = self.components.dialect.parse_response(
             event.status, event.reason, event.headers
         )
+        self.received.framing = event.framing
+        if self.is_event_stream(self.head):
+            self.received.splitter = EventSplitter()
         return self.classify_head(self.head)
 
+    def is_event_stream(self, head: ResponseHead) -> bool:
+        """Return whether the body is a stream of events.
+
+        A response without a media type has the type that the route promises.
+        """
+        if head.status // 100 != SUCCESS_STATUS_CLASS:
+            return False
+        if head.media_type is None:
+            return self.is_stream
+        return head.media_type == EVENT_STREAM_TYPE
+
     def classify_head(self, head: ResponseHead) -> AttemptOutcome:
         """Tell refusals and faulty responses from responses that may be delivered."""
         if head.status == MISDIRECTED_REQUEST:
@@ -170,7 +190,7 @@
             return AttemptOutcome(OutcomeKind.NOT_RUN, f"status {head.status}", head)
         if head.encoded:
             return AttemptOutcome(OutcomeKind.FAULTY, "content-encoded body", head)
-        if not head.signed and head.status // 100 == 2:
+        if not head.signed and head.status // 100 == SUCCESS_STATUS_CLASS:
             return AttemptOutcome(
                 OutcomeKind.FAULTY, "response without signature", head
             )
@@ -178,10 +198,10 @@
             return AttemptOutcome(OutcomeKind.FAULTY, f"status {head.status}", head)
         return AttemptOutcome(OutcomeKind.RESPONSE, head=head)
 
-    async def next_event(self, timeout_ms: int) -> Data | Broken | None:
-        """Return the next data, a ``Broken`` event, or None at the end of the response.
+    async def next_part(self, timeout_ms: int) -> BodyPart | Broken | None:
+        """Return the next bytes, a ``Broken`` event, or None at the end of the response.
 
-        Raise ``TimeoutError`` if nothing arrives in time.
+        A stream that ends inside an event is broken, however it is framed. Raise ``TimeoutError`` if nothing arrives in time.
         """
         assert self.exchange is not None
         if self.exchange.events:
@@ -195,10 +215,13 @@
         self.components.health.record_received(
             self.server.instance, self.attempt_number
         )
-        if not isinstance(event, Data):
+        if isinstance(event, Data):
+            return self.received.add(event.data)
+        truncation = self.received.truncation()
+        if truncation is None:
             return None
-        self.received.size += len(event.data)
-        return event
+        self.record_broken()
+        return Broken(truncation)
 
     def record_result(self, result: AttemptResult) -> None:
         """Record the result in the health of the server."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
@@ -76,7 +76,9 @@
     ``not_executed`` whether the server states that it did not run the request.
     ``encoded`` marks a body with a content encoding, which is not the server's original
     bytes. ``content_length`` is None if the response does not declare it.
-    ``keep_alive_ms`` is the time for which the server keeps an idle connection open.
+    ``media_type`` is the type of the body without parameters, None if it is not
+    declared. ``keep_alive_ms`` is the time for which the server keeps an idle
+    connection open.
     """
 
     status: int
@@ -87,4 +89,5 @@
     not_executed: bool
     encoded: bool
     content_length: int | None
+    media_type: str | None = None
     keep_alive_ms: int | None = None
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/received_body.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/received_body.py
@@ -1,28 +1,51 @@
 """What an attempt has received of a response body."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from medlarridge._internal.protocol.server_sent_events import EventSplitter
+from medlarridge._internal.protocol.server_sent_events import (
+    EventSplitter,
+    StreamEvent,
+)
 
 from .protocol.requests import Framing
 
 
+@dataclass(frozen=True, slots=True)
+class BodyPart:
+    """Next bytes of a body and the events of a stream that they complete."""
+
+    data: bytes
+    events: list[StreamEvent]
+
+
 @dataclass(slots=True)
 class ReceivedBody:
     """What was received of a response body.
 
-    ``splitter`` holds the bytes after the last complete event of a stream.
+    ``splitter`` is None if the body is not an event stream.
     """
 
     framing: Framing | None = None
+    splitter: EventSplitter | None = None
     size: int = 0
     events: int = 0
-    splitter: EventSplitter = field(default_factory=EventSplitter)
 
-    @property
-    def open_bytes(self) -> int:
-        """Return the number of bytes after the last complete event."""
-        return len(self.splitter.buffer)
+    def add(self, data: bytes) -> BodyPart:
+        """Add bytes; return them with the events that they complete."""
+        self.size += len(data)
+        events = [] if self.splitter is None else self.splitter.feed(data)
+        self.events += len(events)
+        return BodyPart(data, events)
+
+    def truncation(self) -> str | None:
+        """Return why the body is incomplete although its framing has ended, or None."""
+        if self.splitter is None:
+            return None
+        if self.splitter.inside_event:
+            return "stream ended inside an event"
+        if self.framing is Framing.CLOSE and not self.events:
+            return "stream was closed before its first event"
+        return None
 
     def log_fields(self) -> dict[str, object]:
         """Return the fields of log lines on the end of the response."""
@@ -30,5 +53,5 @@
             "framing": self.framing,
             "body_bytes": self.size,
             "events": self.events,
-            "open_bytes": self.open_bytes,
+            "open_bytes": 0 if self.splitter is None else len(self.splitter.buffer),
         }
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -6,7 +6,7 @@
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.protocol.server_sent_events import is_after
 
-from .attempt import Attempt, AttemptOutcome, OutcomeKind
+from .attempt import SUCCESS_STATUS_CLASS, Attempt, AttemptOutcome, OutcomeKind
 from .components import RouterComponents
 from .coordination.server_health import AttemptResult
 from .logs import RequestLog
@@ -50,7 +50,6 @@
 BASE_URGENCY = 3
 """Urgency of priority 0; servers run requests of lower urgency values first."""
 
-SUCCESS_STATUS_CLASS = 2
 MIN_SERVER_ERROR_STATUS = 500
 
 
@@ -173,6 +172,7 @@
             self.metadata.request_id,
             self.accepted.fingerprint,
             self.accepted.pool.max_connections // max(router_count, 1),
+            self.route.kind is RouteKind.STREAM,
         ) as attempt:
             self.log.attempt_sent(
                 server, self.components, metadata, self.attempts_not_run + self.runs
@@ -266,14 +266,14 @@
         buffered = bytearray()
         while True:
             try:
-                event = await attempt.next_event(max(self.remaining_ms(), 1))
+                part = await attempt.next_part(max(self.remaining_ms(), 1))
             except TimeoutError:
-                event = Broken("deadline passed before the response was complete")
-            if isinstance(event, Broken):
-                return self.handle_broken_response(attempt, event.detail)
-            if event is None:
+                part = Broken("deadline passed before the response was complete")
+            if isinstance(part, Broken):
+                return self.handle_broken_response(attempt, part.detail)
+            if part is None:
                 break
-            buffered += event.data
+            buffered += part.data
             if len(buffered) > MAX_BUFFERED_RESPONSE_BYTES or self.response.started:
                 self.begin_response(head, head.content_length)
                 await self.response.write(bytes(buffered))
@@ -285,53 +285,46 @@
         return True
 
     async def deliver_stream(self, attempt: Attempt, head: ResponseHead) -> bool:
-        """Relay the events of a stream so that it can resume at another server."""
+        """Relay a stream without a declared length, since it may still break off."""
         if not self.route.resumable:
             return await self.deliver_passthrough(attempt, head)
-        splitter = attempt.received.splitter
         while True:
             try:
-                event = await attempt.next_event(self.attempt_timeout_ms())
+                part = await attempt.next_part(self.attempt_timeout_ms())
             except TimeoutError:
                 attempt.record_result(AttemptResult.FAILED)
-                return self.handle_broken_response(
-                    attempt, "stream sent no data before the timeout"
-                )
-            if isinstance(event, Broken):
-                return self.handle_broken_response(attempt, event.detail)
-            if event is None:
+                part = Broken("stream sent no data before the timeout")
+            if isinstance(part, Broken):
+                return self.handle_broken_response(attempt, part.detail)
+            if part is None:
                 break
             new_events = bytearray()
-            stream_events = splitter.feed(event.data)
-            attempt.received.events += len(stream_events)
-            for stream_event in stream_events:
-                if is_after(stream_event.event_id, self.last_event_id):
-                    new_events += stream_event.data
-                    self.last_event_id = stream_event.event_id or self.last_event_id
+            for event in part.events:
+                if is_after(event.event_id, self.last_event_id):
+                    new_events += event.data
+                    self.last_event_id = event.event_id or self.last_event_id
             if new_events:
                 self.begin_response(head, None)
                 await self.response.write(bytes(new_events))
         self.begin_response(head, None)
-        self.log_delivered(attempt, head)
-        await self.response.write(bytes(splitter.buffer))
         self.response.end()
+        self.log_delivered(attempt, head)
         return True
 
     async def deliver_passthrough(self, attempt: Attempt, head: ResponseHead) -> bool:
         """Relay a stream that cannot be resumed at another server."""
         while True:
             try:
-                event = await attempt.next_event(max(self.remaining_ms(), 1))
+                part = await attempt.next_part(max(self.remaining_ms(), 1))
             except TimeoutError:
-                event = Broken("deadline passed before the stream ended")
-            if isinstance(event, Broken):
-                return self.handle_broken_response(attempt, event.detail)
-            if event is None:
+                part = Broken("deadline passed before the stream ended")
+            if isinstance(part, Broken):
+                return self.handle_broken_response(attempt, part.detail)
+            if part is None:
                 break
-            attempt.received.events += len(attempt.received.splitter.feed(event.data))
-            self.begin_response(head, head.content_length)
-            await self.response.write(event.data)
-        self.begin_response(head, head.content_length)
+            self.begin_response(head, None)
+            await self.response.write(part.data)
+        self.begin_response(head, None)
         self.response.end()
         self.log_delivered(attempt, head)
         return True
--- a/packages/medlarridge-direct/tests/adapter/test_headers.py
+++ b/packages/medlarridge-direct/tests/adapter/test_headers.py
@@ -113,6 +113,13 @@
         assert head.not_executed
         assert not head.signed
         assert head.keep_alive_ms == 5_000
+        assert head.media_type is None
+
+    def test_media_type_is_read_without_its_parameters(self):
+        """Guards against a stream that is not recognised by its type."""
+        headers = [(b"Content-Type", b"Text/Event-Stream; charset=utf-8")]
+        head = HeaderDialect().parse_response(200, b"OK", headers)
+        assert head.media_type == "text/event-stream"
 
 
 class TestInventory:
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -143,6 +143,7 @@
         fields = {name.lower(): value for name, value in headers}
         length = fields.get(b"content-length")
         request_id = fields.get(b"id")
+        media_type = fields.get(b"content-type")
         return ResponseHead(
             status=status,
             reason=reason,
@@ -152,6 +153,7 @@
             not_executed=b"not-executed" in fields,
             encoded=b"content-encoding" in fields,
             content_length=None if length is None else int(length),
+            media_type=None if media_type is None else media_type.decode(),
         )
 
     def client_headers(self, head):
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -57,6 +57,10 @@
     return chunk(b"id: %d\ndata: x\n\n" % number)
 
 
+WHOLE_FRAMED_STREAM = (
+    b"HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nContent-Length: %d\r\n\r\n%b"
+    % (len(EVENT), EVENT)
+)
 STREAMS_ENDING_INSIDE_AN_EVENT = {
     "closed": (UNFRAMED_STREAM + EVENT + PARTIAL_EVENT, CLOSE),
     "closed after the field": (UNFRAMED_STREAM + EVENT + b"id: 2\ndata: x\n", CLOSE),
@@ -379,6 +383,22 @@
         assert bytes(response.body) == EVENT + b"id: 2\ndata: x\n\n"
         assert response.ended
 
+    async def test_body_of_another_type_is_not_read_as_a_stream(self):
+        """Guards against errors in place of a plain response on a streaming route."""
+        plain = OK.replace(b"Id: 1", b"Id: 1\r\nContent-Type: application/json")
+        response, _ = await handle_request(
+            {"a": [(plain,)]}, RouteKind.STREAM, resumable=False
+        )
+        assert (response.ended, bytes(response.body)) == (True, b"ok")
+
+    async def test_stream_on_another_route_is_checked_for_its_last_event(self):
+        """Guards against part of a stream that a route of another kind delivers."""
+        head = UNFRAMED_STREAM[:-2] + b"Content-Type: text/event-stream\r\n\r\n"
+        response, _ = await handle_request(
+            {"a": [(head + EVENT + PARTIAL_EVENT, CLOSE)]}, RouteKind.AT_MOST_ONCE
+        )
+        assert response.status == 502
+
     @pytest.mark.parametrize("resumable", [False, True])
     async def test_stream_closed_before_its_first_event_gets_an_error(self, resumable):
         """Guards against an empty success for a server that crashed before an event."""
@@ -402,7 +422,7 @@
             ((STREAM + stream_event(1) + END,), ("chunked", "complete")),
             ((UNFRAMED_STREAM + EVENT, CLOSE), ("close", "complete")),
             ((UNFRAMED_STREAM + EVENT, RESET), ("close", "broken")),
-            ((OK,), ("length", "complete")),
+            ((WHOLE_FRAMED_STREAM,), ("length", "complete")),
         ],
     )
     async def test_framing_and_ending_are_counted(self, script, counted):
