Do not count a truncated stream as a complete call in the sidecar

The router already requires the end marker of a stream, so callers were told the outcome is unknown; but the sidecar took the end of the HTTP message for the end of the stream. The ledger then kept half a stream as the result of an idempotency key, the crash guard cleared the strikes of the request that had just crashed its server, and the cached prefix counted as whole.

The sidecar now requires the end marker as the router does: without it the call ends as broken.

--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_call.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_call.py
@@ -6,6 +6,10 @@
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.protocol.caller import CHAT_HEADER, HOP_BY_HOP_HEADERS
 from medlarridge._internal.protocol.messages import Attempt, ResponseHead
+from medlarridge._internal.protocol.server_sent_events import (
+    MEDIA_TYPE as EVENT_STREAM_TYPE,
+)
+from medlarridge._internal.protocol.server_sent_events import EventSplitter
 
 from .live_attempt import LiveAttempt
 from .server_result import CallState, ServerResult
@@ -19,6 +23,10 @@
     """The call must no longer be sent."""
 
 
+class StreamTruncated(Exception):
+    """The server ended an event stream before its end marker."""
+
+
 class ServerClient:
     """HTTP client of the backend server."""
 
@@ -51,7 +59,7 @@
                 return ServerResult(CallState.COMPLETE)
             except SendRefused:
                 detail = "the right to run the call has lapsed"
-            except httpx.TransportError as error:
+            except (httpx.TransportError, StreamTruncated) as error:
                 detail = f"{type(error).__name__}: {error}"
             if live.maybe_sent:
                 return ServerResult(CallState.BROKEN, f"server failed: {detail}")
@@ -76,11 +84,35 @@
         ) as response:
             live.stream.head = response_head(response, attempt)
             live.produced.notify_all()
-            async for piece in response.aiter_raw():
-                if piece:
+            if is_event_stream(response):
+                await copy_event_stream(response, live)
+            else:
+                async for piece in response.aiter_raw():
                     await live.write(piece)
 
 
+def is_event_stream(response: httpx.Response) -> bool:
+    """Return whether the body is a stream of events."""
+    return response.headers.get("content-type", "").startswith(EVENT_STREAM_TYPE)
+
+
+async def copy_event_stream(response: httpx.Response, live: LiveAttempt) -> None:
+    """Copy a stream; raise ``StreamTruncated`` if it ends before its end marker.
+
+    The end of the HTTP message does not tell that a stream is whole: a body without a
+    length ends with its connection, also when the server crashes.
+    """
+    splitter = EventSplitter()
+    ended = False
+    async for piece in response.aiter_raw():
+        events = splitter.feed(piece)
+        ended = ended or any(event.is_end_marker for event in events)
+        await live.write(piece)
+    if not ended:
+        place = "inside an event" if splitter.inside_event else "between events"
+        raise StreamTruncated(f"stream ended {place} without its end marker")
+
+
 def server_request_headers(attempt: Attempt) -> list[tuple[str, str]]:
     """Return the headers of the call with the chat, which identifies the prefix."""
     if not attempt.chat:
--- a/packages/medlarridge/src/medlarridge/_internal/protocol/server_sent_events.py
+++ b/packages/medlarridge/src/medlarridge/_internal/protocol/server_sent_events.py
@@ -10,6 +10,7 @@
 MAX_EVENT_END_BYTES = 4
 LINE_END_BYTES = b"\r\n"
 COMMENT = b":"
+DONE_EVENT = b"data: [DONE]"
 ID_FIELD = b"id:"
 
 
@@ -20,6 +21,11 @@
     data: bytes
     event_id: str | None
 
+    @property
+    def is_end_marker(self) -> bool:
+        """Return whether the event marks the end of a chat response."""
+        return self.data.strip() == DONE_EVENT
+
 
 @dataclass(slots=True)
 class EventSplitter:
--- a/packages/medlarridge/tests/unit/sidecar/test_server_call.py
+++ b/packages/medlarridge/tests/unit/sidecar/test_server_call.py
@@ -14,6 +14,7 @@
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
 EVENT = b"data: x\n\n"
 PARTIAL_EVENT = b"data: y"
+END_MARKER = b"data: [DONE]\n\n"
 PLAIN_BODY = b"plain text without a blank line"
 
 
@@ -67,11 +68,16 @@
         result = await call_server(BROKEN_STREAMS[ending])
         assert result.state is CallState.BROKEN
 
-    async def test_stream_that_ends_between_events_is_complete(self):
+    async def test_stream_with_its_end_marker_is_complete(self):
         """Guards against rejecting streams that end with their connection."""
-        result = await call_server(STREAM_HEAD + b"\r\n" + EVENT)
+        result = await call_server(STREAM_HEAD + b"\r\n" + EVENT + END_MARKER)
         assert result.state is CallState.COMPLETE
 
+    async def test_stream_without_its_end_marker_is_broken(self):
+        """Guards against a crash between two events that counts as a success."""
+        result = await call_server(STREAM_HEAD + b"\r\n" + EVENT)
+        assert result.state is CallState.BROKEN
+
     async def test_other_bodies_end_with_their_connection(self):
         """Guards against looking for events in a body of another type."""
         result = await call_server(b"HTTP/1.1 200 OK\r\n\r\n" + PLAIN_BODY)
