Use one event splitter in both routers

The earlier router's own splitter rewrote CR LF and did not know CR. It takes the splitter of the library, which keeps the bytes; the end marker is withheld by the sink as before. No behaviour change for LF streams; CR LF streams reach the caller unchanged.

--- a/packages/medlarridge-router/src/medlarridge_router/_internal/caller_sink.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/caller_sink.py
@@ -10,9 +10,13 @@
     REQUEST_HEADER,
 )
 from medlarridge._internal.protocol.messages import Outcome, ResponseHead
+from medlarridge._internal.protocol.server_sent_events import (
+    MEDIA_TYPE as EVENT_STREAM_TYPE,
+)
+from medlarridge._internal.protocol.server_sent_events import EventSplitter, StreamEvent
 from medlarridge._internal.transport.asgi import HttpResponse, ResponseAborted
 
-from .event_stream import EventDigest, EventSplitter, end_marker, outcome_event
+from .event_stream import EventDigest, end_marker, outcome_event
 
 MAX_BUFFERED_BYTES = 1024 * 1024
 """Maximum size of a buffered body. While a body is buffered, another attempt can
@@ -40,6 +44,7 @@
         self.head: ResponseHead | None = None
         self.buffered = bytearray()
         self.splitter: EventSplitter | None = None
+        self.end_marker_received = False
         self.committed = False
         self.last_piece_ms: int | None = None
         self.sent_events = EventDigest()
@@ -61,13 +66,14 @@
         self.head = None
         self.buffered.clear()
         self.splitter = None
+        self.end_marker_received = False
         self.replayed_events = EventDigest() if self.sent_events.count else None
 
     async def write_head(self, head: ResponseHead) -> None:
         """Store the status and headers of the response."""
         self.head = head
         content_type = dict(head.headers).get("content-type", "")
-        if content_type.startswith("text/event-stream"):
+        if content_type.startswith(EVENT_STREAM_TYPE):
             self.splitter = EventSplitter()
         elif self.committed:
             raise ResponseMismatch(f"another run of the request gave {head.status}")
@@ -89,11 +95,17 @@
         self.record_piece()
         await self.response.write(data)
 
-    def unseen_events(self, events: list[bytes]) -> bytes:
-        """Return the events that the caller has not received."""
+    def unseen_events(self, events: list[StreamEvent]) -> bytes:
+        """Return the events that the caller has not received.
+
+        The end marker is withheld: only a complete response gets one.
+        """
         unseen = []
-        for event in events:
-            if self.replayed_events is not None:
+        for stream_event in events:
+            event = stream_event.data
+            if stream_event.is_end_marker:
+                self.end_marker_received = True
+            elif self.replayed_events is not None:
                 self.skip_replayed(event, self.replayed_events)
             else:
                 self.sent_events.add(event)
@@ -148,7 +160,7 @@
         """
         if self.head is None:
             raise ValueError("a response without status and headers cannot be complete")
-        if self.splitter is not None and not self.splitter.done:
+        if self.splitter is not None and not self.end_marker_received:
             return Outcome.UNKNOWN
         if self.replayed_events is not None:
             return Outcome.UNKNOWN
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/event_stream.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/event_stream.py
@@ -5,33 +5,9 @@
 
 from medlarridge._internal.protocol.caller import OUTCOME_EVENT
 from medlarridge._internal.protocol.messages import Outcome
+from medlarridge._internal.protocol.server_sent_events import DONE_EVENT
 
 EVENT_END = b"\n\n"
-DONE_EVENT = b"data: [DONE]"
-
-
-class EventSplitter:
-    """Splits a byte stream into complete events and withholds the end marker.
-
-    Callers receive complete events only, so that another attempt can continue the
-    response after the last event that was sent.
-    """
-
-    def __init__(self) -> None:
-        self.buffer = b""
-        self.done = False
-
-    def feed(self, data: bytes) -> list[bytes]:
-        """Add bytes and return the events that they complete."""
-        self.buffer = (self.buffer + data).replace(b"\r\n", b"\n")
-        *events, self.buffer = self.buffer.split(EVENT_END)
-        complete_events = []
-        for event in events:
-            if event.strip() == DONE_EVENT:
-                self.done = True
-            else:
-                complete_events.append(event + EVENT_END)
-        return complete_events
 
 
 class EventDigest:
