Do not count a list that ages while entries are kept as an outage

Found by the model of store and routers: after an outage, or a drill, a server that had left was kept forever by the third router and those after it.

Cause: while lapsed entries are kept, a confirmation by a peer does nothing, so the list ages until the router reads it itself. A router of rank two or more does so after 1.55 s, more than the 1.5 s that count as an outage; each read then began a new time of 2.2 s in which the entry was kept.

Change: an outage is counted from the last time at which a router is known to have reached the store, which confirmations also tell. The test fails before.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -123,6 +123,7 @@
     digest: int = 0
     listing: ServerListing | None = None
     confirmed_ms: int | None = None
+    store_seen_ms: int | None = None
     leaving: dict[str, Departure] = field(default_factory=dict)
     left: dict[str, LeftServer] = field(default_factory=dict)
     ignored: set[str] = field(default_factory=set)
@@ -149,12 +150,13 @@
             return []
         before, in_new_era = self.revision, self.begin_era_if_new(listing.revision)
         after_outage = in_new_era or (
-            self.confirmed_ms is not None
-            and read_ms - self.confirmed_ms > STORE_OUTAGE_MS
+            self.store_seen_ms is not None
+            and read_ms - self.store_seen_ms > STORE_OUTAGE_MS
         )
         if after_outage:
             self.keep_lapsed_until_ms = read_ms + REREGISTRATION_MS
         self.confirmed_ms = max(read_ms, self.confirmed_ms or 0)
+        self.store_seen_ms = max(read_ms, self.store_seen_ms or 0)
         self.revision = listing.revision
         listed = {server.instance: server for server in listing.servers}
         self.ignore_remnants(listed)
@@ -304,9 +306,11 @@
     def confirm(self, read_ms: int) -> None:
         """Record that the list was still the newest at ``read_ms``.
 
-        While lapsed entries are kept, this does nothing: only a list that this router
-        reads can drop them.
+        While lapsed entries are kept, the list still ages: only a list that this router
+        reads can drop them. The store was no less available for that.
         """
+        if self.store_seen_ms is not None:
+            self.store_seen_ms = max(read_ms, self.store_seen_ms)
         if (
             self.confirmed_ms is not None
             and read_ms > self.confirmed_ms
--- a/packages/medlarridge-direct/tests/direct/state/test_server_table.py
+++ b/packages/medlarridge-direct/tests/direct/state/test_server_table.py
@@ -93,6 +93,18 @@
         update(table, clock, server("new"), revision=2, after_ms=STORE_OUTAGE_MS + 1)
         assert [each.instance for each in table.ready("models")] == ["new"]
 
+    def test_an_outage_ends_while_entries_are_kept(self, table, clock):
+        """Guards against entries that are kept forever: the list ages until this router
+        reads it, and a router that ranks low reads it late."""
+        update(table, clock, server())
+        update(table, clock, revision=2, after_ms=STORE_OUTAGE_MS + 1)
+        for _ in range(3):
+            for _ in range(STORE_OUTAGE_MS // 100 + 1):
+                clock.advance(100)
+                table.confirm(clock.now_ms())
+            update(table, clock, revision=2, after_ms=0)
+        assert table.ready("models") == []
+
     def test_reports_of_peers_prevent_a_false_outage(self, table, clock):
         """Guards against keeping removed servers if only this router was cut off."""
         update(table, clock, server())
