Read the server list as soon as kept entries expire

Found by the model: a router that was cut off for some seconds still used a server 3 s after it was back in touch. The entry was kept for 2.2 s and dropped by the next regular read of the list, up to 1.75 s later. The list is now read when the entries expire. The test fails before.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -318,6 +318,11 @@
         ):
             self.confirmed_ms = read_ms
 
+    @property
+    def has_expired_entries(self) -> bool:
+        """Return whether lapsed entries are due to be dropped by the next list."""
+        return bool(self.lapsed) and self.clock.now_ms() >= self.keep_lapsed_until_ms
+
     def diff_listed(self, listed: dict[str, BackendServer]) -> list[ServerChange]:
         """Return the changes of servers that are in the new list."""
         changes = []
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -196,8 +196,10 @@
     async def read_servers_if_due(self) -> None:
         """Read the list if it is old or known to be outdated."""
         servers = self.components.servers
-        if not servers.outdated and not self.is_due(
-            servers.age_ms(), LIST_MAX_AGE_MS, LIST_RANK_DELAY_MS
+        if (
+            not servers.outdated
+            and not servers.has_expired_entries
+            and not self.is_due(servers.age_ms(), LIST_MAX_AGE_MS, LIST_RANK_DELAY_MS)
         ):
             return
         if servers.outdated or not self.peers.store_reachable:
--- a/packages/medlarridge-direct/tests/direct/test_store_sync.py
+++ b/packages/medlarridge-direct/tests/direct/test_store_sync.py
@@ -23,7 +23,11 @@
     PeerTable,
     new_router_id,
 )
-from medlarridge_direct._internal.state.server_table import DEPARTED_RETENTION_MS
+from medlarridge_direct._internal.state.server_table import (
+    DEPARTED_RETENTION_MS,
+    REREGISTRATION_MS,
+    STORE_OUTAGE_MS,
+)
 from medlarridge_direct._internal.store_sync import (
     CONFIGURATION_MAX_AGE_MS,
     CONFIGURATION_RANK_DELAY_MS,
@@ -370,6 +374,23 @@
         ]
 
 
+class TestLapsedEntries:
+    async def test_the_list_is_read_as_soon_as_they_expire(self):
+        """Guards against requests to servers that left during an outage, until the next
+        regular read of the list."""
+        node = Node()
+        await node.start()
+        node.store.listing = listing(revision=2)
+        node.clock.advance(STORE_OUTAGE_MS + 1)
+        await node.sync.read_servers_if_due()
+        assert len(node.components.servers.ready("models")) == 1
+        node.clock.advance(LIST_MAX_AGE_MS)
+        await node.sync.read_servers_if_due()
+        node.clock.advance(REREGISTRATION_MS - LIST_MAX_AGE_MS)
+        await node.sync.read_servers_if_due()
+        assert node.components.servers.ready("models") == []
+
+
 class TestServedSnapshots:
     @pytest.mark.parametrize("path", [SERVERS_PATH, CONFIGURATION_PATH, b"/other"])
     async def test_unknown_state_is_not_served(self, path):
