Do not keep a server after an outage that a peer has seen leave

Found by the model: a router learned from a report that a server left, was cut off before it got the list, and used the server again for 2.2 s when it came back, since its own list still had the entry as ready. The test fails before.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -361,6 +361,7 @@
                 (after_outage or instance in self.lapsed)
                 and now_ms < self.keep_lapsed_until_ms
                 and server.state is ServerState.READY
+                and instance not in self.leaving
                 and server.address not in addresses
             )
             if keep:
--- a/packages/medlarridge-direct/tests/direct/state/test_server_table.py
+++ b/packages/medlarridge-direct/tests/direct/state/test_server_table.py
@@ -1,6 +1,8 @@
 import pytest
 
 from medlarridge import ManualClock
+from medlarridge_direct._internal.protocol.peer_messages import Departure
+from medlarridge_direct._internal.protocol.revision import Revision
 from medlarridge_direct._internal.protocol.servers import ServerState
 from medlarridge_direct._internal.state.server_table import (
     REREGISTRATION_MS,
@@ -105,6 +107,13 @@
             update(table, clock, revision=2, after_ms=0)
         assert table.ready("models") == []
 
+    def test_a_server_that_a_peer_saw_leave_is_not_kept(self, table, clock):
+        """Guards against using a server again that had left before an outage."""
+        update(table, clock, server())
+        assert table.record_departure(Departure("s-1", 0, Revision(0, 2)))
+        changes = update(table, clock, revision=3, after_ms=STORE_OUTAGE_MS + 1)
+        assert changes == [("s-1", ServerChangeKind.GONE)]
+
     def test_reports_of_peers_prevent_a_false_outage(self, table, clock):
         """Guards against keeping removed servers if only this router was cut off."""
         update(table, clock, server())
