Play routers and store against drills, cuts and releases by a property test

The routers' real synchronization over the real adapter, with a store that comes back from older copies and writers that write again late. Checked after each step: no configuration goes back, a server that left is not used again nor later than the bound by a router in touch, one revision does not stand for two lists; after the last drill all routers agree with the store.

--- a/packages/medlarridge-direct/tests/adapter/test_store_eras.py
+++ b/packages/medlarridge-direct/tests/adapter/test_store_eras.py
@@ -1,6 +1,10 @@
 """Routers while the store comes back from older copies."""
 
+import os
+
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from medlarridge_direct._internal.protocol.revision import Revision
 
@@ -13,6 +17,20 @@
 STABILITY_WINDOW_MS = 3_000
 """Calm time after which the platform holds a router to its bounds."""
 CONVERGENCE_MS = 2 * EXPIRY_MS
+EXAMPLES = int(os.environ.get("MEDLARRIDGE_ERA_EXAMPLES", "60"))
+
+ROUTERS = st.integers(0, 2)
+OPERATIONS = st.one_of(
+    st.tuples(st.just("run"), st.integers(50, 3_000)),
+    st.tuples(st.just("drill"), st.integers(200, 6_000), st.integers(0, 1_500)),
+    st.tuples(st.just("cut"), ROUTERS, st.integers(200, 4_000)),
+    st.tuples(st.just("isolate"), ROUTERS, st.integers(200, 4_000)),
+    st.tuples(st.just("slow"), ROUTERS, st.integers(200, 4_000)),
+    st.tuples(st.just("drain"), st.integers(0, 20)),
+    st.tuples(st.just("vanish"), st.integers(0, 20)),
+    st.tuples(st.just("add")),
+    st.tuples(st.just("configure")),
+)
 
 
 class Observer:
@@ -149,6 +167,12 @@
 
 
 class TestEras:
+    @settings(derandomize=True, max_examples=EXAMPLES, deadline=None, database=None)
+    @given(st.lists(OPERATIONS, max_size=12), st.integers(0, 1_000))
+    async def test_routers_agree_and_nothing_goes_back(self, operations, seed):
+        """Guards against lists and configurations of an older copy."""
+        await play(operations, seed)
+
     async def test_a_drained_server_is_not_used_again(self):
         """Guards against requests to a server that an older copy shows as ready."""
         fleet = await play(
