Take a body that ends with its server for broken

A server was killed and another one exited at the end of its drain; the operating system closed their connections between two events, and the router completed the responses.

Change: before a body that ends with its connection counts as whole, the router connects to the server again. Only a refused connection makes the body broken; a server that does not respond or resets a connection beyond its limit may be running. The new connection replaces the closed one in the pool.

The three new cases of TestStreams fail on the code before.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -13,7 +13,13 @@
 
 from .components import RouterComponents
 from .coordination.server_health import AttemptResult
-from .protocol.requests import ClientRequest, ForwardingMetadata, Headers, ResponseHead
+from .protocol.requests import (
+    ClientRequest,
+    ForwardingMetadata,
+    Framing,
+    Headers,
+    ResponseHead,
+)
 from .protocol.servers import BackendServer
 from .received_body import BodyPart, ReceivedBody
 from .transport.http_connection import Broken, Data, Exchange, RawResponseHead
@@ -201,7 +207,8 @@
     async def next_part(self, timeout_ms: int) -> BodyPart | Broken | None:
         """Return the next bytes, a ``Broken`` event, or None at the end of the response.
 
-        A stream that ends inside an event is broken, however it is framed. Raise ``TimeoutError`` if nothing arrives in time.
+        A stream that ends inside an event is broken, however it is framed, and so is a
+        body that ends with its server. Raise ``TimeoutError`` if nothing arrives in time.
         """
         assert self.exchange is not None
         if self.exchange.events:
@@ -218,11 +225,29 @@
         if isinstance(event, Data):
             return self.received.add(event.data)
         truncation = self.received.truncation()
+        if truncation is None and await self.ended_with_server():
+            truncation = "connection was closed and the server refuses another one"
         if truncation is None:
             return None
         self.record_broken()
         return Broken(truncation)
 
+    async def ended_with_server(self) -> bool:
+        """Return whether a body without length or chunks ended with its server.
+
+        The operating system closes the connections of a process that crashes or exits,
+        so the body may be incomplete.
+        """
+        if self.received.framing is not Framing.CLOSE:
+            return False
+        if not await self.components.connections.is_refused(
+            self.server, self.connection_limit
+        ):
+            return False
+        self.record_result(AttemptResult.UNREACHABLE)
+        self.record_server_down()
+        return True
+
     def record_result(self, result: AttemptResult) -> None:
         """Record the result in the health of the server."""
         if self.components.health.record_result(self.server.instance, result):
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
@@ -275,6 +275,10 @@
             self.exchange.push(End())
 
 
+class ConnectionRefused(TransportError):
+    """Raised when nothing listens at the address of a server."""
+
+
 async def open_connection(host: str, port: int, timeout_ms: int) -> HttpConnection:
     """Connect to a server; raise ``TransportError`` if that fails or takes too long."""
     peer = f"{host}:{port}"
@@ -288,6 +292,8 @@
         raise TransportError(
             "no connection in time", step="connect", peer=peer
         ) from None
+    except ConnectionRefusedError as error:
+        raise ConnectionRefused(str(error), step="connect", peer=peer) from error
     except OSError as error:
         raise TransportError(str(error), step="connect", peer=peer) from error
     return connection
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
@@ -8,7 +8,7 @@
 from medlarridge._internal.errors import TransportError
 
 from ..protocol.servers import BackendServer
-from .http_connection import HttpConnection, open_connection
+from .http_connection import ConnectionRefused, HttpConnection, open_connection
 
 CONNECT_TIMEOUT_MS = 200
 """A server accepts in a few milliseconds. A lost SYN is sent again only after a second,
@@ -56,6 +56,11 @@
             self.cancel_idle_timer(entry, connection)
             if not connection.closed:
                 return connection
+        return await self.open(server, limit)
+
+    async def open(self, server: BackendServer, limit: int) -> HttpConnection:
+        """Return a new connection."""
+        entry = self.servers.setdefault(server.instance, ServerConnections())
         if entry.open_count >= max(limit, MIN_CONNECTIONS):
             raise ConnectionLimitReached(
                 "connection limit reached", step="connect", peer=server.address
@@ -74,6 +79,21 @@
         )
         return connection
 
+    async def is_refused(self, server: BackendServer, limit: int) -> bool:
+        """Return whether a server that closed a connection refuses another one.
+
+        An accepted connection is kept idle in place of the closed one. A server that
+        does not respond, or resets a connection beyond its limit, may still be running.
+        """
+        try:
+            connection = await self.open(server, limit)
+        except ConnectionRefused:
+            return True
+        except TransportError:
+            return False
+        self.keep_idle(server, connection, DEFAULT_KEEP_ALIVE_MS)
+        return False
+
     def release(
         self,
         server: BackendServer,
@@ -81,14 +101,23 @@
         keep_alive_ms: int | None,
     ) -> None:
         """Keep the connection idle for reuse, or close it if it cannot be reused."""
-        entry = self.servers.get(server.instance)
         reusable = connection.release()
         idle_timeout_ms = (
             DEFAULT_KEEP_ALIVE_MS
             if keep_alive_ms is None
             else keep_alive_ms - KEEP_ALIVE_MARGIN_MS
         )
-        if not reusable or entry is None or idle_timeout_ms <= 0:
+        if not reusable or idle_timeout_ms <= 0:
+            connection.close()
+            return
+        self.keep_idle(server, connection, idle_timeout_ms)
+
+    def keep_idle(
+        self, server: BackendServer, connection: HttpConnection, idle_timeout_ms: int
+    ) -> None:
+        """Keep a connection idle for a time, or close it if its server has left."""
+        entry = self.servers.get(server.instance)
+        if entry is None:
             connection.close()
             return
         entry.idle.append(connection)
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -97,6 +97,7 @@
         self.scripts = {instance: list(each) for instance, each in scripts.items()}
         self.sent = []
         self.released = []
+        self.refusing = set()
 
     async def acquire(self, server, limit):
         script = self.scripts[server.instance].pop(0)
@@ -109,6 +110,9 @@
     def release(self, server, connection, keep_alive_ms):
         self.released.append((server.instance, connection.release()))
 
+    async def is_refused(self, server, limit):
+        return server.instance in self.refusing
+
     def close_idle(self, instance):
         pass
 
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -383,6 +383,38 @@
         assert bytes(response.body) == EVENT + b"id: 2\ndata: x\n\n"
         assert response.ended
 
+    @pytest.mark.parametrize("kind", [RouteKind.STREAM, RouteKind.AT_MOST_ONCE])
+    async def test_body_that_ends_with_its_server_is_broken(self, kind):
+        """Guards against part of a response that looks complete, as the connections of
+        a server that crashed or exited are closed like those of a whole response."""
+        scripts = {"a": [(UNFRAMED_STREAM + EVENT, CLOSE)]}
+        components = make_components(scripts)
+        components.connections.refusing.add("a")
+        response, _ = await handle_request(
+            scripts, kind, components=components, resumable=False
+        )
+        assert not response.ended or response.status == 502
+
+    async def test_stream_that_ends_with_its_server_is_resumed(self):
+        """Guards against a resumable stream without its last events."""
+        components = make_components(
+            {
+                "a": [(UNFRAMED_STREAM + EVENT, CLOSE)],
+                "b": [(STREAM + stream_event(2) + END,)],
+            }
+        )
+        components.connections.refusing.add("a")
+        components.load.begin_attempt("b")
+        response, _ = await handle_request(
+            {"a": 0, "b": 0},
+            RouteKind.STREAM,
+            components=components,
+            resumable=True,
+            max_attempts=2,
+        )
+        assert bytes(response.body) == EVENT + b"id: 2\ndata: x\n\n"
+        assert response.ended
+
     async def test_body_of_another_type_is_not_read_as_a_stream(self):
         """Guards against errors in place of a plain response on a streaming route."""
         plain = OK.replace(b"Id: 1", b"Id: 1\r\nContent-Type: application/json")
