Play drills of the store and unframed streams in the fault soak

A fifth of the streams have neither length nor chunks, use LF, CR LF or CR, and are closed like whole ones when they break off.

--- a/packages/medlarridge-direct/tests/soak/plan.py
+++ b/packages/medlarridge-direct/tests/soak/plan.py
@@ -91,6 +91,19 @@
     return random.choice([{"forget": True}, {"lapse": True}])
 
 
+def add_drills(seed: int, length_s: float, faults: list[Fault]) -> None:
+    """Add drills of the store, which change no other fault of a seed."""
+    random = Random(f"{seed}-drills")
+    for _ in range(random.choice([0, 1, 1, 2])):
+        details = {
+            "copy_age_s": round(random.uniform(0.3, 6), 2),
+            "away_s": round(random.uniform(0, 1.5), 2),
+        }
+        at_s = round(random.uniform(FIRST_FAULT_S, length_s - 1), 2)
+        for_s = round(random.uniform(0.1, 2), 2)
+        faults.append(Fault(at_s, for_s, "store-drill", 0, details))
+
+
 def make_plan(seed: int, length_s: float) -> list[Fault]:
     """Return the faults of a run, sorted by start time; they may overlap."""
     random = Random(seed)
@@ -112,4 +125,5 @@
                 DETAILS_FACTORIES[name](random),
             )
         )
+    add_drills(seed, length_s, faults)
     return sorted(faults, key=lambda fault: fault.at_s)
--- a/packages/medlarridge-direct/tests/soak/run.py
+++ b/packages/medlarridge-direct/tests/soak/run.py
@@ -372,6 +372,14 @@
     run.fleet.store.send_command(fault.details)
 
 
+@fault_action("store-drill")
+async def drill_store(run: SoakRun, fault: Fault) -> None:
+    """Bring the store back from an older copy; the operator writes again later."""
+    run.fleet.store.send_command(fault.details)
+    await asyncio.sleep(fault.details["away_s"] + fault.for_s)
+    await run.fleet.rewrite_configuration()
+
+
 @fault_action("key-revoked")
 async def revoke_key(run: SoakRun, fault: Fault) -> None:
     """Add an API key and revoke it."""
--- a/packages/medlarridge-direct/tests/soak/server_process.py
+++ b/packages/medlarridge-direct/tests/soak/server_process.py
@@ -33,6 +33,8 @@
 """Requests that may wait for a slot; further ones are rejected as not executed."""
 RESPONSE_TIME_S = 0.02
 """Mean processing time of a request that is not streamed."""
+UNFRAMED_SHARE = 0.2
+"""Share of the streams that have neither a length nor chunks."""
 MIN_EVENT_S = 0.01
 MAX_EVENT_S = 0.03
 """Bounds of the interval between the events of a stream."""
@@ -249,6 +251,8 @@
     ) -> str:
         """Send the events of a stream; return its outcome."""
         after = int(request.headers.get(names.RESUME_AFTER, b"0"))
+        if self.random.random() < UNFRAMED_SHARE:
+            return await self.stream_unframed(connection, request_id, headers, after)
         headers = [
             *headers,
             (b"Content-Type", b"text/event-stream"),
@@ -272,6 +276,30 @@
         await connection.send(h11.EndOfMessage())
         return "done"
 
+    async def stream_unframed(
+        self, connection: HttpConnection, request_id: str, headers: list, after: int
+    ) -> str:
+        """Send a stream that ends with its connection; return its outcome.
+
+        If it breaks off, the connection is closed like that of a whole one.
+        """
+        lines = [b"HTTP/1.1 200 OK", b"Content-Type: text/event-stream"]
+        lines += [b"%b: %b" % header for header in headers]
+        await connection.send_bytes(b"\r\n".join([*lines, b"", b""]))
+        line_end = self.random.choice([b"\n", b"\r\n", b"\r"])
+        last = stream_event_count(request_id)
+        cut_at = self.random.randint(after, last) if self.fault_occurs("cut") else None
+        for number in range(after + 1, last + 1):
+            if connection.closed:
+                return "dropped"
+            event = stream_event(request_id, number).replace(b"\n", line_end)
+            if number == cut_at:
+                await connection.send_bytes(event[: len(event) // 2])
+                return "cut"
+            await connection.send_bytes(event)
+            await asyncio.sleep(self.random.uniform(MIN_EVENT_S, MAX_EVENT_S))
+        return "unframed"
+
     async def read_commands(self) -> None:
         """Apply the faults read from standard input until it ends."""
         reader = asyncio.StreamReader()
