Count a connection that is reset at once as refused

A proxy in front of a server accepts a connection and resets it when it finds that the server has ended; the soak's proxies do. A live server at its connection limit resets as well, so its body without length and chunks then counts as broken: a response that may be whole is lost, but none that is not whole looks complete.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
@@ -23,6 +23,9 @@
 
 MIN_CONNECTIONS = 2
 
+RESET_WAIT_MS = 10
+"""Time in which a proxy in front of a server that has ended resets a connection."""
+
 
 class ConnectionLimitReached(TransportError):
     """Raised when the router's share of the server's connections is in use."""
@@ -82,8 +85,9 @@
     async def is_refused(self, server: BackendServer, limit: int) -> bool:
         """Return whether a server that closed a connection refuses another one.
 
-        An accepted connection is kept idle in place of the closed one. A server that
-        does not respond, or resets a connection beyond its limit, may still be running.
+        An accepted connection is kept idle in place of the closed one. One that is reset
+        at once counts as refused, though the server may only have too many connections.
+        A server that does not respond may still be running.
         """
         try:
             connection = await self.open(server, limit)
@@ -91,6 +95,9 @@
             return True
         except TransportError:
             return False
+        await asyncio.sleep(RESET_WAIT_MS / MS_PER_S)
+        if connection.closed:
+            return True
         self.keep_idle(server, connection, DEFAULT_KEEP_ALIVE_MS)
         return False
 
