Execute a table of the ways in which a response can end

Framing by content by ending, each split at any byte, against scripted servers; the table is in docs/design.md.

One more fault, found by writing the table: a transfer coding other than chunked ends with the connection (RFC 9112, 6.3), but counted as cut, so a whole response became a 502. test_another_transfer_coding_ends_with_the_connection fails before.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
@@ -249,10 +249,13 @@
         """Return what marks the end of the body."""
         if self.is_head_request or status in STATUSES_WITHOUT_BODY:
             return Framing.NO_BODY
-        header_names = {name.lower() for name, _ in self.headers}
-        if b"transfer-encoding" in header_names:
-            return Framing.CHUNKED
-        return Framing.LENGTH if b"content-length" in header_names else Framing.CLOSE
+        values = {name.lower(): value for name, value in self.headers}
+        coding = values.get(b"transfer-encoding")
+        if coding is not None:
+            last_coding = coding.rpartition(b",")[2].strip().lower()
+            # With any other last coding the body ends with its connection.
+            return Framing.CHUNKED if last_coding == b"chunked" else Framing.CLOSE
+        return Framing.LENGTH if b"content-length" in values else Framing.CLOSE
 
     def on_body(self, data: bytes) -> None:
         if self.exchange is None or self.exchange.finished or self.discarding:
--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/test_response_endings.py
@@ -0,0 +1,206 @@
+"""Every way in which a server's response can end, and what the client gets.
+
+The cases are framing by content by ending. ``EXPECTED`` is the table of docs/design.md:
+whether the client gets the whole response, part of it that does not look complete, or an
+error in its place.
+"""
+
+from enum import StrEnum
+
+import pytest
+
+from medlarridge_direct._internal.protocol.configuration import RouteKind
+from medlarridge_direct._internal.protocol.requests import Framing
+
+from .scripted import CLOSE, RESET, make_components
+from .test_request_run import chunk, handle_request
+
+pytestmark = pytest.mark.anyio
+
+EVENTS = [b"id: %d\ndata: x\n\n" % number for number in (1, 2, 3)]
+PLAIN = b"the whole body"
+HEAD = b"HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\n"
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class Content(StrEnum):
+    PLAIN = "plain"
+    STREAM = "stream"
+    RESUMABLE = "resumable"
+
+
+class Ending(StrEnum):
+    WHOLE = "whole"
+    WHOLE_AFTER_INTERIM = "whole after an interim response"
+    SURPLUS = "surplus bytes after the end"
+    RESET_AFTER_END = "reset after the last byte"
+    CLOSE_INSIDE = "close inside the body or an event"
+    CLOSE_BETWEEN = "close between events"
+    CLOSE_WITH_SERVER = "close between events, as the server ended"
+    RESET_INSIDE = "reset inside the body or an event"
+    RESET_BETWEEN = "reset between events"
+    CHUNK_CUT = "close inside a chunk"
+    FRAME_ENDS_INSIDE = "framing ends inside an event"
+
+
+class Result(StrEnum):
+    WHOLE = "whole"
+    BROKEN = "broken"
+
+
+ALWAYS_WHOLE = {Ending.WHOLE, Ending.WHOLE_AFTER_INTERIM}
+NOT_WITH_CLOSE = {Ending.SURPLUS, Ending.CHUNK_CUT, Ending.FRAME_ENDS_INSIDE}
+STREAMS_ONLY = {Ending.CLOSE_BETWEEN, Ending.RESET_BETWEEN, Ending.FRAME_ENDS_INSIDE}
+
+
+def expected(framing, content, ending):
+    """Return what the response counts as, None where the case cannot occur."""
+    if framing is Framing.CLOSE and ending in NOT_WITH_CLOSE:
+        return None
+    if framing is not Framing.CHUNKED and ending is Ending.CHUNK_CUT:
+        return None
+    if content is Content.PLAIN and ending in STREAMS_ONLY:
+        return None
+    if ending in ALWAYS_WHOLE or ending is Ending.SURPLUS:
+        return Result.WHOLE
+    if framing is Framing.CLOSE:
+        # Only a reset, a cut event and the end of the server show that it is not whole.
+        unnoticed = ending is Ending.CLOSE_BETWEEN or (
+            ending is Ending.CLOSE_INSIDE and content is Content.PLAIN
+        )
+        return Result.WHOLE if unnoticed else Result.BROKEN
+    return Result.WHOLE if ending is Ending.RESET_AFTER_END else Result.BROKEN
+
+
+def parts_of(content, ending):
+    """Return the parts of the body that the server sends."""
+    whole = [PLAIN[:5], PLAIN[5:]] if content is Content.PLAIN else EVENTS
+    inside = {
+        Ending.CLOSE_INSIDE,
+        Ending.RESET_INSIDE,
+        Ending.CHUNK_CUT,
+        Ending.FRAME_ENDS_INSIDE,
+    }
+    between = {Ending.CLOSE_BETWEEN, Ending.RESET_BETWEEN, Ending.CLOSE_WITH_SERVER}
+    if ending in inside:
+        return [whole[0], whole[1][:4]]
+    if ending in between:
+        return whole[:1] if content is Content.PLAIN else whole[:2]
+    return whole
+
+
+def script_of(framing, content, ending):
+    """Return the steps of a server that sends a response with this ending."""
+    parts = parts_of(content, ending)
+    whole = PLAIN if content is Content.PLAIN else b"".join(EVENTS)
+    head, end = HEAD, b""
+    if framing is Framing.LENGTH:
+        sent = b"".join(parts)
+        length = len(sent) if ending is Ending.FRAME_ENDS_INSIDE else len(whole)
+        head += b"Content-Length: %d\r\n" % length
+    elif framing is Framing.CHUNKED:
+        head += b"Transfer-Encoding: chunked\r\n"
+        parts = [chunk(part) for part in parts]
+        end = b"0\r\n\r\n"
+        if ending is Ending.CHUNK_CUT:
+            parts[-1] = parts[-1][:-4]
+    steps = [head + b"\r\n", *parts]
+    if ending is Ending.WHOLE_AFTER_INTERIM:
+        steps.insert(0, INTERIM)
+    if ending in (*ALWAYS_WHOLE, Ending.SURPLUS, Ending.FRAME_ENDS_INSIDE):
+        steps.append(end)
+    if ending is Ending.SURPLUS:
+        steps.append(HEAD + b"Content-Length: 5\r\n\r\nstray")
+    if ending is Ending.RESET_AFTER_END:
+        return [*steps, end, RESET]
+    resets = ending in (Ending.RESET_INSIDE, Ending.RESET_BETWEEN)
+    framed_whole = framing is not Framing.CLOSE and ending in ALWAYS_WHOLE
+    return steps if framed_whole else [*steps, RESET if resets else CLOSE]
+
+
+CASES = [
+    (framing, content, ending)
+    for framing in (Framing.LENGTH, Framing.CHUNKED, Framing.CLOSE)
+    for content in Content
+    for ending in Ending
+    if expected(framing, content, ending) is not None
+]
+
+
+async def play(framing, content, ending, split=None, **changes):
+    """Send a request whose first server answers as scripted; return the outcome."""
+    script = script_of(framing, content, ending)
+    if split is not None:
+        script = [piece for step in script for piece in split_step(step, split)]
+    rest = b"".join(chunk(event) for event in EVENTS) + b"0\r\n\r\n"
+    second = (HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + rest,)
+    scripts = {"a": [script], "b": [second]}
+    components = make_components(scripts)
+    components.load.begin_attempt("b")
+    if ending is Ending.CLOSE_WITH_SERVER:
+        components.connections.refusing.add("a")
+    response, _ = await handle_request(
+        scripts,
+        RouteKind.AT_MOST_ONCE if content is Content.PLAIN else RouteKind.STREAM,
+        components=components,
+        resumable=content is Content.RESUMABLE,
+        **changes,
+    )
+    return response, components
+
+
+def split_step(step, size):
+    if not isinstance(step, bytes):
+        return [step]
+    return [step[start : start + size] for start in range(0, len(step), size)]
+
+
+class TestEndings:
+    @pytest.mark.parametrize("split", [None, 1, 3])
+    @pytest.mark.parametrize(("framing", "content", "ending"), CASES)
+    async def test_only_a_whole_response_looks_complete(
+        self, framing, content, ending, split
+    ):
+        """Guards against part of a response that the client takes for all of it."""
+        response, components = await play(framing, content, ending, split)
+        whole = PLAIN if content is Content.PLAIN else b"".join(EVENTS)
+        result = expected(framing, content, ending)
+        attempts = len(components.connections.sent)
+        if result is Result.WHOLE:
+            assert response.ended
+            assert attempts == 1
+            assert whole.startswith(bytes(response.body))
+            if ending not in (Ending.CLOSE_BETWEEN, Ending.CLOSE_INSIDE):
+                assert bytes(response.body) == whole
+        elif content is Content.RESUMABLE:
+            assert response.ended
+            assert attempts == 2
+            assert bytes(response.body) == whole
+        elif content is Content.PLAIN:
+            assert (response.status, response.ended, attempts) == (502, True, 1)
+        else:
+            assert response.started
+            assert not response.ended
+            assert response.content_length is None
+            assert attempts == 1
+        counted = "complete" if result is Result.WHOLE else "broken"
+        assert components.metrics.responses[framing, counted] == 1
+
+    @pytest.mark.parametrize(
+        "ending", [Ending.SURPLUS, Ending.RESET_AFTER_END, Ending.CLOSE_BETWEEN]
+    )
+    async def test_a_connection_with_such_an_end_is_not_reused(self, ending):
+        """Guards against bytes of one response in front of the next."""
+        framing = Framing.CLOSE if ending is Ending.CLOSE_BETWEEN else Framing.LENGTH
+        _, components = await play(framing, Content.STREAM, ending)
+        assert components.connections.released == [("a", False)]
+
+    async def test_another_transfer_coding_ends_with_the_connection(self):
+        """Guards against whole responses that count as broken."""
+        head = HEAD + b"Transfer-Encoding: identity\r\n\r\n"
+        components = make_components({"a": [(head + PLAIN, CLOSE)]})
+        response, _ = await handle_request(
+            {"a": 0}, RouteKind.AT_MOST_ONCE, components=components
+        )
+        assert (response.status, bytes(response.body)) == (200, PLAIN)
+        assert components.metrics.responses[Framing.CLOSE, "complete"] == 1
