Take a body that ends with its server for broken in the sidecar

The sidecar now connects to its server again before such a body counts as whole; only a refused connection makes it broken. One of the eight new cases of framing and ending fails on the code before.

--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_call.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_call.py
@@ -15,6 +15,7 @@
 from .server_result import CallState, ServerResult
 
 CONNECT_TIMEOUT_MS = 2_000
+HTTP_PORT = 80
 FIRST_BYTE_TRACE_STEP = "http11.send_request_headers.started"
 """Trace step that the HTTP client reports before the first byte of a request."""
 
@@ -23,8 +24,8 @@
     """The call must no longer be sent."""
 
 
-class StreamTruncated(Exception):
-    """The server ended an event stream before its end marker."""
+class ResponseTruncated(Exception):
+    """The server ended a response whose content is not whole."""
 
 
 class ServerClient:
@@ -59,7 +60,7 @@
                 return ServerResult(CallState.COMPLETE)
             except SendRefused:
                 detail = "the right to run the call has lapsed"
-            except (httpx.TransportError, StreamTruncated) as error:
+            except (httpx.TransportError, ResponseTruncated) as error:
                 detail = f"{type(error).__name__}: {error}"
             if live.maybe_sent:
                 return ServerResult(CallState.BROKEN, f"server failed: {detail}")
@@ -89,6 +90,17 @@
             else:
                 async for piece in response.aiter_raw():
                     await live.write(piece)
+            if ends_with_connection(response) and await self.refuses_connections():
+                raise ResponseTruncated("body without a length ended with its server")
+
+    async def refuses_connections(self) -> bool:
+        """Return whether nothing listens at the address of the server any more."""
+        url = httpx.URL(self.url)
+        try:
+            async with await anyio.connect_tcp(url.host, url.port or HTTP_PORT):
+                return False
+        except OSError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
 
 
 def is_event_stream(response: httpx.Response) -> bool:
@@ -96,8 +108,14 @@
     return response.headers.get("content-type", "").startswith(EVENT_STREAM_TYPE)
 
 
+def ends_with_connection(response: httpx.Response) -> bool:
+    """Return whether a body has neither a length nor chunks."""
+    headers = response.headers
+    return "content-length" not in headers and "transfer-encoding" not in headers
+
+
 async def copy_event_stream(response: httpx.Response, live: LiveAttempt) -> None:
-    """Copy a stream; raise ``StreamTruncated`` if it ends before its end marker.
+    """Copy a stream; raise ``ResponseTruncated`` if it ends before its end marker.
 
     The end of the HTTP message does not tell that a stream is whole: a body without a
     length ends with its connection, also when the server crashes.
@@ -110,7 +128,7 @@
         await live.write(piece)
     if not ended:
         place = "inside an event" if splitter.inside_event else "between events"
-        raise StreamTruncated(f"stream ended {place} without its end marker")
+        raise ResponseTruncated(f"stream ended {place} without its end marker")
 
 
 def server_request_headers(attempt: Attempt) -> list[tuple[str, str]]:
--- a/packages/medlarridge/tests/unit/sidecar/test_server_call.py
+++ b/packages/medlarridge/tests/unit/sidecar/test_server_call.py
@@ -1,3 +1,5 @@
+import socket
+import struct
 from contextlib import asynccontextmanager
 
 import anyio
@@ -19,28 +21,39 @@
 
 
 @asynccontextmanager
-async def serve_bytes(response):
-    """Serve one fixed response to each connection and close it."""
+async def serve_bytes(response, reset=False, ends=False):
+    """Serve one fixed response to a connection, then close or reset it.
 
-    async def handle(stream):
-        async with stream:
+    With ``ends`` the server ends together with the connection.
+    """
+
+    async def serve_one():
+        async with await listener.accept() as stream:
             await stream.receive()
+            if ends:
+                await listener.aclose()
             await stream.send(response)
-
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            if reset:
+                raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+                raw_socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
+
+    multi = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    (listener,) = multi.listeners
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(listener.serve, handle)
+        tasks.start_soon(serve_one)
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         yield f"http://127.0.0.1:{port}"
         tasks.cancel_scope.cancel()
     await listener.aclose()
 
 
-async def call_server(response):
+async def call_server(response, **ending):
     """Return how a call ended whose server sends the given bytes and closes."""
     stream = AttemptRegister(ManualClock()).open(ATTEMPT)
     live = LiveAttempt(ATTEMPT, AttemptRegister(ManualClock()).add(ATTEMPT), stream)
-    async with serve_bytes(response) as url:
+    async with serve_bytes(response, **ending) as url:
         client = ServerClient(url)
         result = await client.call(live, 60_000)
         await client.close()
@@ -82,3 +95,28 @@
         """Guards against looking for events in a body of another type."""
         result = await call_server(b"HTTP/1.1 200 OK\r\n\r\n" + PLAIN_BODY)
         assert result.state is CallState.COMPLETE
+
+
+PLAIN_HEAD = b"HTTP/1.1 200 OK\r\n"
+PLAIN_LENGTH = PLAIN_HEAD + b"content-length: %d\r\n\r\n" % len(PLAIN_BODY)
+PLAIN_CHUNKED = PLAIN_HEAD + b"transfer-encoding: chunked\r\n\r\n"
+
+
+class TestPlainBodies:
+    @pytest.mark.parametrize(
+        ("response", "ending", "state"),
+        [
+            (PLAIN_LENGTH + PLAIN_BODY, {}, CallState.COMPLETE),
+            (PLAIN_CHUNKED + chunked(PLAIN_BODY), {}, CallState.COMPLETE),
+            (PLAIN_HEAD + b"\r\n" + PLAIN_BODY, {}, CallState.COMPLETE),
+            (PLAIN_LENGTH + PLAIN_BODY[:-1], {}, CallState.BROKEN),
+            (PLAIN_CHUNKED + chunked(PLAIN_BODY)[:-3], {}, CallState.BROKEN),
+            (PLAIN_LENGTH + PLAIN_BODY[:-1], {"reset": True}, CallState.BROKEN),
+            (PLAIN_HEAD + b"\r\n" + PLAIN_BODY, {"reset": True}, CallState.BROKEN),
+            (PLAIN_HEAD + b"\r\n" + PLAIN_BODY, {"ends": True}, CallState.BROKEN),
+        ],
+    )
+    async def test_only_a_whole_body_is_complete(self, response, ending, state):
+        """Guards against a ledger that keeps part of a body as the result of a call."""
+        result = await call_server(response, **ending)
+        assert result.state is state
