--- a/packages/medlarridge-direct/tests/direct/test_response_endings.py
+++ b/packages/medlarridge-direct/tests/direct/test_response_endings.py
@@ -204,3 +204,65 @@
         )
         assert (response.status, bytes(response.body)) == (200, PLAIN)
         assert components.metrics.responses[Framing.CLOSE, "complete"] == 1
+
+
+def empty_response(framing):
+    head = HEAD
+    if framing is Framing.LENGTH:
+        return [head + b"Content-Length: 0\r\n\r\n"]
+    if framing is Framing.CHUNKED:
+        return [head + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"]
+    return [head + b"\r\n", CLOSE]
+
+
+class TestEmptyResponses:
+    @pytest.mark.parametrize(
+        "framing", [Framing.LENGTH, Framing.CHUNKED, Framing.CLOSE]
+    )
+    @pytest.mark.parametrize("kind", [RouteKind.AT_MOST_ONCE, RouteKind.STREAM])
+    async def test_only_an_unframed_stream_needs_an_event(self, framing, kind):
+        """Guards against errors for empty bodies, and against an empty stream in place
+        of one whose server crashed before its first event."""
+        components = make_components({"a": [empty_response(framing)]})
+        response, _ = await handle_request(
+            {"a": 0}, kind, components=components, resumable=False
+        )
+        broken = framing is Framing.CLOSE and kind is RouteKind.STREAM
+        assert response.status == (502 if broken else 200)
+        assert response.ended
+
+    async def test_a_response_without_a_body_needs_no_framing(self):
+        """Guards against waiting for the body of a 204."""
+        head = b"HTTP/1.1 204 No Content\r\nId: 1\r\nSignature: s\r\n\r\n"
+        components = make_components({"a": [(head,)]})
+        response, _ = await handle_request(
+            {"a": 0}, RouteKind.AT_MOST_ONCE, components=components
+        )
+        assert (response.status, response.ended) == (204, True)
+        assert components.metrics.responses[Framing.NO_BODY, "complete"] == 1
+
+
+class TestSilence:
+    @pytest.mark.parametrize(
+        "framing", [Framing.LENGTH, Framing.CHUNKED, Framing.CLOSE]
+    )
+    @pytest.mark.parametrize("content", [Content.PLAIN, Content.STREAM])
+    async def test_a_response_that_stops_is_broken_at_the_deadline(
+        self, framing, content
+    ):
+        """Guards against part of a response that ends as complete at the deadline."""
+        script = script_of(framing, content, Ending.CLOSE_INSIDE)[:-1]
+        components = make_components({"a": [script]})
+        response, _ = await handle_request(
+            {"a": 0},
+            RouteKind.AT_MOST_ONCE if content is Content.PLAIN else RouteKind.STREAM,
+            headers=[(b"deadline", b"60")],
+            components=components,
+            resumable=False,
+        )
+        if content is Content.PLAIN:
+            assert response.status in (502, 504)
+        else:
+            assert response.started
+            assert not response.ended
+        assert components.metrics.responses[framing, "broken"] == 1
--- a/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
@@ -137,6 +137,23 @@
         await asyncio.sleep(0)
         assert client.cancelled == 1
 
+    @pytest.mark.parametrize(
+        "raw",
+        [
+            b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbod",
+            b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"4\r\nbody\r\n",
+        ],
+    )
+    async def test_request_whose_body_ends_early_is_not_handled(self, raw):
+        """Guards against running part of a request, as the client broke it off."""
+        client = Client()
+        await client.send(raw)
+        client.connection.eof_received()
+        client.connection.connection_lost(None)
+        await client.send()
+        assert client.handled == []
+
     async def test_request_followed_by_a_disconnect_is_not_handled(self):
         """Guards against requests that were given up while the VM was stalled."""
         client = Client()
--- a/packages/medlarridge-direct/tests/soak/server_process.py
+++ b/packages/medlarridge-direct/tests/soak/server_process.py
@@ -35,6 +35,8 @@
 """Mean processing time of a request that is not streamed."""
 UNFRAMED_SHARE = 0.2
 """Share of the streams that have neither a length nor chunks."""
+ENDED_CUT_SHARE = 0.3
+"""Share of the cut streams whose last chunk follows part of an event."""
 MIN_EVENT_S = 0.01
 MAX_EVENT_S = 0.03
 """Bounds of the interval between the events of a stream."""
@@ -269,7 +271,10 @@
                 # Break off in the middle of an event, as a crashed server does.
                 event = stream_event(request_id, number)
                 await connection.send(h11.Data(event[: len(event) // 2]))
-                connection.abort()
+                if self.random.random() < ENDED_CUT_SHARE:
+                    await connection.send(h11.EndOfMessage())
+                else:
+                    connection.abort()
                 return "cut"
             await connection.send(h11.Data(stream_event(request_id, number)))
             await asyncio.sleep(self.random.uniform(MIN_EVENT_S, MAX_EVENT_S))
