Send no chunks to clients of HTTP/1.0

Found by writing the table of endings: a response without a length was sent in chunks to every client, so one of HTTP/1.0 read chunk sizes as part of the body. Its body now ends with the connection, and a cut is a reset as before. The case for 1.0 of test_client_without_chunks_gets_none fails on the code before.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
@@ -16,7 +16,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientRequest:
-    """A request that was received completely from a client."""
+    """A request that was received completely from a client.
+
+    ``accepts_chunks`` is False for clients of HTTP/1.0, which know no chunks.
+    """
 
     method: bytes
     target: bytes
@@ -24,6 +27,7 @@
     body: bytes
     received_ms: int
     keep_alive: bool
+    accepts_chunks: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -52,13 +52,19 @@
     def begin(
         self, status: int, reason: bytes, headers: bytes, content_length: int | None
     ) -> None:
-        """Write the head; without a length, the body uses chunked encoding."""
+        """Write the head.
+
+        Without a length, the body has chunks, or ends with the connection if the client
+        does not accept them. A response that is cut is reset in either case.
+        """
         self.started = True
         if self.connection.is_stopping():
             self.keep_alive = False
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, reason), headers]
         if content_length is not None:
             lines.append(b"Content-Length: %d\r\n" % content_length)
+        elif not self.request.accepts_chunks:
+            self.keep_alive = False
         else:
             self.chunked = True
             lines.append(b"Transfer-Encoding: chunked\r\n")
@@ -282,6 +288,7 @@
             body=bytes(self.body),
             received_ms=self.message_started_ms or self.clock.now_ms(),
             keep_alive=self.parser.should_keep_alive(),
+            accepts_chunks=self.parser.get_http_version() != "1.0",
         )
         self.reset_message()
         self.message_started_ms = None
--- a/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
@@ -164,6 +164,23 @@
             await asyncio.sleep(0)
         assert client.handled == []
 
+    @pytest.mark.parametrize(
+        ("version", "expected"), [(b"1.0", b"\r\n\r\nevent"), (b"1.1", b"5\r\nevent")]
+    )
+    async def test_client_without_chunks_gets_none(self, version, expected):
+        """Guards against chunk sizes in the body that an HTTP/1.0 client reads."""
+        client = Client()
+
+        async def stream(request, response):
+            response.begin(200, b"OK", b"", None)
+            await response.write(b"event")
+            response.end()
+
+        client.connection.handler = stream
+        await client.send(GET.replace(b"1.1", version))
+        assert expected in client.transport.written
+        assert client.transport.closed == (version == b"1.0")
+
     async def test_stopping_router_closes_the_connection_after_the_response(self):
         """Guards against connections that delay a restart."""
         client = Client(stopping=True)
