Tell peers at once that a process leaves

The pushes of leave() now carry the update themselves. The test fails on the code before: the peer still lists the process.

--- a/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/membership.py
@@ -209,13 +209,17 @@
         )
 
     def leave(self) -> list[Action]:
-        """Announce that this process is shutting down."""
+        """Announce that this process is shutting down.
+
+        The announcement does not wait for the next probe, which a process that ends
+        may not send any more.
+        """
         self.leaving = True
         status_update = StatusUpdate(
             self.address, self.number, self.own_record.incarnation, Status.LEFT
         )
         self.update_queue.put(status_update)
-        return self.push()
+        return self.outbox.push(status_update)
 
     def push(self) -> list[Action]:
         """Push the configuration generation to random peers at once."""
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/outbox.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/outbox.py
@@ -89,10 +89,10 @@
         )
         return Send(source, self.add_updates(ack, required))
 
-    def push(self) -> list[Action]:
-        """Push the configuration generation to random peers at once."""
+    def push(self, *updates: Update) -> list[Action]:
+        """Push the configuration generation and updates to random peers at once."""
         return [
-            Send(r.address, self.push_message())
+            Send(r.address, self.push_message(*updates))
             for r in self.prober.random_members(PUSH_PEERS)
         ]
 
--- a/packages/medlarridge/tests/unit/coordination/test_membership.py
+++ b/packages/medlarridge/tests/unit/coordination/test_membership.py
@@ -101,6 +101,20 @@
         assert membership.own_record.incarnation == 5
 
 
+class TestLeaving:
+    def test_peers_are_told_at_once(self):
+        """Guards against a process that peers only find missing after its shutdown, as
+        its timers send no further probe that could carry the update."""
+        membership, _ = observer([member(2), member(3)])
+        actions = membership.leave()
+        assert {action.address for action in actions} == {"10.0.0.2:80", "10.0.0.3:80"}
+        peer = Membership(member(2), ManualClock(), Random(1), 5)
+        peer.apply(membership.own_record.announcement(), "", spread=False)
+        assert peer.find("10.0.0.1:80") is not None
+        peer.receive("10.0.0.1:80", decode_gossip(encode(actions[0].message), "peer"))
+        assert peer.find("10.0.0.1:80") is None
+
+
 class TestStatements:
     def test_order_of_arrival_does_not_matter(self):
         """Guards against member lists that differ permanently between processes."""
