Deliver the bytes after the last event of a resumable stream

Found by reading the diff; the 24 cases of TestLineEnds failed and pass now.

Also renames after reading as a newcomer.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -7,9 +7,9 @@
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.errors import TransportError
 from medlarridge._internal.protocol.server_sent_events import (
-    MEDIA_TYPE as EVENT_STREAM_TYPE,
+    EVENT_STREAM_TYPE,
+    EventSplitter,
 )
-from medlarridge._internal.protocol.server_sent_events import EventSplitter
 
 from .components import RouterComponents
 from .coordination.server_health import AttemptResult
@@ -78,7 +78,7 @@
         request_id: str,
         fingerprint: int,
         connection_limit: int,
-        is_stream: bool,
+        expects_stream: bool,
     ) -> None:
         self.components = components
         self.server = server
@@ -86,7 +86,7 @@
         self.request_id = request_id
         self.fingerprint = fingerprint
         self.connection_limit = connection_limit
-        self.is_stream = is_stream
+        self.expects_stream = expects_stream
         self.exchange: Exchange | None = None
         self.head: ResponseHead | None = None
         self.attempt_number = 0
@@ -184,7 +184,7 @@
         if head.status // 100 != SUCCESS_STATUS_CLASS:
             return False
         if head.media_type is None:
-            return self.is_stream
+            return self.expects_stream
         return head.media_type == EVENT_STREAM_TYPE
 
     def classify_head(self, head: ResponseHead) -> AttemptOutcome:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
@@ -46,7 +46,7 @@
     )
     add(
         "store_era",
-        "How often the store came back from an older copy, as far as known.",
+        "Era of the store that the server list is from.",
         lambda: components.servers.revision.era,
     )
     add(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
@@ -93,7 +93,8 @@
     """One version of the configuration.
 
     ``version`` is the operator's and orders the configurations, also when the store
-    shows an older one again. ``accounts`` maps API keys to accounts. ``by_host`` holds the routes of each host, the longest prefix first.
+    shows an older one again. ``accounts`` maps API keys to accounts. ``by_host`` holds
+    the routes of each host, the longest prefix first.
     """
 
     version: int
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/received_body.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/received_body.py
@@ -47,11 +47,15 @@
             return "stream was closed before its first event"
         return None
 
+    def rest(self) -> bytes:
+        """Return the bytes after the last event, as blank lines and comments."""
+        return b"" if self.splitter is None else bytes(self.splitter.buffer)
+
     def log_fields(self) -> dict[str, object]:
         """Return the fields of log lines on the end of the response."""
         return {
             "framing": self.framing,
             "body_bytes": self.size,
             "events": self.events,
-            "open_bytes": 0 if self.splitter is None else len(self.splitter.buffer),
+            "open_bytes": len(self.rest()),
         }
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -307,6 +307,7 @@
                 self.begin_response(head, None)
                 await self.response.write(bytes(new_events))
         self.begin_response(head, None)
+        await self.response.write(attempt.received.rest())
         self.response.end()
         self.log_delivered(attempt, head)
         return True
--- a/packages/medlarridge-direct/tests/direct/test_response_endings.py
+++ b/packages/medlarridge-direct/tests/direct/test_response_endings.py
@@ -215,6 +215,24 @@
     return [head + b"\r\n", CLOSE]
 
 
+class TestLineEnds:
+    @pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+    @pytest.mark.parametrize("rest", [b"", b": the last comment"])
+    @pytest.mark.parametrize("split", [None, 1, 2, 3])
+    async def test_a_resumable_stream_keeps_all_bytes(self, line_end, rest, split):
+        """Guards against a whole stream that lacks the last bytes its server sent."""
+        whole = b"".join(EVENTS).replace(b"\n", line_end) + rest + line_end
+        steps = [HEAD + b"Content-Length: %d\r\n\r\n" % len(whole), whole]
+        if split is not None:
+            steps = [piece for step in steps for piece in split_step(step, split)]
+        components = make_components({"a": [steps]})
+        response, _ = await handle_request(
+            {"a": 0}, RouteKind.STREAM, components=components, resumable=True
+        )
+        assert bytes(response.body) == whole
+        assert response.ended
+
+
 class TestEmptyResponses:
     @pytest.mark.parametrize(
         "framing", [Framing.LENGTH, Framing.CHUNKED, Framing.CLOSE]
--- a/packages/medlarridge-router/src/medlarridge_router/_internal/caller_sink.py
+++ b/packages/medlarridge-router/src/medlarridge_router/_internal/caller_sink.py
@@ -11,9 +11,10 @@
 )
 from medlarridge._internal.protocol.messages import Outcome, ResponseHead
 from medlarridge._internal.protocol.server_sent_events import (
-    MEDIA_TYPE as EVENT_STREAM_TYPE,
+    EVENT_STREAM_TYPE,
+    EventSplitter,
+    StreamEvent,
 )
-from medlarridge._internal.protocol.server_sent_events import EventSplitter, StreamEvent
 from medlarridge._internal.transport.asgi import HttpResponse, ResponseAborted
 
 from .event_stream import EventDigest, end_marker, outcome_event
--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_call.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_call.py
@@ -7,9 +7,9 @@
 from medlarridge._internal.protocol.caller import CHAT_HEADER, HOP_BY_HOP_HEADERS
 from medlarridge._internal.protocol.messages import Attempt, ResponseHead
 from medlarridge._internal.protocol.server_sent_events import (
-    MEDIA_TYPE as EVENT_STREAM_TYPE,
+    EVENT_STREAM_TYPE,
+    EventSplitter,
 )
-from medlarridge._internal.protocol.server_sent_events import EventSplitter
 
 from .live_attempt import LiveAttempt
 from .server_result import CallState, ServerResult
--- a/packages/medlarridge/src/medlarridge/_internal/protocol/server_sent_events.py
+++ b/packages/medlarridge/src/medlarridge/_internal/protocol/server_sent_events.py
@@ -3,7 +3,7 @@
 import re
 from dataclasses import dataclass, field
 
-MEDIA_TYPE = "text/event-stream"
+EVENT_STREAM_TYPE = "text/event-stream"
 
 LINE_END = rb"(?:\r\n|\r(?!\n)|\n)"
 EVENT_END = re.compile(LINE_END + LINE_END)
