--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -106,7 +106,7 @@
         self.departures = [each for each in self.departures if each[0] >= oldest_ms]
         return [
             *(departure for _, departure in self.departures),
-            *self.components.servers.ignored_departures(),
+            *self.components.servers.left.ignored_departures(),
         ]
 
     def announce_strikes(self, strikes: list[Strike]) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -17,6 +17,7 @@
 from ..protocol.peer_messages import Departure
 from ..protocol.revision import NO_REVISION, Revision
 from ..protocol.servers import BackendServer, ServerListing, ServerState
+from .left_servers import LeftServers
 from .own_read import OwnRead
 
 STORE_OUTAGE_MS = 2_000
@@ -27,13 +28,6 @@
 """Time after an outage within which servers whose entries lapsed register again. The
 platform specifies two seconds."""
 
-ERA_SETTLE_MS = 6_000
-"""Time after the first list of an era for which an entry may be a remnant of the older
-copy. The platform removes the entry of a server that is silent for three heartbeats."""
-
-LEFT_RETENTION_MS = 60_000
-"""Time for which a server is remembered that was draining or gone: longer than the age
-of a copy from which the store may come back."""
 
 DEPARTED_RETENTION_MS = 2_000
 """Time for which prompt parts may be fetched from a server that left the list. The
@@ -69,20 +63,6 @@
     departed_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class LeftServer:
-    """The last entry of a server that was draining or gone, and when that was seen."""
-
-    started_at: int
-    sequence: int
-    era: int
-    left_ms: int
-
-    def covers(self, server: BackendServer) -> bool:
-        """Return whether an entry is not newer than the last one of this server."""
-        return server.started_at == self.started_at and server.sequence <= self.sequence
-
-
 @dataclass(frozen=True, slots=True)
 class EraChange:
     """What the first list of a new era of the store has changed.
@@ -110,8 +90,8 @@
     last time at which a router is known to have reached the store, and ``own_read`` the
     last time at which this router itself read the list. ``leaving`` holds the servers
     that a peer has seen leave since the revision of the list, and ``left`` those that
-    were draining or gone lately. ``ignored`` are the servers in ``left`` that the list
-    shows as ready. ``on_era_change`` is called with the first list of an era.
+    were draining or gone lately. ``on_era_change`` is called with the first list of an
+    era.
     """
 
     clock: Clock
@@ -125,9 +105,7 @@
     confirmed_ms: int | None = None
     store_seen_ms: int | None = None
     leaving: dict[str, Departure] = field(default_factory=dict)
-    left: dict[str, LeftServer] = field(default_factory=dict)
-    ignored: set[str] = field(default_factory=set)
-    era_listed_ms: int | None = None
+    left: LeftServers = field(init=False)
     refused_by_era: int = 0
     on_era_change: Callable[[EraChange], None] = ignore_era_change
     outdated: bool = False
@@ -136,6 +114,7 @@
     own_read: OwnRead = field(init=False)
 
     def __post_init__(self) -> None:
+        self.left = LeftServers(self.clock)
         self.own_read = OwnRead(self.clock)
 
     def update(self, listing: ServerListing, read_ms: int) -> list[ServerChange]:
@@ -159,7 +138,7 @@
         self.store_seen_ms = max(read_ms, self.store_seen_ms or 0)
         self.revision = listing.revision
         listed = {server.instance: server for server in listing.servers}
-        self.ignore_remnants(listed)
+        self.left.ignore_remnants(listed, set(self.by_instance), listing.revision.era)
         changes = [
             *self.diff_listed(listed),
             *self.diff_missing(listed, read_ms, after_outage),
@@ -170,14 +149,20 @@
             for instance, departure in self.leaving.items()
             if departure.revision > listing.revision
         }
-        self.remember_left(changes)
+        for change in changes:
+            if change.kind in (ServerChangeKind.DRAINING, ServerChangeKind.GONE):
+                self.left.remember(change.server, listing.revision.era)
+        self.left.forget_old()
         self.rebuild_indexes()
         self.digest = listing_digest(listing)
         self.listing = listing
         if in_new_era:
             self.on_era_change(
                 EraChange(
-                    before, self.revision, sorted(self.lapsed), sorted(self.ignored)
+                    before,
+                    self.revision,
+                    sorted(self.lapsed),
+                    sorted(self.left.ignored),
                 )
             )
         return changes
@@ -189,13 +174,13 @@
         servers count as left until they write again.
         """
         if self.confirmed_ms is None or revision.era > self.revision.era:
-            self.era_listed_ms = self.clock.now_ms()
+            self.left.begin_era()
         if self.confirmed_ms is None or revision.era <= self.revision.era:
             return False
         for instance, departure in list(self.leaving.items()):
             server = self.by_instance.get(instance)
             if departure.revision.era < revision.era:
-                self.remember_departure(departure)
+                self.left.remember_departure(departure)
                 del self.leaving[instance]
                 if server is not None:
                     self.stop_using(server)
@@ -205,69 +190,6 @@
         """Treat a server as draining until its next entry."""
         self.by_instance[server.instance] = replace(server, state=ServerState.DRAINING)
 
-    def remember_departure(self, departure: Departure) -> None:
-        """Remember a server that a peer has seen leave."""
-        known = self.left.get(departure.instance)
-        if known is None or known.sequence <= departure.sequence:
-            self.left[departure.instance] = LeftServer(
-                departure.started_at,
-                departure.sequence,
-                departure.revision.era,
-                self.clock.now_ms(),
-            )
-
-    def remember(self, server: BackendServer) -> None:
-        """Remember the last entry of a server that is draining or gone."""
-        self.left[server.instance] = LeftServer(
-            server.started_at, server.sequence, self.revision.era, self.clock.now_ms()
-        )
-
-    def remember_left(self, changes: list[ServerChange]) -> None:
-        """Remember the servers that have left, and forget old ones."""
-        for change in changes:
-            if change.kind in (ServerChangeKind.DRAINING, ServerChangeKind.GONE):
-                self.remember(change.server)
-        oldest_ms = self.clock.now_ms() - LEFT_RETENTION_MS
-        for instance, left in list(self.left.items()):
-            if left.left_ms < oldest_ms:
-                del self.left[instance]
-
-    def ignore_remnants(self, listed: dict[str, BackendServer]) -> None:
-        """Drop entries of an older copy that show servers which had left as ready.
-
-        The entry of a server counts again once the server has written it, or when a
-        silent server would have been removed from the list.
-        """
-        self.ignored = set()
-        for instance, left in list(self.left.items()):
-            server = listed.get(instance)
-            if server is None or server.state is not ServerState.READY:
-                continue
-            if not self.is_remnant(server, left):
-                del self.left[instance]
-                continue
-            self.ignored.add(instance)
-            if instance in self.by_instance:
-                listed[instance] = replace(server, state=ServerState.DRAINING)
-            else:
-                del listed[instance]
-
-    def is_remnant(self, server: BackendServer, left: LeftServer) -> bool:
-        """Return whether the entry of a server may date from before it left."""
-        settled = (
-            self.era_listed_ms is not None
-            and self.clock.now_ms() - self.era_listed_ms > ERA_SETTLE_MS
-        )
-        return left.era < self.revision.era and not settled and left.covers(server)
-
-    def ignored_departures(self) -> list[Departure]:
-        """Return the servers whose entries in the list are ignored."""
-        return [
-            Departure(instance, left.started_at, Revision(left.era, 0), left.sequence)
-            for instance, left in self.left.items()
-            if instance in self.ignored
-        ]
-
     def record_departure(self, departure: Departure) -> bool:
         """Stop using a server that a peer has seen leave; return whether it was used.
 
@@ -295,10 +217,10 @@
         """Stop using a server whose entry dates from before it left."""
         if server is not None and server.state is ServerState.DRAINING:
             return False
-        self.remember_departure(departure)
-        if server is None or not self.is_remnant(server, self.left[server.instance]):
+        self.left.remember_departure(departure)
+        if server is None or not self.left.is_remnant(server, self.revision.era):
             return False
-        self.ignored.add(server.instance)
+        self.left.ignored.add(server.instance)
         self.stop_using(server)
         self.rebuild_indexes()
         return True
