Serve streams with a length and interim responses in the soak

With these the soak's servers serve the rows of the table of endings that real programs can show; HEAD and 204 are left to the tests, as no client of the soak sends such requests.

--- a/packages/medlarridge-direct/tests/soak/server_process.py
+++ b/packages/medlarridge-direct/tests/soak/server_process.py
@@ -35,6 +35,10 @@
 """Mean processing time of a request that is not streamed."""
 UNFRAMED_SHARE = 0.2
 """Share of the streams that have neither a length nor chunks."""
+LENGTH_SHARE = 0.1
+"""Share of the streams with a length."""
+INTERIM_SHARE = 0.1
+"""Share of the streams with an interim response before the final one."""
 ENDED_CUT_SHARE = 0.3
 """Share of the cut streams whose last chunk follows part of an event."""
 MIN_EVENT_S = 0.01
@@ -255,23 +259,29 @@
         after = int(request.headers.get(names.RESUME_AFTER, b"0"))
         if self.random.random() < UNFRAMED_SHARE:
             return await self.stream_unframed(connection, request_id, headers, after)
-        headers = [
-            *headers,
-            (b"Content-Type", b"text/event-stream"),
-            (b"Transfer-Encoding", b"chunked"),
-        ]
+        if self.random.random() < INTERIM_SHARE:
+            await connection.send(
+                h11.InformationalResponse(status_code=103, headers=[])
+            )
+        last = stream_event_count(request_id)
+        framing = (b"Transfer-Encoding", b"chunked")
+        has_length = self.random.random() < LENGTH_SHARE
+        if has_length:
+            events = (stream_event(request_id, n) for n in range(after + 1, last + 1))
+            framing = (b"Content-Length", b"%d" % sum(map(len, events)))
+        headers = [*headers, (b"Content-Type", b"text/event-stream"), framing]
         await connection.send(h11.Response(status_code=200, headers=headers))
         cut_at = None
         if self.fault_occurs("cut"):
-            cut_at = self.random.randint(after, stream_event_count(request_id))
-        for number in range(after + 1, stream_event_count(request_id) + 1):
+            cut_at = self.random.randint(after, last)
+        for number in range(after + 1, last + 1):
             if connection.closed:
                 return "dropped"
             if number == cut_at:
                 # Break off in the middle of an event, as a crashed server does.
                 event = stream_event(request_id, number)
                 await connection.send(h11.Data(event[: len(event) // 2]))
-                if self.random.random() < ENDED_CUT_SHARE:
+                if not has_length and self.random.random() < ENDED_CUT_SHARE:
                     await connection.send(h11.EndOfMessage())
                 else:
                     connection.abort()
