--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -96,7 +96,12 @@
 
 
 async def handle_request(
-    scripts, kind=RouteKind.IDEMPOTENT, headers=(), components=None, **changes
+    scripts,
+    kind=RouteKind.IDEMPOTENT,
+    headers=(),
+    components=None,
+    response=None,
+    **changes,
 ):
     """Handle one request with scripted servers; return response and components."""
     components = components or make_components(scripts)
@@ -119,7 +124,7 @@
         received_ms=components.clock.now_ms(),
         keep_alive=True,
     )
-    response = RecordedResponse()
+    response = response or RecordedResponse()
     await RequestHandler(components, Log(components.clock, "node")).handle(
         request, response
     )
--- a/packages/medlarridge-direct/tests/direct/test_response_endings.py
+++ b/packages/medlarridge-direct/tests/direct/test_response_endings.py
@@ -1,10 +1,11 @@
 """Every way in which a server's response can end, and what the client gets.
 
-The cases are framing by content by ending. ``EXPECTED`` is the table of docs/design.md:
+The cases are framing by content by ending. ``expected`` is the table of docs/design.md:
 whether the client gets the whole response, part of it that does not look complete, or an
 error in its place.
 """
 
+import asyncio
 from enum import StrEnum
 
 import pytest
@@ -13,7 +14,7 @@
 from medlarridge_direct._internal.protocol.requests import Framing
 
 from .scripted import CLOSE, RESET, make_components
-from .test_request_run import chunk, handle_request
+from .test_request_run import RecordedResponse, chunk, handle_request
 
 pytestmark = pytest.mark.anyio
 
@@ -155,7 +156,24 @@
     return [step[start : start + size] for start in range(0, len(step), size)]
 
 
+class SlowResponse(RecordedResponse):
+    """Response to a client that reads slowly, so that the server is done first."""
+
+    async def write(self, data):
+        for _ in range(10):
+            await asyncio.sleep(0)
+        await super().write(data)
+
+
 class TestEndings:
+    @pytest.mark.parametrize(("framing", "content", "ending"), CASES)
+    async def test_a_slow_client_gets_the_same(self, framing, content, ending):
+        """Guards against an end of the connection that overtakes the body before it."""
+        fast, _ = await play(framing, content, ending)
+        slow, _ = await play(framing, content, ending, response=SlowResponse())
+        assert bytes(slow.body) == bytes(fast.body)
+        assert (slow.status, slow.ended) == (fast.status, fast.ended)
+
     @pytest.mark.parametrize("split", [None, 1, 3])
     @pytest.mark.parametrize(("framing", "content", "ending"), CASES)
     async def test_only_a_whole_response_looks_complete(
