Render the whole label of counters that have one label

medlarridge_store_calls_total and medlarridge_store_rewrites_total had the first letter of each value as their label, so list-servers and list-routers were two series of one name: a scrape could not tell the calls apart. The new test failed before.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
@@ -94,7 +94,8 @@
         )
         for name, text, labels in counters:
             family = CounterMetricFamily(f"medlarridge_{name}", text, labels=labels)
-            for values, count in getattr(self, name).items():
+            for key, count in getattr(self, name).items():
+                values = key if isinstance(key, tuple) else (key,)
                 family.add_metric([str(value) for value in values], count)
             yield family
         histogram = HistogramMetricFamily(
--- a/packages/medlarridge-direct/tests/direct/test_metrics.py
+++ b/packages/medlarridge-direct/tests/direct/test_metrics.py
@@ -19,6 +19,15 @@
         assert 'seconds_count{kind="stream"} 2.0' in page
         assert "medlarridge_peers 4.0" in page
 
+    def test_a_counter_with_one_label_has_its_whole_value(self):
+        """Guards against calls whose label is the first letter of their name."""
+        metrics = Metrics()
+        metrics.store_calls["list-servers"] += 2
+        metrics.store_calls["list-routers"] += 1
+        page = metrics.render().decode()
+        assert 'medlarridge_store_calls_total{call="list-servers"} 2.0' in page
+        assert 'medlarridge_store_calls_total{call="list-routers"} 1.0' in page
+
     def test_latency_equal_to_a_bound_counts_in_its_bucket(self):
         """Guards against a latency objective that is met but looks missed."""
         metrics = Metrics()
