Log what the retry budget is decided by

MR6132 tells each change of the share and the number of routers behind it. MR6000 of a retry has retries_left and routers. medlarridge_retries_total counts the arrivals that the budget limits.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/retry_budget.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/retry_budget.py
@@ -56,8 +56,12 @@
         """Return the number of retries that this router may still send now."""
         window = self.window(pool)
         ratio_share = self.limits.ratio * len(window.requests)
-        slack_share = self.limits.slack / max(self.router_count, 1)
-        return SAFETY_FACTOR * (ratio_share + slack_share) - len(window.retries)
+        allowed = SAFETY_FACTOR * (ratio_share + self.slack_share())
+        return allowed - len(window.retries)
+
+    def slack_share(self) -> float:
+        """Return this router's share of the slack."""
+        return self.limits.slack / max(self.router_count, 1)
 
     def take(self, pool: str) -> bool:
         """Take one retry from the budget; return whether one was available."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
@@ -71,10 +71,7 @@
     add(
         "retry_slack",
         "Retries of this router's share beyond the ratio.",
-        lambda: (
-            components.retry_budget.limits.slack
-            / max(components.retry_budget.router_count, 1)
-        ),
+        components.retry_budget.slack_share,
     )
 
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -62,6 +62,9 @@
 SNAPSHOT_FAILED = register(6122, "WARNING", "snapshot could not be read from peer")
 PEER_FOUND = register(6130, "INFO", "peer router found")
 PEER_LOST = register(6131, "INFO", "peer router lost")
+RETRY_SHARE_CHANGED = register(
+    6132, "INFO", "this router's share of the retry slack changed"
+)
 CACHE_INDEX_SYNCED = register(6135, "INFO", "prompt cache index synced")
 TASK_FAILED = register(6141, "ERROR", "background task failed and is restarted")
 READINESS_CHANGED = register(6140, "INFO", "readiness changed")
@@ -197,8 +200,21 @@
         components: RouterComponents,
         metadata: ForwardingMetadata,
         earlier_attempts: int,
+        is_retry: bool,
     ) -> None:
-        """Log an attempt and the state from which its server was selected."""
+        """Log an attempt and the state from which its server was selected.
+
+        A retry comes after an attempt that reached a server, and takes from the budget.
+        """
+        budget = {}
+        if is_retry:
+            self.metrics.retries[server.pool] += 1
+            budget = {
+                "retries_left": round(
+                    components.retry_budget.remaining(server.pool), 1
+                ),
+                "routers": components.retry_budget.router_count,
+            }
         self.write(
             ATTEMPT_SENT,
             route=self.route,
@@ -212,6 +228,7 @@
             list_revision=str(components.servers.revision),
             list_age_ms=components.servers.age_ms(),
             configuration=components.configuration.version,
+            **budget,
         )
 
     def prompt_awaited(self, server: BackendServer, wait_ms: float) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
@@ -47,6 +47,7 @@
 
     requests: Counter = field(default_factory=Counter)
     attempts: Counter = field(default_factory=Counter)
+    retries: Counter = field(default_factory=Counter)
     responses: Counter = field(default_factory=Counter)
     refusals: Counter = field(default_factory=Counter)
     control_bytes: Counter = field(default_factory=Counter)
@@ -74,6 +75,11 @@
         counters = (
             ("requests", "Requests by kind and outcome.", ["kind", "outcome"]),
             ("attempts", "Attempts by pool and how they ended.", ["pool", "ended"]),
+            (
+                "retries",
+                "Attempts after one that reached a server, by pool.",
+                ["pool"],
+            ),
             (
                 "responses",
                 "Responses of servers by framing and ending.",
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -8,7 +8,14 @@
 
 from .components import RouterComponents
 from .coordination.crash_detector import Strike
-from .logs import CRASH_STRIKE, PEER_FOUND, PEER_LOST, SERVER_LEAVING, Log
+from .logs import (
+    CRASH_STRIKE,
+    PEER_FOUND,
+    PEER_LOST,
+    RETRY_SHARE_CHANGED,
+    SERVER_LEAVING,
+    Log,
+)
 from .protocol.peer_messages import (
     Departure,
     Report,
@@ -60,6 +67,7 @@
         self.sequence = 0
         self.live_addresses: set[Address] = set()
         self.malformed_reports = 0
+        self.logged_slack_share: float | None = None
 
     async def open(self, address: Address) -> None:
         """Open the UDP socket at an address."""
@@ -244,6 +252,20 @@
             self.log.event(PEER_LOST, peer=f"{address[0]}:{address[1]}")
         self.live_addresses = live
         self.components.retry_budget.router_count = len(live) + 1
+        self.log_retry_share()
+
+    def log_retry_share(self) -> None:
+        """Log what this router may spend of the retry slack if it has changed."""
+        budget = self.components.retry_budget
+        slack_share = round(budget.slack_share(), 1)
+        if slack_share != self.logged_slack_share:
+            self.logged_slack_share = slack_share
+            self.log.event(
+                RETRY_SHARE_CHANGED,
+                slack_share=slack_share,
+                slack=budget.limits.slack,
+                routers=budget.router_count,
+            )
 
 
 def take_first(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -175,7 +175,11 @@
             self.route.kind is RouteKind.STREAM,
         ) as attempt:
             self.log.attempt_sent(
-                server, self.components, metadata, self.attempts_not_run + self.runs
+                server,
+                self.components,
+                metadata,
+                self.attempts_not_run + self.runs,
+                is_retry=bool(self.attempts_received),
             )
             sent_ms = self.components.clock.now_ms()
             outcome = await attempt.start(metadata, self.attempt_timeout_ms())
