--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/router_fleet.py
@@ -0,0 +1,199 @@
+"""Routers that share limits, with a network and a store that can fail between them."""
+
+from dataclasses import dataclass, field
+
+from medlarridge import ManualClock, TransportError
+from medlarridge_direct._internal.logs import Log
+from medlarridge_direct._internal.peer_reports import REPORT_INTERVAL_MS, PeerReports
+from medlarridge_direct._internal.peer_snapshots import PeerSnapshots
+from medlarridge_direct._internal.settings import RetrySettings
+from medlarridge_direct._internal.state.peer_table import PeerTable
+from medlarridge_direct._internal.store_sync import (
+    MAX_REGISTRY_INTERVAL_MS,
+    MIN_REGISTRY_INTERVAL_MS,
+    StoreSync,
+)
+
+from .scripted import make_components
+
+STEP_MS = 50
+POOL = "models"
+
+
+@dataclass
+class Registry:
+    """The part of the store that lists the routers' addresses."""
+
+    addresses: dict[str, tuple[str, int]] = field(default_factory=dict)
+    unreachable_for: set[str] = field(default_factory=set)
+
+    def for_node(self, node):
+        return NodeStore(self, node)
+
+
+class NodeStore:
+    """The registry as one router reaches it."""
+
+    def __init__(self, registry, node):
+        self.registry = registry
+        self.node = node
+
+    def check(self):
+        if self.node in self.registry.unreachable_for:
+            raise TransportError("down", step="registry")
+
+    async def register_router(self, node, host, port):
+        self.check()
+        self.registry.addresses[node] = (host, port)
+
+    async def list_routers(self):
+        self.check()
+        return dict(self.registry.addresses)
+
+
+class FleetRouter:
+    """One incarnation of a router; it takes every retry that its budget allows."""
+
+    def __init__(self, fleet, number, incarnation):
+        self.fleet = fleet
+        self.number = number
+        self.node = f"front-{number}"
+        self.address = (f"10.0.0.{number + 1}", 7)
+        self.paused = False
+        self.registry_due_ms = fleet.clock.now_ms()
+        self.registry_interval_ms = MIN_REGISTRY_INTERVAL_MS
+        self.components = make_components(clock=fleet.clock)
+        self.components.retry_budget.limits = fleet.limits
+        router_id = incarnation * 1_000 + number + 1
+        self.peers = PeerTable(fleet.clock, self.address, router_id)
+        log = Log(fleet.clock, self.node)
+        self.reports = PeerReports(self.components, self.peers, log, lambda: False)
+        self.reports.socket.send = self.transmit
+        self.sync = StoreSync(
+            self.components,
+            fleet.registry.for_node(self.node),
+            self.peers,
+            PeerSnapshots(self.components, self.peers, fleet.clock, log),
+            log,
+            self.node,
+            self.reports.announce_departures,
+        )
+
+    def transmit(self, data, address):
+        self.fleet.deliver(self, data, address)
+
+    async def sync_registry(self):
+        now_ms = self.fleet.clock.now_ms()
+        if now_ms < self.registry_due_ms:
+            return
+        self.registry_due_ms = now_ms + self.registry_interval_ms
+        self.registry_interval_ms = min(
+            2 * self.registry_interval_ms, MAX_REGISTRY_INTERVAL_MS
+        )
+        try:
+            await self.sync.register_if_missing(lost=False)
+        except TransportError:
+            self.peers.store_reachable = False
+
+    def report(self):
+        self.reports.send_report()
+        self.reports.update_live_peers()
+
+    def take_all(self):
+        """Take all retries that the budget allows; return their number."""
+        taken = 0
+        while self.components.retry_budget.take(POOL):
+            taken += 1
+        return taken
+
+
+class RouterFleet:
+    """Routers, the requests they get, and the retries they send.
+
+    ``cuts`` holds the pairs of routers between which no datagram passes.
+    """
+
+    def __init__(self, size, limits=None, requests_per_s=1):
+        self.clock = ManualClock(1_000_000)
+        self.started_ms = self.clock.now_ms()
+        self.limits = limits or RetrySettings(ratio=0.2, slack=50, window_s=10)
+        self.requests_per_s = requests_per_s
+        self.registry = Registry()
+        self.cuts = set()
+        self.incarnations = 0
+        self.request_times_ms = []
+        self.retry_times_ms = []
+        self.routers = {}
+        for number in range(size):
+            self.start(number)
+
+    def start(self, number):
+        """Start a router, or replace its process by a new one."""
+        self.incarnations += 1
+        self.routers[number] = FleetRouter(self, number, self.incarnations)
+
+    def cut(self, number, *others):
+        """Cut a router off from others, or from all of them."""
+        for other in others or range(2 * len(self.routers)):
+            self.cuts.add(frozenset((number, other)))
+
+    def heal(self):
+        self.cuts.clear()
+
+    def deliver(self, sender, data, address):
+        for router in self.routers.values():
+            if (
+                router.address == address
+                and not router.paused
+                and frozenset((sender.number, router.number)) not in self.cuts
+            ):
+                router.reports.handle_datagram(data, sender.address)
+
+    async def run(self, duration_ms, traffic=True, failures=True):
+        """Let time pass; clients send requests, and all their attempts fail."""
+        for _ in range(0, duration_ms, STEP_MS):
+            self.clock.advance(STEP_MS)
+            now_ms = self.clock.now_ms()
+            for router in list(self.routers.values()):
+                if router.paused:
+                    continue
+                await router.sync_registry()
+                if (now_ms + router.number * STEP_MS) % REPORT_INTERVAL_MS == 0:
+                    router.report()
+                if traffic:
+                    self.send_requests(router)
+                if traffic and failures:
+                    self.spend(router)
+
+    def send_requests(self, router):
+        now_ms = self.clock.now_ms()
+        if now_ms % (1_000 // self.requests_per_s) < STEP_MS:
+            self.request_times_ms.append(now_ms)
+            router.components.retry_budget.count_request(POOL)
+
+    def spend(self, router):
+        """Let a router send all retries that its budget allows."""
+        self.retry_times_ms += [self.clock.now_ms()] * router.take_all()
+
+    def requests_between(self, start_ms, end_ms):
+        return sum(start_ms <= each < end_ms for each in self.request_times_ms)
+
+    def excess(self):
+        """Return the largest number of retries beyond the budget in any window.
+
+        The requests are counted in the window, in the one before it, or in the one half
+        a window before it, whichever has most.
+        """
+        window_ms = int(self.limits.window_s * 1_000)
+        worst = -self.limits.slack
+        for start_ms in sorted(set(self.retry_times_ms)):
+            retries = sum(
+                start_ms <= each < start_ms + window_ms for each in self.retry_times_ms
+            )
+            requests = max(
+                self.requests_between(each, each + window_ms)
+                for each in (start_ms, start_ms - window_ms, start_ms - window_ms // 2)
+            )
+            allowed = self.limits.ratio * requests + self.limits.slack
+            worst = max(worst, retries - allowed)
+        return worst
