Share the retry budget by a number of routers that no view makes too small

Cause: the limit of all routers was divided by the number of peers heard in the last 1.5 s, and the window was counted from an empty memory.

The slack is now divided by the number of registered routers, which only later readings of the registry reduce. Reports carry the sender's own reading and its age, which are not passed on. The connections to a server are shared by the same number.

Ruled out: counting live peers only after a while (a router that is cut off never hears them), and granting parts from the store (a call for each grant, and none while the store is down).

TestBudgetInUse shows that the slack is still spent.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
@@ -8,6 +8,7 @@
 
 from .coordination.crash_detector import CrashDetector, Strike
 from .coordination.crash_guard import CrashGuard
+from .coordination.fleet_size import FleetSize
 from .coordination.load_view import LoadView
 from .coordination.placement import Placement
 from .coordination.retry_budget import RetryBudget
@@ -35,6 +36,7 @@
     load: LoadView
     placement: Placement
     health: ServerHealth
+    fleet_size: FleetSize
     retry_budget: RetryBudget
     crash_guard: CrashGuard
     crash_detector: CrashDetector
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -13,6 +13,7 @@
 from .components import RouterComponents
 from .coordination.crash_detector import CrashDetector, Strike
 from .coordination.crash_guard import CrashGuard
+from .coordination.fleet_size import FleetSize
 from .coordination.load_view import LoadView
 from .coordination.placement import Placement
 from .coordination.prompt_cache_index import PromptCacheIndex
@@ -132,6 +133,7 @@
         clock, random = self.clock, Random()
         load = LoadView(clock)
         crash_guard = CrashGuard(clock)
+        fleet_size = FleetSize(clock)
         return RouterComponents(
             clock=clock,
             random=random,
@@ -147,7 +149,8 @@
                 self.settings.load.factor,
             ),
             health=ServerHealth(clock, QuietTimes(clock)),
-            retry_budget=RetryBudget(clock, self.settings.retries),
+            fleet_size=fleet_size,
+            retry_budget=RetryBudget(clock, self.settings.retries, fleet_size),
             crash_guard=crash_guard,
             crash_detector=CrashDetector(clock, crash_guard),
             connections=ConnectionPools(),
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
@@ -68,6 +68,11 @@
         lambda: components.connections.connections_opened,
     )
     add("log_lines_dropped", "Log lines dropped.", lambda: log.total_dropped)
+    add(
+        "routers",
+        "Routers that share the limits of the fleet.",
+        lambda: components.fleet_size.count,
+    )
     add(
         "retry_slack",
         "Retries of this router's share beyond the ratio.",
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -213,7 +213,7 @@
                 "retries_left": round(
                     components.retry_budget.remaining(server.pool), 1
                 ),
-                "routers": components.retry_budget.router_count,
+                "routers": components.fleet_size.count,
             }
         self.write(
             ATTEMPT_SENT,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -172,6 +172,8 @@
             list_revision=servers.revision,
             departures=self.recent_departures(),
             processed_parts=processed_parts,
+            registered_routers=self.components.fleet_size.own_count,
+            registry_age_ms=encode_age(self.components.fleet_size.own_reading_age_ms()),
         )
 
     def handle_datagram(self, data: bytes, address: Address) -> None:
@@ -201,6 +203,11 @@
                     server=server,
                     peer=True,
                 )
+        if report.registry_age_ms >= 0:
+            self.components.fleet_size.record_reading(
+                report.registered_routers,
+                self.components.clock.now_ms() - report.registry_age_ms,
+            )
         for departure in report.departures:
             self.apply_departure(departure)
         for instance in report.unreachable:
@@ -244,14 +251,14 @@
             servers.outdated = True
 
     def update_live_peers(self) -> None:
-        """Log peers that were found or lost, and update the number of routers."""
+        """Log peers that were found or lost, and count the routers that are heard."""
         live = {peer.address for peer in self.peers.live_peers()}
         for address in live - self.live_addresses:
             self.log.event(PEER_FOUND, peer=f"{address[0]}:{address[1]}")
         for address in self.live_addresses - live:
             self.log.event(PEER_LOST, peer=f"{address[0]}:{address[1]}")
         self.live_addresses = live
-        self.components.retry_budget.router_count = len(live) + 1
+        self.components.fleet_size.record_count(len(live) + 1)
         self.log_retry_share()
 
     def log_retry_share(self) -> None:
@@ -264,7 +271,7 @@
                 RETRY_SHARE_CHANGED,
                 slack_share=slack_share,
                 slack=budget.limits.slack,
-                routers=budget.router_count,
+                routers=self.components.fleet_size.count,
             )
 
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
@@ -35,7 +35,8 @@
     before it started. ``unreachable`` lists servers that do not respond to this router.
     The configuration is known to be the newest up to the store's revision
     ``configuration_watched_revision``, and the list is that of the store's revision
-    ``list_revision``. ``departures`` are the servers that left the list lately.
+    ``list_revision``. ``departures`` are the servers that left the list lately. The
+    registry listed ``registered_routers`` when the sender itself last read it.
     """
 
     router_id: int
@@ -55,6 +56,8 @@
     list_revision: Revision = NO_REVISION
     departures: list[Departure] = []
     processed_parts: list[tuple[str, str]] = []
+    registered_routers: int = 0
+    registry_age_ms: int = -1
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -163,7 +163,6 @@
 
     async def attempt(self, server: BackendServer) -> bool:
         """Send the request to a server; return whether the request is finished."""
-        router_count = self.components.retry_budget.router_count
         metadata = self.forwarding_metadata(server)
         with Attempt(
             self.components,
@@ -171,7 +170,7 @@
             self.accepted.request,
             self.metadata.request_id,
             self.accepted.fingerprint,
-            self.accepted.pool.max_connections // max(router_count, 1),
+            self.accepted.pool.max_connections // self.components.fleet_size.count,
             self.route.kind is RouteKind.STREAM,
         ) as attempt:
             self.log.attempt_sent(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -375,16 +375,22 @@
         if lost:
             self.components.metrics.store_rewrites["router"] += 1
             await self.register()
+        requested_ms = self.components.clock.now_ms()
         self.count_call("list-routers")
         routers = await self.store.list_routers()
         self.peers.register(routers.values())
-        if not lost and routers.get(self.node) != self.peers.own_address:
+        fleet_size = self.components.fleet_size
+        fleet_size.record_own_reading(len(routers | {self.node: None}), requested_ms)
+        if routers.get(self.node) == self.peers.own_address:
+            fleet_size.record_joined()
+        elif not lost:
             await self.register()
 
     async def register(self) -> None:
         """Write the address of this router to the store."""
         self.count_call("register-router")
         await self.store.register_router(self.node, *self.peers.own_address)
+        self.components.fleet_size.record_joined()
 
     def set_store_reachable(
         self, reachable: bool, error: TransportError | None = None
--- a/packages/medlarridge-direct/tests/direct/coordination/test_retry_budget.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_retry_budget.py
@@ -1,4 +1,11 @@
 from medlarridge import ManualClock
+from medlarridge_direct._internal.coordination.fleet_size import (
+    COUNT_RETENTION_MS,
+    JOIN_DELAY_MS,
+    REGISTRY_VALIDITY_MS,
+    UNKNOWN_FLEET_SIZE,
+    FleetSize,
+)
 from medlarridge_direct._internal.coordination.retry_budget import RetryBudget
 from medlarridge_direct._internal.settings import RetrySettings
 
@@ -6,8 +13,13 @@
 
 
 def make_budget(clock, router_count=1):
+    """Return the budget of a router that has known its fleet for long enough."""
     limits = RetrySettings(ratio=RATIO, slack=SLACK, window_s=WINDOW_S)
-    return RetryBudget(clock, limits, router_count)
+    budget = RetryBudget(clock, limits, FleetSize(clock))
+    budget.fleet_size.record_joined()
+    clock.advance(JOIN_DELAY_MS + WINDOW_S * 1_000)
+    budget.fleet_size.record_own_reading(router_count, clock.now_ms())
+    return budget
 
 
 def take_all(budget):
@@ -44,3 +56,47 @@
         budget = make_budget(clock)
         take_all(budget)
         assert budget.take("ledger")
+
+
+class TestFleetSize:
+    def test_is_not_one_before_the_registry_is_known(self):
+        """Guards against a router that takes itself for the only one."""
+        fleet_size = FleetSize(ManualClock(1_000_000))
+        fleet_size.record_count(1)
+        assert fleet_size.count == UNKNOWN_FLEET_SIZE
+
+    def test_silent_routers_still_count(self):
+        """Guards against a router that is cut off and takes the others for gone."""
+        clock = ManualClock(1_000_000)
+        fleet_size = FleetSize(clock)
+        fleet_size.record_own_reading(4, clock.now_ms())
+        for _ in range(100):
+            clock.advance(COUNT_RETENTION_MS)
+            fleet_size.record_count(1)
+        assert fleet_size.count == 4
+
+    def test_routers_that_left_the_registry_stop_counting(self):
+        """Guards against a share that stays small after the fleet has shrunk."""
+        clock = ManualClock(1_000_000)
+        fleet_size = FleetSize(clock)
+        fleet_size.record_own_reading(25, clock.now_ms())
+        for _ in range(4):
+            clock.advance(REGISTRY_VALIDITY_MS)
+            fleet_size.record_own_reading(4, clock.now_ms())
+        assert fleet_size.count == 4
+
+    def test_a_peer_that_the_registry_lacks_counts(self):
+        """Guards against a new router that others know only from its reports."""
+        clock = ManualClock(1_000_000)
+        fleet_size = FleetSize(clock)
+        fleet_size.record_own_reading(4, clock.now_ms())
+        fleet_size.record_count(5)
+        assert fleet_size.count == 5
+
+    def test_an_old_reading_does_not_settle_a_router(self):
+        """Guards against a share that rests on a registry that has changed since."""
+        clock = ManualClock(1_000_000)
+        fleet_size = make_budget(clock, router_count=4).fleet_size
+        assert fleet_size.is_settled(WINDOW_S * 1_000)
+        clock.advance(REGISTRY_VALIDITY_MS + 1)
+        assert not fleet_size.is_settled(WINDOW_S * 1_000)
--- a/packages/medlarridge-direct/tests/direct/router_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/router_fleet.py
@@ -14,7 +14,7 @@
     StoreSync,
 )
 
-from .scripted import make_components
+from .scripted import make_starting_components
 
 STEP_MS = 50
 POOL = "models"
@@ -62,7 +62,7 @@
         self.paused = False
         self.registry_due_ms = fleet.clock.now_ms()
         self.registry_interval_ms = MIN_REGISTRY_INTERVAL_MS
-        self.components = make_components(clock=fleet.clock)
+        self.components = make_starting_components(None, fleet.clock)
         self.components.retry_budget.limits = fleet.limits
         router_id = incarnation * 1_000 + number + 1
         self.peers = PeerTable(fleet.clock, self.address, router_id)
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -7,6 +7,7 @@
 from medlarridge_direct._internal.components import RouterComponents
 from medlarridge_direct._internal.coordination.crash_detector import CrashDetector
 from medlarridge_direct._internal.coordination.crash_guard import CrashGuard
+from medlarridge_direct._internal.coordination.fleet_size import FleetSize
 from medlarridge_direct._internal.coordination.load_view import LoadView
 from medlarridge_direct._internal.coordination.placement import Placement
 from medlarridge_direct._internal.coordination.prompt_cache_index import (
@@ -167,10 +168,28 @@
         return b"retry-after-ms: %d\r\n" % retry_after_ms
 
 
+class KnownFleet(FleetSize):
+    """A fleet of one router that has been known for long."""
+
+    count = 1
+
+    def is_settled(self, window_ms):
+        return True
+
+
 def make_components(scripts=None, clock=None, load_factor=2.0):
+    """Return the components of a router that has been running for long."""
     clock = clock or ManualClock(1_000_000)
+    components = make_starting_components(scripts, clock, load_factor, KnownFleet)
+    components.retry_budget.started_ms -= components.retry_budget.window_ms
+    return components
+
+
+def make_starting_components(scripts, clock, load_factor=2.0, fleet_type=FleetSize):
+    """Return the components of a router that has just started."""
     load = LoadView(clock)
     crash_guard = CrashGuard(clock)
+    fleet_size = fleet_type(clock)
     return RouterComponents(
         clock=clock,
         random=Random(7),
@@ -182,8 +201,9 @@
             Random(7), load, PromptCacheIndex(clock), "anfa", load_factor
         ),
         health=ServerHealth(clock, QuietTimes(clock)),
+        fleet_size=fleet_size,
         retry_budget=RetryBudget(
-            clock, RetrySettings(ratio=0.2, slack=50, window_s=10)
+            clock, RetrySettings(ratio=0.2, slack=50, window_s=10), fleet_size
         ),
         crash_guard=crash_guard,
         crash_detector=CrashDetector(clock, crash_guard),
