Hand the strikes of crashing requests to routers that missed them

A request that had crashed three servers could crash more through a router that had just started, had been cut off, or lost one datagram: a strike was reported once.

Reports repeat the known strikes for a second after a new one, and after a peer was heard that has just started or was silent. Strikes carry their age, so routers that tell each other keep none longer than 120 s; routers of the build before read them without ages.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crash_guard.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crash_guard.py
@@ -6,11 +6,14 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from itertools import islice
 
 import xxhash
 
 from medlarridge._internal.clock import Clock
 
+from ..protocol.peer_messages import HeldStrike
+
 STRIKES_TO_REFUSE = 3
 """Crashed servers after which a request is refused; the platform's limit."""
 STRIKE_RETENTION_MS = 120_000
@@ -29,10 +32,14 @@
 
 @dataclass(slots=True)
 class Strikes:
-    """Servers that went down while running a request."""
+    """Servers that went down while running a request, with the times of the strikes."""
+
+    servers: dict[str, int] = field(default_factory=dict)
 
-    servers: set[str] = field(default_factory=set)
-    last_strike_ms: int = 0
+    @property
+    def last_strike_ms(self) -> int:
+        """Return the time of the newest strike."""
+        return max(self.servers.values(), default=0)
 
 
 @dataclass(slots=True)
@@ -42,16 +49,31 @@
     clock: Clock
     strikes: OrderedDict[int, Strikes] = field(default_factory=OrderedDict)
 
-    def add_strike(self, fingerprint: int, server: str) -> bool:
-        """Add a strike; return whether the server is a new one for this request."""
+    def add_strike(self, fingerprint: int, server: str, age_ms: int = 0) -> bool:
+        """Add a strike; return whether the server is a new one for this request.
+
+        A strike that is known already gets no younger, so routers that tell each other
+        do not keep it forever.
+        """
         entry = self.strikes.setdefault(fingerprint, Strikes())
+        if server in entry.servers:
+            return False
         self.strikes.move_to_end(fingerprint)
-        entry.last_strike_ms = self.clock.now_ms()
-        is_new = server not in entry.servers
-        entry.servers.add(server)
+        entry.servers[server] = self.clock.now_ms() - age_ms
         while len(self.strikes) > MAX_FINGERPRINTS:
             self.strikes.popitem(last=False)
-        return is_new
+        return True
+
+    def newest_strikes(self, limit: int) -> list[HeldStrike]:
+        """Return the strikes of the requests that were struck last, up to a limit."""
+        now_ms = self.clock.now_ms()
+        held = (
+            HeldStrike(fingerprint, server, now_ms - struck_ms)
+            for fingerprint, entry in reversed(self.strikes.items())
+            for server, struck_ms in entry.servers.items()
+            if now_ms - entry.last_strike_ms <= STRIKE_RETENTION_MS
+        )
+        return list(islice(held, limit))
 
     def strike_count(self, fingerprint: int) -> int:
         """Return the number of servers that went down while running the request."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -18,6 +18,7 @@
 )
 from .protocol.peer_messages import (
     Departure,
+    HeldStrike,
     Report,
     decode_report,
     encode_report,
@@ -40,6 +41,13 @@
 """Time for which reports repeat that a server left, since single reports may be
 lost."""
 
+STRIKE_REPEAT_MS = 1_000
+"""Time for which reports carry the known strikes after a new one, and after a peer was
+heard that has just started or was silent: it may not know them."""
+
+MAX_STRIKES_PER_REPORT = 60
+"""Limit of the strikes in one report; those of the newest requests go first."""
+
 MAX_CATCH_UP_SENDERS = 2
 """Number of routers that send all cached parts to a new router, since reports of one
 may be lost."""
@@ -62,7 +70,7 @@
         self.socket = DatagramSocket(self.handle_datagram)
         self.pending_parts: list[tuple[str, str]] = []
         self.pending_processed_parts: list[tuple[str, str]] = []
-        self.pending_strikes: list[tuple[int, str]] = []
+        self.repeat_strikes_until_ms = 0
         self.departures: list[tuple[int, Departure]] = []
         self.sequence = 0
         self.live_addresses: set[Address] = set()
@@ -119,17 +127,26 @@
 
     def announce_strikes(self, strikes: list[Strike]) -> None:
         """Report at once the requests that were running when a server went down."""
-        self.pending_strikes += [
-            (strike.fingerprint, strike.server) for strike in strikes
-        ]
-        self.send_report()
+        if strikes:
+            self.repeat_strikes()
+            self.send_report()
+
+    def repeat_strikes(self) -> None:
+        """Let the next reports carry the known strikes."""
+        now_ms = self.components.clock.now_ms()
+        self.repeat_strikes_until_ms = now_ms + STRIKE_REPEAT_MS
+
+    def reported_strikes(self) -> list[HeldStrike]:
+        """Return the strikes that the next report carries."""
+        if self.components.clock.now_ms() > self.repeat_strikes_until_ms:
+            return []
+        return self.components.crash_guard.newest_strikes(MAX_STRIKES_PER_REPORT)
 
     def send_report(self) -> None:
         """Send a report to all peers."""
         if not self.peers.peers:
             self.pending_parts.clear()
             self.pending_processed_parts.clear()
-            self.pending_strikes.clear()
             return
         self.sequence += 1
         cached_parts, self.pending_parts = take_first(
@@ -138,8 +155,7 @@
         processed_parts, self.pending_processed_parts = take_first(
             self.pending_processed_parts, MAX_PARTS_PER_REPORT - len(cached_parts)
         )
-        strikes, self.pending_strikes = self.pending_strikes, []
-        report = self.build_report(cached_parts, processed_parts, strikes)
+        report = self.build_report(cached_parts, processed_parts)
         data = encode_report(report)
         for address in self.peers.peers:
             self.socket.send(data, address)
@@ -150,9 +166,9 @@
         self,
         cached_parts: list[tuple[str, str]],
         processed_parts: list[tuple[str, str]],
-        strikes: list[tuple[int, str]],
     ) -> Report:
         """Return the router's state as a report."""
+        strikes = self.reported_strikes()
         servers, configuration = self.components.servers, self.components.configuration
         return Report(
             router_id=self.peers.own_router_id,
@@ -160,7 +176,7 @@
             stopping=self.is_stopping(),
             in_flight=self.components.load.own,
             cached_parts=cached_parts,
-            strikes=strikes,
+            strikes=[(strike.fingerprint, strike.server) for strike in strikes],
             list_digest=servers.digest,
             list_age_ms=encode_age(servers.own_read.age_ms()),
             configuration_version=configuration.version,
@@ -174,6 +190,7 @@
             processed_parts=processed_parts,
             registered_routers=self.components.fleet_size.own_count,
             registry_age_ms=encode_age(self.components.fleet_size.own_reading_age_ms()),
+            strike_ages_ms=[strike.age_ms for strike in strikes],
         )
 
     def handle_datagram(self, data: bytes, address: Address) -> None:
@@ -185,8 +202,11 @@
             self.malformed_reports += 1
             return
         is_new = self.peers.is_new_router(address, report.router_id)
+        was_live = self.peers.is_live_address(address)
         if not self.peers.apply_report(address, report):
             return
+        if is_new or not was_live:
+            self.repeat_strikes()
         if is_new:
             self.announce_all_cached_parts()
         self.components.load.apply_report(report.router_id, report.in_flight)
@@ -195,14 +215,8 @@
             cache_index.record(part_id, instance)
         for part_id, instance in report.processed_parts:
             cache_index.record_processed_part(part_id, instance)
-        for fingerprint, server in report.strikes:
-            if self.components.crash_guard.add_strike(fingerprint, server):
-                self.log.event(
-                    CRASH_STRIKE,
-                    fingerprint=f"{fingerprint:016x}",
-                    server=server,
-                    peer=True,
-                )
+        for strike in report.held_strikes():
+            self.apply_strike(strike)
         if report.registry_age_ms >= 0:
             self.components.fleet_size.record_reading(
                 report.registered_routers,
@@ -214,6 +228,19 @@
             self.components.health.record_peer_unreachable(instance)
         self.apply_store_state(report)
 
+    def apply_strike(self, strike: HeldStrike) -> None:
+        """Record a strike that a peer knows."""
+        if self.components.crash_guard.add_strike(
+            strike.fingerprint, strike.server, strike.age_ms
+        ):
+            self.log.event(
+                CRASH_STRIKE,
+                fingerprint=f"{strike.fingerprint:016x}",
+                server=strike.server,
+                peer=True,
+                age_ms=strike.age_ms,
+            )
+
     def apply_departure(self, departure: Departure) -> None:
         """Stop using a server that a peer has seen leave the list."""
         if self.components.servers.record_departure(departure):
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
@@ -1,5 +1,7 @@
 """Datagrams that routers send to each other."""
 
+from dataclasses import dataclass
+
 import msgspec
 
 from medlarridge._internal.errors import CodecError
@@ -20,6 +22,15 @@
     sequence: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class HeldStrike:
+    """A strike as it is handed to routers that may not know it."""
+
+    fingerprint: int
+    server: str
+    age_ms: int
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """State of one router and what it learned since its last report.
 
@@ -37,6 +48,7 @@
     ``configuration_watched_revision``, and the list is that of the store's revision
     ``list_revision``. ``departures`` are the servers that left the list lately. The
     registry listed ``registered_routers`` when the sender itself last read it.
+    ``strike_ages_ms`` has an entry for each of the ``strikes``.
     """
 
     router_id: int
@@ -58,6 +70,17 @@
     processed_parts: list[tuple[str, str]] = []
     registered_routers: int = 0
     registry_age_ms: int = -1
+    strike_ages_ms: list[int] = []
+
+    def held_strikes(self) -> list[HeldStrike]:
+        """Return the strikes; those without an age, of an older build, are new."""
+        ages_ms = [*self.strike_ages_ms, *([0] * len(self.strikes))]
+        return [
+            HeldStrike(fingerprint, server, age_ms)
+            for (fingerprint, server), age_ms in zip(
+                self.strikes, ages_ms, strict=False
+            )
+        ]
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
@@ -110,6 +110,11 @@
             and self.clock.now_ms() - peer.last_report_ms <= PEER_TIMEOUT_MS
         )
 
+    def is_live_address(self, address: Address) -> bool:
+        """Return whether the peer at an address has reported recently."""
+        peer = self.peers.get(address)
+        return peer is not None and self.is_live(peer)
+
     def live_peers(self) -> list[Peer]:
         """Return the peers that have reported recently."""
         return [peer for peer in self.peers.values() if self.is_live(peer)]
