Log the software version of servers and which stream a request resumes

The adapter now reads the version of a server's software and the header Resumes; MR6000 has version, and after_event and resumes for a request that goes on with a stream; MR6111 has version. No decision uses them yet.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -201,11 +201,15 @@
         metadata: ForwardingMetadata,
         earlier_attempts: int,
         is_retry: bool,
+        resumes: str | None,
     ) -> None:
         """Log an attempt and the state from which its server was selected.
 
         A retry comes after an attempt that reached a server, and takes from the budget.
         """
+        resumption = {}
+        if metadata.resume_after is not None:
+            resumption = {"after_event": metadata.resume_after, "resumes": resumes}
         budget = {}
         if is_retry:
             self.metrics.retries[server.pool] += 1
@@ -221,6 +225,7 @@
             account=metadata.account,
             pool=server.pool,
             server=server.instance,
+            version=server.software_version,
             earlier=earlier_attempts,
             left_ms=metadata.deadline_ms,
             fetch_from=metadata.fetch_from,
@@ -229,6 +234,7 @@
             list_age_ms=components.servers.age_ms(),
             configuration=components.configuration.version,
             **budget,
+            **resumption,
         )
 
     def prompt_awaited(self, server: BackendServer, wait_ms: float) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
@@ -36,7 +36,8 @@
 
     ``deadline_ms`` is the time that the client waits for the response, from the moment
     it sent the request. ``resume_after`` is the ID of the last event that the client
-    received of an interrupted stream.
+    received of an interrupted stream, and ``resumes`` the request ID of the client's
+    attempt that brought the first event.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     account_key: str | None = None
     prompt: tuple[PromptPart, ...] = ()
     resume_after: str | None = None
+    resumes: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/servers.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/servers.py
@@ -27,6 +27,8 @@
     ``sequence`` counts what the server has written of itself since its start.
     ``slots`` is the number of requests that the server can run concurrently.
     ``cold_ms`` is the remaining time for which the server is slow after its start.
+    Streams of servers with different ``software_version`` do not fit together; routers
+    of a build without this field cannot exchange lists with this one.
     """
 
     instance: str
@@ -36,6 +38,7 @@
     data_centre: str
     state: ServerState
     slots: int
+    software_version: str
     cold_ms: int = 0
     started_at: int = 0
     sequence: int = 0
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -179,6 +179,7 @@
                 metadata,
                 self.attempts_not_run + self.runs,
                 is_retry=bool(self.attempts_received),
+                resumes=self.metadata.resumes,
             )
             sent_ms = self.components.clock.now_ms()
             outcome = await attempt.start(metadata, self.attempt_timeout_ms())
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -358,6 +358,7 @@
     """Return a digest that is equal on all routers with the same list."""
     entries = sorted(
         f"{server.instance} {server.address} {server.state} {server.started_at}"
+        f" {server.software_version}"
         for server in listing.servers
     )
     return xxhash.xxh64_intdigest("\n".join(entries).encode())
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -250,6 +250,7 @@
                 address=server.address,
                 pool=server.pool,
                 change=change.kind,
+                version=server.software_version,
                 revision=str(self.components.servers.revision),
             )
             if change.kind in (ServerChangeKind.GONE, ServerChangeKind.RESTARTED):
--- a/packages/medlarridge-direct/tests/adapter/store_model.py
+++ b/packages/medlarridge-direct/tests/adapter/store_model.py
@@ -53,6 +53,7 @@
             "address": f"10.0.0.9:{self.port}",
             "zone": "anfa",
             "slots": 64,
+            "version": "v1",
             "state": self.state,
             "born": 1_000,
             "sequence": self.sequence,
--- a/packages/medlarridge-direct/tests/adapter/test_headers.py
+++ b/packages/medlarridge-direct/tests/adapter/test_headers.py
@@ -31,6 +31,12 @@
         assert metadata.account_key == "key-1"
         assert metadata.prompt == (PromptPart("5c1e", 800), PromptPart("91bd", 410))
 
+    def test_a_resumed_stream_is_named(self):
+        """Guards against a stream whose origin cannot be looked up."""
+        headers = [*REQUEST, (b"Last-Event-Id", b"17"), (b"Resumes", b"8f02")]
+        metadata = HeaderDialect().parse_request(headers)
+        assert (metadata.resume_after, metadata.resumes) == ("17", "8f02")
+
     @pytest.mark.parametrize(
         "headers",
         [
--- a/packages/medlarridge-direct/tests/adapter/test_store.py
+++ b/packages/medlarridge-direct/tests/adapter/test_store.py
@@ -162,6 +162,7 @@
         assert server.state is ServerState.READY
         assert (server.cold_ms, server.started_at) == (250, 1_780_000_000_000)
         assert server.sequence == 4
+        assert server.software_version == "v1"
 
     @pytest.mark.parametrize(
         "change",
@@ -178,6 +179,8 @@
             {"zone": ""},
             {"coldRemainingMs": "soon"},
             {"born": -1},
+            {"version": 1},
+            {"version": ""},
         ],
     )
     async def test_a_malformed_entry_is_skipped(self, change):
--- a/packages/medlarridge-direct/tests/direct/samples.py
+++ b/packages/medlarridge-direct/tests/direct/samples.py
@@ -26,6 +26,7 @@
         "data_centre": "anfa",
         "state": ServerState.READY,
         "slots": 64,
+        "software_version": "v1",
     }
     return BackendServer(**(fields | changes))
 
--- a/packages/medlarridge-direct/tests/soak/server_process.py
+++ b/packages/medlarridge-direct/tests/soak/server_process.py
@@ -98,7 +98,7 @@
                 "service": self.pool,
                 "address": self.advertised_address,
                 "zone": "zone-a",
-                "version": 1,
+                "version": "v1",
                 "slots": SLOT_COUNT,
                 "state": self.state,
                 "coldRemainingMs": 0,
