--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -133,6 +133,8 @@
             host=fields.get(b"host", ""),
             deadline_ms=None if deadline is None else int(deadline),
             account_key=fields.get(b"key"),
+            resume_after=fields.get(b"resume"),
+            resumes=fields.get(b"resumes"),
         )
 
     def server_headers(self, headers, metadata):
