Let a stream go on only at the software version that began it

Cause: the router treated all servers of a pool as alike. It read neither the version of a server nor the header that names the stream, and nothing told the router of a client's next try where the stream had begun.

A stream now belongs to the pool and version of its first delivered event. Routers tell each other the streams that they begin, and all of them to a router that has just started or was silent. A stream that nobody knows goes on only where one version has served for long enough; else it is refused as not run.

Ruled out: naming a stream when its attempt is sent, which would have to be corrected after a retry; refusing all streams that this router did not begin.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
@@ -13,6 +13,7 @@
 from .coordination.placement import Placement
 from .coordination.retry_budget import RetryBudget
 from .coordination.server_health import ServerHealth
+from .coordination.stream_origins import StreamOrigins
 from .metrics import Metrics
 from .protocol.platform_interface import Dialect
 from .state.configuration_holder import ConfigurationHolder
@@ -24,7 +25,7 @@
 class RouterComponents:
     """State, decision logic and connections of one router.
 
-    ``on_parts_cached`` and ``on_strikes`` report to the other routers;
+    ``on_parts_cached``, ``on_strikes`` and ``on_stream_begun`` report to the others;
     ``on_server_avoided`` takes a server and the result for which it is avoided.
     """
 
@@ -40,8 +41,10 @@
     retry_budget: RetryBudget
     crash_guard: CrashGuard
     crash_detector: CrashDetector
+    stream_origins: StreamOrigins
     connections: ConnectionPools
     metrics: Metrics
     on_parts_cached: Callable[[list[tuple[str, str]]], None]
     on_server_avoided: Callable[[str, str], None]
     on_strikes: Callable[[list[Strike]], None]
+    on_stream_begun: Callable[[int], None]
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/hashing.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/hashing.py
@@ -17,3 +17,8 @@
 def instance_key(instance: str) -> int:
     """Return the 32-bit key of an instance in reports between routers."""
     return xxhash.xxh32_intdigest(instance.encode())
+
+
+def stream_key(request_id: str) -> int:
+    """Return the 64-bit key of the stream that a request began."""
+    return xxhash.xxh64_intdigest(request_id.encode())
--- /dev/null
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_origins.py
@@ -0,0 +1,66 @@
+"""Where the streams began that clients may take up again.
+
+What two software versions of a server write does not fit together, so a stream goes on
+only at the version that began it. Every router knows the streams of all routers: each
+tells the others of those that it begins, and those that have just started are told all.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from medlarridge._internal.clock import Clock
+
+MAX_STREAMS = 50_000
+"""Streams that a router remembers; the oldest ones are forgotten first."""
+
+RESUME_MARGIN_MS = 5_000
+"""Time after the deadline of a stream's request for which it is remembered."""
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """The pool and the software version whose server wrote a stream's first event."""
+
+    pool: str
+    software_version: str
+
+
+@dataclass(frozen=True, slots=True)
+class KnownStream:
+    """A stream's origin, and the time until which a client may take the stream up."""
+
+    origin: StreamOrigin
+    expires_ms: int
+
+
+@dataclass(slots=True)
+class StreamOrigins:
+    """Known streams by the key of the request that brought the first event."""
+
+    clock: Clock
+    streams: OrderedDict[int, KnownStream] = field(default_factory=OrderedDict)
+
+    def record(self, stream: int, origin: StreamOrigin, left_ms: int) -> None:
+        """Record where a stream began; what is known of it never changes."""
+        if left_ms <= 0 or stream in self.streams:
+            return
+        self.streams[stream] = KnownStream(origin, self.clock.now_ms() + left_ms)
+        while len(self.streams) > MAX_STREAMS:
+            self.streams.popitem(last=False)
+
+    def find(self, stream: int) -> StreamOrigin | None:
+        """Return where a stream began, or None if that is not known."""
+        known = self.streams.get(stream)
+        return None if known is None else known.origin
+
+    def left_ms(self, stream: int) -> int:
+        """Return for how long a stream may still be taken up; 0 if it is not known."""
+        known = self.streams.get(stream)
+        return 0 if known is None else max(known.expires_ms - self.clock.now_ms(), 0)
+
+    def expire(self) -> None:
+        """Forget the streams that no client can take up any more."""
+        now_ms = self.clock.now_ms()
+        for stream, known in list(self.streams.items()):
+            if known.expires_ms <= now_ms:
+                del self.streams[stream]
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -20,6 +20,7 @@
 from .coordination.quiet_times import QuietTimes
 from .coordination.retry_budget import RetryBudget
 from .coordination.server_health import ServerHealth
+from .coordination.stream_origins import StreamOrigins
 from .gauges import add_gauges
 from .logs import (
     CRASH_STRIKE,
@@ -153,17 +154,23 @@
             retry_budget=RetryBudget(clock, self.settings.retries, fleet_size),
             crash_guard=crash_guard,
             crash_detector=CrashDetector(clock, crash_guard),
+            stream_origins=StreamOrigins(clock),
             connections=ConnectionPools(),
             metrics=Metrics(),
             on_parts_cached=self.announce_cached_parts,
             on_server_avoided=self.log_server_avoided,
             on_strikes=self.handle_strikes,
+            on_stream_begun=self.announce_stream,
         )
 
     def announce_cached_parts(self, cached_parts: list[tuple[str, str]]) -> None:
         """Announce to the peers which servers cache prompt parts."""
         self.peer_reports.announce_cached_parts(cached_parts)
 
+    def announce_stream(self, stream: int) -> None:
+        """Announce to the peers where a stream has begun."""
+        self.peer_reports.streams.announce(stream)
+
     def log_server_avoided(self, instance: str, result: str) -> None:
         """Log that a server is temporarily avoided."""
         health = self.components.health.servers[instance]
@@ -347,6 +354,7 @@
             self.log_silent_servers()
             self.components.load.expire()
             self.components.crash_detector.expire()
+            self.components.stream_origins.expire()
             self.reload_if_changed()
             if self.ready != self.logged_ready:
                 self.logged_ready = self.ready
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
@@ -68,6 +68,11 @@
         lambda: components.connections.connections_opened,
     )
     add("log_lines_dropped", "Log lines dropped.", lambda: log.total_dropped)
+    add(
+        "streams_known",
+        "Streams whose origin is known, of all routers.",
+        lambda: len(components.stream_origins.streams),
+    )
     add(
         "routers",
         "Routers that share the limits of the fleet.",
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -12,8 +12,9 @@
 from medlarridge._internal.events import Event, register
 
 from .components import RouterComponents
+from .coordination.stream_origins import StreamOrigin
 from .metrics import Metrics
-from .protocol.requests import ForwardingMetadata
+from .protocol.requests import ForwardingMetadata, RequestMetadata
 from .protocol.servers import BackendServer
 from .received_body import ReceivedBody
 
@@ -41,6 +42,8 @@
     6009, "INFO", "waiting for a prompt that the server is processing"
 )
 
+STREAM_TAKEN_UP = register(6010, "INFO", "client takes up a stream")
+
 STARTED = register(6100, "INFO", "router started")
 STOPPING = register(6101, "INFO", "router is stopping, waiting for requests in flight")
 STOPPED = register(6102, "INFO", "router stopped")
@@ -237,6 +240,20 @@
             **resumption,
         )
 
+    def stream_taken_up(
+        self, metadata: RequestMetadata, origin: StreamOrigin | None, source: str
+    ) -> None:
+        """Log where a stream began and how that is known."""
+        self.metrics.resumptions[source] += 1
+        self.write(
+            STREAM_TAKEN_UP,
+            resumes=metadata.resumes,
+            after_event=metadata.resume_after,
+            source=source,
+            pool=None if origin is None else origin.pool,
+            version=None if origin is None else origin.software_version,
+        )
+
     def prompt_awaited(self, server: BackendServer, wait_ms: float) -> None:
         """Log that the request waits for a prompt that the server is processing."""
         self.write(PROMPT_AWAITED, server=server.instance, wait_ms=round(wait_ms))
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
@@ -48,6 +48,7 @@
     requests: Counter = field(default_factory=Counter)
     attempts: Counter = field(default_factory=Counter)
     retries: Counter = field(default_factory=Counter)
+    resumptions: Counter = field(default_factory=Counter)
     responses: Counter = field(default_factory=Counter)
     refusals: Counter = field(default_factory=Counter)
     control_bytes: Counter = field(default_factory=Counter)
@@ -80,6 +81,11 @@
                 "Attempts after one that reached a server, by pool.",
                 ["pool"],
             ),
+            (
+                "resumptions",
+                "Streams that clients take up, by how their origin is known.",
+                ["source"],
+            ),
             (
                 "responses",
                 "Responses of servers by framing and ending.",
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -8,6 +8,7 @@
 
 from .components import RouterComponents
 from .coordination.crash_detector import Strike
+from .coordination.stream_origins import StreamOrigin
 from .logs import (
     CRASH_STRIKE,
     PEER_FOUND,
@@ -20,10 +21,12 @@
     Departure,
     HeldStrike,
     Report,
+    StreamGroup,
     decode_report,
     encode_report,
 )
 from .state.peer_table import Address, PeerTable
+from .stream_announcements import StreamAnnouncements
 from .transport.datagrams import DatagramSocket
 
 REPORT_INTERVAL_MS = 100
@@ -49,8 +52,8 @@
 """Limit of the strikes in one report; those of the newest requests go first."""
 
 MAX_CATCH_UP_SENDERS = 2
-"""Number of routers that send all cached parts to a new router, since reports of one
-may be lost."""
+"""Number of routers that send all cached parts and all known streams to a new router,
+since reports of one may be lost."""
 
 
 class PeerReports:
@@ -71,6 +74,7 @@
         self.pending_parts: list[tuple[str, str]] = []
         self.pending_processed_parts: list[tuple[str, str]] = []
         self.repeat_strikes_until_ms = 0
+        self.streams = StreamAnnouncements(components.stream_origins)
         self.departures: list[tuple[int, Departure]] = []
         self.sequence = 0
         self.live_addresses: set[Address] = set()
@@ -88,7 +92,11 @@
             self.send_report()
             self.update_live_peers()
             self.peers.remove_silent()
-            has_backlog = self.pending_parts or self.pending_processed_parts
+            has_backlog = (
+                self.pending_parts
+                or self.pending_processed_parts
+                or self.streams.handovers
+            )
             pause_ms = BACKLOG_INTERVAL_MS if has_backlog else self.interval_ms()
             await asyncio.sleep(pause_ms / MS_PER_S)
 
@@ -155,17 +163,27 @@
         processed_parts, self.pending_processed_parts = take_first(
             self.pending_processed_parts, MAX_PARTS_PER_REPORT - len(cached_parts)
         )
-        report = self.build_report(cached_parts, processed_parts)
+        report = self.build_report(
+            cached_parts, processed_parts, self.streams.next_groups()
+        )
+        self.send_to(report, list(self.peers.peers))
+        for address, groups in self.streams.next_handovers().items():
+            self.sequence += 1
+            self.send_to(self.build_report([], [], groups), [address])
+
+    def send_to(self, report: Report, addresses: list[Address]) -> None:
+        """Send a report to some peers."""
         data = encode_report(report)
-        for address in self.peers.peers:
+        for address in addresses:
             self.socket.send(data, address)
         control_bytes = self.components.metrics.control_bytes
-        control_bytes["sent", "report"] += len(data) * len(self.peers.peers)
+        control_bytes["sent", "report"] += len(data) * len(addresses)
 
     def build_report(
         self,
         cached_parts: list[tuple[str, str]],
         processed_parts: list[tuple[str, str]],
+        streams: list[StreamGroup],
     ) -> Report:
         """Return the router's state as a report."""
         strikes = self.reported_strikes()
@@ -191,6 +209,7 @@
             registered_routers=self.components.fleet_size.own_count,
             registry_age_ms=encode_age(self.components.fleet_size.own_reading_age_ms()),
             strike_ages_ms=[strike.age_ms for strike in strikes],
+            streams=streams,
         )
 
     def handle_datagram(self, data: bytes, address: Address) -> None:
@@ -207,6 +226,7 @@
             return
         if is_new or not was_live:
             self.repeat_strikes()
+            self.hand_over_streams(address)
         if is_new:
             self.announce_all_cached_parts()
         self.components.load.apply_report(report.router_id, report.in_flight)
@@ -215,6 +235,10 @@
             cache_index.record(part_id, instance)
         for part_id, instance in report.processed_parts:
             cache_index.record_processed_part(part_id, instance)
+        for group in report.streams:
+            origin = StreamOrigin(group.pool, group.software_version)
+            for stream, left_ms in group.streams:
+                self.components.stream_origins.record(stream, origin, left_ms)
         for strike in report.held_strikes():
             self.apply_strike(strike)
         if report.registry_age_ms >= 0:
@@ -228,6 +252,11 @@
             self.components.health.record_peer_unreachable(instance)
         self.apply_store_state(report)
 
+    def hand_over_streams(self, address: Address) -> None:
+        """Tell a router that has just started, or was silent, all known streams."""
+        if self.peers.handover_rank() < MAX_CATCH_UP_SENDERS:
+            self.streams.begin_handover(address)
+
     def apply_strike(self, strike: HeldStrike) -> None:
         """Record a strike that a peer knows."""
         if self.components.crash_guard.add_strike(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
@@ -118,6 +118,10 @@
                 return route
         return None
 
+    def find_pool(self, name: str) -> Pool:
+        """Return a pool of a route; one that is not configured has no connections."""
+        return self.pools.get(name) or Pool(name, max_connections=0)
+
     @property
     def requires_key(self) -> bool:
         """Return whether routes that are not public require the key of an account."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
@@ -31,6 +31,18 @@
     age_ms: int
 
 
+class StreamGroup(msgspec.Struct, frozen=True, array_like=True):
+    """Streams that began at one software version of a pool.
+
+    ``streams`` are pairs of a stream's key and the time in milliseconds for which a
+    client may still take it up.
+    """
+
+    pool: str
+    software_version: str
+    streams: list[tuple[int, int]]
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """State of one router and what it learned since its last report.
 
@@ -48,7 +60,8 @@
     ``configuration_watched_revision``, and the list is that of the store's revision
     ``list_revision``. ``departures`` are the servers that left the list lately. The
     registry listed ``registered_routers`` when the sender itself last read it.
-    ``strike_ages_ms`` has an entry for each of the ``strikes``.
+    ``strike_ages_ms`` has an entry for each of the ``strikes``. ``streams`` have begun
+    lately, or are handed to a router that has just started.
     """
 
     router_id: int
@@ -71,6 +84,7 @@
     registered_routers: int = 0
     registry_age_ms: int = -1
     strike_ages_ms: list[int] = []
+    streams: list[StreamGroup] = []
 
     def held_strikes(self) -> list[HeldStrike]:
         """Return the strikes; those without an age, of an older build, are new."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
@@ -121,7 +121,7 @@
             if fraction < cumulative_weight:
                 name = share.pool
                 break
-        return configuration.pools.get(name) or Pool(name, max_connections=0)
+        return configuration.find_pool(name)
 
     def unavailable_if_stale(self, rejection: Rejection) -> Rejection:
         """Return the rejection, or a 503 if the configuration may be outdated."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -1,6 +1,6 @@
 """Forwarding of one client request: attempts, retries and delivery of the response."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from medlarridge._internal.clock import MS_PER_S
@@ -22,6 +22,7 @@
 from .protocol.servers import BackendServer
 from .refusals import send_refusal
 from .server_selection import rank_servers
+from .stream_continuity import StreamContinuity
 from .transport.client_connection import ResponseWriter
 from .transport.http_connection import Broken
 
@@ -58,6 +59,8 @@
 
     DEADLINE = "deadline"
     NO_SERVER = "no-server"
+    NO_SERVER_OF_VERSION = "no-server-of-version"
+    UNKNOWN_STREAM = "unknown-stream"
     BUDGET = "retry-budget"
     ATTEMPTS = "attempts"
     MAY_HAVE_RUN = "may-have-run"
@@ -99,6 +102,9 @@
         self.prompt_reuse = PromptReuse(
             components, accepted.route, accepted.metadata.prompt, log
         )
+        self.continuity = StreamContinuity(
+            components, accepted.route, accepted.metadata, log
+        )
         timeout_ms = accepted.route.timeout_ms
         if accepted.metadata.deadline_ms is not None:
             timeout_ms = min(timeout_ms, accepted.metadata.deadline_ms)
@@ -115,6 +121,9 @@
 
     async def run(self) -> None:
         """Try servers until the response is delivered or the request is given up."""
+        if self.continuity.takes_up_stream and not await self.find_stream():
+            self.give_up(GiveUpReason.UNKNOWN_STREAM)
+            return
         self.components.retry_budget.count_request(self.accepted.pool.name)
         while True:
             reason = self.reason_to_give_up()
@@ -123,7 +132,7 @@
                 return
             server = self.select_server()
             if server is None:
-                self.give_up(GiveUpReason.NO_SERVER)
+                self.give_up(self.reason_without_server())
                 return
             if await self.prompt_reuse.wait_until_processed(server):
                 continue
@@ -136,6 +145,27 @@
             if await self.attempt(server):
                 return
 
+    async def find_stream(self) -> bool:
+        """Find where the stream began that the client takes up, and use that pool.
+
+        Return whether the route still leads there.
+        """
+        if not await self.continuity.find_origin(self.accepted.pool):
+            return False
+        configuration = self.components.configuration.current
+        assert self.continuity.origin is not None
+        assert configuration is not None
+        pool_name = self.continuity.origin.pool
+        pool = configuration.find_pool(pool_name)
+        self.accepted = replace(self.accepted, pool=pool)
+        return any(share.pool == pool_name for share in self.route.pools)
+
+    def reason_without_server(self) -> GiveUpReason:
+        """Return why no server is left to try."""
+        if self.continuity.origin is not None:
+            return GiveUpReason.NO_SERVER_OF_VERSION
+        return GiveUpReason.NO_SERVER
+
     def reason_to_give_up(self) -> GiveUpReason | None:
         """Return why no further attempt may be made, or None."""
         if self.remaining_ms() < MIN_ATTEMPT_TIME_MS:
@@ -158,6 +188,7 @@
             self.prompt_reuse.prompt,
             self.tried_instances,
             self.may_run_again(),
+            self.continuity.software_version,
         )
         return ranked[0] if ranked else None
 
@@ -308,6 +339,7 @@
                     new_events += event.data
                     self.last_event_id = event.event_id or self.last_event_id
             if new_events:
+                self.continuity.record_first_event(attempt.server, self.remaining_ms())
                 self.begin_response(head, None)
                 await self.response.write(bytes(new_events))
         self.begin_response(head, None)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/server_selection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/server_selection.py
@@ -14,15 +14,22 @@
     prompt: Sequence[PromptPart],
     tried: Set[str] = frozenset(),
     repeatable: bool = False,
+    software_version: str | None = None,
 ) -> list[BackendServer]:
     """Return the servers of a pool that may be tried, best first.
 
-    A ``repeatable`` request may be used to probe a server that has been silent.
+    A ``repeatable`` request may be used to probe a server that has been silent. A stream
+    that has begun goes on only at servers of its ``software_version``.
     """
     ready_servers = components.servers.ready(pool.name)
     instances = [server.instance for server in ready_servers]
     reachable = components.health.reachable(instances, repeatable)
-    untried = [server for server in ready_servers if server.instance not in tried]
+    untried = [
+        server
+        for server in ready_servers
+        if server.instance not in tried
+        and software_version in (None, server.software_version)
+    ]
     candidates = [
         server for server in untried if server.instance in reachable
     ] or untried
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
@@ -34,7 +34,8 @@
 class Peer:
     """Another router and the contents of its last report.
 
-    ``router_id`` identifies one start of its process. ``list_revision`` is the store's
+    ``router_id`` identifies one start of its process, which has been heard without a
+    longer silence since ``heard_since_ms``. ``list_revision`` is the store's
     revision of its server list. ``registered`` tells whether the store lists its
     address.
     """
@@ -43,6 +44,7 @@
     router_id: int = 0
     sequence: int = 0
     last_report_ms: int | None = None
+    heard_since_ms: int = 0
     stopping: bool = False
     cache_index_synced: bool = False
     store_reachable: bool = False
@@ -80,6 +82,8 @@
         peer = self.peers.setdefault(address, Peer(address))
         if peer.router_id == report.router_id and report.sequence <= peer.sequence:
             return False
+        if peer.router_id != report.router_id or not self.is_live(peer):
+            peer.heard_since_ms = self.clock.now_ms()
         peer.router_id = report.router_id
         peer.sequence = report.sequence
         peer.stopping = report.stopping
@@ -148,6 +152,17 @@
         """Return the zero-based position of this router among all live routers."""
         return sum(peer.router_id < self.own_router_id for peer in self.live_peers())
 
+    def handover_rank(self) -> int:
+        """Return the zero-based position of this router among those heard for a while.
+
+        Routers that have just started, or were silent, have less to hand to others.
+        """
+        latest_ms = self.clock.now_ms() - PEER_TIMEOUT_MS
+        return sum(
+            peer.router_id < self.own_router_id and peer.heard_since_ms <= latest_ms
+            for peer in self.live_peers()
+        )
+
     def any_reaches_store(self) -> bool:
         """Return whether a live peer reaches the store."""
         return any(peer.store_reachable for peer in self.live_peers())
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -19,6 +19,7 @@
 from ..protocol.servers import BackendServer, ServerListing, ServerState
 from .left_servers import LeftServers
 from .own_read import OwnRead
+from .pool_versions import PoolVersions
 
 STORE_OUTAGE_MS = 2_000
 """Time without a new list that counts as an outage of the store. When the router that
@@ -112,10 +113,12 @@
     keep_lapsed_until_ms: int = 0
     departed: dict[str, DepartedServer] = field(default_factory=dict)
     own_read: OwnRead = field(init=False)
+    versions: PoolVersions = field(init=False)
 
     def __post_init__(self) -> None:
         self.left = LeftServers(self.clock)
         self.own_read = OwnRead(self.clock)
+        self.versions = PoolVersions(self.clock)
 
     def update(self, listing: ServerListing, read_ms: int) -> list[ServerChange]:
         """Apply a list that was requested at ``read_ms``; return the changes."""
@@ -127,6 +130,7 @@
             or (listing.revision == self.revision and read_ms <= self.confirmed_ms)
         ):
             return []
+        self.versions.record(listing.servers, self.age_ms())
         before, in_new_era = self.revision, self.begin_era_if_new(listing.revision)
         after_outage = in_new_era or (
             self.store_seen_ms is not None
--- /dev/null
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_announcements.py
@@ -0,0 +1,67 @@
+"""What a router tells the others of the streams that clients may take up again."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from .coordination.stream_origins import StreamOrigin, StreamOrigins
+from .protocol.peer_messages import StreamGroup
+from .state.peer_table import Address
+
+ANNOUNCEMENT_REPEATS = 3
+"""Number of reports that name a new stream, since single reports may be lost."""
+
+MAX_STREAMS_PER_REPORT = 300
+"""Limit of the streams in one report, so that it fits into a few packets."""
+
+
+@dataclass(slots=True)
+class StreamAnnouncements:
+    """Streams that the next reports name.
+
+    ``pending`` holds the keys of new streams for all peers, once for each report, and
+    ``handovers`` those of all streams for peers that may know none.
+    """
+
+    origins: StreamOrigins
+    pending: deque[list[int]] = field(
+        default_factory=lambda: deque([[]], maxlen=ANNOUNCEMENT_REPEATS)
+    )
+    handovers: dict[Address, list[int]] = field(default_factory=dict)
+
+    def announce(self, stream: int) -> None:
+        """Name a stream that has begun in the next reports."""
+        self.pending[-1].append(stream)
+
+    def next_groups(self) -> list[StreamGroup]:
+        """Return the new streams for the next report to all peers."""
+        streams = [stream for streams in self.pending for stream in streams]
+        self.pending.append([])
+        return self.group(streams)
+
+    def begin_handover(self, address: Address) -> None:
+        """Tell a peer all known streams in the next reports."""
+        if self.origins.streams:
+            self.handovers[address] = list(self.origins.streams)
+
+    def next_handovers(self) -> dict[Address, list[StreamGroup]]:
+        """Return the next streams for each peer to which all are handed."""
+        groups = {}
+        for address, streams in list(self.handovers.items()):
+            groups[address] = self.group(streams[:MAX_STREAMS_PER_REPORT])
+            self.handovers[address] = streams[MAX_STREAMS_PER_REPORT:]
+            if not self.handovers[address]:
+                del self.handovers[address]
+        return groups
+
+    def group(self, streams: list[int]) -> list[StreamGroup]:
+        """Return streams by their origin; forgotten ones are left out."""
+        by_origin: dict[StreamOrigin, list[tuple[int, int]]] = {}
+        for stream in streams:
+            origin = self.origins.find(stream)
+            if origin is not None:
+                left_ms = self.origins.left_ms(stream)
+                by_origin.setdefault(origin, []).append((stream, left_ms))
+        return [
+            StreamGroup(origin.pool, origin.software_version, members)
+            for origin, members in by_origin.items()
+        ]
--- /dev/null
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
@@ -0,0 +1,101 @@
+"""Holds a stream to the pool and the software version that began it."""
+
+import asyncio
+
+from medlarridge._internal.clock import MS_PER_S
+
+from .components import RouterComponents
+from .coordination.hashing import stream_key
+from .coordination.stream_origins import RESUME_MARGIN_MS, StreamOrigin
+from .logs import RequestLog
+from .protocol.configuration import Pool, Route, RouteKind
+from .protocol.requests import RequestMetadata
+from .protocol.servers import BackendServer
+
+LOOKUP_TIMEOUT_MS = 300
+"""Time in which the report arrives that names a stream: its client may come back sooner.
+Reports of 25 routers are 200 ms apart."""
+
+LOOKUP_INTERVAL_MS = 20
+
+MAX_LIST_AGE_MS = 2_000
+"""Age of the server list up to which a version that it lacks has begun no stream."""
+
+
+class StreamContinuity:
+    """Origin of the stream of one request; None until the first event was delivered.
+
+    A request that takes a stream up has the origin of that stream from the start.
+    """
+
+    def __init__(
+        self,
+        components: RouterComponents,
+        route: Route,
+        metadata: RequestMetadata,
+        log: RequestLog,
+    ) -> None:
+        self.components = components
+        self.route = route
+        self.metadata = metadata
+        self.log = log
+        self.origin: StreamOrigin | None = None
+
+    @property
+    def takes_up_stream(self) -> bool:
+        """Return whether the request asks for the rest of a stream."""
+        return (
+            self.route.kind is RouteKind.STREAM
+            and self.metadata.resume_after is not None
+        )
+
+    @property
+    def software_version(self) -> str | None:
+        """Return the only version that may go on, or None if any may begin."""
+        return None if self.origin is None else self.origin.software_version
+
+    async def find_origin(self, pool: Pool) -> bool:
+        """Find where the stream began; return whether that is known.
+
+        Without a record, the stream began at the only version that ``pool`` had since.
+        """
+        self.origin = await self.look_up()
+        source = "record"
+        if self.origin is None:
+            self.origin = self.infer_from_only_version(pool)
+            source = "only-version" if self.origin is not None else "unknown"
+        self.log.stream_taken_up(self.metadata, self.origin, source)
+        return self.origin is not None
+
+    async def look_up(self) -> StreamOrigin | None:
+        """Return the recorded origin; wait a moment for the report that names it."""
+        if self.metadata.resumes is None:
+            return None
+        stream = stream_key(self.metadata.resumes)
+        for _ in range(LOOKUP_TIMEOUT_MS // LOOKUP_INTERVAL_MS):
+            origin = self.components.stream_origins.find(stream)
+            if origin is not None:
+                return origin
+            await asyncio.sleep(LOOKUP_INTERVAL_MS / MS_PER_S)
+        return self.components.stream_origins.find(stream)
+
+    def infer_from_only_version(self, pool: Pool) -> StreamOrigin | None:
+        """Return the origin if only one version can have begun the stream."""
+        servers = self.components.servers
+        age_ms = servers.age_ms()
+        if age_ms is None or age_ms > MAX_LIST_AGE_MS or len(self.route.pools) > 1:
+            return None
+        span_ms = self.route.timeout_ms + RESUME_MARGIN_MS
+        version = servers.versions.only_version(pool.name, span_ms)
+        return None if version is None else StreamOrigin(pool.name, version)
+
+    def record_first_event(self, server: BackendServer, remaining_ms: int) -> None:
+        """Hold the stream to the server's version before its first event is sent."""
+        if self.origin is not None:
+            return
+        self.origin = StreamOrigin(server.pool, server.software_version)
+        stream = stream_key(self.metadata.request_id)
+        self.components.stream_origins.record(
+            stream, self.origin, remaining_ms + RESUME_MARGIN_MS
+        )
+        self.components.on_stream_begun(stream)
--- a/packages/medlarridge-direct/tests/direct/router_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/router_fleet.py
@@ -69,6 +69,7 @@
         log = Log(fleet.clock, self.node)
         self.reports = PeerReports(self.components, self.peers, log, lambda: False)
         self.reports.socket.send = self.transmit
+        self.components.on_stream_begun = self.reports.streams.announce
         self.sync = StoreSync(
             self.components,
             fleet.registry.for_node(self.node),
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -16,6 +16,7 @@
 from medlarridge_direct._internal.coordination.quiet_times import QuietTimes
 from medlarridge_direct._internal.coordination.retry_budget import RetryBudget
 from medlarridge_direct._internal.coordination.server_health import ServerHealth
+from medlarridge_direct._internal.coordination.stream_origins import StreamOrigins
 from medlarridge_direct._internal.metrics import Metrics
 from medlarridge_direct._internal.protocol.requests import RequestMetadata, ResponseHead
 from medlarridge_direct._internal.settings import RetrySettings
@@ -209,9 +210,11 @@
         ),
         crash_guard=crash_guard,
         crash_detector=CrashDetector(clock, crash_guard),
+        stream_origins=StreamOrigins(clock),
         connections=ScriptedConnections(scripts or {}),
         metrics=Metrics(),
         on_parts_cached=lambda cached_parts: None,
         on_server_avoided=lambda instance, result: None,
         on_strikes=lambda strikes: None,
+        on_stream_begun=lambda stream: None,
     )
--- a/packages/medlarridge-direct/tests/direct/test_stream_versions.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_versions.py
@@ -25,6 +25,7 @@
 
 FLEET_SIZE = 4
 SETTLE_MS = 40_000
+LIST_INTERVAL_MS = 1_000
 HANDOVER_MS = 1_000
 """Time after which a router must know the streams of the others."""
 
@@ -142,8 +143,10 @@
             prepare(router.components, {}, self.versions, self.revision)
 
     async def run(self, duration_ms):
-        await self.fleet.run(duration_ms, traffic=False)
-        self.list_servers()
+        """Let time pass; the routers read the server list once a second."""
+        for _ in range(0, duration_ms, LIST_INTERVAL_MS):
+            await self.fleet.run(LIST_INTERVAL_MS, traffic=False)
+            self.list_servers()
 
     async def settle(self):
         await self.run(SETTLE_MS)
