Serve two software versions in the soak, whose clients take up broken streams

Servers write their version into each event; clients check that a stream has one version, ask another router for the rest of a stream that broke off, and check that too.

--- a/packages/medlarridge-direct/tests/soak/checks.py
+++ b/packages/medlarridge-direct/tests/soak/checks.py
@@ -44,11 +44,14 @@
             request.status == 200 and request.complete for request in self.requests
         )
         after_faults = len(self.after_faults())
+        taken_up = [request for request in self.requests if request.first is not None]
+        went_on = sum(request.status == 200 for request in taken_up)
         refused = sum(request.status == 503 for request in self.requests)
         lost = sum(bool(request.lost) for request in self.requests)
         return (
             f"{len(self.requests)} requests, {after_faults} of them after the faults; "
-            f"{served} served, {refused} refused, {lost} lost; {len(self.runs())} runs"
+            f"{served} served, {refused} refused, {lost} lost; {len(self.runs())} runs; "
+            f"{went_on} of {len(taken_up)} streams that were taken up went on"
         )
 
     def runs(self) -> list[dict]:
@@ -139,7 +142,7 @@
     """
     if not 0 < run["deadline_ms"] <= request.kind.deadline_ms:
         return ["BUDGET: deadline missing, not positive or longer than the client's"]
-    used_ms = int(run["after"] * MIN_EVENT_S * 1000)
+    used_ms = int((run["after"] - first_run["after"]) * MIN_EVENT_S * 1000)
     remaining_ms = first_run["deadline_ms"] - used_ms + ROUNDING_MS
     if run is not first_run and run["after"] and run["deadline_ms"] > remaining_ms:
         return ["BUDGET: resumed with more than the remaining time"]
--- a/packages/medlarridge-direct/tests/soak/clients.py
+++ b/packages/medlarridge-direct/tests/soak/clients.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import hashlib
-from dataclasses import dataclass, field
+import re
+from dataclasses import dataclass, field, replace
 from random import Random
 
 import h11
@@ -62,10 +63,34 @@
     """Whether the client disconnected before the response was complete."""
     owed: bool = True
     """Whether the request counts towards recovery; configuration probes do not."""
+    first: "SentRequest | None" = None
+    """Request that began the stream of which this one asks for the rest."""
+    after: int = 0
+    """Number of the last event that the client had when it sent the request."""
+    last_event: int = 0
+    """Number of the last whole event that the client has."""
+    version: str = ""
+    """Software version that wrote the first event of the stream."""
     lost: str = ""
     """Reason for the loss of the response; empty if it was not lost."""
     violations: list[str] = field(default_factory=list)
 
+    @property
+    def stream_id(self) -> str:
+        """ID of the request that began the stream."""
+        return self.request_id if self.first is None else self.first.request_id
+
+    @property
+    def can_be_taken_up(self) -> bool:
+        """Whether the client may ask for the rest of a stream that broke off."""
+        return (
+            self.kind.stream
+            and self.kind.repeatable
+            and self.status == 200
+            and self.last_event > 0
+            and not (self.complete or self.left)
+        )
+
     @property
     def body_digest(self) -> str:
         """SHA-256 digest of the body, as servers report it."""
@@ -111,8 +136,19 @@
             kept=self.connection is not None and self.router == router,
         )
         self.history.append(request)
+        await self.run_exchange(request, address, key, disconnect_after_s)
+        return request
+
+    async def run_exchange(
+        self,
+        request: SentRequest,
+        address: tuple[str, int],
+        key: str,
+        disconnect_after_s: float | None,
+    ) -> None:
+        """Send a request and record how its exchange ended."""
         try:
-            async with asyncio.timeout(kind.deadline_ms / 1000 + 2):
+            async with asyncio.timeout(request.kind.deadline_ms / 1000 + 2):
                 await self.exchange(request, address, key, disconnect_after_s)
         except TimeoutError:
             request.lost = "no complete response within the deadline"
@@ -124,6 +160,32 @@
         request.ended_s = monotonic_s()
         if not request.complete or request.left:
             self.close()
+
+    async def take_up(
+        self,
+        broken: SentRequest,
+        router: int,
+        address: tuple[str, int],
+        key: str,
+    ) -> SentRequest:
+        """Ask for the rest of a stream that broke off, over a new connection."""
+        self.close()
+        self.count += 1
+        request = replace(
+            broken,
+            request_id=f"{self.name}-{self.count:04d}",
+            router=router,
+            sent_s=monotonic_s(),
+            kept=False,
+            status=0,
+            first=broken.first or broken,
+            after=broken.last_event,
+            owed=False,
+            lost="",
+            violations=[],
+        )
+        self.history.append(request)
+        await self.run_exchange(request, address, key, None)
         return request
 
     def close(self) -> None:
@@ -185,6 +247,11 @@
             headers.append((b"Content-Length", b"%d" % len(request.body)))
         elif request.method == b"POST":
             headers.append((b"Content-Length", b"0"))
+        if request.first is not None:
+            headers += [
+                (names.RESUME_AFTER, b"%d" % request.after),
+                (names.RESUMES, request.stream_id.encode()),
+            ]
         if request.prompt:
             headers += [
                 (b"X-Medlarridge-Model", b"m"),
@@ -221,11 +288,18 @@
         """Return the expected body of a successful response."""
         if not request.kind.stream:
             return response_body(request.request_id)
-        events = range(1, stream_event_count(request.request_id) + 1)
-        return b"".join(stream_event(request.request_id, number) for number in events)
+        events = range(request.after + 1, stream_event_count(request.stream_id) + 1)
+        return b"".join(
+            stream_event(request.stream_id, number, request.version)
+            for number in events
+        )
 
     def check_partial_body(self, request: SentRequest, body: bytes) -> None:
         """Check the part of a successful response's body received so far."""
+        if request.status == 200 and request.kind.stream:
+            record_events(request, comparable_body(body))
+            if not request.version:
+                return
         expected = self.expected_body(request)
         if request.status == 200 and not expected.startswith(comparable_body(body)):
             rule = "ORDER" if request.kind.stream else "MIXED"
@@ -247,6 +321,15 @@
             request.violations.append("MIXED: truncated body in a complete response")
 
 
+def record_events(request: SentRequest, body: bytes) -> None:
+    """Record the last whole event, and the version of a stream's first one."""
+    numbers = [int(number) for number in re.findall(rb"id: (\d+)\ndata: .*\n\n", body)]
+    request.last_event = numbers[-1] if numbers else request.after
+    version = re.search(rb"@(\w+)\n", body)
+    if version and not request.version:
+        request.version = version[1].decode()
+
+
 def comparable_body(body: bytes) -> bytes:
     """Return a body with LF as line end; servers of a stream may use others."""
     return body.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
--- a/packages/medlarridge-direct/tests/soak/fleet.py
+++ b/packages/medlarridge-direct/tests/soak/fleet.py
@@ -14,6 +14,8 @@
 from .proxy import Proxy
 
 ROUTER_COUNT = 3
+SOFTWARE_VERSIONS = ("v1", "v2")
+"""Versions that serve side by side; a new server has the other one in turn."""
 POOLS = ("talk", "talk", "talk", "desk", "desk")
 """Pool of each server, by server number."""
 API_KEYS = {"key-a": "account-a", "key-b": "account-b"}
@@ -98,6 +100,7 @@
         self.observations = observations
         self.subnet, self.reservation = reserve_subnet()
         self.instances: dict[str, str] = {}
+        self.software_versions: dict[str, str] = {}
         self.start_count = 0
         self.router_lines: dict[str, list[dict]] = {}
         self.routes = list(INITIAL_ROUTES)
@@ -211,10 +214,13 @@
         if not same_instance or process.name not in self.instances:
             self.start_count += 1
             self.instances[process.name] = f"i-{number}-{self.start_count}"
+            version = SOFTWARE_VERSIONS[self.start_count % len(SOFTWARE_VERSIONS)]
+            self.software_versions[process.name] = version
         process.arguments = [
             "-m",
             "soak.server_process",
             self.instances[process.name],
+            self.software_versions[process.name],
             POOLS[number],
             f"{self.ip(2, number)}:8080",
             f"{self.ip(3, number)}:8080",
--- a/packages/medlarridge-direct/tests/soak/run.py
+++ b/packages/medlarridge-direct/tests/soak/run.py
@@ -27,6 +27,8 @@
 """Pause of a client after a 503 or a request that got no response."""
 STOP_MARGIN_S = 1.5
 """Time that a router may take to exit beyond its grace period."""
+MAX_TAKE_UPS = 2
+"""Times that a client asks for the rest of a stream that broke off."""
 DISCONNECT_SHARE = 0.08
 """Share of requests whose client disconnects before the response is complete."""
 BASE_FAULT_RATES = {
@@ -118,6 +120,12 @@
                 self.fleet.api_keys.get(key, ""),
                 disconnect_after_s,
             )
+            for _ in range(MAX_TAKE_UPS):
+                if not request.can_be_taken_up:
+                    break
+                router = random.choice(self.fleet.rotation())
+                address = self.fleet.ip(6, router), 8227
+                request = await client.take_up(request, router, address, key)
             refused = request.status == 503 or (request.lost and not request.status)
             await asyncio.sleep(REFUSAL_DELAY_S if refused else random.uniform(0, 0.1))
         client.close()
--- a/packages/medlarridge-direct/tests/soak/server_process.py
+++ b/packages/medlarridge-direct/tests/soak/server_process.py
@@ -57,9 +57,10 @@
     return 3 + zlib.crc32(request_id.encode()) % 40
 
 
-def stream_event(request_id: str, number: int) -> bytes:
-    """Return one event of a request's stream."""
-    return b"id: %d\ndata: %b-%d\n\n" % (number, request_id.encode(), number)
+def stream_event(stream_id: str, number: int, version: str) -> bytes:
+    """Return one event of a stream, which differs between software versions."""
+    data = f"{stream_id}-{number}@{version}"
+    return b"id: %d\ndata: %b\n\n" % (number, data.encode())
 
 
 def report(event: str, **fields: object) -> None:
@@ -72,9 +73,15 @@
     """One instance of a backend server."""
 
     def __init__(
-        self, instance: str, pool: str, advertised_address: str, store_address: str
+        self,
+        instance: str,
+        version: str,
+        pool: str,
+        advertised_address: str,
+        store_address: str,
     ) -> None:
         self.instance = instance
+        self.version = version
         self.pool = pool
         self.advertised_address = advertised_address
         self.store_address = store_address
@@ -98,7 +105,7 @@
                 "service": self.pool,
                 "address": self.advertised_address,
                 "zone": "zone-a",
-                "version": "v1",
+                "version": self.version,
                 "slots": SLOT_COUNT,
                 "state": self.state,
                 "coldRemainingMs": 0,
@@ -203,6 +210,7 @@
             prompt=request.headers.get(names.PROMPT_PARTS, b"").decode(),
             deadline_ms=int(request.headers.get(names.DEADLINE_MS, b"-1")),
             after=int(request.headers.get(names.RESUME_AFTER, b"0")),
+            version=self.version,
         )
 
     async def run(
@@ -257,17 +265,22 @@
     ) -> str:
         """Send the events of a stream; return its outcome."""
         after = int(request.headers.get(names.RESUME_AFTER, b"0"))
+        # A stream has the events of the request that began it.
+        stream_id = request.headers.get(names.RESUMES, request_id.encode()).decode()
         if self.random.random() < UNFRAMED_SHARE:
-            return await self.stream_unframed(connection, request_id, headers, after)
+            return await self.stream_unframed(connection, stream_id, headers, after)
         if self.random.random() < INTERIM_SHARE:
             await connection.send(
                 h11.InformationalResponse(status_code=103, headers=[])
             )
-        last = stream_event_count(request_id)
+        last = stream_event_count(stream_id)
         framing = (b"Transfer-Encoding", b"chunked")
         has_length = self.random.random() < LENGTH_SHARE
         if has_length:
-            events = (stream_event(request_id, n) for n in range(after + 1, last + 1))
+            events = (
+                stream_event(stream_id, number, self.version)
+                for number in range(after + 1, last + 1)
+            )
             framing = (b"Content-Length", b"%d" % sum(map(len, events)))
         headers = [*headers, (b"Content-Type", b"text/event-stream"), framing]
         await connection.send(h11.Response(status_code=200, headers=headers))
@@ -279,20 +292,21 @@
                 return "dropped"
             if number == cut_at:
                 # Break off in the middle of an event, as a crashed server does.
-                event = stream_event(request_id, number)
+                event = stream_event(stream_id, number, self.version)
                 await connection.send(h11.Data(event[: len(event) // 2]))
                 if not has_length and self.random.random() < ENDED_CUT_SHARE:
                     await connection.send(h11.EndOfMessage())
                 else:
                     connection.abort()
                 return "cut"
-            await connection.send(h11.Data(stream_event(request_id, number)))
+            event = stream_event(stream_id, number, self.version)
+            await connection.send(h11.Data(event))
             await asyncio.sleep(self.random.uniform(MIN_EVENT_S, MAX_EVENT_S))
         await connection.send(h11.EndOfMessage())
         return "done"
 
     async def stream_unframed(
-        self, connection: HttpConnection, request_id: str, headers: list, after: int
+        self, connection: HttpConnection, stream_id: str, headers: list, after: int
     ) -> str:
         """Send a stream that ends with its connection; return its outcome.
 
@@ -302,12 +316,13 @@
         lines += [b"%b: %b" % header for header in headers]
         await connection.send_bytes(b"\r\n".join([*lines, b"", b""]))
         line_end = self.random.choice([b"\n", b"\r\n", b"\r"])
-        last = stream_event_count(request_id)
+        last = stream_event_count(stream_id)
         cut_at = self.random.randint(after, last) if self.fault_occurs("cut") else None
         for number in range(after + 1, last + 1):
             if connection.closed:
                 return "dropped"
-            event = stream_event(request_id, number).replace(b"\n", line_end)
+            event = stream_event(stream_id, number, self.version)
+            event = event.replace(b"\n", line_end)
             if number == cut_at:
                 await connection.send_bytes(event[: len(event) // 2])
                 return "cut"
@@ -326,10 +341,15 @@
 
 
 async def main(
-    instance: str, pool: str, listen: str, advertised_address: str, store_address: str
+    instance: str,
+    version: str,
+    pool: str,
+    listen: str,
+    advertised_address: str,
+    store_address: str,
 ) -> None:
     """Serve until drained or until standard input ends."""
-    server = Server(instance, pool, advertised_address, store_address)
+    server = Server(instance, version, pool, advertised_address, store_address)
     host, _, port = listen.rpartition(":")
     drained = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/packages/medlarridge-direct/tests/soak/test_soak.py
+++ b/packages/medlarridge-direct/tests/soak/test_soak.py
@@ -1,10 +1,11 @@
 import subprocess
 import sys
+from random import Random
 
 import pytest
 
 from .checks import Observations, check_all
-from .clients import REQUEST_KINDS, SentRequest
+from .clients import REQUEST_KINDS, Client, SentRequest
 from .plan import make_plan
 from .processes import ROOT, child_environment
 from .run import FAULT_ACTIONS
@@ -86,6 +87,32 @@
     return sorted({line.split(":")[0] for line in check_all(observations)})
 
 
+class TestStreamClient:
+    @pytest.mark.parametrize(
+        ("body", "violations"),
+        [
+            (b"id: 1\ndata: c-1-1@v1\n\nid: 2\ndata: c-1-2@v1\n\n", 0),
+            (b"id: 1\ndata: c-1-1@v1\n\nid: 2\ndata: c-1-2@v2\n\n", 1),
+            (b"id: 1\ndata: c-1-1@v1\n\nid: 3\ndata: c-1-3@v1\n\n", 1),
+        ],
+    )
+    def test_events_of_two_software_versions_are_found(self, body, violations):
+        """Guards against a client that takes any event for one of its stream."""
+        request = make_request(TALK)
+        Client("c", Random(1), []).check_partial_body(request, body)
+        assert len(request.violations) == violations
+
+    def test_the_rest_of_a_stream_must_have_the_version_of_its_start(self):
+        """Guards against a resumption that is checked only by itself."""
+        first = make_request(TALK, version="v1", complete=False, last_event=1)
+        assert first.can_be_taken_up
+        rest = make_request(TALK, request_id="c-2", first=first, after=1, version="v1")
+        Client("c", Random(1), []).check_partial_body(
+            rest, b"id: 2\ndata: c-1-2@v2\n\n"
+        )
+        assert rest.violations
+
+
 class TestChecks:
     """Guards against checks that miss a violation or report a correct run."""
 
