--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -248,7 +248,7 @@
             loop.create_task(self.supervise(job))
             for job in (
                 self.peer_reports.run,
-                self.store_sync.sync_routers,
+                self.store_sync.registry.run,
                 self.store_sync.sync_servers,
                 self.store_sync.watch_servers,
                 self.store_sync.sync_configuration,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
@@ -7,10 +7,11 @@
 from .coordination.hashing import hash_to_fraction
 from .coordination.prompt_cache_index import affinity_key
 from .logs import REQUEST_FAILED, REQUEST_REJECTED, Log, RequestLog
+from .protocol.accepted_request import AcceptedRequest
 from .protocol.configuration import Account, Configuration, Pool, Route
 from .protocol.requests import ClientRequest, RequestMetadata
 from .refusals import send_refusal
-from .request_run import AcceptedRequest, RequestRun
+from .request_run import RequestRun
 from .transport.client_connection import ClientDisconnected, ResponseWriter
 
 SERVICE_UNAVAILABLE = 503
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -1,6 +1,6 @@
 """Forwarding of one client request: attempts, retries and delivery of the response."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from enum import StrEnum
 
 from medlarridge._internal.clock import MS_PER_S
@@ -11,14 +11,9 @@
 from .coordination.server_health import AttemptResult
 from .logs import RequestLog
 from .prompt_reuse import PromptReuse
-from .protocol.configuration import Account as ClientAccount
-from .protocol.configuration import Pool, Route, RouteKind, effective_priority
-from .protocol.requests import (
-    ClientRequest,
-    ForwardingMetadata,
-    RequestMetadata,
-    ResponseHead,
-)
+from .protocol.accepted_request import AcceptedRequest
+from .protocol.configuration import RouteKind, effective_priority
+from .protocol.requests import ForwardingMetadata, ResponseHead
 from .protocol.servers import BackendServer
 from .refusals import send_refusal
 from .server_selection import rank_servers
@@ -67,18 +62,6 @@
     CRASHES_SERVERS = "crashes-servers"
 
 
-@dataclass(frozen=True, slots=True)
-class AcceptedRequest:
-    """A request that the configuration allows, with its route, pool and account."""
-
-    request: ClientRequest
-    metadata: RequestMetadata
-    route: Route
-    pool: Pool
-    account: ClientAccount | None
-    fingerprint: int
-
-
 class RequestRun:
     """Forwards a request to servers until one of them delivers a response.
 
@@ -121,9 +104,12 @@
 
     async def run(self) -> None:
         """Try servers until the response is delivered or the request is given up."""
-        if self.continuity.takes_up_stream and not await self.find_stream():
-            self.give_up(GiveUpReason.UNKNOWN_STREAM)
-            return
+        if self.continuity.takes_up_stream:
+            pool = await self.continuity.find_pool(self.accepted.pool)
+            if pool is None:
+                self.give_up(GiveUpReason.UNKNOWN_STREAM)
+                return
+            self.accepted = replace(self.accepted, pool=pool)
         self.components.retry_budget.count_request(self.accepted.pool.name)
         while True:
             reason = self.reason_to_give_up()
@@ -145,21 +131,6 @@
             if await self.attempt(server):
                 return
 
-    async def find_stream(self) -> bool:
-        """Find where the stream began that the client takes up, and use that pool.
-
-        Return whether the route still leads there.
-        """
-        if not await self.continuity.find_origin(self.accepted.pool):
-            return False
-        configuration = self.components.configuration.current
-        assert self.continuity.origin is not None
-        assert configuration is not None
-        pool_name = self.continuity.origin.pool
-        pool = configuration.find_pool(pool_name)
-        self.accepted = replace(self.accepted, pool=pool)
-        return any(share.pool == pool_name for share in self.route.pools)
-
     def reason_without_server(self) -> GiveUpReason:
         """Return why no server is left to try."""
         if self.continuity.origin is not None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 from collections.abc import Awaitable, Callable
 
 from medlarridge._internal.clock import MS_PER_S
@@ -29,6 +28,7 @@
     PlatformStore,
 )
 from .protocol.servers import BackendServer, ServerListing
+from .router_registry import RouterRegistry
 from .state.peer_table import PeerTable
 from .state.server_table import EraChange, ServerChange, ServerChangeKind
 
@@ -66,11 +66,6 @@
 """While no router reaches the store, a router waits one more delay for each rank up to
 this one."""
 
-MIN_REGISTRY_INTERVAL_MS = 1_000
-MAX_REGISTRY_INTERVAL_MS = 20_000
-"""First and longest interval at which the list of routers is read; it doubles. New
-routers are also discovered by their reports."""
-
 
 class StoreSync:
     """Reads servers and configuration and applies changes to the other components."""
@@ -90,10 +85,11 @@
         self.peers = peers
         self.peer_snapshots = peer_snapshots
         self.log = log
-        self.node = node
         self.on_departures = on_departures
         self.malformed = 0
-        self.registration_lost = asyncio.Event()
+        self.registry = RouterRegistry(
+            components, store, peers, node, self.set_store_reachable
+        )
         components.servers.on_era_change = self.handle_era_change
 
     def handle_era_change(self, change: EraChange) -> None:
@@ -107,7 +103,7 @@
             missing=change.missing,
             ignored=change.ignored,
         )
-        self.registration_lost.set()
+        self.registry.lost.set()
 
     def count_call(self, call: str) -> None:
         """Count a call to the store in the metrics."""
@@ -346,53 +342,6 @@
                 accounts=len(holder.current.accounts),
             )
 
-    # Routers
-
-    async def sync_routers(self) -> None:
-        """Register this router and read the addresses of the others.
-
-        A list of routers may be old, so after a new era of the store the router is
-        registered without looking.
-        """
-        delay_ms = MIN_REGISTRY_INTERVAL_MS
-        while True:
-            lost = self.registration_lost.is_set()
-            self.registration_lost.clear()
-            try:
-                await self.register_if_missing(lost)
-            except TransportError as error:
-                self.set_store_reachable(False, error)
-                if lost:
-                    self.registration_lost.set()
-                    await asyncio.sleep(MIN_REGISTRY_INTERVAL_MS / MS_PER_S)
-                    continue
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(delay_ms / MS_PER_S):
-                    await self.registration_lost.wait()
-            delay_ms = min(2 * delay_ms, MAX_REGISTRY_INTERVAL_MS)
-
-    async def register_if_missing(self, lost: bool) -> None:
-        """Read the addresses of the routers; register this one if it is missing."""
-        if lost:
-            self.components.metrics.store_rewrites["router"] += 1
-            await self.register()
-        requested_ms = self.components.clock.now_ms()
-        self.count_call("list-routers")
-        routers = await self.store.list_routers()
-        self.peers.register(routers.values())
-        fleet_size = self.components.fleet_size
-        fleet_size.record_own_reading(len(routers | {self.node: None}), requested_ms)
-        if routers.get(self.node) == self.peers.own_address:
-            fleet_size.record_joined()
-        elif not lost:
-            await self.register()
-
-    async def register(self) -> None:
-        """Write the address of this router to the store."""
-        self.count_call("register-router")
-        await self.store.register_router(self.node, *self.peers.own_address)
-        self.components.fleet_size.record_joined()
-
     def set_store_reachable(
         self, reachable: bool, error: TransportError | None = None
     ) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
@@ -54,10 +54,11 @@
         """Return the only version that may go on, or None if any may begin."""
         return None if self.origin is None else self.origin.software_version
 
-    async def find_origin(self, pool: Pool) -> bool:
-        """Find where the stream began; return whether that is known.
+    async def find_pool(self, pool: Pool) -> Pool | None:
+        """Find where the stream began; return the pool in which it goes on.
 
         Without a record, the stream began at the only version that ``pool`` had since.
+        Return None if that is not known, or if the route leads elsewhere now.
         """
         self.origin = await self.look_up()
         source = "record"
@@ -65,7 +66,13 @@
             self.origin = self.infer_from_only_version(pool)
             source = "only-version" if self.origin is not None else "unknown"
         self.log.stream_taken_up(self.metadata, self.origin, source)
-        return self.origin is not None
+        configuration = self.components.configuration.current
+        if self.origin is None or configuration is None:
+            return None
+        pool_name = self.origin.pool
+        if all(share.pool != pool_name for share in self.route.pools):
+            return None
+        return configuration.find_pool(pool_name)
 
     async def look_up(self) -> StreamOrigin | None:
         """Return the recorded origin; wait a moment for the report that names it."""
--- a/packages/medlarridge-direct/tests/adapter/store_model.py
+++ b/packages/medlarridge-direct/tests/adapter/store_model.py
@@ -370,12 +370,12 @@
             self.fleet.datagrams.append((self, address, data))
 
     async def register_when_lost(self) -> None:
-        if self.sync.registration_lost.is_set():
-            self.sync.registration_lost.clear()
+        if self.sync.registry.lost.is_set():
+            self.sync.registry.lost.clear()
             try:
-                await self.sync.register_if_missing(lost=True)
+                await self.sync.registry.register_if_missing(lost=True)
             except TransportError:
-                self.sync.registration_lost.set()
+                self.sync.registry.lost.set()
                 raise
 
     async def run_job(self, job: Job) -> None:
--- a/packages/medlarridge-direct/tests/direct/router_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/router_fleet.py
@@ -6,13 +6,13 @@
 from medlarridge_direct._internal.logs import Log
 from medlarridge_direct._internal.peer_reports import REPORT_INTERVAL_MS, PeerReports
 from medlarridge_direct._internal.peer_snapshots import PeerSnapshots
-from medlarridge_direct._internal.settings import RetrySettings
-from medlarridge_direct._internal.state.peer_table import PeerTable
-from medlarridge_direct._internal.store_sync import (
+from medlarridge_direct._internal.router_registry import (
     MAX_REGISTRY_INTERVAL_MS,
     MIN_REGISTRY_INTERVAL_MS,
-    StoreSync,
 )
+from medlarridge_direct._internal.settings import RetrySettings
+from medlarridge_direct._internal.state.peer_table import PeerTable
+from medlarridge_direct._internal.store_sync import StoreSync
 
 from .scripted import make_starting_components
 
@@ -92,7 +92,7 @@
             2 * self.registry_interval_ms, MAX_REGISTRY_INTERVAL_MS
         )
         try:
-            await self.sync.register_if_missing(lost=False)
+            await self.sync.registry.register_if_missing(lost=False)
         except TransportError:
             self.peers.store_reachable = False
 
