Extend the table of endings and the store's model by software versions

Each broken ending of a stream that may resume is executed beside a server of another version: the stream goes on at its own, or is cut. In the model servers have versions, and no router may overlook one that served while a stream could still be taken up.

--- a/packages/medlarridge-direct/tests/adapter/store_model.py
+++ b/packages/medlarridge-direct/tests/adapter/store_model.py
@@ -44,6 +44,7 @@
 
     name: str
     port: int
+    version: str = "v1"
     state: str = "ready"
     sequence: int = 1
 
@@ -53,7 +54,7 @@
             "address": f"10.0.0.9:{self.port}",
             "zone": "anfa",
             "slots": 64,
-            "version": "v1",
+            "version": self.version,
             "state": self.state,
             "born": 1_000,
             "sequence": self.sequence,
@@ -158,7 +159,8 @@
 
     def add_server(self) -> None:
         number = len(self.real_servers)
-        server = Server(f"i-{number}", 8_000 + number)
+        # Versions change every third server, so several serve side by side.
+        server = Server(f"i-{number}", 8_000 + number, f"v{1 + number // 3}")
         self.real_servers[server.name] = server
         self.write_server(server)
 
--- a/packages/medlarridge-direct/tests/adapter/test_store_eras.py
+++ b/packages/medlarridge-direct/tests/adapter/test_store_eras.py
@@ -1,12 +1,14 @@
 """Routers while the store comes back from older copies."""
 
 import os
+from bisect import bisect_left
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from medlarridge_direct._internal.protocol.revision import Revision
+from medlarridge_direct._internal.stream_continuity import MAX_LIST_AGE_MS
 
 from .store_model import EXPIRY_MS, STEP_MS, Fleet
 
@@ -16,6 +18,8 @@
 """Time within which a router must stop using a server that left."""
 STABILITY_WINDOW_MS = 3_000
 """Calm time after which the platform holds a router to its bounds."""
+VERSION_SPAN_MS = 5_000
+"""Time for which a stream may be taken up, shortened for the model."""
 CONVERGENCE_MS = 2 * EXPIRY_MS
 EXAMPLES = int(os.environ.get("MEDLARRIDGE_ERA_EXAMPLES", "60"))
 
@@ -42,6 +46,7 @@
         self.used = [set() for _ in fleet.routers]
         self.given_up = [set() for _ in fleet.routers]
         self.disturbed_ms = [0] * len(fleet.routers)
+        self.served_ms = {}
 
     async def apply(self, operation):
         name, *arguments = operation
@@ -103,9 +108,11 @@
         return ready[number % len(ready)] if len(ready) > 1 else None
 
     def check(self):
+        self.record_served_versions()
         for number, router in enumerate(self.fleet.routers):
             self.check_version(number, router)
             self.check_departures(number, router)
+            self.check_only_versions(router)
         self.check_revisions()
 
     def check_version(self, number, router):
@@ -130,6 +137,28 @@
                 late = self.now_ms - left_ms > REMOVAL_BOUND_MS
                 assert not (late and name in ready), "a server that left is still used"
 
+    def record_served_versions(self):
+        """Record the versions at which some router may begin a stream now."""
+        for router in self.fleet.routers:
+            for instance in router.ready():
+                server = self.fleet.store.real_servers[instance]
+                times_ms = self.served_ms.setdefault(server.version, [])
+                if server.state != "gone" and times_ms[-1:] != [self.now_ms]:
+                    times_ms.append(self.now_ms)
+
+    def check_only_versions(self, router):
+        """No router overlooks a version that served; the newest list may be a bit old."""
+        servers = router.components.servers
+        age_ms = servers.age_ms()
+        only = servers.versions.only_version("models", VERSION_SPAN_MS)
+        if only is None or age_ms is None or age_ms > MAX_LIST_AGE_MS:
+            return
+        earliest_ms, latest_ms = self.now_ms - VERSION_SPAN_MS, self.now_ms - age_ms
+        for version, times_ms in self.served_ms.items():
+            first = bisect_left(times_ms, earliest_ms)
+            served = first < len(times_ms) and times_ms[first] < latest_ms - STEP_MS
+            assert version == only or not served, "a version that served is overlooked"
+
     def check_revisions(self):
         """Two routers with the same revision have the same list."""
         listings = {}
@@ -145,6 +174,9 @@
         real = {n for n, each in store.real_servers.items() if each.state == "ready"}
         for router in self.fleet.routers:
             assert router.ready() == real
+            for server in router.components.servers.ready("models"):
+                real_server = store.real_servers[server.instance]
+                assert server.software_version == real_server.version
             assert router.components.configuration.version == store.real_version
             assert router.components.servers.revision.era == store.era
             assert router.components.configuration.age_ms() <= REMOVAL_BOUND_MS
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -101,15 +101,23 @@
     headers=(),
     components=None,
     response=None,
+    versions=None,
     **changes,
 ):
-    """Handle one request with scripted servers; return response and components."""
+    """Handle one request with scripted servers; return response and components.
+
+    ``versions`` are the servers' software versions by instance, all "v1" by default.
+    """
+    versions = versions or dict.fromkeys(scripts, "v1")
     components = components or make_components(scripts)
     if components.configuration.current is None:
         components.configuration.apply_if_newer(
             configuration(route(kind, **changes)), 1_000_000
         )
-    pool = [server(name, port=8000 + i) for i, name in enumerate(sorted(scripts))]
+    pool = [
+        server(name, port=8000 + number, software_version=versions[name])
+        for number, name in enumerate(sorted(scripts))
+    ]
     components.servers.update(listing(*pool), 1_000_000)
     request = ClientRequest(
         method=b"POST",
--- a/packages/medlarridge-direct/tests/direct/test_response_endings.py
+++ b/packages/medlarridge-direct/tests/direct/test_response_endings.py
@@ -128,16 +128,23 @@
 ]
 
 
-async def play(framing, content, ending, split=None, **changes):
-    """Send a request whose first server answers as scripted; return the outcome."""
+async def play(framing, content, ending, split=None, third=False, **changes):
+    """Send a request whose first server answers as scripted; return the outcome.
+
+    There is another server, or two with ``third``, the last one with more to do.
+    """
     script = script_of(framing, content, ending)
     if split is not None:
         script = [piece for step in script for piece in split_step(step, split)]
     rest = b"".join(chunk(event) for event in EVENTS) + b"0\r\n\r\n"
     second = (HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + rest,)
     scripts = {"a": [script], "b": [second]}
+    if third:
+        scripts["c"] = [second]
     components = make_components(scripts)
     components.load.begin_attempt("b")
+    for _ in range(2 * third):
+        components.load.begin_attempt("c")
     if ending is Ending.CLOSE_WITH_SERVER:
         components.connections.refusing.add("a")
     response, _ = await handle_request(
@@ -224,6 +231,44 @@
         assert components.metrics.responses[Framing.CLOSE, "complete"] == 1
 
 
+BROKEN_RESUMABLE = [
+    case
+    for case in CASES
+    if case[1] is Content.RESUMABLE and expected(*case) is Result.BROKEN
+]
+
+
+class TestEndingsBesideAnotherVersion:
+    @pytest.mark.parametrize("split", [None, 1, 3])
+    @pytest.mark.parametrize(("framing", "content", "ending"), BROKEN_RESUMABLE)
+    async def test_the_stream_goes_on_at_its_version(
+        self, framing, content, ending, split
+    ):
+        """Guards against a break after which another version writes the rest."""
+        versions = {"a": "v1", "b": "v2", "c": "v1"}
+        response, components = await play(
+            framing, content, ending, split, third=True, versions=versions
+        )
+        assert [instance for instance, _ in components.connections.sent] == ["a", "c"]
+        assert response.ended
+        assert bytes(response.body) == b"".join(EVENTS)
+
+    @pytest.mark.parametrize("split", [None, 1, 3])
+    @pytest.mark.parametrize(("framing", "content", "ending"), BROKEN_RESUMABLE)
+    async def test_the_response_is_cut_where_only_another_version_is_left(
+        self, framing, content, ending, split
+    ):
+        """Guards against an end that looks whole after a break that nobody continues."""
+        versions = {"a": "v1", "b": "v2"}
+        response, components = await play(
+            framing, content, ending, split, versions=versions
+        )
+        assert [instance for instance, _ in components.connections.sent] == ["a"]
+        assert response.started
+        assert not response.ended
+        assert b"".join(EVENTS).startswith(bytes(response.body))
+
+
 def empty_response(framing):
     head = HEAD
     if framing is Framing.LENGTH:
