Send no body to HEAD and no length with 204 and 304

A refusal of a HEAD request had a body, which its client read as the start of the next response; a response to HEAD stated a length of 0 in place of the server's, and one with 204 or 304 a length or chunks.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -338,7 +338,12 @@
         return True
 
     def begin_response(self, head: ResponseHead, content_length: int | None) -> None:
-        """Send the response head unless it was sent already."""
+        """Send the response head unless it was sent already.
+
+        A response to HEAD states the length that the body would have.
+        """
+        if self.accepted.request.method == b"HEAD":
+            content_length = head.content_length
         if not self.response.started:
             headers = self.components.dialect.client_headers(head)
             self.response.begin(head.status, head.reason, headers, content_length)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -31,6 +31,10 @@
 }
 
 
+BODILESS_STATUSES = frozenset({204, 304})
+"""Statuses of responses that have neither a body nor a length."""
+
+
 class ClientDisconnected(Exception):
     """Raised when the client has closed its connection."""
 
@@ -47,6 +51,7 @@
         self.started = False
         self.ended = False
         self.chunked = False
+        self.has_body = request.method != b"HEAD"
         self.keep_alive = request.keep_alive
 
     def begin(
@@ -55,17 +60,21 @@
         """Write the head.
 
         Without a length, the body has chunks, or ends with the connection if the client
-        does not accept them. A response that is cut is reset in either case.
+        does not accept them. A response that is cut is reset in either case. Responses
+        to HEAD have no body, and those with some statuses have no length either.
         """
         self.started = True
+        if status in BODILESS_STATUSES:
+            self.has_body = False
+            content_length = None
         if self.connection.is_stopping():
             self.keep_alive = False
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, reason), headers]
         if content_length is not None:
             lines.append(b"Content-Length: %d\r\n" % content_length)
-        elif not self.request.accepts_chunks:
+        elif self.has_body and not self.request.accepts_chunks:
             self.keep_alive = False
-        else:
+        elif self.has_body:
             self.chunked = True
             lines.append(b"Transfer-Encoding: chunked\r\n")
         if not self.keep_alive:
@@ -75,7 +84,7 @@
 
     async def write(self, data: bytes) -> None:
         """Write the next part of the body; wait while the client reads slowly."""
-        if not data:
+        if not data or not self.has_body:
             return
         if self.chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
@@ -91,7 +100,8 @@
     def send(self, status: int, headers: bytes, body: bytes) -> None:
         """Write a complete response."""
         self.begin(status, REASON_PHRASES.get(status, b"Error"), headers, len(body))
-        self.connection.write(body)
+        if self.has_body:
+            self.connection.write(body)
         self.ended = True
 
 
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -102,6 +102,7 @@
     components=None,
     response=None,
     versions=None,
+    method=b"POST",
     **changes,
 ):
     """Handle one request with scripted servers; return response and components.
@@ -120,7 +121,7 @@
     ]
     components.servers.update(listing(*pool), 1_000_000)
     request = ClientRequest(
-        method=b"POST",
+        method=method,
         target=b"/plan/1",
         headers=[
             (b"id", b"1"),
--- a/packages/medlarridge-direct/tests/direct/test_response_endings.py
+++ b/packages/medlarridge-direct/tests/direct/test_response_endings.py
@@ -322,6 +322,18 @@
         assert (response.status, response.ended) == (204, True)
         assert components.metrics.responses[Framing.NO_BODY, "complete"] == 1
 
+    @pytest.mark.parametrize("kind", [RouteKind.IDEMPOTENT, RouteKind.STREAM])
+    async def test_a_response_to_head_keeps_its_length(self, kind):
+        """Guards against a length of 0 in place of that of the body."""
+        head = HEAD + b"Content-Length: 1234\r\n\r\n"
+        components = make_components({"a": [(head,)]})
+        response, _ = await handle_request(
+            {"a": 0}, kind, components=components, method=b"HEAD", resumable=True
+        )
+        assert (response.status, response.ended) == (200, True)
+        assert response.content_length == 1234
+        assert components.metrics.responses[Framing.NO_BODY, "complete"] == 1
+
 
 class TestSilence:
     @pytest.mark.parametrize(
--- a/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
@@ -15,6 +15,56 @@
 LIMITS = ClientLimits(max_header_bytes=400, max_body_bytes=100)
 
 
+class BodilessClient:
+    """A client connection whose handler writes a response as the router does."""
+
+    def __init__(self, status, content_length, body=b""):
+        self.status, self.content_length, self.body = status, content_length, body
+        self.connection = ClientConnection(
+            self.handle, lambda: LIMITS, ManualClock(1_000_000), set(), lambda: False
+        )
+        self.transport = FakeTransport(self.connection)
+        self.connection.connection_made(self.transport)
+
+    async def handle(self, request, response):
+        response.begin(self.status, b"Reason", b"", self.content_length)
+        await response.write(self.body)
+        response.end()
+
+    async def send(self, request):
+        self.connection.data_received(request)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        return bytes(self.transport.written)
+
+
+class TestResponsesWithoutABody:
+    @pytest.mark.parametrize("content_length", [None, 7])
+    async def test_a_response_to_head_has_no_body(self, content_length):
+        """Guards against bytes that a client reads as its next response."""
+        client = BodilessClient(200, content_length, b"refused")
+        written = await client.send(b"HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert written.endswith(b"\r\n\r\n")
+        assert (b"Content-Length: 7" in written) == (content_length == 7)
+        assert b"Transfer-Encoding" not in written
+
+    async def test_a_refusal_of_head_has_no_body(self):
+        """Guards against the body of an error after the head that ends the response."""
+        client = Client()
+        await client.send(GET.replace(b"GET", b"HEAD") + GET)
+        assert client.status_lines == [b"200", b"200"]
+        assert bytes(client.transport.written).count(b"ok") == 1
+
+    @pytest.mark.parametrize("status", [204, 304])
+    async def test_a_status_without_a_body_has_no_framing(self, status):
+        """Guards against a length or chunks that such a response must not have."""
+        client = BodilessClient(status, None)
+        written = await client.send(GET)
+        assert written.endswith(b"\r\n\r\n")
+        assert b"Content-Length" not in written
+        assert b"Transfer-Encoding" not in written
+
+
 class Client:
     """A client connection that records the requests passed to its handler."""
 
