--- a/packages/medlarridge-direct/tests/soak/checks.py
+++ b/packages/medlarridge-direct/tests/soak/checks.py
@@ -40,9 +40,7 @@
 
     def summary(self) -> str:
         """Return one line with the numbers of requests and runs."""
-        served = sum(
-            request.status == 200 and request.complete for request in self.requests
-        )
+        served = sum(request.served for request in self.requests)
         after_faults = len(self.after_faults())
         taken_up = [request for request in self.requests if request.first is not None]
         went_on = sum(request.status == 200 for request in taken_up)
@@ -199,7 +197,7 @@
             violations.append(
                 f"LOST: {request.request_id} to router {request.router}: {request.lost}"
             )
-    served = sum(request.status == 200 and request.complete for request in after_faults)
+    served = sum(request.served for request in after_faults)
     owed = [
         request
         for request in after_faults
--- a/packages/medlarridge-direct/tests/soak/clients.py
+++ b/packages/medlarridge-direct/tests/soak/clients.py
@@ -10,7 +10,7 @@
 
 from medlarridge_platform import names
 
-from .http_connection import ConnectionClosed, HttpConnection
+from .http_connection import NO_CONTENT, ConnectionClosed, HttpConnection
 from .processes import monotonic_s
 from .server_process import response_body, stream_event, stream_event_count
 
@@ -30,12 +30,27 @@
     """Whether the response is a stream of server-sent events."""
     repeatable: bool
     """Whether the request may be executed more than once."""
+    success_status: int = 200
+
+    @property
+    def has_body(self) -> bool:
+        """Whether a successful response has a body."""
+        return self.method != b"HEAD" and self.success_status != NO_CONTENT
 
 
 REQUEST_KINDS = (
     RequestKind("/talk/", b"POST", 6_000, stream=True, repeatable=True),
     RequestKind("/story/", b"POST", 6_000, stream=True, repeatable=False),
     RequestKind("/order/", b"POST", 1_500, stream=False, repeatable=False),
+    RequestKind("/peek/", b"HEAD", 1_500, stream=False, repeatable=True),
+    RequestKind(
+        "/note/",
+        b"POST",
+        1_500,
+        stream=False,
+        repeatable=False,
+        success_status=NO_CONTENT,
+    ),
     RequestKind("/read/", b"GET", 1_500, stream=False, repeatable=True),
 )
 
@@ -80,6 +95,11 @@
         """ID of the request that began the stream."""
         return self.request_id if self.first is None else self.first.request_id
 
+    @property
+    def served(self) -> bool:
+        """Whether the client got a complete successful response."""
+        return self.status == self.kind.success_status and self.complete
+
     @property
     def can_be_taken_up(self) -> bool:
         """Whether the client may ask for the rest of a stream that broke off."""
@@ -286,6 +306,8 @@
 
     def expected_body(self, request: SentRequest) -> bytes:
         """Return the expected body of a successful response."""
+        if not request.kind.has_body:
+            return b""
         if not request.kind.stream:
             return response_body(request.request_id)
         events = range(request.after + 1, stream_event_count(request.stream_id) + 1)
@@ -311,8 +333,14 @@
         """Check a complete response."""
         if headers.get(names.REQUEST_ID, b"").decode() not in ("", request.request_id):
             request.violations.append("MIXED: response to another request")
-        if request.status != 200:
+        if request.status != request.kind.success_status:
             return
+        length = len(response_body(request.request_id))
+        if (
+            request.method == b"HEAD"
+            and headers.get(names.CONTENT_LENGTH) != b"%d" % length
+        ):
+            request.violations.append("MIXED: response to HEAD with another length")
         if names.SIGNATURE not in headers:
             request.violations.append(
                 "MIXED: successful response without a server's signature"
--- a/packages/medlarridge-direct/tests/soak/fleet.py
+++ b/packages/medlarridge-direct/tests/soak/fleet.py
@@ -75,6 +75,8 @@
     route("/story/", "talk", "streaming", sticky=True, maxAttempts=2),
     route("/order/", "desk", "unsafe", maxAttempts=2),
     route("/read/", "desk", "safe", maxAttempts=2),
+    route("/peek/", "desk", "safe", maxAttempts=2),
+    route("/note/", "desk", "unsafe", maxAttempts=2),
     route("/extra/", "desk", "safe", maxAttempts=2),
 ]
 
--- a/packages/medlarridge-direct/tests/soak/http_connection.py
+++ b/packages/medlarridge-direct/tests/soak/http_connection.py
@@ -10,6 +10,7 @@
 import h11
 
 READ_BYTES = 65_536
+NO_CONTENT = 204
 
 
 class ConnectionClosed(Exception):
@@ -39,6 +40,7 @@
         self.writer = writer
         self.protocol = h11.Connection(role)
         self.eof_received = False
+        self.is_head_request = False
 
     @property
     def closed(self) -> bool:
@@ -90,10 +92,12 @@
         )
 
     async def respond(self, status: int, headers: list, body: bytes) -> None:
-        """Send a complete response."""
-        headers = [*headers, (b"Content-Length", b"%d" % len(body))]
+        """Send a complete response, without its body to a HEAD request."""
+        if status != NO_CONTENT:
+            headers = [*headers, (b"Content-Length", b"%d" % len(body))]
         head = h11.Response(status_code=status, headers=headers)
-        await self.send(head, h11.Data(body), h11.EndOfMessage())
+        sent_body = b"" if self.is_head_request else body
+        await self.send(head, h11.Data(sent_body), h11.EndOfMessage())
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -109,6 +113,7 @@
     connection = HttpConnection(reader, writer, h11.SERVER)
     try:
         while (request := await connection.read_request()) is not None:
+            connection.is_head_request = request.method == b"HEAD"
             await handle(connection, request)
             if connection.protocol.our_state is not h11.DONE:
                 return
--- a/packages/medlarridge-direct/tests/soak/server_process.py
+++ b/packages/medlarridge-direct/tests/soak/server_process.py
@@ -19,6 +19,7 @@
 from medlarridge_platform import names
 
 from .http_connection import (
+    NO_CONTENT,
     ConnectionClosed,
     HttpConnection,
     ReceivedRequest,
@@ -41,6 +42,8 @@
 """Share of the streams with an interim response before the final one."""
 ENDED_CUT_SHARE = 0.3
 """Share of the cut streams whose last chunk follows part of an event."""
+NO_CONTENT_PREFIX = b"/note/"
+"""Prefix of the requests whose responses have status 204."""
 MIN_EVENT_S = 0.01
 MAX_EVENT_S = 0.03
 """Bounds of the interval between the events of a stream."""
@@ -233,9 +236,11 @@
             await connection.send_bytes(b"\x00\x01 these bytes are no answer\r\n\r\n")
             connection.abort()
             return "junk"
-        if self.pool == "desk":
+        if self.pool == "desk" and request.target.startswith(NO_CONTENT_PREFIX):
+            await connection.respond(NO_CONTENT, headers, b"")
+        elif self.pool == "desk":
             body = response_body(request_id)
-            if self.fault_occurs("cut"):
+            if not connection.is_head_request and self.fault_occurs("cut"):
                 head = h11.Response(
                     status_code=200,
                     headers=[*headers, (b"Content-Length", b"%d" % len(body))],
--- a/packages/medlarridge-direct/tests/soak/test_soak.py
+++ b/packages/medlarridge-direct/tests/soak/test_soak.py
@@ -11,7 +11,7 @@
 from .run import FAULT_ACTIONS
 
 LENGTH_S = 4.0
-TALK, STORY, ORDER, READ = REQUEST_KINDS
+TALK, STORY, ORDER, PEEK, NOTE, READ = REQUEST_KINDS
 
 
 class TestShortRun:
@@ -183,6 +183,16 @@
         assert violated_rules(*requests, records=records) == ["BUDGET"]
         assert violated_rules(*requests, records=records[:30]) == []
 
+    def test_a_response_to_head_with_another_length_is_found(self):
+        request = make_request(PEEK)
+        headers = {b"x-medlarridge-response-signature": b"s", b"content-length": b"0"}
+        Client("c", Random(1), []).check_response(request, headers, b"")
+        assert request.violations == ["MIXED: response to HEAD with another length"]
+
+    def test_only_a_note_without_content_is_served(self):
+        assert make_request(NOTE, status=204).served
+        assert not make_request(NOTE, status=200).served
+
     def test_a_request_lost_after_the_faults_is_found(self):
         served = [make_request(READ, request_id=f"c-{n}") for n in range(40)]
         lost = make_request(
