Bound what a router keeps of streams

A router without peers kept the announcements of all streams for good, and each router looked through all known streams ten times a second. Found by reading the change; the test of the lone router failed before.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_origins.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_origins.py
@@ -16,6 +16,9 @@
 RESUME_MARGIN_MS = 5_000
 """Time after the deadline of a stream's request for which it is remembered."""
 
+EXPIRY_INTERVAL_MS = 1_000
+"""Interval at which all streams are looked through."""
+
 
 @dataclass(frozen=True, slots=True)
 class StreamOrigin:
@@ -39,6 +42,7 @@
 
     clock: Clock
     streams: OrderedDict[int, KnownStream] = field(default_factory=OrderedDict)
+    next_expiry_ms: int = 0
 
     def record(self, stream: int, origin: StreamOrigin, left_ms: int) -> None:
         """Record where a stream began; what is known of it never changes."""
@@ -59,8 +63,11 @@
         return 0 if known is None else max(known.expires_ms - self.clock.now_ms(), 0)
 
     def expire(self) -> None:
-        """Forget the streams that no client can take up any more."""
+        """Forget the streams that no client can take up any more, now and then."""
         now_ms = self.clock.now_ms()
+        if now_ms < self.next_expiry_ms:
+            return
+        self.next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS
         for stream, known in list(self.streams.items()):
             if known.expires_ms <= now_ms:
                 del self.streams[stream]
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -155,6 +155,7 @@
         if not self.peers.peers:
             self.pending_parts.clear()
             self.pending_processed_parts.clear()
+            self.streams.clear()
             return
         self.sequence += 1
         cached_parts, self.pending_parts = take_first(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_announcements.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_announcements.py
@@ -38,6 +38,10 @@
         self.pending.append([])
         return self.group(streams)
 
+    def clear(self) -> None:
+        """Forget the new streams; a peer that comes is told all known ones."""
+        self.pending = deque([[]], maxlen=ANNOUNCEMENT_REPEATS)
+
     def begin_handover(self, address: Address) -> None:
         """Tell a peer all known streams in the next reports."""
         if self.origins.streams:
--- a/packages/medlarridge-direct/tests/direct/test_stream_versions.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_versions.py
@@ -6,7 +6,13 @@
 
 import pytest
 
+from medlarridge import ManualClock
 from medlarridge_direct._internal.coordination.hashing import hash_to_fraction
+from medlarridge_direct._internal.coordination.stream_origins import (
+    MAX_STREAMS,
+    StreamOrigin,
+    StreamOrigins,
+)
 from medlarridge_direct._internal.logs import Log
 from medlarridge_direct._internal.protocol.configuration import PoolShare, RouteKind
 from medlarridge_direct._internal.protocol.requests import ClientRequest
@@ -278,6 +284,57 @@
             assert asked == ["b"]
 
 
+class TestStreamOrigins:
+    def test_a_stream_is_forgotten_after_its_time(self):
+        """Guards against memory that grows with each stream."""
+        clock = ManualClock(1_000_000)
+        origins = StreamOrigins(clock)
+        origins.record(1, StreamOrigin("models", "v1"), 500)
+        origins.record(2, StreamOrigin("models", "v1"), 60_000)
+        for _ in range(20):
+            clock.advance(100)
+            origins.expire()
+        assert list(origins.streams) == [2]
+
+    def test_the_oldest_streams_are_forgotten_first(self):
+        """Guards against a flood of requests that uses up the memory."""
+        origins = StreamOrigins(ManualClock(1_000_000))
+        for stream in range(MAX_STREAMS + 10):
+            origins.record(stream, StreamOrigin("models", "v1"), 60_000)
+        assert len(origins.streams) == MAX_STREAMS
+        assert origins.find(0) is None
+
+    def test_what_is_known_never_changes(self):
+        """Guards against a late report that moves a stream to another version."""
+        origins = StreamOrigins(ManualClock(1_000_000))
+        origins.record(1, StreamOrigin("models", "v1"), 60_000)
+        origins.record(1, StreamOrigin("models", "v2"), 60_000)
+        assert origins.find(1) == StreamOrigin("models", "v1")
+
+
+class TestAnnouncements:
+    async def test_a_router_without_peers_keeps_no_announcements(self):
+        """Guards against a lone router whose memory grows with each stream."""
+        fleet = RouterFleet(1)
+        router = fleet.routers[0]
+        for stream_id in range(100):
+            router.components.on_stream_begun(stream_id)
+        router.report()
+        assert sum(map(len, router.reports.streams.pending)) == 0
+
+    async def test_a_first_peer_is_told_the_streams_from_before(self):
+        """Guards against streams that are forgotten because nobody was there to hear."""
+        fleet = RouterFleet(1)
+        router = fleet.routers[0]
+        origin = StreamOrigin("models", "v1")
+        router.components.stream_origins.record(7, origin, 15_000)
+        router.components.on_stream_begun(7)
+        await fleet.run(1_000, traffic=False)
+        fleet.start(1)
+        await fleet.run(2_000, traffic=False)
+        assert fleet.routers[1].components.stream_origins.find(7) == origin
+
+
 class TestPools:
     async def test_a_stream_goes_on_in_its_pool(self):
         """Guards against a traffic split that sends the rest to another pool."""
