Count kept servers among the versions that served

After a drill of the store a server that the list lacks is kept for 2.2 s and may begin streams, but its version counted as gone from the moment at which it was missing. A router could then take another version for the only one that a stream may have begun at. Found by the state machine in a run of 600 examples by hand; its operations stand as a test of their own, which failed before.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -130,7 +130,7 @@
             or (listing.revision == self.revision and read_ms <= self.confirmed_ms)
         ):
             return []
-        self.versions.record(listing.servers, self.age_ms())
+        age_before_ms = self.age_ms()
         before, in_new_era = self.revision, self.begin_era_if_new(listing.revision)
         after_outage = in_new_era or (
             self.store_seen_ms is not None
@@ -148,6 +148,7 @@
             *self.diff_missing(listed, read_ms, after_outage),
         ]
         self.by_instance = listed
+        self.versions.record(listed.values(), age_before_ms)
         self.leaving = {
             instance: departure
             for instance, departure in self.leaving.items()
--- a/packages/medlarridge-direct/tests/adapter/test_store_eras.py
+++ b/packages/medlarridge-direct/tests/adapter/test_store_eras.py
@@ -243,6 +243,27 @@
         await fleet.close()
 
 
+class TestVersions:
+    async def test_a_kept_server_counts_for_the_versions_that_served(self):
+        """Guards against a version that is overlooked because its server only lapsed."""
+        await play(
+            [
+                ("add",),
+                ("drill", 5_999, 386),
+                ("run", 71),
+                ("add",),
+                ("vanish", 0),
+                ("run", 70),
+                ("vanish", 10),
+                ("run", 71),
+                ("vanish", 20),
+                ("drain", 0),
+                ("configure",),
+                ("drill", 5_999, 386),
+            ]
+        )
+
+
 class TestTwentyFiveRouters:
     async def test_the_new_era_reaches_all_within_a_second(self):
         """Guards against routers that go on with the list from before the drill."""
