Let the soak send SIGHUP only to routers that handle it

The trace shows a start without MR6100 and a SIGHUP at 4.36 s; the action for starting routers already waited.

--- a/packages/medlarridge-direct/tests/soak/run.py
+++ b/packages/medlarridge-direct/tests/soak/run.py
@@ -12,7 +12,7 @@
 from .clients import REQUEST_KINDS, Client
 from .fleet import GRACE_S, INITIAL_ROUTES, POOLS, ROUTER_COUNT, Fleet, route
 from .plan import Fault, make_plan
-from .processes import monotonic_s
+from .processes import Process, monotonic_s
 from .proxy import Impairment
 
 CLIENT_COUNT = 12
@@ -294,7 +294,7 @@
     """Change the settings of a router and reload them with SIGHUP."""
     number = fault.target % ROUTER_COUNT
     run.fleet.write_settings(number, RETRY_SLACK - 1)
-    run.fleet.routers[number].signal(signal.SIGHUP)
+    await hang_up(run, run.fleet.routers[number])
 
 
 @fault_action("router-hang-up-at-start")
@@ -305,10 +305,15 @@
     process.signal(signal.SIGKILL)
     await process.wait(5)
     await run.fleet.start_router(number)
-    # SIGHUP ends the process until the program ignores or catches it.
-    await run.fleet.wait_until(
-        process.handles_sighup, f"{process.name} did not handle SIGHUP in time"
-    )
+    await hang_up(run, process)
+
+
+async def hang_up(run: SoakRun, process: Process) -> None:
+    """Send SIGHUP, which ends a process until its program ignores or catches it."""
+    if process.running:
+        await run.fleet.wait_until(
+            process.handles_sighup, f"{process.name} did not handle SIGHUP in time"
+        )
     process.signal(signal.SIGHUP)
 
 
