Do not rule out a version that came and went between two equal lists

A router that had been isolated got its list confirmed by an equal one, so the gap in which a server of another version was listed for 0.2 s went unnoticed.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/pool_versions.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/pool_versions.py
@@ -26,8 +26,7 @@
     def record(self, servers: Iterable[BackendServer], gap_ms: int | None) -> None:
         """Record a server list; ``gap_ms`` is how old the one before it had become."""
         now_ms = self.clock.now_ms()
-        if gap_ms is None or gap_ms > MAX_GAP_MS:
-            self.since_ms = now_ms
+        self.record_gap(gap_ms)
         for pool, versions in self.listed.items():
             for version in versions:
                 self.last_listed_ms[pool, version] = now_ms
@@ -35,6 +34,14 @@
         for server in servers:
             self.listed.setdefault(server.pool, set()).add(server.software_version)
 
+    def record_gap(self, gap_ms: int | None) -> None:
+        """Record how old the list had become before it was read or confirmed again.
+
+        An equal list does not tell that no version came and went in between.
+        """
+        if gap_ms is None or gap_ms > MAX_GAP_MS:
+            self.since_ms = self.clock.now_ms()
+
     def only_version(self, pool: str, span_ms: int) -> str | None:
         """Return the one version that a pool had during the last ``span_ms``.
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -243,6 +243,7 @@
             and read_ms > self.confirmed_ms
             and not self.lapsed
         ):
+            self.versions.record_gap(read_ms - self.confirmed_ms)
             self.confirmed_ms = read_ms
 
     @property
--- a/packages/medlarridge-direct/tests/adapter/test_store_eras.py
+++ b/packages/medlarridge-direct/tests/adapter/test_store_eras.py
@@ -263,6 +263,25 @@
             ]
         )
 
+    async def test_a_version_that_came_and_went_unseen_is_not_ruled_out(self):
+        """Guards against an equal list that hides what happened in between."""
+        await play(
+            [
+                ("cut", 2, 800),
+                ("configure",),
+                ("drain", 17),
+                ("vanish", 17),
+                ("add",),
+                ("configure",),
+                ("isolate", 1, 200),
+                ("isolate", 1, 2_059),
+                ("vanish", 14),
+                ("slow", 1, 1_077),
+                ("drill", 5_286, 446),
+                ("isolate", 1, 1_926),
+            ]
+        )
+
 
 class TestTwentyFiveRouters:
     async def test_the_new_era_reaches_all_within_a_second(self):
