Count retries that may still be on their way

The gauge medlarridge_retries_open tells how many were sent and are not known to have arrived or failed. No decision uses it.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/retry_budget.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/retry_budget.py
@@ -37,10 +37,14 @@
 
 @dataclass(slots=True)
 class PoolWindow:
-    """Times of the requests and retries of one pool in the window."""
+    """Times of the requests and retries of one pool in the window.
+
+    ``open_retries`` were sent and are not yet known to have arrived or failed.
+    """
 
     requests: deque[int] = field(default_factory=deque)
     retries: deque[int] = field(default_factory=deque)
+    open_retries: int = 0
 
 
 @dataclass(slots=True)
@@ -82,12 +86,25 @@
         return int(self.limits.window_s * MS_PER_S)
 
     def take(self, pool: str) -> bool:
-        """Take one retry from the budget; return whether one was available."""
+        """Take one retry from the budget; return whether one was available.
+
+        ``end_retry`` must follow.
+        """
         if self.remaining(pool) < 1:
             return False
-        self.window(pool).retries.append(self.clock.now_ms())
+        window = self.window(pool)
+        window.retries.append(self.clock.now_ms())
+        window.open_retries += 1
         return True
 
+    def end_retry(self, pool: str) -> None:
+        """Record that a retry has arrived, or cannot arrive any more."""
+        self.window(pool).open_retries -= 1
+
+    def open_retries(self) -> int:
+        """Return how many retries may still be on their way."""
+        return sum(window.open_retries for window in self.pools.values())
+
     def window(self, pool: str) -> PoolWindow:
         """Return the window of a pool after dropping the times that left it."""
         window = self.pools.setdefault(pool, PoolWindow())
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
@@ -83,6 +83,11 @@
         "Retries of this router's share beyond the ratio.",
         components.retry_budget.slack_share,
     )
+    add(
+        "retries_open",
+        "Retries sent that are not known to have arrived or failed.",
+        components.retry_budget.open_retries,
+    )
 
 
 def age_in_seconds(age_ms: int | None) -> float:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -184,7 +184,7 @@
                 resumes=self.metadata.resumes,
             )
             sent_ms = self.components.clock.now_ms()
-            outcome = await attempt.start(metadata, self.attempt_timeout_ms())
+            outcome = await self.start(attempt, metadata)
             if outcome.reached_server:
                 self.attempts_received += 1
             if outcome.kind is OutcomeKind.RESPONSE:
@@ -194,6 +194,17 @@
             self.record_failure(attempt, outcome)
             return False
 
+    async def start(
+        self, attempt: Attempt, metadata: ForwardingMetadata
+    ) -> AttemptOutcome:
+        """Start an attempt; a retry ends for the budget when its outcome is known."""
+        is_retry = bool(self.attempts_received)
+        try:
+            return await attempt.start(metadata, self.attempt_timeout_ms())
+        finally:
+            if is_retry:
+                self.components.retry_budget.end_retry(self.accepted.pool.name)
+
     def forwarding_metadata(self, server: BackendServer) -> ForwardingMetadata:
         """Return the metadata that the router adds to an attempt."""
         account = self.accepted.account
