--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -95,6 +95,7 @@
         self.tried_instances: set[str] = set()
         self.attempts_received = 0
         self.attempts_not_run = 0
+        self.any_silent = False
         self.runs = 0
         self.last_event_id = accepted.metadata.resume_after
 
@@ -197,13 +198,22 @@
     async def start(
         self, attempt: Attempt, metadata: ForwardingMetadata
     ) -> AttemptOutcome:
-        """Start an attempt; a retry ends for the budget when its outcome is known."""
+        """Start an attempt and tell the budget when a retry has arrived or was lost.
+
+        After a silent attempt, which may be on its way, any further one may arrive first.
+        """
         is_retry = bool(self.attempts_received)
+        may_arrive = True
         try:
-            return await attempt.start(metadata, self.attempt_timeout_ms())
+            outcome = await attempt.start(metadata, self.attempt_timeout_ms())
+            self.any_silent |= outcome.kind is OutcomeKind.SILENT
+            may_arrive = self.any_silent
+            return outcome
         finally:
             if is_retry:
-                self.components.retry_budget.end_retry(self.accepted.pool.name)
+                self.components.retry_budget.end_retry(
+                    self.accepted.pool.name, may_arrive
+                )
 
     def forwarding_metadata(self, server: BackendServer) -> ForwardingMetadata:
         """Return the metadata that the router adds to an attempt."""
