--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -185,6 +185,7 @@
         self.kind = "unknown"
         self.route = ""
         self.request_id = request_id
+        self.shared_parts: tuple[str, ...] = ()
         self.started_ms = clock.now_ms()
         self.first_bytes_ms: int | None = None
 
@@ -261,7 +262,13 @@
     def attempt_ended(self, server: BackendServer, ended: str, detail: str) -> None:
         """Log that an attempt ended without a response."""
         self.metrics.attempts[server.pool, ended] += 1
-        self.write(ATTEMPT_ENDED, server=server.instance, ended=ended, detail=detail)
+        self.write(
+            ATTEMPT_ENDED,
+            server=server.instance,
+            ended=ended,
+            detail=detail,
+            parts=self.shared_parts,
+        )
 
     def response_broken(
         self, server: BackendServer, detail: str, received: ReceivedBody
@@ -274,6 +281,7 @@
             server=server.instance,
             ended="broken",
             detail=detail,
+            parts=self.shared_parts,
             **received.log_fields(),
         )
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
@@ -48,6 +48,11 @@
     resume_after: str | None = None
     resumes: str | None = None
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the IDs of the prompt's parts but the last, which is the request's."""
+        return tuple(part.part_id for part in self.prompt[:-1])
+
 
 @dataclass(frozen=True, slots=True)
 class ForwardingMetadata:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
@@ -54,6 +54,7 @@
         try:
             accepted = self.accept(request, metadata)
             log.kind, log.route = accepted.route.kind, accepted.route.name
+            log.shared_parts = accepted.metadata.shared_parts
             await RequestRun(self.components, accepted, response, log).run()
         except Rejection as rejection:
             self.reject(rejection, response, log)
