Refuse a prompt part that crashes servers, on the evidence of all routers

Cause: the guard knew a request by method, path, account and body. It also learned of a crash only when the server left the list, up to 3.4 s late.

The evidence is kept by part. A server that closes a connection is asked at once whether it accepts another; if not, it implicates the shared parts of the requests that it had just begun to answer. A success anywhere ends the evidence against a part, servers that end within a second count once, and a refused part explains the crashes beside it. Routers tell each other crashes and successes and refuse a part after three crashes, five if it was answered before. One router tries a refused part now and then while the evidence is thin.

Ruled out: counting strikes of parts as those of requests (the part that a route's requests all share comes first); refusing every part of a crashed server's requests; a trial at every router (each may crash a server).

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -20,9 +20,16 @@
     Headers,
     ResponseHead,
 )
-from .protocol.servers import BackendServer
+from .protocol.servers import BackendServer, ServerState
 from .received_body import BodyPart, ReceivedBody
-from .transport.http_connection import Broken, Data, Exchange, RawResponseHead
+from .server_crashes import record_server_down
+from .transport.http_connection import (
+    Broken,
+    ConnectionRefused,
+    Data,
+    Exchange,
+    RawResponseHead,
+)
 from .transport.server_connections import ConnectionLimitReached
 
 SUCCESS_STATUS_CLASS = 2
@@ -32,6 +39,11 @@
 response with one of them is not passed on."""
 
 
+BEGIN_MS = 1_000
+"""Time from the first bytes of a response after which its prompt no longer crashes the
+server: a server crashes as it begins to answer."""
+
+
 class OutcomeKind(StrEnum):
     """How an attempt ended, or ``RESPONSE`` if a response has begun."""
 
@@ -66,6 +78,7 @@
 class Attempt:
     """Sends a request to a server and returns the events of its response.
 
+    ``shared_parts`` are the keys of the prompt's parts that other requests may share.
     As a context manager, it counts as load of the server while it is open and releases
     or closes its connection on exit.
     """
@@ -79,6 +92,7 @@
         fingerprint: int,
         connection_limit: int,
         expects_stream: bool,
+        shared_parts: tuple[str, ...] = (),
     ) -> None:
         self.components = components
         self.server = server
@@ -87,6 +101,8 @@
         self.fingerprint = fingerprint
         self.connection_limit = connection_limit
         self.expects_stream = expects_stream
+        self.shared_parts = shared_parts
+        self.first_bytes_ms: int | None = None
         self.exchange: Exchange | None = None
         self.head: ResponseHead | None = None
         self.attempt_number = 0
@@ -121,7 +137,11 @@
             return AttemptOutcome(OutcomeKind.NO_CONNECTION, error.message)
         except TransportError as error:
             self.record_result(AttemptResult.UNREACHABLE)
-            self.record_server_down()
+            record_server_down(
+                self.components,
+                self.server.instance,
+                ended=isinstance(error, ConnectionRefused),
+            )
             return AttemptOutcome(OutcomeKind.NOT_SENT, error.message)
         try:
             self.exchange = connection.start(
@@ -162,7 +182,7 @@
                 OutcomeKind.SILENT, f"no response within {timeout_ms} ms"
             )
         if isinstance(event, Broken):
-            self.record_broken()
+            self.record_broken(event.ended_by_server)
             return AttemptOutcome(OutcomeKind.BROKEN, event.detail)
         assert isinstance(event, RawResponseHead)
         self.components.health.record_received(
@@ -191,7 +211,7 @@
         """Tell refusals and faulty responses from responses that may be delivered."""
         if head.status == MISDIRECTED_REQUEST:
             self.record_result(AttemptResult.REPLACED)
-            self.record_server_down()
+            record_server_down(self.components, self.server.instance)
         if head.not_executed or head.status == MISDIRECTED_REQUEST:
             return AttemptOutcome(OutcomeKind.NOT_RUN, f"status {head.status}", head)
         if head.encoded:
@@ -217,20 +237,23 @@
             async with asyncio.timeout(timeout_ms / MS_PER_S):
                 event = await self.exchange.next_event()
         if isinstance(event, Broken):
-            self.record_broken()
+            self.record_broken(event.ended_by_server)
             return event
         self.components.health.record_received(
             self.server.instance, self.attempt_number
         )
         if isinstance(event, Data):
+            if self.first_bytes_ms is None:
+                self.first_bytes_ms = self.components.clock.now_ms()
             return self.received.add(event.data)
         truncation = self.received.truncation()
         if truncation is None and await self.ended_with_server():
             truncation = "connection was closed and the server refuses another one"
         if truncation is None:
             return None
-        self.record_broken()
-        return Broken(truncation)
+        ended_by_server = self.received.framing is Framing.CLOSE
+        self.record_broken(ended_by_server)
+        return Broken(truncation, ended_by_server)
 
     async def ended_with_server(self) -> bool:
         """Return whether a body without length or chunks ended with its server.
@@ -245,7 +268,7 @@
         ):
             return False
         self.record_result(AttemptResult.UNREACHABLE)
-        self.record_server_down()
+        record_server_down(self.components, self.server.instance)
         return True
 
     def record_result(self, result: AttemptResult) -> None:
@@ -253,19 +276,25 @@
         if self.components.health.record_result(self.server.instance, result):
             self.components.on_server_avoided(self.server.instance, result)
 
-    def record_broken(self) -> None:
+    def record_broken(self, ended_by_server: bool) -> None:
         """Record that the connection was lost while the request may have run."""
         self.record_result(AttemptResult.BROKEN)
+        parts = self.shared_parts if ended_by_server and self.may_have_crashed() else ()
         self.components.crash_detector.record_broken(
-            self.fingerprint, self.server.instance
+            self.fingerprint, self.server.instance, parts, self.server.start
         )
+        if parts:
+            self.components.crash_probes.start(self.server, self.connection_limit)
 
-    def record_server_down(self) -> None:
-        """Record that the server does not accept connections.
+    def may_have_crashed(self) -> bool:
+        """Return whether the server may have crashed under this attempt.
 
-        Its idle connections are closed, since they may be dead as well.
+        A server that drains ends by itself.
         """
-        self.components.connections.close_idle(self.server.instance)
-        strikes = self.components.crash_detector.record_down(self.server.instance)
-        if strikes:
-            self.components.on_strikes(strikes)
+        entry = self.components.servers.by_instance.get(self.server.instance)
+        if entry is None or entry.state is not ServerState.READY:
+            return False
+        return (
+            self.first_bytes_ms is None
+            or self.components.clock.now_ms() - self.first_bytes_ms <= BEGIN_MS
+        )
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
@@ -8,6 +8,7 @@
 
 from .coordination.crash_detector import CrashDetector, Strike
 from .coordination.crash_guard import CrashGuard
+from .coordination.crashing_parts import CrashingParts, PartCrash
 from .coordination.fleet_size import FleetSize
 from .coordination.load_view import LoadView
 from .coordination.placement import Placement
@@ -16,6 +17,7 @@
 from .coordination.stream_origins import StreamOrigins
 from .metrics import Metrics
 from .protocol.platform_interface import Dialect
+from .server_crashes import CrashProbes
 from .state.configuration_holder import ConfigurationHolder
 from .state.server_table import ServerTable
 from .transport.server_connections import ConnectionPools
@@ -25,7 +27,9 @@
 class RouterComponents:
     """State, decision logic and connections of one router.
 
-    ``on_parts_cached``, ``on_strikes`` and ``on_stream_begun`` report to the others;
+    ``on_parts_cached``, ``on_crash_evidence``, ``on_parts_cleared`` and
+    ``on_stream_begun`` report to the others; ``may_try_parts`` tells whether this router
+    is the one that tries refused parts;
     ``on_server_avoided`` takes a server and the result for which it is avoided.
     """
 
@@ -40,11 +44,15 @@
     fleet_size: FleetSize
     retry_budget: RetryBudget
     crash_guard: CrashGuard
+    crashing_parts: CrashingParts
     crash_detector: CrashDetector
+    crash_probes: CrashProbes
     stream_origins: StreamOrigins
     connections: ConnectionPools
     metrics: Metrics
     on_parts_cached: Callable[[list[tuple[str, str]]], None]
     on_server_avoided: Callable[[str, str], None]
-    on_strikes: Callable[[list[Strike]], None]
+    on_crash_evidence: Callable[[list[Strike | PartCrash]], None]
+    on_parts_cleared: Callable[[list[str]], None]
+    may_try_parts: Callable[[], bool]
     on_stream_begun: Callable[[int], None]
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crash_detector.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crash_detector.py
@@ -1,4 +1,4 @@
-"""Detection of crashing requests: matches broken attempts with servers that go down."""
+"""Detection of crashes: matches broken attempts with servers that go down."""
 
 from collections import deque
 from dataclasses import dataclass, field
@@ -6,6 +6,7 @@
 from medlarridge._internal.clock import Clock
 
 from .crash_guard import CrashGuard
+from .crashing_parts import CrashingParts, PartCrash
 
 CRASH_WINDOW_MS = 6_000
 """A server that is found down within this time after a broken attempt counts as crashed
@@ -15,10 +16,16 @@
 
 @dataclass(frozen=True, slots=True)
 class BrokenAttempt:
-    """An attempt whose connection was lost before its response was complete."""
+    """An attempt whose connection was lost before its response was complete.
+
+    ``parts`` are those under which its server may have crashed, and ``server_start``
+    distinguishes starts with the same instance.
+    """
 
     fingerprint: int
     broken_ms: int
+    parts: tuple[str, ...] = ()
+    server_start: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,23 +42,48 @@
 
     clock: Clock
     guard: CrashGuard
+    crashing_parts: CrashingParts
     broken: dict[str, deque[BrokenAttempt]] = field(default_factory=dict)
 
-    def record_broken(self, fingerprint: int, server: str) -> None:
-        """Record a broken attempt."""
+    def record_broken(
+        self,
+        fingerprint: int,
+        server: str,
+        parts: tuple[str, ...] = (),
+        server_start: str = "",
+    ) -> None:
+        """Record a broken attempt, and the parts under which the server may crash."""
         attempts = self.broken.setdefault(server, deque(maxlen=256))
-        attempts.append(BrokenAttempt(fingerprint, self.clock.now_ms()))
-
-    def record_down(self, server: str) -> list[Strike]:
-        """Record that a server is down; return the new strikes that follow from it."""
-        oldest_ms = self.clock.now_ms() - CRASH_WINDOW_MS
-        strikes = []
-        for attempt in self.broken.pop(server, ()):
-            if attempt.broken_ms >= oldest_ms and self.guard.add_strike(
-                attempt.fingerprint, server
-            ):
-                strikes.append(Strike(attempt.fingerprint, server))
-        return strikes
+        attempts.append(
+            BrokenAttempt(fingerprint, self.clock.now_ms(), parts, server_start)
+        )
+
+    def record_down(self, server: str, ended: bool = True) -> list[Strike | PartCrash]:
+        """Record that a server is down; return the new evidence that follows from it.
+
+        Only a server that has certainly ``ended`` is evidence against prompt parts.
+        """
+        now_ms = self.clock.now_ms()
+        attempts = [
+            attempt
+            for attempt in self.broken.get(server, ())
+            if attempt.broken_ms >= now_ms - CRASH_WINDOW_MS
+        ]
+        evidence: list[Strike | PartCrash] = []
+        for attempt in attempts:
+            if self.guard.add_strike(attempt.fingerprint, server):
+                evidence.append(Strike(attempt.fingerprint, server))
+        if not ended:
+            return evidence
+        self.broken.pop(server, None)
+        for attempt in attempts:
+            for part in attempt.parts:
+                crash = PartCrash(
+                    part, attempt.server_start, now_ms - attempt.broken_ms
+                )
+                if self.crashing_parts.add_crash(crash):
+                    evidence.append(crash)
+        return evidence
 
     def expire(self) -> None:
         """Discard the broken attempts of servers that stayed up."""
--- /dev/null
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
@@ -0,0 +1,326 @@
+"""Protection against prompt parts that crash the servers that begin to answer them.
+
+Requests with such a part may share nothing else, so the evidence is kept by part. A
+server that goes down under a request implicates all shared parts of that request, and
+most of them are sound. What tells them apart:
+
+- A sound part is soon answered somewhere. A success ends all earlier evidence.
+- Servers that end together, as in a loss of power, count as one crash.
+- A crash that a refused part explains does not count against the parts beside it.
+
+All routers hold the same evidence and refuse the parts that follow from it. A refused
+part is tried with one request now and then, while the evidence against it is thin.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+import xxhash
+
+from medlarridge._internal.clock import Clock
+
+MIN_CRASHES = 3
+"""Servers that must have gone down, each at another time, before a part is refused."""
+
+MIN_CRASHES_AFTER_SUCCESS = 5
+"""The same for a part that was answered before. The platform allows five crashes."""
+
+MIN_TIMES_AFTER_SUCCESS = 4
+
+TOGETHER_MS = 1_000
+"""Servers that go down within this time count as one crash."""
+
+FIRST_TRIAL_MS = 10_000
+"""Time after the last crash at which a refused part is tried; it doubles."""
+
+MAX_CRASHES_BEFORE_TRIAL = 4
+"""Crashes with which a part is still tried, since each trial may crash one more."""
+
+RETENTION_MS = 600_000
+"""Time after the last request with a part at which the evidence expires."""
+
+ANSWERED_REPEAT_MS = 1_000
+"""Time for which the success of a suspected part is reported."""
+
+MAX_SUSPECTS = 2_000
+MAX_CRASHES_KEPT = 16
+MAX_SUCCESSES = 10_000
+MAX_KEY_LENGTH = 32
+
+
+def part_key(part_id: str) -> str:
+    """Return a bounded key of a prompt part."""
+    if len(part_id) <= MAX_KEY_LENGTH:
+        return part_id
+    return xxhash.xxh64_hexdigest(part_id.encode())
+
+
+def count_times(times_ms: Iterable[int]) -> int:
+    """Return the number of times, taking those that are close together as one."""
+    count, group_ms = 0, None
+    for time_ms in sorted(times_ms):
+        if group_ms is None or time_ms - group_ms >= TOGETHER_MS:
+            count, group_ms = count + 1, time_ms
+    return count
+
+
+@dataclass(frozen=True, slots=True)
+class PartCrash:
+    """A server that went down under a request with a part, and how long ago."""
+
+    part: str
+    server: str
+    age_ms: int = 0
+
+
+@dataclass(slots=True)
+class Suspect:
+    """A part that was running on servers when they went down.
+
+    ``crashes`` are the times by start of a server. ``wanted_ms`` is the last time at
+    which a request with the part was known to come, ``requests`` how many came here.
+    ``stored_crashes`` is not 0 if the part was refused before this router started.
+    """
+
+    crashes: dict[str, int] = field(default_factory=dict)
+    wanted_ms: int = 0
+    trial_ms: int = 0
+    requests: int = 0
+    stored_crashes: int = 0
+
+    @property
+    def last_event_ms(self) -> int:
+        """Return the time of the last crash or trial."""
+        return max(self.trial_ms, *self.crashes.values(), 0)
+
+
+@dataclass(slots=True)
+class CrashingParts:
+    """Evidence against prompt parts, of this router and its peers.
+
+    ``successes`` are the times at which parts were last answered. ``answered`` are such
+    parts that peers should know of, and since when: new evidence came against them, or
+    has ended.
+    """
+
+    clock: Clock
+    suspects: OrderedDict[str, Suspect] = field(default_factory=OrderedDict)
+    successes: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    answered: dict[str, int] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
+    started_ms: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.started_ms = self.clock.now_ms()
+
+    # Evidence
+
+    def add_crash(self, crash: PartCrash) -> bool:
+        """Add a crash; return whether it is a new one for this part."""
+        now_ms = self.clock.now_ms()
+        crashed_ms = now_ms - crash.age_ms
+        succeeded_ms = self.successes.get(crash.part)
+        if succeeded_ms is not None:
+            self.answered[crash.part] = now_ms
+            if succeeded_ms >= crashed_ms:
+                return False
+        suspect = self.suspects.setdefault(crash.part, Suspect())
+        if crash.server in suspect.crashes or len(suspect.crashes) >= MAX_CRASHES_KEPT:
+            return False
+        suspect.crashes[crash.server] = crashed_ms
+        suspect.wanted_ms = max(suspect.wanted_ms, crashed_ms)
+        self.suspects.move_to_end(crash.part)
+        self.limit_suspects()
+        self.judge()
+        return True
+
+    def record_success(self, parts: Iterable[str]) -> list[str]:
+        """Record that a request was answered; return the parts that this clears."""
+        now_ms = self.clock.now_ms()
+        cleared = []
+        for part in parts:
+            self.successes[part] = now_ms
+            self.successes.move_to_end(part)
+            if part in self.suspects:
+                self.drop_crashes_before(part, now_ms)
+                cleared.append(part)
+        while len(self.successes) > MAX_SUCCESSES:
+            self.successes.popitem(last=False)
+        return cleared
+
+    def record_peer_success(self, part: str, age_ms: int) -> bool:
+        """Record that a peer got an answer; return whether this ends evidence."""
+        succeeded_ms = self.clock.now_ms() - age_ms
+        self.successes[part] = max(succeeded_ms, self.successes.get(part, 0))
+        return part in self.suspects and self.drop_crashes_before(part, succeeded_ms)
+
+    def drop_crashes_before(self, part: str, succeeded_ms: int) -> bool:
+        """Drop the evidence that a success outdates; return whether there was any."""
+        suspect = self.suspects[part]
+        kept = {
+            server: crashed_ms
+            for server, crashed_ms in suspect.crashes.items()
+            if crashed_ms > succeeded_ms
+        }
+        if len(kept) == len(suspect.crashes) and not suspect.stored_crashes:
+            return False
+        self.answered[part] = self.clock.now_ms()
+        suspect.crashes, suspect.stored_crashes = kept, 0
+        if not kept:
+            del self.suspects[part]
+        self.judge()
+        return True
+
+    def add_stored(self, part: str, crashes: int) -> bool:
+        """Refuse a part that was refused before; return whether it was not yet."""
+        if part in self.successes or part in self.refused:
+            return False
+        suspect = self.suspects.setdefault(part, Suspect())
+        suspect.stored_crashes = max(crashes, 1)
+        suspect.wanted_ms = self.clock.now_ms()
+        self.limit_suspects()
+        self.judge()
+        return True
+
+    def record_wanted(self, part: str, age_ms: int = 0) -> None:
+        """Record that requests with a suspected part still come."""
+        suspect = self.suspects.get(part)
+        if suspect is not None:
+            wanted_ms = self.clock.now_ms() - age_ms
+            suspect.wanted_ms = max(suspect.wanted_ms, wanted_ms)
+
+    def expire(self) -> None:
+        """Drop the evidence against parts that no request has had for long."""
+        oldest_ms = self.clock.now_ms() - RETENTION_MS
+        expired = [
+            part
+            for part, suspect in self.suspects.items()
+            if suspect.wanted_ms < oldest_ms
+        ]
+        for part in expired:
+            del self.suspects[part]
+        if expired:
+            self.judge()
+
+    def limit_suspects(self) -> None:
+        """Drop the suspects with least evidence, the oldest first."""
+        while len(self.suspects) > MAX_SUSPECTS:
+            weakest = min(
+                self.suspects,
+                key=lambda part: (
+                    part in self.refused,
+                    len(self.suspects[part].crashes),
+                ),
+            )
+            del self.suspects[weakest]
+
+    # Judgement
+
+    def judge(self) -> None:
+        """Find the parts to refuse: those that explain most crashes come first."""
+        refused = {part for part, each in self.suspects.items() if each.stored_crashes}
+        explained: set[str] = set()
+        for part in refused:
+            explained |= self.suspects[part].crashes.keys()
+        candidates = {
+            part
+            for part, suspect in self.suspects.items()
+            if len(suspect.crashes) >= MIN_CRASHES and part not in refused
+        }
+        while candidates:
+            part = max(candidates, key=lambda each: self.rank(each, explained))
+            candidates.remove(part)
+            if self.is_convicting(part, explained):
+                refused.add(part)
+                explained |= self.suspects[part].crashes.keys()
+        self.refused = refused
+
+    def unexplained_ms(self, part: str, explained: set[str]) -> list[int]:
+        """Return the times of the crashes that no refused part explains."""
+        return [
+            crashed_ms
+            for server, crashed_ms in self.suspects[part].crashes.items()
+            if server not in explained
+        ]
+
+    def rank(self, part: str, explained: set[str]) -> tuple[int, int, bool, int, str]:
+        """Return the strength of the evidence; rarer parts come first if it is equal."""
+        times_ms = self.unexplained_ms(part, explained)
+        return (
+            count_times(times_ms),
+            len(times_ms),
+            part not in self.successes,
+            -self.suspects[part].requests,
+            part,
+        )
+
+    def is_convicting(self, part: str, explained: set[str]) -> bool:
+        """Return whether the unexplained crashes suffice to refuse a part."""
+        times_ms = self.unexplained_ms(part, explained)
+        if part in self.successes:
+            return (
+                len(times_ms) >= MIN_CRASHES_AFTER_SUCCESS
+                and count_times(times_ms) >= MIN_TIMES_AFTER_SUCCESS
+            )
+        return count_times(times_ms) >= MIN_CRASHES
+
+    # Requests
+
+    def find_refused(self, parts: Iterable[str]) -> list[str]:
+        """Return the parts for which a request is refused, and count it."""
+        found = []
+        for part in parts:
+            suspect = self.suspects.get(part)
+            if suspect is None:
+                continue
+            suspect.requests += 1
+            if part in self.refused:
+                suspect.wanted_ms = self.clock.now_ms()
+                found.append(part)
+        return found
+
+    def begin_trial(self, refused: list[str]) -> bool:
+        """Return whether a request that is refused for one part may try it now."""
+        if len(refused) != 1:
+            return False
+        suspect, now_ms = self.suspects[refused[0]], self.clock.now_ms()
+        crashes = max(len(suspect.crashes), suspect.stored_crashes)
+        delay_ms = FIRST_TRIAL_MS << max(crashes - MIN_CRASHES, 0)
+        since_ms = max(suspect.last_event_ms, self.started_ms)
+        if crashes > MAX_CRASHES_BEFORE_TRIAL or now_ms - since_ms < delay_ms:
+            return False
+        suspect.trial_ms = now_ms
+        return True
+
+    # Reports
+
+    def answered_lately(self) -> list[tuple[str, int]]:
+        """Return parts of which peers should know the last success, and its time."""
+        oldest_ms = self.clock.now_ms() - ANSWERED_REPEAT_MS
+        self.answered = {
+            part: since_ms
+            for part, since_ms in self.answered.items()
+            if since_ms >= oldest_ms and part in self.successes
+        }
+        return [(part, self.successes[part]) for part in self.answered]
+
+    def wanted(self) -> list[tuple[str, int]]:
+        """Return the refused parts, and when the last request with each came."""
+        return [
+            (part, self.suspects[part].wanted_ms)
+            for part in self.refused
+            if part in self.suspects
+        ]
+
+    def held_crashes(self) -> Iterator[PartCrash]:
+        """Yield all evidence, that against refused parts first and then the newest."""
+        now_ms = self.clock.now_ms()
+        newest = sorted(
+            self.suspects,
+            key=lambda part: (part in self.refused, self.suspects[part].wanted_ms),
+            reverse=True,
+        )
+        for part in newest:
+            for server, crashed_ms in self.suspects[part].crashes.items():
+                yield PartCrash(part, server, now_ms - crashed_ms)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -13,6 +13,7 @@
 from .components import RouterComponents
 from .coordination.crash_detector import CrashDetector, Strike
 from .coordination.crash_guard import CrashGuard
+from .coordination.crashing_parts import CrashingParts, PartCrash
 from .coordination.fleet_size import FleetSize
 from .coordination.load_view import LoadView
 from .coordination.placement import Placement
@@ -24,6 +25,8 @@
 from .gauges import add_gauges
 from .logs import (
     CRASH_STRIKE,
+    PART_CLEARED,
+    PART_REFUSED,
     PROCESS_STALLED,
     READINESS_CHANGED,
     SERVER_AVOIDED,
@@ -43,7 +46,9 @@
 from .peer_snapshots import PeerSnapshots
 from .protocol.platform_interface import Dialect, PlatformStore
 from .protocol.requests import ClientRequest
+from .protocol.servers import BackendServer
 from .request_handler import RequestHandler
+from .server_crashes import CrashProbes, record_server_down
 from .settings import DirectSettings, load_settings, split_endpoint
 from .state.configuration_holder import ConfigurationHolder
 from .state.peer_table import PeerTable, new_router_id
@@ -90,6 +95,7 @@
         self.stopping_since_ms: int | None = None
         self.logged_ready = False
         self.silent_servers: set[str] = set()
+        self.refused_parts: set[str] = set()
         self.last_housekeeping_ms: int | None = None
         self.components = self.create_components(dialect)
         self.handler = RequestHandler(self.components, self.log)
@@ -134,6 +140,8 @@
         clock, random = self.clock, Random()
         load = LoadView(clock)
         crash_guard = CrashGuard(clock)
+        crashing_parts = CrashingParts(clock)
+        connections = ConnectionPools()
         fleet_size = FleetSize(clock)
         return RouterComponents(
             clock=clock,
@@ -153,13 +161,17 @@
             fleet_size=fleet_size,
             retry_budget=RetryBudget(clock, self.settings.retries, fleet_size),
             crash_guard=crash_guard,
-            crash_detector=CrashDetector(clock, crash_guard),
+            crashing_parts=crashing_parts,
+            crash_detector=CrashDetector(clock, crash_guard, crashing_parts),
+            crash_probes=CrashProbes(clock, connections, self.handle_server_ended),
             stream_origins=StreamOrigins(clock),
-            connections=ConnectionPools(),
+            connections=connections,
             metrics=Metrics(),
             on_parts_cached=self.announce_cached_parts,
             on_server_avoided=self.log_server_avoided,
-            on_strikes=self.handle_strikes,
+            on_crash_evidence=self.handle_crash_evidence,
+            on_parts_cleared=self.announce_cleared_parts,
+            may_try_parts=lambda: self.peers.live_rank() == 0,
             on_stream_begun=self.announce_stream,
         )
 
@@ -182,16 +194,29 @@
             for_ms=health.avoid_ms,
         )
 
-    def handle_strikes(self, strikes: list[Strike]) -> None:
-        """Log strikes and announce them to the peers."""
-        for strike in strikes:
-            self.log.event(
-                CRASH_STRIKE,
-                fingerprint=f"{strike.fingerprint:016x}",
-                server=strike.server,
-                strikes=self.components.crash_guard.strike_count(strike.fingerprint),
-            )
-        self.peer_reports.announce_strikes(strikes)
+    def handle_server_ended(self, server: BackendServer) -> None:
+        """Record that a server which closed a connection accepts no other."""
+        record_server_down(self.components, server.instance)
+
+    def handle_crash_evidence(self, evidence: list[Strike | PartCrash]) -> None:
+        """Log under what a server went down and announce it to the peers."""
+        for strike in evidence:
+            if isinstance(strike, Strike):
+                self.log.event(
+                    CRASH_STRIKE,
+                    fingerprint=f"{strike.fingerprint:016x}",
+                    server=strike.server,
+                    strikes=self.components.crash_guard.strike_count(
+                        strike.fingerprint
+                    ),
+                )
+        crashes = [each for each in evidence if isinstance(each, PartCrash)]
+        self.peer_reports.log_part_crashes(crashes, peer=False)
+        self.peer_reports.announce_crash_evidence(evidence)
+
+    def announce_cleared_parts(self, parts: list[str]) -> None:
+        """Announce to the peers that suspected prompt parts were answered."""
+        self.peer_reports.announce_cleared_parts(parts)
 
     # Readiness
 
@@ -352,6 +377,8 @@
         while True:
             self.check_stall()
             self.log_silent_servers()
+            self.components.crashing_parts.expire()
+            self.log_refused_parts()
             self.components.load.expire()
             self.components.crash_detector.expire()
             self.components.stream_origins.expire()
@@ -371,6 +398,17 @@
                 self.log.event(PROCESS_STALLED, late_ms=late_ms)
         self.last_housekeeping_ms = now_ms
 
+    def log_refused_parts(self) -> None:
+        """Log which prompt parts are refused from now on and which no longer are."""
+        crashing_parts = self.components.crashing_parts
+        refused = set(crashing_parts.refused)
+        for part in refused - self.refused_parts:
+            suspect = crashing_parts.suspects[part]
+            self.log.event(PART_REFUSED, part=part, servers=list(suspect.crashes))
+        for part in self.refused_parts - refused:
+            self.log.event(PART_CLEARED, part=part)
+        self.refused_parts = refused
+
     def log_silent_servers(self) -> None:
         """Log which servers became silent and which no longer are or have left."""
         health, now_ms = self.components.health, self.clock.now_ms()
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
@@ -83,6 +83,16 @@
         "Retries of this router's share beyond the ratio.",
         components.retry_budget.slack_share,
     )
+    add(
+        "prompt_parts_suspected",
+        "Prompt parts that ran on servers when these went down.",
+        lambda: len(components.crashing_parts.suspects),
+    )
+    add(
+        "prompt_parts_refused",
+        "Prompt parts that are refused because servers crash under them.",
+        lambda: len(components.crashing_parts.refused),
+    )
     add(
         "retries_open",
         "Retries sent that are not known to have arrived or failed.",
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -56,6 +56,14 @@
 CRASH_STRIKE = register(
     6113, "WARNING", "request was running when its server went down"
 )
+PART_CRASH = register(
+    6150, "WARNING", "server went down as it began to answer prompts with these parts"
+)
+PART_REFUSED = register(
+    6151, "WARNING", "prompt part is refused because servers crash under it"
+)
+PART_CLEARED = register(6152, "INFO", "prompt part is no longer refused")
+PART_TRIED = register(6153, "INFO", "request tries a prompt part that is refused")
 MALFORMED_ENTRIES = register(6114, "WARNING", "malformed entries in the store ignored")
 SERVER_SILENT = register(6115, "WARNING", "server is silent while attempts wait")
 SERVER_RESPONDING = register(6116, "INFO", "server is no longer silent")
@@ -255,6 +263,10 @@
             version=None if origin is None else origin.software_version,
         )
 
+    def part_tried(self, part: str) -> None:
+        """Log that the request tries a part that is refused otherwise."""
+        self.write(PART_TRIED, part=part)
+
     def prompt_awaited(self, server: BackendServer, wait_ms: float) -> None:
         """Log that the request waits for a prompt that the server is processing."""
         self.write(PROMPT_AWAITED, server=server.instance, wait_ms=round(wait_ms))
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
@@ -61,7 +61,10 @@
     ``list_revision``. ``departures`` are the servers that left the list lately. The
     registry listed ``registered_routers`` when the sender itself last read it.
     ``strike_ages_ms`` has an entry for each of the ``strikes``. ``streams`` have begun
-    lately, or are handed to a router that has just started.
+    lately, or are handed to a router that has just started. ``part_crashes`` are prompt
+    parts, starts of servers that went down under them, and the ages of these crashes.
+    ``sound_parts`` are parts that were answered, and ``wanted_parts`` refused parts that
+    requests still have, both with the age of that.
     """
 
     router_id: int
@@ -85,6 +88,9 @@
     registry_age_ms: int = -1
     strike_ages_ms: list[int] = []
     streams: list[StreamGroup] = []
+    part_crashes: list[tuple[str, str, int]] = []
+    sound_parts: list[tuple[str, int]] = []
+    wanted_parts: list[tuple[str, int]] = []
 
     def held_strikes(self) -> list[HeldStrike]:
         """Return the strikes; those without an age, of an older build, are new."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/servers.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/servers.py
@@ -48,6 +48,11 @@
         """Return the address as ``host:port``."""
         return f"{self.host}:{self.port}"
 
+    @property
+    def start(self) -> str:
+        """Return what distinguishes this start from all others."""
+        return f"{self.instance}/{self.started_at}"
+
 
 @dataclass(frozen=True, slots=True)
 class ServerListing:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -8,6 +8,7 @@
 
 from .attempt import SUCCESS_STATUS_CLASS, Attempt, AttemptOutcome, OutcomeKind
 from .components import RouterComponents
+from .coordination.crashing_parts import part_key
 from .coordination.server_health import AttemptResult
 from .logs import RequestLog
 from .prompt_reuse import PromptReuse
@@ -60,6 +61,7 @@
     ATTEMPTS = "attempts"
     MAY_HAVE_RUN = "may-have-run"
     CRASHES_SERVERS = "crashes-servers"
+    CRASHING_PART = "crashing-part"
 
 
 class RequestRun:
@@ -67,6 +69,7 @@
 
     ``attempts_received`` counts the attempts that a server received, ``runs`` those
     that may have run there and ``attempts_not_run`` those that did not run.
+    ``tries_part`` marks a request that tries a prompt part which is refused otherwise.
     """
 
     def __init__(
@@ -98,6 +101,8 @@
         self.any_silent = False
         self.runs = 0
         self.last_event_id = accepted.metadata.resume_after
+        self.shared_parts = tuple(map(part_key, accepted.metadata.shared_parts))
+        self.tries_part = False
 
     def remaining_ms(self) -> int:
         """Return the time that is left before the deadline."""
@@ -150,8 +155,31 @@
             return GiveUpReason.ATTEMPTS
         if self.components.crash_guard.should_refuse(self.accepted.fingerprint):
             return GiveUpReason.CRASHES_SERVERS
+        if self.has_refused_part():
+            return GiveUpReason.CRASHING_PART
         return None
 
+    def has_refused_part(self) -> bool:
+        """Return whether the prompt has a part that crashes servers.
+
+        Such a part is tried now and then, with one request that is not repeated.
+        """
+        if self.tries_part and not self.runs:
+            return False
+        crashing_parts = self.components.crashing_parts
+        refused = crashing_parts.find_refused(self.shared_parts)
+        if not refused:
+            return False
+        if (
+            not self.runs
+            and self.components.may_try_parts()
+            and crashing_parts.begin_trial(refused)
+        ):
+            self.tries_part = True
+            self.log.part_tried(refused[0])
+            return False
+        return True
+
     def select_server(self) -> BackendServer | None:
         """Return the best server that was not tried yet, or None."""
         ranked = rank_servers(
@@ -175,6 +203,7 @@
             self.accepted.fingerprint,
             self.accepted.pool.max_connections // self.components.fleet_size.count,
             self.route.kind is RouteKind.STREAM,
+            self.shared_parts,
         ) as attempt:
             self.log.attempt_sent(
                 server,
@@ -308,7 +337,7 @@
         self.begin_response(head, len(buffered) if not self.response.started else None)
         await self.response.write(bytes(buffered))
         self.response.end()
-        self.log_delivered(attempt, head)
+        self.record_delivered(attempt, head)
         return True
 
     async def deliver_stream(self, attempt: Attempt, head: ResponseHead) -> bool:
@@ -337,7 +366,7 @@
         self.begin_response(head, None)
         await self.response.write(attempt.received.rest())
         self.response.end()
-        self.log_delivered(attempt, head)
+        self.record_delivered(attempt, head)
         return True
 
     async def deliver_passthrough(self, attempt: Attempt, head: ResponseHead) -> bool:
@@ -355,7 +384,7 @@
             await self.response.write(part.data)
         self.begin_response(head, None)
         self.response.end()
-        self.log_delivered(attempt, head)
+        self.record_delivered(attempt, head)
         return True
 
     def begin_response(self, head: ResponseHead, content_length: int | None) -> None:
@@ -370,8 +399,12 @@
             self.response.begin(head.status, head.reason, headers, content_length)
             self.log.response_started()
 
-    def log_delivered(self, attempt: Attempt, head: ResponseHead) -> None:
-        """Log a complete response and how its end was told."""
+    def record_delivered(self, attempt: Attempt, head: ResponseHead) -> None:
+        """Record and log a complete response and how its end was told."""
+        if head.status // 100 == SUCCESS_STATUS_CLASS:
+            cleared = self.components.crashing_parts.record_success(self.shared_parts)
+            if cleared:
+                self.components.on_parts_cleared(cleared)
         self.log.response_delivered(head.status, attempt.server, attempt.received)
 
     def handle_broken_response(self, attempt: Attempt, detail: str) -> bool:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -29,6 +29,7 @@
 )
 from .protocol.servers import BackendServer, ServerListing
 from .router_registry import RouterRegistry
+from .server_crashes import record_server_down
 from .state.peer_table import PeerTable
 from .state.server_table import EraChange, ServerChange, ServerChangeKind
 
@@ -257,10 +258,7 @@
                     self.components.servers.departed.pop(server.instance, None)
                     self.components.placement.cache_index.remove_server(server.instance)
                 self.components.health.reset(server.instance)
-                self.components.connections.close_idle(server.instance)
-                strikes = self.components.crash_detector.record_down(server.instance)
-                if strikes:
-                    self.components.on_strikes(strikes)
+                record_server_down(self.components, server.instance)
             elif change.kind is ServerChangeKind.DRAINING:
                 self.components.connections.close_idle(server.instance)
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
@@ -44,9 +44,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Broken:
-    """A connection failure before the response was complete."""
+    """A connection failure before the response was complete.
+
+    ``ended_by_server`` tells that the server's side ended the connection, as its
+    operating system does when the process ends.
+    """
 
     detail: str
+    ended_by_server: bool = False
 
 
 ExchangeEvent = RawResponseHead | Data | End | Broken
@@ -128,12 +133,15 @@
             if self.in_message and self.head_complete and self.ends_at_close:
                 self.finish_message()
             else:
-                self.fail("connection closed by the server")
+                self.fail("connection closed by the server", ended_by_server=True)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
-        self.fail(f"connection lost: {exc or 'closed'}")
+        self.fail(
+            f"connection lost: {exc or 'closed'}",
+            ended_by_server=isinstance(exc, ConnectionError),
+        )
         if self.on_closed is not None:
             self.on_closed(self)
 
@@ -191,11 +199,11 @@
             and self.transport.get_write_buffer_size() == 0
         )
 
-    def fail(self, detail: str) -> None:
+    def fail(self, detail: str, ended_by_server: bool = False) -> None:
         """End the open exchange with a ``Broken`` event."""
         self.must_close = True
         if self.exchange is not None and not self.exchange.finished:
-            self.exchange.push(Broken(detail))
+            self.exchange.push(Broken(detail, ended_by_server))
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None:
--- a/packages/medlarridge-direct/tests/direct/coordination/test_crash_guard.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_crash_guard.py
@@ -9,6 +9,7 @@
     CrashGuard,
     request_fingerprint,
 )
+from medlarridge_direct._internal.coordination.crashing_parts import CrashingParts
 
 CRASHING = request_fingerprint(b"POST", b"/plan/1", "planners", b"body")
 
@@ -60,7 +61,7 @@
     def test_a_lost_connection_alone_is_no_strike(self):
         """Guards against strikes from servers that stay up but lose a response."""
         clock = ManualClock(1_000_000)
-        detector = CrashDetector(clock, CrashGuard(clock))
+        detector = CrashDetector(clock, CrashGuard(clock), CrashingParts(clock))
         detector.record_broken(CRASHING, "s-1")
         clock.advance(CRASH_WINDOW_MS + 1)
         assert detector.record_down("s-1") == []
@@ -68,7 +69,7 @@
     def test_requests_running_on_a_crashed_server_get_a_strike(self):
         """Guards against missing the request that crashed a server."""
         clock = ManualClock(1_000_000)
-        detector = CrashDetector(clock, CrashGuard(clock))
+        detector = CrashDetector(clock, CrashGuard(clock), CrashingParts(clock))
         detector.record_broken(CRASHING, "s-1")
         clock.advance(CRASH_WINDOW_MS // 2)
         assert [each.fingerprint for each in detector.record_down("s-1")] == [CRASHING]
--- a/packages/medlarridge-direct/tests/direct/crashing_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/crashing_fleet.py
@@ -14,6 +14,10 @@
 from medlarridge_direct._internal.protocol.requests import ClientRequest, PromptPart
 from medlarridge_direct._internal.protocol.servers import ServerState
 from medlarridge_direct._internal.request_handler import RequestHandler
+from medlarridge_direct._internal.server_crashes import (
+    CrashProbes,
+    record_server_down,
+)
 from medlarridge_direct._internal.transport.http_connection import (
     ConnectionRefused,
     HttpConnection,
@@ -238,8 +242,15 @@
         router = self.routers[number]
         components = router.components
         components.connections = RouterConnections(self)
+        components.crash_probes = CrashProbes(
+            self.clock,
+            components.connections,
+            lambda entry: record_server_down(components, entry.instance),
+        )
+        components.may_try_parts = lambda: router.peers.live_rank() == 0
+        components.on_parts_cleared = router.reports.announce_cleared_parts
         components.dialect = PartsDialect()
-        components.on_strikes = router.reports.announce_strikes
+        components.on_crash_evidence = router.reports.announce_crash_evidence
         components.configuration.apply_if_newer(
             configuration(self.route), self.clock.now_ms()
         )
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -7,6 +7,7 @@
 from medlarridge_direct._internal.components import RouterComponents
 from medlarridge_direct._internal.coordination.crash_detector import CrashDetector
 from medlarridge_direct._internal.coordination.crash_guard import CrashGuard
+from medlarridge_direct._internal.coordination.crashing_parts import CrashingParts
 from medlarridge_direct._internal.coordination.fleet_size import FleetSize
 from medlarridge_direct._internal.coordination.load_view import LoadView
 from medlarridge_direct._internal.coordination.placement import Placement
@@ -19,6 +20,7 @@
 from medlarridge_direct._internal.coordination.stream_origins import StreamOrigins
 from medlarridge_direct._internal.metrics import Metrics
 from medlarridge_direct._internal.protocol.requests import RequestMetadata, ResponseHead
+from medlarridge_direct._internal.server_crashes import CrashProbes
 from medlarridge_direct._internal.settings import RetrySettings
 from medlarridge_direct._internal.state.configuration_holder import ConfigurationHolder
 from medlarridge_direct._internal.state.server_table import ServerTable
@@ -190,6 +192,8 @@
     """Return the components of a router that has just started."""
     load = LoadView(clock)
     crash_guard = CrashGuard(clock)
+    crashing_parts = CrashingParts(clock)
+    connections = ScriptedConnections(scripts or {})
     fleet_size = fleet_type(clock)
     return RouterComponents(
         clock=clock,
@@ -207,12 +211,16 @@
             clock, RetrySettings(ratio=0.2, slack=50, window_s=10), fleet_size
         ),
         crash_guard=crash_guard,
-        crash_detector=CrashDetector(clock, crash_guard),
+        crashing_parts=crashing_parts,
+        crash_detector=CrashDetector(clock, crash_guard, crashing_parts),
+        crash_probes=CrashProbes(clock, connections, lambda server: None),
         stream_origins=StreamOrigins(clock),
-        connections=ScriptedConnections(scripts or {}),
+        connections=connections,
         metrics=Metrics(),
         on_parts_cached=lambda cached_parts: None,
         on_server_avoided=lambda instance, result: None,
-        on_strikes=lambda strikes: None,
+        on_crash_evidence=lambda evidence: None,
+        on_parts_cleared=lambda parts: None,
+        may_try_parts=lambda: False,
         on_stream_begun=lambda stream: None,
     )
--- a/packages/medlarridge-direct/tests/direct/test_strike_handover.py
+++ b/packages/medlarridge-direct/tests/direct/test_strike_handover.py
@@ -21,7 +21,7 @@
 def strike(router, server):
     """Let a router find that a server went down under the crashing request."""
     router.components.crash_guard.add_strike(CRASHING, server)
-    router.reports.announce_strikes([Strike(CRASHING, server)])
+    router.reports.announce_crash_evidence([Strike(CRASHING, server)])
 
 
 async def make_fleet():
