Keep refused prompt parts in the platform's store

Routers that all started again at once had forgotten which part crashes servers, and three to four more servers crashed after each such restart.

The first router writes each refused part with its number of crashes; every router reads them when it starts and after a new era of the store. The fleet of the tests no longer delivers reports of a process that was replaced, which had hidden this.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
@@ -80,7 +80,8 @@
 
     ``crashes`` are the times by start of a server. ``wanted_ms`` is the last time at
     which a request with the part was known to come, ``requests`` how many came here.
-    ``stored_crashes`` is not 0 if the part was refused before this router started.
+    ``stored_crashes`` is not 0 if the part was found refused at ``stored_ms``, and
+    counts the crashes before that.
     """
 
     crashes: dict[str, int] = field(default_factory=dict)
@@ -88,6 +89,13 @@
     trial_ms: int = 0
     requests: int = 0
     stored_crashes: int = 0
+    stored_ms: int = 0
+
+    @property
+    def crash_count(self) -> int:
+        """Return how many servers are known to have crashed under the part."""
+        later = sum(time_ms > self.stored_ms for time_ms in self.crashes.values())
+        return max(len(self.crashes), self.stored_crashes + later)
 
     @property
     def last_event_ms(self) -> int:
@@ -178,17 +186,19 @@
             return False
         suspect = self.suspects.setdefault(part, Suspect())
         suspect.stored_crashes = max(crashes, 1)
-        suspect.wanted_ms = self.clock.now_ms()
+        suspect.stored_ms = suspect.wanted_ms = self.clock.now_ms()
         self.limit_suspects()
         self.judge()
         return True
 
     def record_wanted(self, part: str, age_ms: int = 0) -> None:
-        """Record that requests with a suspected part still come."""
+        """Record that a peer refuses a part, and when it last got a request with it."""
         suspect = self.suspects.get(part)
         if suspect is not None:
             wanted_ms = self.clock.now_ms() - age_ms
             suspect.wanted_ms = max(suspect.wanted_ms, wanted_ms)
+        elif part in self.successes:
+            self.answered[part] = self.clock.now_ms()
 
     def expire(self) -> None:
         """Drop the evidence against parts that no request has had for long."""
@@ -285,7 +295,7 @@
         if len(refused) != 1:
             return False
         suspect, now_ms = self.suspects[refused[0]], self.clock.now_ms()
-        crashes = max(len(suspect.crashes), suspect.stored_crashes)
+        crashes = suspect.crash_count
         delay_ms = FIRST_TRIAL_MS << max(crashes - MIN_CRASHES, 0)
         since_ms = max(suspect.last_event_ms, self.started_ms)
         if crashes > MAX_CRASHES_BEFORE_TRIAL or now_ms - since_ms < delay_ms:
@@ -305,13 +315,13 @@
         }
         return [(part, self.successes[part]) for part in self.answered]
 
+    def refused_crashes(self) -> dict[str, int]:
+        """Return the refused parts and how many servers have crashed under each."""
+        return {part: self.suspects[part].crash_count for part in self.refused}
+
     def wanted(self) -> list[tuple[str, int]]:
         """Return the refused parts, and when the last request with each came."""
-        return [
-            (part, self.suspects[part].wanted_ms)
-            for part in self.refused
-            if part in self.suspects
-        ]
+        return [(part, self.suspects[part].wanted_ms) for part in self.refused]
 
     def held_crashes(self) -> Iterator[PartCrash]:
         """Yield all evidence, that against refused parts first and then the newest."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -274,6 +274,7 @@
             for job in (
                 self.peer_reports.run,
                 self.store_sync.registry.run,
+                self.store_sync.refused_parts.run,
                 self.store_sync.sync_servers,
                 self.store_sync.watch_servers,
                 self.store_sync.sync_configuration,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
@@ -79,6 +79,21 @@
         """Return the addresses of routers by node; they may be a few seconds old."""
         ...
 
+    async def list_refused_parts(self) -> dict[str, int]:
+        """Return the stored prompt parts, with the servers that crashed under each.
+
+        They may be a few seconds old.
+        """
+        ...
+
+    async def save_refused_part(self, part: str, crashes: int) -> None:
+        """Store a prompt part that is refused."""
+        ...
+
+    async def delete_refused_part(self, part: str) -> None:
+        """Remove a stored prompt part."""
+        ...
+
     async def list_servers(self) -> ServerListing:
         """Return all servers as of a time not before the call."""
         ...
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -28,6 +28,7 @@
     PlatformStore,
 )
 from .protocol.servers import BackendServer, ServerListing
+from .refused_parts_sync import RefusedPartsSync
 from .router_registry import RouterRegistry
 from .server_crashes import record_server_down
 from .state.peer_table import PeerTable
@@ -91,6 +92,9 @@
         self.registry = RouterRegistry(
             components, store, peers, node, self.set_store_reachable
         )
+        self.refused_parts = RefusedPartsSync(
+            components, store, peers, self.set_store_reachable
+        )
         components.servers.on_era_change = self.handle_era_change
 
     def handle_era_change(self, change: EraChange) -> None:
@@ -105,6 +109,7 @@
             ignored=change.ignored,
         )
         self.registry.lost.set()
+        self.refused_parts.forget()
 
     def count_call(self, call: str) -> None:
         """Count a call to the store in the metrics."""
--- a/packages/medlarridge-direct/tests/adapter/test_store.py
+++ b/packages/medlarridge-direct/tests/adapter/test_store.py
@@ -73,6 +73,7 @@
     def __init__(self, *responses):
         self.responses = list(responses)
         self.paths = []
+        self.bodies = []
 
     async def get(self, path, read_timeout_ms, other_status=200):
         self.paths.append(path)
@@ -83,6 +84,7 @@
 
     async def call(self, method, path, body, read_timeout_ms):
         self.paths.append(method + b" " + path)
+        self.bodies.append(body)
         return HttpResponse(self.responses.pop(0), [], b"")
 
 
@@ -300,3 +302,40 @@
         )
         routers = await ObjectStore(client).list_routers()
         assert routers == {"n-1": ("10.0.0.1", 7000)}
+
+
+class TestRefusedParts:
+    async def test_are_written_replaced_and_removed(self):
+        """Guards against prompt parts that are lost when all routers stop."""
+        client = FakeClient(201, 409, 200, 404)
+        store = ObjectStore(client)
+        await store.save_refused_part("a/b c", 3)
+        await store.save_refused_part("a/b c", 4)
+        await store.delete_refused_part("a/b c")
+        methods = [path.split(b" ")[0] for path in client.paths]
+        assert methods == [b"POST", b"POST", b"PUT", b"DELETE"]
+        replaced, removed = (path.split(b" ", 1)[1] for path in client.paths[2:])
+        assert replaced == removed
+        assert b" " not in removed
+        specs = [msgspec.json.decode(body)["spec"] for body in client.bodies[:3]]
+        assert specs[2] == {"part": "a/b c", "crashes": 4}
+
+    async def test_malformed_entries_are_skipped(self):
+        """Guards against an entry of another writer that hides all the others."""
+        items = [
+            item("1", {"part": "bad", "crashes": 4}),
+            item("2", {"part": 7, "crashes": 4}),
+            item("3", {"part": "worse"}),
+            item("4", {"part": "", "crashes": 4}),
+            {"metadata": {}},
+        ]
+        client = FakeClient({"items": items, "asOf": 9})
+        assert await ObjectStore(client).list_refused_parts() == {"bad": 4}
+
+    async def test_failed_calls_raise(self):
+        """Guards against a part that counts as stored although it is not."""
+        store = ObjectStore(FakeClient(503, 503))
+        with pytest.raises(TransportError):
+            await store.save_refused_part("bad", 3)
+        with pytest.raises(TransportError):
+            await store.delete_refused_part("bad")
--- a/packages/medlarridge-direct/tests/direct/crashing_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/crashing_fleet.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from dataclasses import dataclass, field
 from errno import ETIMEDOUT
 from random import Random
@@ -13,6 +14,7 @@
 from medlarridge_direct._internal.protocol.configuration import RouteKind
 from medlarridge_direct._internal.protocol.requests import ClientRequest, PromptPart
 from medlarridge_direct._internal.protocol.servers import ServerState
+from medlarridge_direct._internal.refused_parts_sync import SYNC_INTERVAL_MS
 from medlarridge_direct._internal.request_handler import RequestHandler
 from medlarridge_direct._internal.server_crashes import (
     CrashProbes,
@@ -218,7 +220,7 @@
         self.arrivals = []
         self.sent = {}
         self.dead_runs = []
-        self.tasks = set()
+        self.tasks = {}
         self.servers = []
         self.restarts = {}
         self.instances = 0
@@ -238,6 +240,8 @@
         return next(each for each in self.servers if each.instance == instance)
 
     def start(self, number):
+        for task in self.tasks.pop(number, set()):
+            task.cancel()
         super().start(number)
         router = self.routers[number]
         components = router.components
@@ -297,8 +301,9 @@
         )
         handler = self.routers[number].handler
         task = asyncio.ensure_future(handler.handle(request, sent.response))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        tasks = self.tasks.setdefault(number, set())
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
         return sent
 
     async def step(self):
@@ -324,6 +329,10 @@
             if router.paused:
                 continue
             await router.sync_registry()
+            refused_parts = router.sync.refused_parts
+            if refused_parts.stored is None or now_ms % SYNC_INTERVAL_MS == 0:
+                with contextlib.suppress(TransportError):
+                    await refused_parts.sync()
             if (now_ms + router.number * STEP_MS) % REPORT_INTERVAL_MS == 0:
                 router.report()
         if now_ms % 1_000 == 0:
@@ -356,9 +365,10 @@
     async def finish(self):
         """Let all requests end."""
         await self.play(6_000, bad_every_ms=0, sound_every_ms=0)
-        for task in self.tasks:
+        tasks = [task for each in self.tasks.values() for task in each]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def crash_times(self, part):
         return [
--- a/packages/medlarridge-direct/tests/direct/router_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/router_fleet.py
@@ -22,9 +22,10 @@
 
 @dataclass
 class Registry:
-    """The part of the store that lists the routers' addresses."""
+    """The part of the store that lists routers and refused prompt parts."""
 
     addresses: dict[str, tuple[str, int]] = field(default_factory=dict)
+    refused_parts: dict[str, int] = field(default_factory=dict)
     unreachable_for: set[str] = field(default_factory=set)
 
     def for_node(self, node):
@@ -50,6 +51,18 @@
         self.check()
         return dict(self.registry.addresses)
 
+    async def list_refused_parts(self):
+        self.check()
+        return dict(self.registry.refused_parts)
+
+    async def save_refused_part(self, part, crashes):
+        self.check()
+        self.registry.refused_parts[part] = crashes
+
+    async def delete_refused_part(self, part):
+        self.check()
+        self.registry.refused_parts.pop(part, None)
+
 
 class FleetRouter:
     """One incarnation of a router; it takes every retry that its budget allows."""
@@ -143,6 +156,8 @@
         self.cuts.clear()
 
     def deliver(self, sender, data, address):
+        if self.routers.get(sender.number) is not sender:
+            return
         for router in self.routers.values():
             if (
                 router.address == address
--- a/packages/medlarridge-direct/tests/direct/test_crashing_parts.py
+++ b/packages/medlarridge-direct/tests/direct/test_crashing_parts.py
@@ -67,6 +67,18 @@
         await fleet.finish()
         assert fleet.late_arrivals("bad") <= ALLOWED_LATE_REQUESTS
 
+    @pytest.mark.parametrize("seed", range(4))
+    async def test_routers_that_start_together_refuse_it(self, seed):
+        """Guards against evidence that is lost when all routers stop at once."""
+        fleet = await make_fleet(seed=seed)
+        await fleet.play(TROUBLE_MS)
+        for _ in range(3):
+            for number in range(FLEET_SIZE):
+                fleet.start(number)
+            await fleet.play(TROUBLE_MS)
+        await fleet.finish()
+        assert fleet.late_arrivals("bad") <= ALLOWED_LATE_REQUESTS
+
     async def test_a_router_that_was_cut_off_refuses_it(self):
         """Guards against evidence that a router has missed for good."""
         fleet = await make_fleet()
