Bound what a server may send that is no part of a response body

A server in trouble may send bytes without end. A head was read until the deadline: 67 MiB of header lines made the process grow by 921 MiB, and a header value, a header name or a status text took longer with each piece, so the whole loop stood still. Empty lines, interim heads, extensions of chunks, trailers and responses to earlier requests were read on as well.

A connection now counts what it reads for one request beside the body, and closes when that exceeds 64 KiB and eight bytes for each byte of the body, or 1 MiB of discarded bodies. Bytes after a complete response close the connection at once.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
@@ -16,6 +16,14 @@
 MAX_BUFFERED_BYTES = 65_536
 """Buffered response bytes above which reading pauses, as the consumer is slow."""
 
+MAX_FRAMING_BYTES = 65_536
+FRAMING_PER_BODY_BYTE = 8
+"""Bytes of heads, chunk sizes and trailers that are read for one request: a fixed number,
+and more in proportion to the body, which may come in chunks of one byte."""
+
+MAX_DISCARDED_BYTES = 1_048_576
+"""Bytes of responses to earlier requests that are read for one request."""
+
 STATUS_OK = 200
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
@@ -121,6 +129,9 @@
         self.ends_at_close = False
         self.reason = b""
         self.headers: Headers = []
+        self.received_bytes = 0
+        self.body_bytes = 0
+        self.discarded_bytes = 0
 
     # Connection lifecycle
 
@@ -181,6 +192,7 @@
         self.exchange = Exchange(self)
         self.matches_request = matches_request
         self.is_head_request = is_head_request
+        self.received_bytes = self.body_bytes = self.discarded_bytes = 0
         self.transport.write(payload)
         return self.exchange
 
@@ -206,7 +218,7 @@
             self.exchange.push(Broken(detail, ended_by_server))
 
     def data_received(self, data: bytes) -> None:
-        if self.exchange is None:
+        if self.exchange is None or self.exchange.finished:
             self.must_close = True
             self.abort()
             return
@@ -215,6 +227,20 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.fail(f"invalid HTTP response: {type(error).__name__}")
             self.abort()
+            return
+        self.received_bytes += len(data)
+        if self.exceeds_limits():
+            self.fail("too many bytes that belong to no response body")
+            self.abort()
+
+    def exceeds_limits(self) -> bool:
+        """Return whether the server has sent too much that is no part of the body."""
+        content_bytes = self.body_bytes + self.discarded_bytes
+        framing_bytes = self.received_bytes - content_bytes
+        return (
+            framing_bytes > MAX_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * content_bytes
+            or self.discarded_bytes > MAX_DISCARDED_BYTES
+        )
 
     # Parser callbacks
 
@@ -266,8 +292,12 @@
         return Framing.LENGTH if b"content-length" in values else Framing.CLOSE
 
     def on_body(self, data: bytes) -> None:
-        if self.exchange is None or self.exchange.finished or self.discarding:
+        if self.exchange is None or self.exchange.finished:
+            return
+        if self.discarding:
+            self.discarded_bytes += len(data)
             return
+        self.body_bytes += len(data)
         self.exchange.push(Data(data))
 
     def on_message_complete(self) -> None:
--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/transport/test_endless_bytes.py
@@ -0,0 +1,92 @@
+"""Bytes without end, from whatever a router reads: bounded, and closed early."""
+
+import tracemalloc
+
+import pytest
+
+from medlarridge_direct._internal.transport.http_connection import Broken, End
+
+from ..scripted import scripted_connection
+
+pytestmark = pytest.mark.anyio
+
+PIECE_BYTES = 16_384
+MAX_BYTES_READ = 256 * 1024
+"""Bytes that are no answer after which a connection must be closed."""
+MAX_DISCARDED_BYTES = 4 * 1024 * 1024
+MAX_GROWTH_BYTES = 8 * 1024 * 1024
+PIECES = 512
+
+HEAD = b"HTTP/1.1 200 OK\r\nid: 1\r\nsignature: s\r\n"
+CHUNKED_HEAD = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+
+ENDLESS = {
+    "header lines": (HEAD, b"a: b\r\n"),
+    "one header value": (HEAD + b"a: ", b"b"),
+    "one header name": (HEAD, b"b"),
+    "status text": (b"HTTP/1.1 200 ", b"b"),
+    "empty lines": (b"", b"\r\n"),
+    "interim heads": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "a chunk's extension": (CHUNKED_HEAD + b"2;a=", b"b"),
+    "trailers": (CHUNKED_HEAD + b"2\r\nok\r\n0\r\n", b"a: b\r\n"),
+    "one trailer": (CHUNKED_HEAD + b"2\r\nok\r\n0\r\na: ", b"b"),
+    "no HTTP at all": (b"", b"b"),
+}
+
+
+def feed_without_end(connection, start, piece):
+    """Feed bytes until the connection is closed; return how many it took."""
+    piece *= PIECE_BYTES // len(piece)
+    connection.data_received(start)
+    fed = len(start)
+    for _ in range(PIECES):
+        if connection.transport.closed:
+            return fed
+        connection.data_received(piece)
+        fed += len(piece)
+    return fed
+
+
+class TestServersWithoutEnd:
+    @pytest.mark.parametrize("start, piece", ENDLESS.values(), ids=ENDLESS)
+    async def test_are_closed_early(self, start, piece):
+        """Guards against a head or framing that is read until the deadline."""
+        connection = scripted_connection()
+        exchange = connection.start(b"GET / HTTP/1.1\r\n\r\n")
+        tracemalloc.start()
+        fed = feed_without_end(connection, start, piece)
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert fed <= MAX_BYTES_READ
+        assert peak <= MAX_GROWTH_BYTES
+        assert isinstance(exchange.events[-1], Broken)
+
+    async def test_a_response_to_an_earlier_request_is_bounded(self):
+        """Guards against discarding bytes until the deadline."""
+        connection = scripted_connection()
+        exchange = connection.start(b"GET / HTTP/1.1\r\n\r\n", lambda headers: False)
+        start = HEAD + b"content-length: 1000000000\r\n\r\n"
+        assert feed_without_end(connection, start, b"x") <= MAX_DISCARDED_BYTES
+        assert isinstance(exchange.events[-1], Broken)
+
+    async def test_small_chunks_are_no_fault(self):
+        """Guards against closing a long stream because of its framing."""
+        connection = scripted_connection()
+        exchange = connection.start(b"GET / HTTP/1.1\r\n\r\n")
+        connection.data_received(CHUNKED_HEAD)
+        for _ in range(200_000):
+            connection.data_received(b"1\r\nx\r\n")
+            exchange.events.clear()
+            exchange.buffered_bytes = 0
+        connection.data_received(b"0\r\n\r\n")
+        assert isinstance(exchange.events[-1], End)
+
+    async def test_each_exchange_of_a_connection_is_bounded_by_itself(self):
+        """Guards against closing a connection because of its earlier exchanges."""
+        connection = scripted_connection()
+        for _ in range(1_000):
+            exchange = connection.start(b"GET / HTTP/1.1\r\n\r\n")
+            padding = b"a: %b\r\n" % (b"b" * 1_000)
+            connection.data_received(HEAD + padding + b"content-length: 2\r\n\r\nok")
+            assert isinstance(exchange.events[-1], End)
+            assert connection.release()
