Treat a stream with an endless event as broken

A stream whose event never ends was kept in memory until the deadline, also on routes that pass its bytes on. An event of more than 1 MiB now breaks the response, which counts against the server's health, and closes the connection.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -245,7 +245,11 @@
         if isinstance(event, Data):
             if self.first_bytes_ms is None:
                 self.first_bytes_ms = self.components.clock.now_ms()
-            return self.received.add(event.data)
+            part = self.received.add(event.data)
+            if self.received.has_endless_event:
+                self.record_result(AttemptResult.FAILED)
+                return Broken("event is too long")
+            return part
         truncation = self.received.truncation()
         if truncation is None and await self.ended_with_server():
             truncation = "connection was closed and the server refuses another one"
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/received_body.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/received_body.py
@@ -9,6 +9,9 @@
 
 from .protocol.requests import Framing
 
+MAX_EVENT_BYTES = 1_048_576
+"""Bytes of one event above which a stream counts as broken."""
+
 
 @dataclass(frozen=True, slots=True)
 class BodyPart:
@@ -37,6 +40,13 @@
         self.events += len(events)
         return BodyPart(data, events)
 
+    @property
+    def has_endless_event(self) -> bool:
+        """Return whether the event that is being received is too long."""
+        return self.splitter is not None and (
+            len(self.splitter.buffer) > MAX_EVENT_BYTES
+        )
+
     def truncation(self) -> str | None:
         """Return why the body is incomplete although its framing has ended, or None."""
         if self.splitter is None:
--- a/packages/medlarridge-direct/tests/direct/transport/test_endless_bytes.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_endless_bytes.py
@@ -4,9 +4,13 @@
 
 import pytest
 
+from medlarridge_direct._internal.protocol.configuration import (
+    RouteKind,
+)
 from medlarridge_direct._internal.transport.http_connection import Broken, End
 
-from ..scripted import scripted_connection
+from ..scripted import make_components, scripted_connection
+from ..test_request_run import STREAM, chunk, handle_request
 
 pytestmark = pytest.mark.anyio
 
@@ -90,3 +94,25 @@
             connection.data_received(HEAD + padding + b"content-length: 2\r\n\r\nok")
             assert isinstance(exchange.events[-1], End)
             assert connection.release()
+
+
+class TestEventsWithoutEnd:
+    @pytest.mark.parametrize("resumable", [True, False])
+    async def test_one_event_is_bounded(self, resumable):
+        """Guards against a stream whose event never ends and grows in memory."""
+        pieces = [chunk(b"x" * PIECE_BYTES)] * PIECES
+        components = make_components({"a": [(STREAM, chunk(b"data: "), *pieces)]})
+        tracemalloc.start()
+        response, _ = await handle_request(
+            {"a": 0},
+            kind=RouteKind.STREAM,
+            components=components,
+            resumable=resumable,
+            max_attempts=1,
+        )
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert not response.ended or response.status == 502
+        assert len(response.body) <= MAX_DISCARDED_BYTES
+        assert peak <= 2 * MAX_GROWTH_BYTES
+        assert components.connections.sent[0][1].closed
