End a response that goes on after the deadline

A response may now arrive for 250 ms after the deadline, so that answers that are ready are delivered, and is cut then.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -16,6 +16,7 @@
 from .protocol.configuration import RouteKind, effective_priority
 from .protocol.requests import ForwardingMetadata, ResponseHead
 from .protocol.servers import BackendServer
+from .received_body import BodyPart
 from .refusals import send_refusal
 from .server_selection import rank_servers
 from .stream_continuity import StreamContinuity
@@ -39,6 +40,9 @@
 """Time without data after which a repeatable request is sent to another server: a
 multiple of the route's latency objective, but at least the time a busy server needs."""
 
+LATE_DELIVERY_MS = 250
+"""Time after the deadline for which a response that keeps arriving is still read."""
+
 MAX_BUFFERED_RESPONSE_BYTES = 1_048_576
 """Responses up to this size are sent only when complete, so that a broken one can still
 be retried or replaced by an error."""
@@ -317,12 +321,23 @@
             and self.components.retry_budget.remaining(self.accepted.pool.name) >= 1
         )
 
+    async def next_part(
+        self, attempt: Attempt, timeout_ms: int
+    ) -> BodyPart | Broken | None:
+        """Return the next part of a response, see ``Attempt.next_part``.
+
+        Raise ``TimeoutError`` also if the response goes on after the deadline.
+        """
+        if self.remaining_ms() < -LATE_DELIVERY_MS:
+            raise TimeoutError
+        return await attempt.next_part(max(timeout_ms, 1))
+
     async def deliver_buffered(self, attempt: Attempt, head: ResponseHead) -> bool:
         """Send the response when it is complete, or as it arrives if it is large."""
         buffered = bytearray()
         while True:
             try:
-                part = await attempt.next_part(max(self.remaining_ms(), 1))
+                part = await self.next_part(attempt, self.remaining_ms())
             except TimeoutError:
                 part = Broken("deadline passed before the response was complete")
             if isinstance(part, Broken):
@@ -346,7 +361,7 @@
             return await self.deliver_passthrough(attempt, head)
         while True:
             try:
-                part = await attempt.next_part(self.attempt_timeout_ms())
+                part = await self.next_part(attempt, self.attempt_timeout_ms())
             except TimeoutError:
                 attempt.record_result(AttemptResult.FAILED)
                 part = Broken("stream sent no data before the timeout")
@@ -373,7 +388,7 @@
         """Relay a stream that cannot be resumed at another server."""
         while True:
             try:
-                part = await attempt.next_part(max(self.remaining_ms(), 1))
+                part = await self.next_part(attempt, self.remaining_ms())
             except TimeoutError:
                 part = Broken("deadline passed before the stream ended")
             if isinstance(part, Broken):
--- a/packages/medlarridge-direct/tests/direct/transport/test_endless_bytes.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_endless_bytes.py
@@ -1,5 +1,6 @@
 """Bytes without end, from whatever a router reads: bounded, and closed early."""
 
+import asyncio
 import tracemalloc
 
 import pytest
@@ -7,9 +8,13 @@
 from medlarridge_direct._internal.protocol.configuration import (
     RouteKind,
 )
-from medlarridge_direct._internal.transport.http_connection import Broken, End
+from medlarridge_direct._internal.transport.http_connection import (
+    Broken,
+    End,
+    HttpConnection,
+)
 
-from ..scripted import make_components, scripted_connection
+from ..scripted import FakeTransport, make_components, scripted_connection
 from ..test_request_run import STREAM, chunk, handle_request
 
 pytestmark = pytest.mark.anyio
@@ -17,6 +22,11 @@
 PIECE_BYTES = 16_384
 MAX_BYTES_READ = 256 * 1024
 """Bytes that are no answer after which a connection must be closed."""
+TIMEOUT_MS = 5_000
+"""Timeout of the sample route."""
+LATE_MS = 500
+"""Time after the timeout by which the platform expects the end of a request."""
+EVENT_CHUNK = chunk(b"data: x\n\n")
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 MAX_GROWTH_BYTES = 8 * 1024 * 1024
 PIECES = 512
@@ -116,3 +126,64 @@
         assert len(response.body) <= MAX_DISCARDED_BYTES
         assert peak <= 2 * MAX_GROWTH_BYTES
         assert components.connections.sent[0][1].closed
+
+
+class SteppingTransport(FakeTransport):
+    """Server that sends a piece whenever the router has time, for ever."""
+
+    def __init__(self, connection, head, piece, clock):
+        super().__init__(connection)
+        self.head, self.piece, self.clock = head, piece, clock
+        self.pieces = 0
+
+    def write(self, data):
+        self.connection.data_received(self.head)
+        asyncio.get_running_loop().call_soon(self.send_piece)
+
+    def send_piece(self):
+        if self.closed or self.pieces >= PIECES:
+            return
+        self.pieces += 1
+        self.clock.advance(100)
+        self.connection.data_received(self.piece)
+        asyncio.get_running_loop().call_soon(self.send_piece)
+
+
+class EndlessServers:
+    """Connections to servers that send pieces for ever."""
+
+    def __init__(self, head, piece, clock):
+        self.head, self.piece, self.clock = head, piece, clock
+        self.transports = []
+
+    async def acquire(self, entry, limit):
+        connection = HttpConnection(entry.address)
+        transport = SteppingTransport(connection, self.head, self.piece, self.clock)
+        connection.connection_made(transport)
+        self.transports.append(transport)
+        return connection
+
+
+class TestBodiesWithoutEnd:
+    @pytest.mark.parametrize(
+        "kind, changes, head, piece",
+        [
+            (RouteKind.STREAM, {"resumable": True}, STREAM, EVENT_CHUNK),
+            (RouteKind.STREAM, {"resumable": False}, STREAM, EVENT_CHUNK),
+            (RouteKind.IDEMPOTENT, {}, STREAM, chunk(b"x" * 1_000)),
+            (RouteKind.IDEMPOTENT, {}, STREAM, chunk(b"x" * PIECE_BYTES * 16)),
+        ],
+        ids=["resumable stream", "stream", "small pieces", "large pieces"],
+    )
+    async def test_end_soon_after_the_deadline(self, kind, changes, head, piece):
+        """Guards against a body that goes on for ever since its bytes never pause."""
+        components = make_components({"a": []})
+        clock = components.clock
+        servers = EndlessServers(head, piece, clock)
+        components.connections = servers
+        began_ms = clock.now_ms()
+        await handle_request(
+            {"a": 0}, kind=kind, components=components, max_attempts=1, **changes
+        )
+        assert clock.now_ms() - began_ms <= TIMEOUT_MS + LATE_MS
+        assert all(transport.closed for transport in servers.transports)
