Bound what a client may send beside the body of a request

A header or a header's name without end was kept until the header timeout, since the limit counted complete headers only; empty lines, extensions of chunks and trailers were read on. A connection now counts what it reads for a request beside the body and rejects the request with 431 above the limits of four pipelined heads.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -16,6 +16,11 @@
 """Requests that are read ahead on one connection; others stay in the socket buffer."""
 
 MAX_TARGET_BYTES = 8_192
+
+FRAMING_PER_BODY_BYTE = 8
+"""Bytes of chunk sizes that are read for each byte of a body, which may come in chunks
+of one byte."""
+
 LAST_CHUNK = b"0\r\n\r\n"
 REASON_PHRASES = {
     200: b"OK",
@@ -133,6 +138,8 @@
         self.rejected = False
         self.idle_since_ms = clock.now_ms()
         self.message_started_ms: int | None = None
+        self.received_bytes = 0
+        self.body_bytes = 0
         self.reset_message()
 
     def reset_message(self) -> None:
@@ -244,15 +251,31 @@
     def data_received(self, data: bytes) -> None:
         if self.rejected:
             return
+        self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserCallbackError:
             self.reject_message(400)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.reject_message(400)
+        if self.exceeds_limits():
+            self.reject_message(431)
         if len(self.pending) >= MAX_PIPELINED_REQUESTS and self.transport is not None:
             self.transport.pause_reading()
 
+    def exceeds_limits(self) -> bool:
+        """Return whether too much was read since the last request beside its body.
+
+        What is read at once may hold several requests, so each may be this large.
+        """
+        limits = self.limits()
+        head_bytes = limits.max_header_bytes + MAX_TARGET_BYTES
+        framing_bytes = self.received_bytes - self.body_bytes
+        return framing_bytes > (
+            MAX_PIPELINED_REQUESTS * head_bytes
+            + FRAMING_PER_BODY_BYTE * self.body_bytes
+        )
+
     def on_message_begin(self) -> None:
         self.reset_message()
         self.message_started_ms = self.clock.now_ms()
@@ -285,12 +308,14 @@
 
     def on_body(self, data: bytes) -> None:
         self.body += data
+        self.body_bytes += len(data)
         if len(self.body) > self.limits().max_body_bytes:
             self.reject_message(413)
 
     def on_message_complete(self) -> None:
         if self.rejected:
             return
+        self.received_bytes = self.body_bytes = 0
         request = ClientRequest(
             method=self.parser.get_method(),
             target=self.target,
--- a/packages/medlarridge-direct/tests/direct/transport/test_endless_bytes.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_endless_bytes.py
@@ -5,9 +5,12 @@
 
 import pytest
 
+from medlarridge import ManualClock
 from medlarridge_direct._internal.protocol.configuration import (
+    ClientLimits,
     RouteKind,
 )
+from medlarridge_direct._internal.transport.client_connection import ClientConnection
 from medlarridge_direct._internal.transport.http_connection import (
     Broken,
     End,
@@ -187,3 +190,57 @@
         )
         assert clock.now_ms() - began_ms <= TIMEOUT_MS + LATE_MS
         assert all(transport.closed for transport in servers.transports)
+
+
+class TestClientsWithoutEnd:
+    @pytest.mark.parametrize(
+        "start, piece",
+        [
+            (b"POST /plan/1 HTTP/1.1\r\na: ", b"b"),
+            (b"POST /plan/1 HTTP/1.1\r\n", b"b"),
+            (b"", b"\r\n"),
+            (
+                b"POST /plan/1 HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n2;a=",
+                b"b",
+            ),
+            (
+                b"POST /plan/1 HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+                b"a: b\r\n",
+            ),
+        ],
+        ids=["header value", "header name", "empty lines", "extension", "trailers"],
+    )
+    async def test_are_rejected_early(self, start, piece):
+        """Guards against a client's bytes that are read until a timeout."""
+        connections = set()
+        connection = ClientConnection(
+            None, ClientLimits, ManualClock(1_000_000), connections, lambda: False
+        )
+        connection.connection_made(FakeTransport(connection))
+        assert feed_without_end(connection, start, piece) <= MAX_BYTES_READ
+
+    @pytest.mark.parametrize("piece_bytes", [100, 4_096, 1_000_000])
+    async def test_large_bodies_are_no_fault(self, piece_bytes):
+        """Guards against rejecting a request because of the size of its body."""
+        requests = []
+
+        async def handle(request, response):
+            requests.append(request)
+            response.send(200, b"", b"")
+
+        connection = ClientConnection(
+            handle, ClientLimits, ManualClock(1_000_000), set(), lambda: False
+        )
+        connection.connection_made(FakeTransport(connection))
+        body = b"x" * 500_000
+        framed = b"POST /plan/1 HTTP/1.1\r\ncontent-length: %d\r\n\r\n%b"
+        chunks = b"".join(chunk(b"x") for _ in range(100_000))
+        data = framed % (len(body), body) + (
+            b"POST /plan/1 HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n%b0\r\n\r\n"
+            % chunks
+        )
+        for start in range(0, len(data), piece_bytes):
+            connection.data_received(data[start : start + piece_bytes])
+        for _ in range(10):
+            await asyncio.sleep(0)
+        assert [len(request.body) for request in requests] == [500_000, 100_000]
