--- a/packages/medlarridge-direct/tests/soak/checks.py
+++ b/packages/medlarridge-direct/tests/soak/checks.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from .clients import NOT_RUN_STATUSES, SentRequest
-from .server_process import MIN_EVENT_S
+from .server_process import MIN_EVENT_S, has_crashing_part
 
 MAX_ATTEMPTS = 2
 """``maxAttempts`` of the routes whose requests are repeatable."""
@@ -18,6 +18,11 @@
 """Routers stop using a server within this time of its drain announcement."""
 DISCONNECT_GRACE_S = 0.5
 """Servers stop processing a request within this time of its client's disconnect."""
+MAX_CRASHES = 5
+MAX_LATE_CRASHING_REQUESTS = 3
+STABILITY_S = 3.0
+"""After ``MAX_CRASHES`` crashes under a part, and this time, only few requests with it
+may reach servers."""
 MAX_LATE_STOPS = 3
 """Requests that may continue beyond ``DISCONNECT_GRACE_S``."""
 MIN_SERVED_SHARE = 0.95
@@ -35,6 +40,8 @@
     """Violations that were detected during the run."""
     faults_end_s: float = float("inf")
     """Time after which no fault has an effect; planned work continues."""
+    disturbances: list[tuple[float, float]] = field(default_factory=list)
+    """Begin and end of the faults that keep routers from knowing what they should."""
     timed: bool = True
     """Whether timing guarantees are checked; load on the host can break them."""
 
@@ -77,6 +84,7 @@
     if observations.timed:
         violations += check_drains(observations)
         violations += check_disconnects(observations)
+        violations += check_crashing_parts(observations)
     return violations
 
 
@@ -183,6 +191,32 @@
     return violations
 
 
+def check_crashing_parts(observations: Observations) -> list[str]:
+    """Check that requests whose prompts crash servers are refused after five crashes.
+
+    Those that routers may send while they do not know enough do not count.
+    """
+    crashes_s = sorted(
+        record["at"] for record in observations.records if record["event"] == "crashed"
+    )
+    if len(crashes_s) < MAX_CRASHES:
+        return []
+    begin_s = crashes_s[MAX_CRASHES - 1] + STABILITY_S
+    late = [
+        run["id"]
+        for run in observations.runs()
+        if run["at"] > begin_s
+        and has_crashing_part(run["prompt"].encode())
+        and not any(
+            start_s <= run["at"] <= end_s + STABILITY_S
+            for start_s, end_s in observations.disturbances
+        )
+    ]
+    if len(late) <= MAX_LATE_CRASHING_REQUESTS:
+        return []
+    return [f"BUDGET: prompts with a part that crashes servers went on to run: {late}"]
+
+
 def check_recovery(observations: Observations) -> list[str]:
     """Check that requests after the faults are served and none is lost."""
     violations = []
--- a/packages/medlarridge-direct/tests/soak/clients.py
+++ b/packages/medlarridge-direct/tests/soak/clients.py
@@ -12,7 +12,12 @@
 
 from .http_connection import NO_CONTENT, ConnectionClosed, HttpConnection
 from .processes import monotonic_s
-from .server_process import response_body, stream_event, stream_event_count
+from .server_process import (
+    CRASHING_PART,
+    response_body,
+    stream_event,
+    stream_event_count,
+)
 
 CONNECT_TIMEOUT_S = 1.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -137,12 +142,19 @@
         account: str,
         disconnect_after_s: float | None = None,
         prefix: str | None = None,
+        crashes: bool = False,
     ) -> SentRequest:
-        """Send a request, over the open connection if it leads to the same router."""
+        """Send a request, over the open connection if it leads to the same router.
+
+        The prompt of a request that ``crashes`` has a part under which servers crash.
+        """
         self.count += 1
         request_id = f"{self.name}-{self.count:04d}"
         session = self.random.randrange(6)
-        prompt = f"aa{session % 2}:300,bb{session}:900,{request_id}:40"
+        parts = [f"aa{session % 2}:300", f"bb{session}:900"]
+        if crashes:
+            parts.insert(self.random.randrange(3), f"{CRASHING_PART.decode()}:200")
+        prompt = ",".join([*parts, f"{request_id}:40"])
         request = SentRequest(
             request_id=request_id,
             router=router,
@@ -154,6 +166,7 @@
             prompt=prompt if kind.stream else "",
             sent_s=monotonic_s(),
             kept=self.connection is not None and self.router == router,
+            owed=not crashes,
         )
         self.history.append(request)
         await self.run_exchange(request, address, key, disconnect_after_s)
--- a/packages/medlarridge-direct/tests/soak/fleet.py
+++ b/packages/medlarridge-direct/tests/soak/fleet.py
@@ -26,6 +26,8 @@
 STORE_RETRY_S = 0.1
 """Pause of the operator after a write that the store did not acknowledge."""
 PROBE_INTERVAL_S = 0.25
+SERVER_RESTART_S = 1.0
+"""Time after which a server that has crashed starts again."""
 FIRST_SUBNET = 20
 SUBNET_COUNT = 200
 """Number of subnets 127.N.0.0/16 available to concurrent runs."""
@@ -111,6 +113,7 @@
         self.configuration_body = b""
         self.probe_failures = [0] * ROUTER_COUNT
         self.first_start = True
+        self.restarts: list[asyncio.Task[None]] = []
         store = f"127.{self.subnet}.4.1"
         self.store_address = store
         arguments = ["-m", "soak.store_process", store, "8223", "8224"]
@@ -156,6 +159,8 @@
         self.observations.records.append(
             {**line, "server": instance, "pool": POOLS[number]}
         )
+        if line["event"] == "crashed":
+            self.restarts.append(asyncio.create_task(self.restart_server(number)))
 
     def on_router_line(self, name: str, line: dict) -> None:
         """Record a router's log line; a line of level ERROR is a violation."""
@@ -230,6 +235,11 @@
         ]
         await process.start()
 
+    async def restart_server(self, number: int) -> None:
+        """Start a new instance of a server that has crashed."""
+        await asyncio.sleep(SERVER_RESTART_S)
+        await self.start_server(number)
+
     def write_settings(self, number: int, slack: int) -> Path:
         """Write the settings file of a router atomically."""
         path = self.directory / f"router-{number}.toml"
@@ -254,6 +264,8 @@
 
     async def stop(self) -> None:
         """Kill all processes, close the proxies and check the routers' output."""
+        for restart in self.restarts:
+            restart.cancel()
         for process in (*self.routers, *self.servers):
             await process.kill()
         await self.store.kill()
--- a/packages/medlarridge-direct/tests/soak/plan.py
+++ b/packages/medlarridge-direct/tests/soak/plan.py
@@ -10,6 +10,8 @@
 """Earliest start of a fault; clients are sending requests by then."""
 MAX_FAULTS = 14
 MIN_FAULTS = 5
+CRASHING_PART_SHARE = 0.5
+"""Share of the seeds in which the prompts of some requests crash servers."""
 
 DetailsFactory = Callable[[Random], dict]
 DETAILS_FACTORIES: dict[str, DetailsFactory] = {}
@@ -57,6 +59,7 @@
     "key-revoked",
     "many-routes",
     "route-moved",
+    "crashing-part",
 ):
     fault_kind(name)(no_details)
 
@@ -104,10 +107,18 @@
         faults.append(Fault(at_s, for_s, "store-drill", 0, details))
 
 
+def add_crashing_part(seed: int, length_s: float, faults: list[Fault]) -> None:
+    """Add requests whose prompts crash servers, which change no other fault."""
+    random = Random(f"{seed}-crashing-part")
+    if random.random() < CRASHING_PART_SHARE:
+        at_s = round(random.uniform(FIRST_FAULT_S, length_s / 2), 2)
+        faults.append(Fault(at_s, length_s - at_s, "crashing-part", 0, {}))
+
+
 def make_plan(seed: int, length_s: float) -> list[Fault]:
     """Return the faults of a run, sorted by start time; they may overlap."""
     random = Random(seed)
-    names = sorted(DETAILS_FACTORIES)
+    names = sorted(DETAILS_FACTORIES.keys() - {"crashing-part"})
     faults = []
     for _ in range(random.randint(MIN_FAULTS, MAX_FAULTS)):
         name = random.choice(names)
@@ -126,4 +137,5 @@
             )
         )
     add_drills(seed, length_s, faults)
+    add_crashing_part(seed, length_s, faults)
     return sorted(faults, key=lambda fault: fault.at_s)
--- a/packages/medlarridge-direct/tests/soak/run.py
+++ b/packages/medlarridge-direct/tests/soak/run.py
@@ -29,6 +29,8 @@
 """Time that a router may take to exit beyond its grace period."""
 MAX_TAKE_UPS = 2
 """Times that a client asks for the rest of a stream that broke off."""
+CRASHING_SHARE = 0.2
+"""Share of the streams whose prompt crashes servers while that fault lasts."""
 DISCONNECT_SHARE = 0.08
 """Share of requests whose client disconnects before the response is complete."""
 BASE_FAULT_RATES = {
@@ -45,6 +47,9 @@
 sends a second, unsolicited response.
 """
 
+DISTURBING_FAULTS = ("router", "all-routers", "store", "engine-link", "client-link")
+"""Beginnings of the faults during which routers may not know what they should."""
+
 FaultAction = Callable[["SoakRun", Fault], Awaitable[None]]
 FAULT_ACTIONS: dict[str, FaultAction] = {}
 """Function that injects a fault, by kind of fault."""
@@ -75,6 +80,7 @@
         self.fleet = Fleet(directory, self.observations)
         self.stopping = False
         self.configuration_probe_count = 0
+        self.crashing_part = False
 
     async def execute(self) -> list[str]:
         """Run all phases; return the violated guarantees."""
@@ -112,13 +118,18 @@
             disconnect_after_s = (
                 random.uniform(0, 0.4) if random.random() < DISCONNECT_SHARE else None
             )
+            kind = random.choice(REQUEST_KINDS)
+            crashes = (
+                self.crashing_part and kind.stream and random.random() < CRASHING_SHARE
+            )
             request = await client.send_request(
                 router,
                 (self.fleet.ip(6, router), 8227),
-                random.choice(REQUEST_KINDS),
+                kind,
                 key,
                 self.fleet.api_keys.get(key, ""),
                 disconnect_after_s,
+                crashes=crashes,
             )
             for _ in range(MAX_TAKE_UPS):
                 if not request.can_be_taken_up:
@@ -138,13 +149,18 @@
         fault_tasks = []
         for fault in self.plan:
             await asyncio.sleep(max(begin_s + fault.at_s - monotonic_s(), 0))
-            fault_tasks.append(
-                asyncio.create_task(FAULT_ACTIONS[fault.kind](self, fault))
-            )
+            fault_tasks.append(asyncio.create_task(self.inject(fault)))
             self.fleet.check_unexpected_exits()
         await asyncio.sleep(max(begin_s + self.length_s - monotonic_s(), 0))
         await asyncio.gather(*fault_tasks)
 
+    async def inject(self, fault: Fault) -> None:
+        """Inject a fault and note for how long it disturbs what routers know."""
+        begin_s = monotonic_s()
+        await FAULT_ACTIONS[fault.kind](self, fault)
+        if fault.kind.startswith(DISTURBING_FAULTS):
+            self.observations.disturbances.append((begin_s, monotonic_s()))
+
     async def clear_faults(self) -> None:
         """End the remaining faults and wait until the system has recovered."""
         fleet = self.fleet
@@ -327,6 +343,14 @@
     await run.fleet.start_server(number, same_instance=fault.target % 2 == 0)
 
 
+@fault_action("crashing-part")
+async def send_crashing_parts(run: SoakRun, fault: Fault) -> None:
+    """Let clients send requests under whose prompts servers crash."""
+    run.crashing_part = True
+    await asyncio.sleep(fault.for_s)
+    run.crashing_part = False
+
+
 @fault_action("engine-drain")
 async def drain_server(run: SoakRun, fault: Fault) -> None:
     """Drain a server and start a new instance."""
--- a/packages/medlarridge-direct/tests/soak/server_process.py
+++ b/packages/medlarridge-direct/tests/soak/server_process.py
@@ -8,6 +8,7 @@
 import asyncio
 import hashlib
 import json
+import os
 import signal
 import sys
 import time
@@ -42,6 +43,9 @@
 """Share of the streams with an interim response before the final one."""
 ENDED_CUT_SHARE = 0.3
 """Share of the cut streams whose last chunk follows part of an event."""
+CRASHING_PART = b"cc"
+"""Part of a prompt under which a server crashes, unless it is the last one."""
+CRASH_EXIT_CODE = 70
 NO_CONTENT_PREFIX = b"/note/"
 """Prefix of the requests whose responses have status 204."""
 MIN_EVENT_S = 0.01
@@ -66,6 +70,12 @@
     return b"id: %d\ndata: %b\n\n" % (number, data.encode())
 
 
+def has_crashing_part(prompt: bytes) -> bool:
+    """Return whether servers crash under a prompt."""
+    parts = [entry.partition(b":")[0] for entry in prompt.split(b",")]
+    return CRASHING_PART in parts[:-1]
+
+
 def report(event: str, **fields: object) -> None:
     """Write an event to standard output as a JSON line."""
     line = {"event": event, "at": time.monotonic(), **fields}
@@ -226,6 +236,9 @@
         """Process a request; return its outcome."""
         if self.pool == "desk":
             await asyncio.sleep(RESPONSE_TIME_S * (0.5 + self.random.random()))
+        elif has_crashing_part(request.headers.get(names.PROMPT_PARTS, b"")):
+            report("crashed", id=request_id)
+            os._exit(CRASH_EXIT_CODE)
         if self.fault_occurs("lost"):
             connection.abort()
             return "lost"
--- a/packages/medlarridge-direct/tests/soak/test_soak.py
+++ b/packages/medlarridge-direct/tests/soak/test_soak.py
@@ -183,6 +183,22 @@
         assert violated_rules(*requests, records=records) == ["BUDGET"]
         assert violated_rules(*requests, records=records[:30]) == []
 
+    def test_prompts_that_go_on_to_crash_servers_are_found(self):
+        requests = [
+            make_request(TALK, request_id=f"c-{n}", prompt=f"aa:1,cc:2,c-{n}:3")
+            for n in range(12)
+        ]
+        records = []
+        for number, request in enumerate(requests):
+            at = 10.0 + number
+            run = make_run(request, at=at, deadline_ms=6_000, server=f"i-{number}")
+            crash = {"event": "crashed", "at": at, "server": f"i-{number}"}
+            records += [run, crash | {"id": request.request_id}]
+        assert violated_rules(*requests, records=records) == ["BUDGET"]
+        assert violated_rules(*requests[:11], records=records[:22]) == []
+        cut_off = [(16.0, 19.0)]
+        assert violated_rules(*requests, records=records, disturbances=cut_off) == []
+
     def test_a_response_to_head_with_another_length_is_found(self):
         request = make_request(PEEK)
         headers = {b"x-medlarridge-response-signature": b"s", b"content-length": b"0"}
