Count retries that were not sent as none, and bound remembered successes of peers

A retry whose connection failed was counted as an arrival for a window. Successes of prompt parts that peers report went into memory without its bound.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -38,7 +38,6 @@
 """Statuses that tell a client that its request did not run and never will. A server's
 response with one of them is not passed on."""
 
-
 BEGIN_MS = 1_000
 """Time from the first bytes of a response after which its prompt no longer crashes the
 server: a server crashes as it begins to answer."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
@@ -148,21 +148,25 @@
         now_ms = self.clock.now_ms()
         cleared = []
         for part in parts:
-            self.successes[part] = now_ms
-            self.successes.move_to_end(part)
+            self.remember_success(part, now_ms)
             if part in self.suspects:
                 self.drop_crashes_before(part, now_ms)
                 cleared.append(part)
-        while len(self.successes) > MAX_SUCCESSES:
-            self.successes.popitem(last=False)
         return cleared
 
     def record_peer_success(self, part: str, age_ms: int) -> bool:
         """Record that a peer got an answer; return whether this ends evidence."""
         succeeded_ms = self.clock.now_ms() - age_ms
-        self.successes[part] = max(succeeded_ms, self.successes.get(part, 0))
+        self.remember_success(part, succeeded_ms)
         return part in self.suspects and self.drop_crashes_before(part, succeeded_ms)
 
+    def remember_success(self, part: str, succeeded_ms: int) -> None:
+        """Remember the last success of a part, and forget the oldest ones."""
+        self.successes[part] = max(succeeded_ms, self.successes.get(part, 0))
+        self.successes.move_to_end(part)
+        while len(self.successes) > MAX_SUCCESSES:
+            self.successes.popitem(last=False)
+
     def drop_crashes_before(self, part: str, succeeded_ms: int) -> bool:
         """Drop the evidence that a success outdates; return whether there was any."""
         suspect = self.suspects[part]
@@ -202,6 +206,7 @@
 
     def expire(self) -> None:
         """Drop the evidence against parts that no request has had for long."""
+        self.drop_old_answered()
         oldest_ms = self.clock.now_ms() - RETENTION_MS
         expired = [
             part
@@ -307,13 +312,17 @@
 
     def answered_lately(self) -> list[tuple[str, int]]:
         """Return parts of which peers should know the last success, and its time."""
+        self.drop_old_answered()
+        return [(part, self.successes[part]) for part in self.answered]
+
+    def drop_old_answered(self) -> None:
+        """Drop the successes that peers have been told for long enough."""
         oldest_ms = self.clock.now_ms() - ANSWERED_REPEAT_MS
         self.answered = {
             part: since_ms
             for part, since_ms in self.answered.items()
             if since_ms >= oldest_ms and part in self.successes
         }
-        return [(part, self.successes[part]) for part in self.answered]
 
     def refused_crashes(self) -> dict[str, int]:
         """Return the refused parts and how many servers have crashed under each."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/retry_budget.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/retry_budget.py
@@ -18,6 +18,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from enum import Enum, auto
 from itertools import accumulate
 from math import ceil
 from typing import Protocol
@@ -49,6 +50,24 @@
 """Time for which bytes may be under way after their connection was closed."""
 
 
+class RetryEnd(Enum):
+    """What is known of a retry when its attempt has ended or got a response.
+
+    One that ``MAY_ARRIVE``, or an earlier attempt of its request, may be on its way.
+    """
+
+    NOT_SENT = auto()
+    ARRIVED = auto()
+    MAY_ARRIVE = auto()
+
+
+END_DELAYS_MS = {
+    RetryEnd.ARRIVED: NETWORK_DELAY_MS,
+    RetryEnd.MAY_ARRIVE: MAX_ARRIVAL_DELAY_MS,
+}
+"""Time for which a retry may still arrive."""
+
+
 class RetryBudgetLimits(Protocol):
     """Retries allowed in a sliding window: a ratio of the requests, plus a slack.
 
@@ -179,12 +198,13 @@
         self.history(pool).open_retries += 1
         return True
 
-    def end_retry(self, pool: str, may_arrive: bool = False) -> None:
-        """Record that a retry has arrived or was lost, or may arrive for a while."""
+    def end_retry(self, pool: str, end: RetryEnd = RetryEnd.ARRIVED) -> None:
+        """Record what is known of a retry; one that was not sent does not count."""
         history = self.history(pool)
         history.open_retries -= 1
-        slot = self.slot(MAX_ARRIVAL_DELAY_MS if may_arrive else NETWORK_DELAY_MS)
-        history.ended_retries[slot] = history.ended_retries.get(slot, 0) + 1
+        if end is not RetryEnd.NOT_SENT:
+            slot = self.slot(END_DELAYS_MS[end])
+            history.ended_retries[slot] = history.ended_retries.get(slot, 0) + 1
 
     def open_retries(self) -> int:
         """Return how many retries may still be on their way."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -9,6 +9,7 @@
 from .attempt import SUCCESS_STATUS_CLASS, Attempt, AttemptOutcome, OutcomeKind
 from .components import RouterComponents
 from .coordination.crashing_parts import part_key
+from .coordination.retry_budget import RetryEnd
 from .coordination.server_health import AttemptResult
 from .logs import RequestLog
 from .prompt_reuse import PromptReuse
@@ -236,17 +237,18 @@
         After a silent attempt, which may be on its way, any further one may arrive first.
         """
         is_retry = bool(self.attempts_received)
-        may_arrive = True
+        end = RetryEnd.MAY_ARRIVE
         try:
             outcome = await attempt.start(metadata, self.attempt_timeout_ms())
             self.any_silent |= outcome.kind is OutcomeKind.SILENT
-            may_arrive = self.any_silent
+            if not outcome.reached_server:
+                end = RetryEnd.NOT_SENT
+            elif not self.any_silent:
+                end = RetryEnd.ARRIVED
             return outcome
         finally:
             if is_retry:
-                self.components.retry_budget.end_retry(
-                    self.accepted.pool.name, may_arrive
-                )
+                self.components.retry_budget.end_retry(self.accepted.pool.name, end)
 
     def forwarding_metadata(self, server: BackendServer) -> ForwardingMetadata:
         """Return the metadata that the router adds to an attempt."""
--- a/packages/medlarridge-direct/tests/direct/coordination/test_retry_budget.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_retry_budget.py
@@ -10,6 +10,7 @@
     NETWORK_DELAY_MS,
     SLOT_MS,
     RetryBudget,
+    RetryEnd,
 )
 from medlarridge_direct._internal.settings import RetrySettings
 
@@ -56,6 +57,13 @@
         clock.advance(WINDOW_S * 1_000 + NETWORK_DELAY_MS + SLOT_MS)
         assert take_all(budget) > 0
 
+    def test_retries_that_were_not_sent_do_not_count(self):
+        """Guards against retries that are spent on servers that refuse connections."""
+        budget = make_budget(ManualClock(1_000_000))
+        for _ in range(10 * SLACK):
+            assert budget.take("models")
+            budget.end_retry("models", RetryEnd.NOT_SENT)
+
     def test_retries_on_their_way_count(self):
         """Guards against retries that are spent again before they have arrived."""
         clock = ManualClock(1_000_000)
