Take a stream that ended with its connection for whole only if its server answers

A server that crashes closes its connections. A model server must now answer a call that needs no slot; no answer means that the stream is broken.

One of five new tests is the proxy that resets late.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -78,6 +78,7 @@
     """Sends a request to a server and returns the events of its response.
 
     ``shared_parts`` are the keys of the prompt's parts that other requests may share.
+    ``asks_reports`` tells that the server is one of models, which report their state.
     As a context manager, it counts as load of the server while it is open and releases
     or closes its connection on exit.
     """
@@ -92,6 +93,7 @@
         connection_limit: int,
         expects_stream: bool,
         shared_parts: tuple[str, ...] = (),
+        asks_reports: bool = False,
     ) -> None:
         self.components = components
         self.server = server
@@ -101,6 +103,7 @@
         self.connection_limit = connection_limit
         self.expects_stream = expects_stream
         self.shared_parts = shared_parts
+        self.asks_reports = asks_reports
         self.first_bytes_ms: int | None = None
         self.exchange: Exchange | None = None
         self.head: ResponseHead | None = None
@@ -251,7 +254,7 @@
             return part
         truncation = self.received.truncation()
         if truncation is None and await self.ended_with_server():
-            truncation = "connection was closed and the server refuses another one"
+            truncation = "connection was closed and the server does not answer"
         if truncation is None:
             return None
         ended_by_server = self.received.framing is Framing.CLOSE
@@ -262,13 +265,17 @@
         """Return whether a body without length or chunks ended with its server.
 
         The operating system closes the connections of a process that crashes or exits,
-        so the body may be incomplete.
+        so the body may be incomplete. A model server must answer on another connection.
         """
         if self.received.framing is not Framing.CLOSE:
             return False
-        if not await self.components.connections.is_refused(
-            self.server, self.connection_limit
-        ):
+        connections = self.components.connections
+        if self.asks_reports:
+            if await connections.is_serving(
+                self.server, self.connection_limit, self.components.dialect.report_path
+            ):
+                return False
+        elif not await connections.is_refused(self.server, self.connection_limit):
             return False
         self.record_result(AttemptResult.UNREACHABLE)
         record_server_down(self.components, self.server.instance)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
@@ -45,6 +45,9 @@
     inventory_path: bytes
     """Request target of the call that lists the prompt parts a server caches."""
 
+    report_path: bytes
+    """Request target of a call that a model server answers without a slot."""
+
     def parse_inventory(self, body: bytes) -> list[PromptPart] | None:
         """Return the parts in the response body, or None if it is malformed."""
         ...
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -209,6 +209,7 @@
             self.accepted.pool.max_connections // self.components.fleet_size.count,
             self.route.kind is RouteKind.STREAM,
             self.shared_parts,
+            self.accepted.pool.runs_models,
         ) as attempt:
             self.log.attempt_sent(
                 server,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
@@ -8,7 +8,14 @@
 from medlarridge._internal.errors import TransportError
 
 from ..protocol.servers import BackendServer
-from .http_connection import ConnectionRefused, HttpConnection, open_connection
+from .http_connection import (
+    Broken,
+    ConnectionRefused,
+    End,
+    HttpConnection,
+    RawResponseHead,
+    open_connection,
+)
 
 CONNECT_TIMEOUT_MS = 200
 """A server accepts in a few milliseconds. A lost SYN is sent again only after a second,
@@ -27,6 +34,10 @@
 """Time in which a proxy in front of a server that has ended resets a connection."""
 
 
+PROBE_TIMEOUT_MS = 400
+"""Time in which a server that is running answers a request that needs no slot."""
+
+
 class ConnectionLimitReached(TransportError):
     """Raised when the router's share of the server's connections is in use."""
 
@@ -101,6 +112,35 @@
         self.keep_idle(server, connection, DEFAULT_KEEP_ALIVE_MS)
         return False
 
+    async def is_serving(self, server: BackendServer, limit: int, path: bytes) -> bool:
+        """Return whether a server that closed a connection answers on another one.
+
+        A proxy may accept connections for a server that has ended, so only an answer
+        shows that it is running. Without a connection left to ask, it counts as running.
+        """
+        try:
+            connection = await self.open(server, limit)
+        except ConnectionLimitReached:
+            return True
+        except TransportError:
+            return False
+        answered = False
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_MS / MS_PER_S):
+                exchange = connection.start(
+                    b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n"
+                    % (path, server.address.encode())
+                )
+                while not isinstance(event := await exchange.next_event(), End):
+                    answered |= isinstance(event, RawResponseHead)
+                    if isinstance(event, Broken):
+                        break
+        except (TimeoutError, TransportError):
+            connection.abort()
+            return answered
+        self.release(server, connection, DEFAULT_KEEP_ALIVE_MS)
+        return answered
+
     def release(
         self,
         server: BackendServer,
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -117,6 +117,9 @@
     async def is_refused(self, server, limit):
         return server.instance in self.refusing
 
+    async def is_serving(self, server, limit, path):
+        return server.instance not in self.refusing
+
     def close_idle(self, instance):
         pass
 
@@ -125,6 +128,7 @@
     """Platform dialect with short header names for tests."""
 
     inventory_path = b"/inventory"
+    report_path = b"/report"
 
     def parse_request(self, headers):
         fields = {name.lower(): value.decode() for name, value in headers}
--- a/packages/medlarridge-direct/tests/direct/transport/test_server_connections.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_server_connections.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from medlarridge_direct._internal.transport.server_connections import ConnectionPools
+from medlarridge._internal.clock import MS_PER_S
+from medlarridge_direct._internal.transport.server_connections import (
+    RESET_WAIT_MS,
+    ConnectionPools,
+)
 
 from ..samples import server
 
@@ -63,3 +67,71 @@
         for connection in held:
             connection.abort()
         listener.close()
+
+
+def answering(response):
+    """Return a server's handler that sends a response and holds the connection."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(response)
+        await reader.read()
+        writer.close()
+
+    return answer
+
+
+async def close_late(reader, writer):
+    """Do as a proxy whose server has ended, and which notices that late."""
+    await reader.readuntil(b"\r\n\r\n")
+    await asyncio.sleep(2 * RESET_WAIT_MS / MS_PER_S)
+    writer.transport.abort()
+
+
+class TestServing:
+    @pytest.mark.parametrize(
+        "response",
+        [
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+            b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+        ],
+    )
+    async def test_a_server_that_answers_is_serving(self, response):
+        """Guards against whole responses that count as broken."""
+        listener, entry = await listen(answering(response))
+        pools = ConnectionPools()
+        assert await pools.is_serving(entry, 5, b"/report")
+        connection = await pools.acquire(entry, 5)
+        assert pools.connections_opened == 1
+        connection.abort()
+        listener.close()
+
+    async def test_a_proxy_whose_server_has_ended_is_not_serving(self):
+        """Guards against a crash that a proxy in front of the server hides for a while
+        (fault soak, seeds 320194 and 304)."""
+        listener, entry = await listen(close_late)
+        assert not await ConnectionPools().is_serving(entry, 5, b"/report")
+        listener.close()
+
+    async def test_a_server_that_sends_no_http_is_not_serving(self):
+        """Guards against taking any bytes for an answer."""
+        listener, entry = await listen(answering(b"\x00 no answer\r\n\r\n"))
+        assert not await ConnectionPools().is_serving(entry, 5, b"/report")
+        listener.close()
+
+    async def test_a_server_that_ended_is_not_serving(self):
+        """Guards against taking a crashed server for one that closed a connection."""
+        listener, entry = await listen(lambda reader, writer: None)
+        listener.close()
+        await listener.wait_closed()
+        assert not await ConnectionPools().is_serving(entry, 5, b"/report")
+
+    async def test_a_server_with_too_many_connections_counts_as_serving(self):
+        """Guards against broken responses while all connections are in use."""
+        listener, entry = await listen(answering(b""))
+        pools = ConnectionPools()
+        held = [await pools.acquire(entry, 2) for _ in range(2)]
+        assert await pools.is_serving(entry, 2, b"/report")
+        for connection in held:
+            connection.abort()
+        listener.close()
--- a/packages/medlarridge-direct/tests/soak/server_process.py
+++ b/packages/medlarridge-direct/tests/soak/server_process.py
@@ -178,6 +178,9 @@
         self, connection: HttpConnection, request: ReceivedRequest
     ) -> None:
         """Respond to a request."""
+        if request.target == names.REPORT_PATH:
+            await connection.respond(200, [], b'{"numRunning": 0}')
+            return
         if request.target == names.INVENTORY_PATH:
             await connection.respond(200, [], b'{"epoch": 1, "next": 1, "held": []}')
             return
