--- a/packages/medlarridge/tests/unit/sidecar/test_server_call.py
+++ b/packages/medlarridge/tests/unit/sidecar/test_server_call.py
@@ -21,10 +21,11 @@
 
 
 @asynccontextmanager
-async def serve_bytes(response, reset=False, ends=False):
+async def serve_bytes(response, reset=False, ends=False, holds=False):
     """Serve one fixed response to a connection, then close or reset it.
 
-    With ``ends`` the server ends together with the connection.
+    With ``ends`` the server ends together with the connection, with ``holds`` it keeps
+    the connection open.
     """
 
     async def serve_one():
@@ -33,6 +34,8 @@
             if ends:
                 await listener.aclose()
             await stream.send(response)
+            if holds:
+                await anyio.sleep_forever()
             if reset:
                 raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
                 raw_socket.setsockopt(
@@ -49,13 +52,13 @@
     await listener.aclose()
 
 
-async def call_server(response, **ending):
+async def call_server(response, attempt=ATTEMPT, deadline_ms=60_000, **ending):
     """Return how a call ended whose server sends the given bytes and closes."""
-    stream = AttemptRegister(ManualClock()).open(ATTEMPT)
-    live = LiveAttempt(ATTEMPT, AttemptRegister(ManualClock()).add(ATTEMPT), stream)
+    stream = AttemptRegister(ManualClock()).open(attempt)
+    live = LiveAttempt(attempt, AttemptRegister(ManualClock()).add(attempt), stream)
     async with serve_bytes(response, **ending) as url:
         client = ServerClient(url)
-        result = await client.call(live, 60_000)
+        result = await client.call(live, deadline_ms)
         await client.close()
     return result
 
--- a/packages/medlarridge/tests/unit/transport/test_exchange.py
+++ b/packages/medlarridge/tests/unit/transport/test_exchange.py
@@ -122,3 +122,36 @@
         """Guards against a small reply that exhausts memory when decompressed."""
         with pytest.raises(CodecError, match="exceeds"):
             decompress_reply(compress_reply(bytes(MAX_REPLY_BYTES + 1)), "peer")
+
+
+class TestCutMessages:
+    """A message that ends early, or has bytes after its end, is never taken for whole."""
+
+    @pytest.mark.parametrize("size", [4, 10_000], ids=["plain", "compressed"])
+    def test_replies_are_refused_at_every_cut(self, size):
+        """Guards against part of a table that is taken for the whole one."""
+        signer = ExchangeSigner(KEY)
+        packed = compress_reply(encode(DigestReply(bytes(size))))
+        signed = signer.sign_reply(NONCE, packed)
+        assert signer.verify_reply(NONCE, signed) == packed
+        for cut in range(len(signed)):
+            assert signer.verify_reply(NONCE, signed[:cut]) is None
+        assert signer.verify_reply(NONCE, signed + b"\0") is None
+        assert signer.verify_reply(NONCE, b"\0" + signed) is None
+
+    def test_requests_are_refused_at_every_cut(self):
+        """Guards against a request that asks for something else than was meant."""
+        signer = ExchangeSigner(KEY)
+        signed = signer.sign_request(NONCE, encode(MemberPageRequest("10.0.0.1:7")))
+        server = ExchangeServer("127.0.0.1:1", KEY, answer)
+        for cut in range(len(signed)):
+            assert server.reply_to(signed[:cut]) is None
+        assert server.reply_to(signed + b"\0") is None
+        assert server.dropped["unauthenticated"] == len(signed) + 1
+
+    def test_compressed_content_is_refused_at_every_cut(self):
+        """Guards against content that ends early in spite of a digest that matches."""
+        packed = compress_reply(encode(DigestReply(bytes(10_000))))
+        for cut in range(1, len(packed)):
+            with pytest.raises(CodecError):
+                decompress_reply(packed[:cut], "peer")
