Hold new prompt parts on probation when many servers crashed under them at once

Five crashes at two times are enough now, eight if the part was answered before, and 64 crashes are kept. A part that was never answered and has three crashes at one time runs one request a second in the whole fleet until it is answered or refused. Routers try parts in turn, in the order of their ranks, and tell each other, since the first one may get no such requests.

Ruled out: a shorter time for crashes that count as one (a rack's servers end within a second); refusing at once (a new part on a rack that lost its processes is sound).

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
@@ -27,9 +27,9 @@
 class RouterComponents:
     """State, decision logic and connections of one router.
 
-    ``on_parts_cached``, ``on_crash_evidence``, ``on_parts_cleared`` and
-    ``on_stream_begun`` report to the others; ``may_try_parts`` tells whether this router
-    is the one that tries refused parts;
+    ``on_parts_cached``, ``on_crash_evidence``, ``on_stream_begun`` and, after a trial
+    or a success of a suspected prompt part, ``on_parts_changed`` report to the others;
+    ``router_rank`` returns the position of this router among all;
     ``on_server_avoided`` takes a server and the result for which it is avoided.
     """
 
@@ -53,6 +53,6 @@
     on_parts_cached: Callable[[list[tuple[str, str]]], None]
     on_server_avoided: Callable[[str, str], None]
     on_crash_evidence: Callable[[list[Strike | PartCrash]], None]
-    on_parts_cleared: Callable[[list[str]], None]
-    may_try_parts: Callable[[], bool]
+    on_parts_changed: Callable[[], None]
+    router_rank: Callable[[], int]
     on_stream_begun: Callable[[int], None]
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
@@ -9,7 +9,9 @@
 - A crash that a refused part explains does not count against the parts beside it.
 
 All routers hold the same evidence and refuse the parts that follow from it. A refused
-part is tried with one request now and then, while the evidence against it is thin.
+part is tried with one request now and then, while the evidence against it is thin. A
+part that was never answered and has crashed as many servers, but all together, is on
+probation: its requests run one after the other.
 """
 
 from collections import OrderedDict
@@ -23,10 +25,13 @@
 MIN_CRASHES = 3
 """Servers that must have gone down, each at another time, before a part is refused."""
 
-MIN_CRASHES_AFTER_SUCCESS = 5
-"""The same for a part that was answered before. The platform allows five crashes."""
+MIN_CRASHES_AT_TWO_TIMES = 5
+"""Servers that must have gone down at two times for the same."""
 
+MIN_CRASHES_AFTER_SUCCESS = 5
 MIN_TIMES_AFTER_SUCCESS = 4
+MIN_CRASHES_AT_TWO_TIMES_AFTER_SUCCESS = 8
+"""The same for a part that was answered before. The platform allows five crashes."""
 
 TOGETHER_MS = 1_000
 """Servers that go down within this time count as one crash."""
@@ -34,6 +39,14 @@
 FIRST_TRIAL_MS = 10_000
 """Time after the last crash at which a refused part is tried; it doubles."""
 
+PROBATION_TRIAL_MS = 1_000
+"""Interval of the requests with a part on probation."""
+
+TRIAL_DELAY_PER_RANK_MS = 2_000
+MAX_TRIAL_RANK = 10
+"""Routers try a part in the order of their ranks, since those that rank first may get no
+requests with it."""
+
 MAX_CRASHES_BEFORE_TRIAL = 4
 """Crashes with which a part is still tried, since each trial may crash one more."""
 
@@ -44,7 +57,7 @@
 """Time for which the success of a suspected part is reported."""
 
 MAX_SUSPECTS = 2_000
-MAX_CRASHES_KEPT = 16
+MAX_CRASHES_KEPT = 64
 MAX_SUCCESSES = 10_000
 MAX_KEY_LENGTH = 32
 
@@ -109,7 +122,7 @@
 
     ``successes`` are the times at which parts were last answered. ``answered`` are such
     parts that peers should know of, and since when: new evidence came against them, or
-    has ended.
+    has ended. ``refused`` parts and those on ``probation`` follow from the evidence.
     """
 
     clock: Clock
@@ -117,6 +130,7 @@
     successes: OrderedDict[str, int] = field(default_factory=OrderedDict)
     answered: dict[str, int] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
+    probation: set[str] = field(default_factory=set)
     started_ms: int = field(init=False)
 
     def __post_init__(self) -> None:
@@ -250,6 +264,14 @@
                 refused.add(part)
                 explained |= self.suspects[part].crashes.keys()
         self.refused = refused
+        self.probation = {
+            part
+            for part, suspect in self.suspects.items()
+            if len(suspect.crashes) >= MIN_CRASHES
+            and part not in refused
+            and part not in self.successes
+            and len(self.unexplained_ms(part, explained)) >= MIN_CRASHES
+        }
 
     def unexplained_ms(self, part: str, explained: set[str]) -> list[int]:
         """Return the times of the crashes that no refused part explains."""
@@ -273,41 +295,64 @@
     def is_convicting(self, part: str, explained: set[str]) -> bool:
         """Return whether the unexplained crashes suffice to refuse a part."""
         times_ms = self.unexplained_ms(part, explained)
+        crashes, times = len(times_ms), count_times(times_ms)
         if part in self.successes:
             return (
-                len(times_ms) >= MIN_CRASHES_AFTER_SUCCESS
-                and count_times(times_ms) >= MIN_TIMES_AFTER_SUCCESS
-            )
-        return count_times(times_ms) >= MIN_CRASHES
+                crashes >= MIN_CRASHES_AFTER_SUCCESS
+                and times >= MIN_TIMES_AFTER_SUCCESS
+            ) or (crashes >= MIN_CRASHES_AT_TWO_TIMES_AFTER_SUCCESS and times > 1)
+        return times >= MIN_CRASHES or (
+            crashes >= MIN_CRASHES_AT_TWO_TIMES and times > 1
+        )
 
     # Requests
 
-    def find_refused(self, parts: Iterable[str]) -> list[str]:
-        """Return the parts for which a request is refused, and count it."""
+    def find_held(self, parts: Iterable[str]) -> list[str]:
+        """Return the parts that are refused or on probation, and count the request."""
         found = []
         for part in parts:
             suspect = self.suspects.get(part)
             if suspect is None:
                 continue
             suspect.requests += 1
-            if part in self.refused:
+            if part in self.refused or part in self.probation:
                 suspect.wanted_ms = self.clock.now_ms()
                 found.append(part)
         return found
 
-    def begin_trial(self, refused: list[str]) -> bool:
-        """Return whether a request that is refused for one part may try it now."""
-        if len(refused) != 1:
+    def begin_trial(self, held: list[str], rank: int) -> bool:
+        """Return whether a request may try the parts for which it is held.
+
+        ``rank`` is the position of this router among all. A request tries one refused
+        part, or any that are on probation.
+        """
+        refused_count = sum(part in self.refused for part in held)
+        if refused_count and len(held) > 1:
             return False
-        suspect, now_ms = self.suspects[refused[0]], self.clock.now_ms()
-        crashes = suspect.crash_count
-        delay_ms = FIRST_TRIAL_MS << max(crashes - MIN_CRASHES, 0)
-        since_ms = max(suspect.last_event_ms, self.started_ms)
-        if crashes > MAX_CRASHES_BEFORE_TRIAL or now_ms - since_ms < delay_ms:
+        rank_delay_ms = TRIAL_DELAY_PER_RANK_MS * min(rank, MAX_TRIAL_RANK)
+        if not all(self.is_trial_due(part, rank_delay_ms) for part in held):
             return False
-        suspect.trial_ms = now_ms
+        for part in held:
+            self.suspects[part].trial_ms = self.clock.now_ms()
         return True
 
+    def is_trial_due(self, part: str, rank_delay_ms: int) -> bool:
+        """Return whether this router may try a part."""
+        suspect = self.suspects[part]
+        delay_ms = PROBATION_TRIAL_MS
+        if part in self.refused:
+            if suspect.crash_count > MAX_CRASHES_BEFORE_TRIAL:
+                return False
+            delay_ms = FIRST_TRIAL_MS << max(suspect.crash_count - MIN_CRASHES, 0)
+        since_ms = max(suspect.last_event_ms, self.started_ms)
+        return self.clock.now_ms() - since_ms >= delay_ms + rank_delay_ms
+
+    def record_trial(self, part: str, age_ms: int) -> None:
+        """Record that a peer tries a part."""
+        suspect = self.suspects.get(part)
+        if suspect is not None:
+            suspect.trial_ms = max(suspect.trial_ms, self.clock.now_ms() - age_ms)
+
     # Reports
 
     def answered_lately(self) -> list[tuple[str, int]]:
@@ -328,6 +373,14 @@
         """Return the refused parts and how many servers have crashed under each."""
         return {part: self.suspects[part].crash_count for part in self.refused}
 
+    def trials(self) -> list[tuple[str, int]]:
+        """Return the parts that were tried, and when that was last known to be."""
+        return [
+            (part, self.suspects[part].trial_ms)
+            for part in self.refused | self.probation
+            if self.suspects[part].trial_ms
+        ]
+
     def wanted(self) -> list[tuple[str, int]]:
         """Return the refused parts, and when the last request with each came."""
         return [(part, self.suspects[part].wanted_ms) for part in self.refused]
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -170,8 +170,8 @@
             on_parts_cached=self.announce_cached_parts,
             on_server_avoided=self.log_server_avoided,
             on_crash_evidence=self.handle_crash_evidence,
-            on_parts_cleared=self.announce_cleared_parts,
-            may_try_parts=lambda: self.peers.live_rank() == 0,
+            on_parts_changed=self.announce_changed_parts,
+            router_rank=lambda: self.peers.live_rank(),
             on_stream_begun=self.announce_stream,
         )
 
@@ -214,9 +214,9 @@
         self.peer_reports.log_part_crashes(crashes, peer=False)
         self.peer_reports.announce_crash_evidence(evidence)
 
-    def announce_cleared_parts(self, parts: list[str]) -> None:
-        """Announce to the peers that suspected prompt parts were answered."""
-        self.peer_reports.announce_cleared_parts(parts)
+    def announce_changed_parts(self) -> None:
+        """Announce to the peers that suspected prompt parts were tried or answered."""
+        self.peer_reports.announce_changed_parts()
 
     # Readiness
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
@@ -93,6 +93,11 @@
         "Prompt parts that are refused because servers crash under them.",
         lambda: len(components.crashing_parts.refused),
     )
+    add(
+        "prompt_parts_on_probation",
+        "Prompt parts whose requests run one after the other.",
+        lambda: len(components.crashing_parts.probation),
+    )
     add(
         "retries_open",
         "Retries sent that are not known to have arrived or failed.",
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -63,7 +63,9 @@
     6151, "WARNING", "prompt part is refused because servers crash under it"
 )
 PART_CLEARED = register(6152, "INFO", "prompt part is no longer refused")
-PART_TRIED = register(6153, "INFO", "request tries a prompt part that is refused")
+PARTS_TRIED = register(
+    6153, "INFO", "request tries prompt parts that are refused or on probation"
+)
 MALFORMED_ENTRIES = register(6114, "WARNING", "malformed entries in the store ignored")
 SERVER_SILENT = register(6115, "WARNING", "server is silent while attempts wait")
 SERVER_RESPONDING = register(6116, "INFO", "server is no longer silent")
@@ -263,9 +265,9 @@
             version=None if origin is None else origin.software_version,
         )
 
-    def part_tried(self, part: str) -> None:
-        """Log that the request tries a part that is refused otherwise."""
-        self.write(PART_TRIED, part=part)
+    def parts_tried(self, parts: list[str]) -> None:
+        """Log that the request tries parts that are held otherwise."""
+        self.write(PARTS_TRIED, parts=parts)
 
     def prompt_awaited(self, server: BackendServer, wait_ms: float) -> None:
         """Log that the request waits for a prompt that the server is processing."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -150,11 +150,10 @@
             self.repeat_strikes()
             self.send_report()
 
-    def announce_cleared_parts(self, parts: list[str]) -> None:
-        """Report at once the suspected parts that were answered."""
-        if parts:
-            self.repeat_strikes()
-            self.send_report()
+    def announce_changed_parts(self) -> None:
+        """Report at once which suspected parts were tried or answered."""
+        self.repeat_strikes()
+        self.send_report()
 
     def repeat_strikes(self) -> None:
         """Let the next reports carry the known strikes."""
@@ -272,6 +271,11 @@
             ]
             if repeats
             else [],
+            tried_parts=[
+                (part, now_ms - trial_ms) for part, trial_ms in crashing_parts.trials()
+            ]
+            if repeats
+            else [],
         )
 
     def handle_datagram(self, data: bytes, address: Address) -> None:
@@ -346,6 +350,8 @@
             crashing_parts.record_peer_success(part, age_ms)
         for part, age_ms in report.wanted_parts:
             crashing_parts.record_wanted(part, age_ms)
+        for part, age_ms in report.tried_parts:
+            crashing_parts.record_trial(part, age_ms)
 
     def log_part_crashes(self, crashes: list[PartCrash], peer: bool) -> None:
         """Log crashes of prompt parts, one line a server."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
@@ -63,8 +63,9 @@
     ``strike_ages_ms`` has an entry for each of the ``strikes``. ``streams`` have begun
     lately, or are handed to a router that has just started. ``part_crashes`` are prompt
     parts, starts of servers that went down under them, and the ages of these crashes.
-    ``sound_parts`` are parts that were answered, and ``wanted_parts`` refused parts that
-    requests still have, both with the age of that.
+    ``sound_parts`` are parts that were answered, ``wanted_parts`` refused parts that
+    requests still have, and ``tried_parts`` parts that were tried, all with the age of
+    that.
     """
 
     router_id: int
@@ -91,6 +92,7 @@
     part_crashes: list[tuple[str, str, int]] = []
     sound_parts: list[tuple[str, int]] = []
     wanted_parts: list[tuple[str, int]] = []
+    tried_parts: list[tuple[str, int]] = []
 
     def held_strikes(self) -> list[HeldStrike]:
         """Return the strikes; those without an age, of an older build, are new."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -172,16 +172,14 @@
         if self.tries_part and not self.runs:
             return False
         crashing_parts = self.components.crashing_parts
-        refused = crashing_parts.find_refused(self.shared_parts)
-        if not refused:
+        held = crashing_parts.find_held(self.shared_parts)
+        if not held:
             return False
-        if (
-            not self.runs
-            and self.components.may_try_parts()
-            and crashing_parts.begin_trial(refused)
-        ):
+        rank = self.components.router_rank()
+        if not self.runs and crashing_parts.begin_trial(held, rank):
             self.tries_part = True
-            self.log.part_tried(refused[0])
+            self.log.parts_tried(held)
+            self.components.on_parts_changed()
             return False
         return True
 
@@ -419,10 +417,10 @@
 
     def record_delivered(self, attempt: Attempt, head: ResponseHead) -> None:
         """Record and log a complete response and how its end was told."""
-        if head.status // 100 == SUCCESS_STATUS_CLASS:
-            cleared = self.components.crashing_parts.record_success(self.shared_parts)
-            if cleared:
-                self.components.on_parts_cleared(cleared)
+        successful = head.status // 100 == SUCCESS_STATUS_CLASS
+        crashing_parts = self.components.crashing_parts
+        if successful and crashing_parts.record_success(self.shared_parts):
+            self.components.on_parts_changed()
         self.log.response_delivered(head.status, attempt.server, attempt.received)
 
     def handle_broken_response(self, attempt: Attempt, detail: str) -> bool:
--- a/packages/medlarridge-direct/tests/direct/coordination/test_crashing_parts.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_crashing_parts.py
@@ -10,8 +10,10 @@
     MAX_SUSPECTS,
     MIN_CRASHES,
     MIN_CRASHES_AFTER_SUCCESS,
+    PROBATION_TRIAL_MS,
     RETENTION_MS,
     TOGETHER_MS,
+    TRIAL_DELAY_PER_RANK_MS,
     CrashingParts,
     PartCrash,
     part_key,
@@ -49,7 +51,7 @@
         """Guards against a part that may crash servers for as long as it likes."""
         for number in range(CRASHES_ALLOWED):
             crash(crashing_parts, clock, f"s-{number}", "bad")
-        assert crashing_parts.find_refused(["bad"]) == ["bad"]
+        assert crashing_parts.find_held(["bad"]) == ["bad"]
 
     def test_a_part_that_was_answered_before_is_refused_within_them_too(
         self, crashing_parts, clock
@@ -58,7 +60,7 @@
         crashing_parts.record_success(["bad"])
         for number in range(CRASHES_ALLOWED):
             crash(crashing_parts, clock, f"s-{number}", "bad")
-        assert crashing_parts.find_refused(["bad"]) == ["bad"]
+        assert crashing_parts.find_held(["bad"]) == ["bad"]
 
     def test_servers_that_end_together_are_one_crash(self, crashing_parts, clock):
         """Guards against blaming a part for a rack that lost power."""
@@ -137,7 +139,7 @@
         refuse(crashing_parts, clock, "bad")
         for _ in range(10):
             clock.advance(RETENTION_MS - 1)
-            assert crashing_parts.find_refused(["bad"])
+            assert crashing_parts.find_held(["bad"])
             crashing_parts.expire()
         assert crashing_parts.refused == {"bad"}
 
@@ -179,13 +181,13 @@
     ):
         """Guards against a sound part that is refused forever."""
         refuse(crashing_parts, clock, "sound")
-        assert not crashing_parts.begin_trial(crashing_parts.find_refused(["sound"]))
+        assert not crashing_parts.begin_trial(crashing_parts.find_held(["sound"]), 0)
         clock.advance(FIRST_TRIAL_MS)
-        refused = crashing_parts.find_refused(["sound"])
-        assert crashing_parts.begin_trial(refused)
-        assert not crashing_parts.begin_trial(refused)
+        refused = crashing_parts.find_held(["sound"])
+        assert crashing_parts.begin_trial(refused, 0)
+        assert not crashing_parts.begin_trial(refused, 0)
         assert crashing_parts.record_success(["sound"]) == ["sound"]
-        assert not crashing_parts.find_refused(["sound"])
+        assert not crashing_parts.find_held(["sound"])
 
     def test_trials_crash_no_more_servers_than_the_platform_allows(
         self, crashing_parts, clock
@@ -195,7 +197,7 @@
         trials = 0
         for _ in range(100):
             clock.advance(FIRST_TRIAL_MS)
-            if crashing_parts.begin_trial(crashing_parts.find_refused(["bad"])):
+            if crashing_parts.begin_trial(crashing_parts.find_held(["bad"]), 0):
                 trials += 1
                 crash(crashing_parts, clock, f"trial-{trials}", "bad", pause_ms=100)
         assert trials == MAX_CRASHES_BEFORE_TRIAL - MIN_CRASHES + 1
@@ -207,8 +209,8 @@
             for number in range(MIN_CRASHES):
                 crash(crashing_parts, clock, f"{name}-{number}", name)
         clock.advance(FIRST_TRIAL_MS)
-        refused = crashing_parts.find_refused(["bad", "worse"])
-        assert not crashing_parts.begin_trial(refused)
+        refused = crashing_parts.find_held(["bad", "worse"])
+        assert not crashing_parts.begin_trial(refused, 0)
 
     def test_a_router_that_has_just_started_tries_none(self, clock):
         """Guards against a trial by a router that has not heard of the last one."""
@@ -218,4 +220,62 @@
         new = CrashingParts(clock)
         for each in old.held_crashes():
             new.add_crash(each)
-        assert not new.begin_trial(new.find_refused(["bad"]))
+        assert not new.begin_trial(new.find_held(["bad"]), 0)
+
+
+class TestProbation:
+    def crash_together(self, crashing_parts, clock, *parts):
+        for number in range(MIN_CRASHES):
+            crash(crashing_parts, clock, f"s-{number}", *parts, pause_ms=100)
+
+    def test_requests_with_a_new_part_run_one_after_the_other(
+        self, crashing_parts, clock
+    ):
+        """Guards against many requests at once on servers that have just started."""
+        self.crash_together(crashing_parts, clock, "bad")
+        clock.advance(PROBATION_TRIAL_MS)
+        held = crashing_parts.find_held(["bad"])
+        assert held == ["bad"]
+        assert crashing_parts.begin_trial(held, 0)
+        assert not crashing_parts.begin_trial(held, 0)
+        clock.advance(PROBATION_TRIAL_MS)
+        assert crashing_parts.begin_trial(held, 0)
+
+    def test_ends_with_the_first_success(self, crashing_parts, clock):
+        """Guards against sound requests that wait after a loss of many servers."""
+        self.crash_together(crashing_parts, clock, "sound")
+        crashing_parts.record_success(["sound"])
+        assert not crashing_parts.find_held(["sound"])
+
+    def test_does_not_hold_parts_that_were_answered_before(self, crashing_parts, clock):
+        """Guards against holding a whole route after its servers were killed."""
+        crashing_parts.record_success(["system"])
+        self.crash_together(crashing_parts, clock, "system")
+        assert not crashing_parts.find_held(["system"])
+
+    def test_does_not_hold_parts_whose_crashes_are_explained(
+        self, crashing_parts, clock
+    ):
+        """Guards against holding what ran beside a part that is refused."""
+        self.crash_together(crashing_parts, clock, "bad", "beside")
+        crash(crashing_parts, clock, "s-8", "bad")
+        crash(crashing_parts, clock, "s-9", "bad")
+        assert crashing_parts.refused == {"bad"}
+        assert not crashing_parts.find_held(["beside"])
+
+    def test_all_parts_on_probation_are_tried_together(self, crashing_parts, clock):
+        """Guards against requests that nobody may try, right after the first start."""
+        self.crash_together(crashing_parts, clock, "system", "subject")
+        clock.advance(PROBATION_TRIAL_MS)
+        assert crashing_parts.begin_trial(["system", "subject"], 0)
+
+    def test_routers_try_in_turn(self, crashing_parts, clock):
+        """Guards against a part that only a router without such requests may try."""
+        self.crash_together(crashing_parts, clock, "bad")
+        clock.advance(PROBATION_TRIAL_MS)
+        assert not crashing_parts.begin_trial(["bad"], 1)
+        clock.advance(TRIAL_DELAY_PER_RANK_MS)
+        crashing_parts.record_trial("bad", 100)
+        assert not crashing_parts.begin_trial(["bad"], 1)
+        clock.advance(PROBATION_TRIAL_MS + TRIAL_DELAY_PER_RANK_MS)
+        assert crashing_parts.begin_trial(["bad"], 1)
--- a/packages/medlarridge-direct/tests/direct/crashing_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/crashing_fleet.py
@@ -251,8 +251,8 @@
             components.connections,
             lambda entry: record_server_down(components, entry.instance),
         )
-        components.may_try_parts = lambda: router.peers.live_rank() == 0
-        components.on_parts_cleared = router.reports.announce_cleared_parts
+        components.router_rank = router.peers.live_rank
+        components.on_parts_changed = router.reports.announce_changed_parts
         components.dialect = PartsDialect()
         components.on_crash_evidence = router.reports.announce_crash_evidence
         components.configuration.apply_if_newer(
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -224,7 +224,7 @@
         on_parts_cached=lambda cached_parts: None,
         on_server_avoided=lambda instance, result: None,
         on_crash_evidence=lambda evidence: None,
-        on_parts_cleared=lambda parts: None,
-        may_try_parts=lambda: False,
+        on_parts_changed=lambda: None,
+        router_rank=lambda: 0,
         on_stream_begun=lambda stream: None,
     )
--- a/packages/medlarridge-direct/tests/direct/test_crashing_parts.py
+++ b/packages/medlarridge-direct/tests/direct/test_crashing_parts.py
@@ -44,6 +44,24 @@
             assert fleet.crash_times(part)
             assert fleet.late_arrivals(part) <= ALLOWED_LATE_REQUESTS
 
+    @pytest.mark.parametrize("bad_every_ms", [50, 100, 250])
+    async def test_many_requests_a_second_are_refused_too(self, bad_every_ms):
+        """Guards against servers that all crash together, again and again."""
+        fleet = await make_fleet(seed=9)
+        await fleet.play(TROUBLE_MS, bad_every_ms=bad_every_ms)
+        await fleet.finish()
+        assert fleet.late_arrivals("bad") <= ALLOWED_LATE_REQUESTS
+
+    async def test_is_refused_from_the_first_request_of_a_day(self):
+        """Guards against parts that are all new, so that none was ever answered."""
+        fleet = CrashingFleet(FLEET_SIZE, seed=9)
+        await fleet.play(TROUBLE_MS, bad_every_ms=50)
+        settled_ms = fleet.clock.now_ms()
+        await fleet.play(10_000, bad_every_ms=50)
+        await fleet.finish()
+        assert fleet.late_arrivals("bad") <= ALLOWED_LATE_REQUESTS
+        assert fleet.begun_share(settled_ms, settled_ms + 10_000) == 1.0
+
     async def test_five_routers_that_saw_one_crash_each_refuse_it(self):
         """Guards against evidence that no router has alone."""
         fleet = await make_fleet(size=5)
