Take only a refused connection for evidence that a server crashed

A server with too many connections resets further ones. The probe after a lost connection took that for a crash, and the prompts that ran there for suspects. A test tells the two apart; the other use of the probe, for bodies that end with their connection, stays as it was.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/server_crashes.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/server_crashes.py
@@ -48,8 +48,11 @@
         task.add_done_callback(self.tasks.discard)
 
     async def probe(self, server: BackendServer, connection_limit: int) -> None:
-        """Report the server as ended if it refuses a connection."""
-        if await self.connections.is_refused(server, connection_limit):
+        """Report the server as ended if it refuses a connection.
+
+        One that resets the connection may only have too many.
+        """
+        if await self.connections.is_refused(server, connection_limit, or_reset=False):
             self.on_ended(server)
 
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
@@ -93,12 +93,14 @@
         )
         return connection
 
-    async def is_refused(self, server: BackendServer, limit: int) -> bool:
+    async def is_refused(
+        self, server: BackendServer, limit: int, or_reset: bool = True
+    ) -> bool:
         """Return whether a server that closed a connection refuses another one.
 
-        An accepted connection is kept idle in place of the closed one. One that is reset
-        at once counts as refused, though the server may only have too many connections.
-        A server that does not respond may still be running.
+        An accepted connection is kept idle in place of the closed one. With ``or_reset``
+        one that is reset at once counts as refused, though the server may only have too
+        many connections. A server that does not respond may still be running.
         """
         try:
             connection = await self.open(server, limit)
@@ -108,7 +110,7 @@
             return False
         await asyncio.sleep(RESET_WAIT_MS / MS_PER_S)
         if connection.closed:
-            return True
+            return or_reset
         self.keep_idle(server, connection, DEFAULT_KEEP_ALIVE_MS)
         return False
 
--- a/packages/medlarridge-direct/tests/direct/crashing_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/crashing_fleet.py
@@ -185,7 +185,7 @@
         connection.connection_made(ServerTransport(connection, model_server))
         return connection
 
-    async def is_refused(self, entry, limit):
+    async def is_refused(self, entry, limit, or_reset=True):
         model_server = self.fleet.find(entry.instance)
         return model_server.powered and model_server.ended_ms is not None
 
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -114,7 +114,7 @@
     def release(self, server, connection, keep_alive_ms):
         self.released.append((server.instance, connection.release()))
 
-    async def is_refused(self, server, limit):
+    async def is_refused(self, server, limit, or_reset=True):
         return server.instance in self.refusing
 
     async def is_serving(self, server, limit, path):
--- a/packages/medlarridge-direct/tests/direct/transport/test_server_connections.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_server_connections.py
@@ -51,6 +51,7 @@
 
         listener, entry = await listen(reset)
         assert await ConnectionPools().is_refused(entry, 5)
+        assert not await ConnectionPools().is_refused(entry, 5, or_reset=False)
         listener.close()
 
     async def test_a_server_with_too_many_connections_is_not_refusing(self):
