Judge parts that were never answered first, and try each refused part

Parts that were never answered come first now, whatever the numbers, and explain the crashes of the others. A refused part is tried twice at least, also with more than four crashes; both trials together stay within the three requests that the platform allows after the fifth crash.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
@@ -48,7 +48,12 @@
 requests with it."""
 
 MAX_CRASHES_BEFORE_TRIAL = 4
-"""Crashes with which a part is still tried, since each trial may crash one more."""
+MAX_TRIALS = 2
+"""A refused part is tried while it has few crashes, or twice if it has more, since each
+trial may crash one more server. The platform allows three requests after five crashes."""
+
+SAME_TRIAL_MS = 500
+"""Difference up to which two reports mean the same trial."""
 
 RETENTION_MS = 600_000
 """Time after the last request with a part at which the evidence expires."""
@@ -93,6 +98,7 @@
 
     ``crashes`` are the times by start of a server. ``wanted_ms`` is the last time at
     which a request with the part was known to come, ``requests`` how many came here.
+    ``trials`` counts the requests that tried the part, the last one at ``trial_ms``.
     ``stored_crashes`` is not 0 if the part was found refused at ``stored_ms``, and
     counts the crashes before that.
     """
@@ -100,6 +106,7 @@
     crashes: dict[str, int] = field(default_factory=dict)
     wanted_ms: int = 0
     trial_ms: int = 0
+    trials: int = 0
     requests: int = 0
     stored_crashes: int = 0
     stored_ms: int = 0
@@ -281,13 +288,17 @@
             if server not in explained
         ]
 
-    def rank(self, part: str, explained: set[str]) -> tuple[int, int, bool, int, str]:
-        """Return the strength of the evidence; rarer parts come first if it is equal."""
+    def rank(self, part: str, explained: set[str]) -> tuple[bool, int, int, int, str]:
+        """Return the strength of the evidence; rarer parts come first if it is equal.
+
+        Parts that were never answered come before all others: while servers crash one
+        after the other, no part is answered for some time.
+        """
         times_ms = self.unexplained_ms(part, explained)
         return (
+            part not in self.successes,
             count_times(times_ms),
             len(times_ms),
-            part not in self.successes,
             -self.suspects[part].requests,
             part,
         )
@@ -333,7 +344,7 @@
         if not all(self.is_trial_due(part, rank_delay_ms) for part in held):
             return False
         for part in held:
-            self.suspects[part].trial_ms = self.clock.now_ms()
+            self.record_trial(part, 0)
         return True
 
     def is_trial_due(self, part: str, rank_delay_ms: int) -> bool:
@@ -341,17 +352,20 @@
         suspect = self.suspects[part]
         delay_ms = PROBATION_TRIAL_MS
         if part in self.refused:
-            if suspect.crash_count > MAX_CRASHES_BEFORE_TRIAL:
+            may_try_twice = not suspect.stored_crashes and suspect.trials < MAX_TRIALS
+            if suspect.crash_count > MAX_CRASHES_BEFORE_TRIAL and not may_try_twice:
                 return False
-            delay_ms = FIRST_TRIAL_MS << max(suspect.crash_count - MIN_CRASHES, 0)
+            delay_ms = FIRST_TRIAL_MS << min(suspect.trials, MAX_TRIALS)
         since_ms = max(suspect.last_event_ms, self.started_ms)
         return self.clock.now_ms() - since_ms >= delay_ms + rank_delay_ms
 
     def record_trial(self, part: str, age_ms: int) -> None:
-        """Record that a peer tries a part."""
+        """Record that this router or a peer tries a part."""
         suspect = self.suspects.get(part)
-        if suspect is not None:
-            suspect.trial_ms = max(suspect.trial_ms, self.clock.now_ms() - age_ms)
+        tried_ms = self.clock.now_ms() - age_ms
+        if suspect is not None and tried_ms > suspect.trial_ms + SAME_TRIAL_MS:
+            suspect.trial_ms = tried_ms
+            suspect.trials += part in self.refused
 
     # Reports
 
--- a/packages/medlarridge-direct/tests/direct/coordination/test_crashing_parts.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_crashing_parts.py
@@ -8,6 +8,7 @@
     MAX_KEY_LENGTH,
     MAX_SUCCESSES,
     MAX_SUSPECTS,
+    MAX_TRIALS,
     MIN_CRASHES,
     MIN_CRASHES_AFTER_SUCCESS,
     PROBATION_TRIAL_MS,
@@ -108,6 +109,19 @@
             crash(crashing_parts, clock, f"s-{number}", "bad", "beside")
         assert crashing_parts.refused == {"bad"}
 
+    def test_parts_that_were_never_answered_are_judged_first(
+        self, crashing_parts, clock
+    ):
+        """Guards against blaming a part that runs on every server while all of them
+        crash (fault soak, seed 951328)."""
+        crashing_parts.record_success(["common"])
+        for number in range(6):
+            parts = ["common", "bad"] if number % 2 else ["common"]
+            crash(crashing_parts, clock, f"s-{number}", *parts)
+        for number in range(6, 9):
+            crash(crashing_parts, clock, f"s-{number}", "common")
+        assert "bad" in crashing_parts.refused
+
     def test_two_parts_with_crashes_of_their_own_are_both_refused(
         self, crashing_parts, clock
     ):
@@ -203,6 +217,24 @@
         assert trials == MAX_CRASHES_BEFORE_TRIAL - MIN_CRASHES + 1
         assert MIN_CRASHES + trials <= CRASHES_ALLOWED
 
+    def test_a_part_that_was_blamed_for_many_crashes_is_tried_twice(
+        self, crashing_parts, clock
+    ):
+        """Guards against a sound part that is refused forever as it has many crashes
+        (fault soak, seed 951328), and against more trials than the platform allows."""
+        crashing_parts.record_success(["system"])
+        for number in range(2 * CRASHES_ALLOWED):
+            crash(crashing_parts, clock, f"s-{number}", "system")
+        assert crashing_parts.refused == {"system"}
+        trials = 0
+        for _ in range(100):
+            clock.advance(FIRST_TRIAL_MS)
+            held = crashing_parts.find_held(["system"])
+            if crashing_parts.begin_trial(held, 0):
+                trials += 1
+                crash(crashing_parts, clock, f"t-{trials}", "system", pause_ms=100)
+        assert trials == MAX_TRIALS
+
     def test_a_request_with_two_refused_parts_tries_none(self, crashing_parts, clock):
         """Guards against a trial that cannot tell which part is sound."""
         for name in ("bad", "worse"):
