Ask a server that closed a connection although its other connections still count

Whether a body that ends with its connection is whole depends on another connection to the server. One more connection than the limit may be opened for the question. A test of two held connections failed before.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
@@ -93,6 +93,13 @@
         )
         return connection
 
+    async def open_another(self, server: BackendServer, limit: int) -> HttpConnection:
+        """Return a new connection in place of one that the server is closing.
+
+        The old one counts until the event loop has handled its end.
+        """
+        return await self.open(server, max(limit, MIN_CONNECTIONS) + 1)
+
     async def is_refused(
         self, server: BackendServer, limit: int, or_reset: bool = True
     ) -> bool:
@@ -103,7 +110,7 @@
         many connections. A server that does not respond may still be running.
         """
         try:
-            connection = await self.open(server, limit)
+            connection = await self.open_another(server, limit)
         except ConnectionRefused:
             return True
         except TransportError:
@@ -121,7 +128,7 @@
         shows that it is running. Without a connection left to ask, it counts as running.
         """
         try:
-            connection = await self.open(server, limit)
+            connection = await self.open_another(server, limit)
         except ConnectionLimitReached:
             return True
         except TransportError:
--- a/packages/medlarridge-direct/tests/direct/transport/test_server_connections.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_server_connections.py
@@ -63,7 +63,7 @@
 
         listener, entry = await listen(hold)
         pools = ConnectionPools()
-        held = [await pools.acquire(entry, 2) for _ in range(2)]
+        held = [await pools.open(entry, 3) for _ in range(3)]
         assert not await pools.is_refused(entry, 2)
         for connection in held:
             connection.abort()
@@ -131,8 +131,19 @@
         """Guards against broken responses while all connections are in use."""
         listener, entry = await listen(answering(b""))
         pools = ConnectionPools()
-        held = [await pools.acquire(entry, 2) for _ in range(2)]
+        held = [await pools.open(entry, 3) for _ in range(3)]
         assert await pools.is_serving(entry, 2, b"/report")
         for connection in held:
             connection.abort()
         listener.close()
+
+    async def test_the_connection_that_ends_leaves_room_for_the_question(self):
+        """Guards against a crash that goes unnoticed while other connections of the
+        server have not been closed yet (fault soak, seed 951321)."""
+        listener, entry = await listen(close_late)
+        pools = ConnectionPools()
+        held = [await pools.open(entry, 2) for _ in range(2)]
+        assert not await pools.is_serving(entry, 2, b"/report")
+        for connection in held:
+            connection.abort()
+        listener.close()
