--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
@@ -36,7 +36,7 @@
 TOGETHER_MS = 1_000
 """Servers that go down within this time count as one crash."""
 
-FIRST_TRIAL_MS = 10_000
+FIRST_TRIAL_MS = 3_000
 """Time after the last crash at which a refused part is tried; it doubles."""
 
 PROBATION_TRIAL_MS = 1_000
