--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
@@ -8,9 +8,10 @@
 
 from .coordination.crash_detector import CrashDetector, Strike
 from .coordination.crash_guard import CrashGuard
-from .coordination.crashing_parts import CrashingParts, PartCrash
+from .coordination.crashing_parts import CrashingParts
 from .coordination.fleet_size import FleetSize
 from .coordination.load_view import LoadView
+from .coordination.part_crashes import PartCrash
 from .coordination.placement import Placement
 from .coordination.retry_budget import RetryBudget
 from .coordination.server_health import ServerHealth
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crash_detector.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crash_detector.py
@@ -6,7 +6,8 @@
 from medlarridge._internal.clock import Clock
 
 from .crash_guard import CrashGuard
-from .crashing_parts import CrashingParts, PartCrash
+from .crashing_parts import CrashingParts
+from .part_crashes import PartCrash
 
 CRASH_WINDOW_MS = 6_000
 """A server that is found down within this time after a broken attempt counts as crashed
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -13,9 +13,10 @@
 from .components import RouterComponents
 from .coordination.crash_detector import CrashDetector, Strike
 from .coordination.crash_guard import CrashGuard
-from .coordination.crashing_parts import CrashingParts, PartCrash
+from .coordination.crashing_parts import CrashingParts
 from .coordination.fleet_size import FleetSize
 from .coordination.load_view import LoadView
+from .coordination.part_crashes import PartCrash
 from .coordination.placement import Placement
 from .coordination.prompt_cache_index import PromptCacheIndex
 from .coordination.quiet_times import QuietTimes
@@ -211,7 +212,7 @@
                     ),
                 )
         crashes = [each for each in evidence if isinstance(each, PartCrash)]
-        self.peer_reports.log_part_crashes(crashes, peer=False)
+        self.peer_reports.part_evidence.log_crashes(crashes, peer=False)
         self.peer_reports.announce_crash_evidence(evidence)
 
     def announce_changed_parts(self) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -8,17 +8,17 @@
 
 from .components import RouterComponents
 from .coordination.crash_detector import Strike
-from .coordination.crashing_parts import PartCrash
+from .coordination.part_crashes import PartCrash
 from .coordination.stream_origins import StreamOrigin
 from .logs import (
     CRASH_STRIKE,
-    PART_CRASH,
     PEER_FOUND,
     PEER_LOST,
     RETRY_SHARE_CHANGED,
     SERVER_LEAVING,
     Log,
 )
+from .part_evidence_exchange import PartEvidenceExchange
 from .protocol.peer_messages import (
     Departure,
     HeldStrike,
@@ -53,13 +53,6 @@
 MAX_STRIKES_PER_REPORT = 60
 """Limit of the strikes in one report; those of the newest requests go first."""
 
-MAX_PART_CRASHES_PER_REPORT = 100
-"""Limit of the crashes of prompt parts in one report; the next ones carry the others."""
-
-WANTED_REPEAT_MS = 60_000
-"""Interval at which refused parts that requests still have are reported again, so that
-no router forgets them."""
-
 MAX_CATCH_UP_SENDERS = 2
 """Number of routers that send all cached parts and all known streams to a new router,
 since reports of one may be lost."""
@@ -83,8 +76,7 @@
         self.pending_parts: list[tuple[str, str]] = []
         self.pending_processed_parts: list[tuple[str, str]] = []
         self.repeat_strikes_until_ms = 0
-        self.part_crash_offset = 0
-        self.wanted_reported_ms = 0
+        self.part_evidence = PartEvidenceExchange(components, log)
         self.streams = StreamAnnouncements(components.stream_origins)
         self.departures: list[tuple[int, Departure]] = []
         self.sequence = 0
@@ -166,36 +158,6 @@
             return []
         return self.components.crash_guard.newest_strikes(MAX_STRIKES_PER_REPORT)
 
-    def reported_part_crashes(self) -> list[tuple[str, str, int]]:
-        """Return the crashes of prompt parts that the next report carries.
-
-        Reports take turns if there are many.
-        """
-        if self.components.clock.now_ms() > self.repeat_strikes_until_ms:
-            return []
-        crashes = [
-            (crash.part, crash.server, crash.age_ms)
-            for crash in self.components.crashing_parts.held_crashes()
-        ]
-        if self.part_crash_offset >= len(crashes):
-            self.part_crash_offset = 0
-        start = self.part_crash_offset
-        self.part_crash_offset += MAX_PART_CRASHES_PER_REPORT
-        return crashes[start : self.part_crash_offset]
-
-    def repeat_wanted_parts(self) -> None:
-        """Report refused parts again while requests with them come."""
-        now_ms = self.components.clock.now_ms()
-        if now_ms - self.wanted_reported_ms < WANTED_REPEAT_MS:
-            return
-        oldest_ms = now_ms - WANTED_REPEAT_MS
-        if any(
-            wanted_ms > oldest_ms
-            for _, wanted_ms in self.components.crashing_parts.wanted()
-        ):
-            self.wanted_reported_ms = now_ms
-            self.repeat_strikes()
-
     def send_report(self) -> None:
         """Send a report to all peers."""
         if not self.peers.peers:
@@ -234,9 +196,8 @@
     ) -> Report:
         """Return the router's state as a report."""
         strikes = self.reported_strikes()
-        now_ms = self.components.clock.now_ms()
-        repeats = now_ms <= self.repeat_strikes_until_ms
-        crashing_parts = self.components.crashing_parts
+        repeats = self.components.clock.now_ms() <= self.repeat_strikes_until_ms
+        evidence = self.part_evidence
         servers, configuration = self.components.servers, self.components.configuration
         return Report(
             router_id=self.peers.own_router_id,
@@ -260,22 +221,10 @@
             registry_age_ms=encode_age(self.components.fleet_size.own_reading_age_ms()),
             strike_ages_ms=[strike.age_ms for strike in strikes],
             streams=streams,
-            part_crashes=self.reported_part_crashes(),
-            sound_parts=[
-                (part, now_ms - succeeded_ms)
-                for part, succeeded_ms in crashing_parts.answered_lately()
-            ][-MAX_PARTS_PER_REPORT:],
-            wanted_parts=[
-                (part, now_ms - wanted_ms)
-                for part, wanted_ms in crashing_parts.wanted()
-            ]
-            if repeats
-            else [],
-            tried_parts=[
-                (part, now_ms - trial_ms) for part, trial_ms in crashing_parts.trials()
-            ]
-            if repeats
-            else [],
+            part_crashes=evidence.next_crashes() if repeats else [],
+            sound_parts=evidence.sound_parts(),
+            wanted_parts=evidence.wanted_parts() if repeats else [],
+            tried_parts=evidence.tried_parts() if repeats else [],
         )
 
     def handle_datagram(self, data: bytes, address: Address) -> None:
@@ -307,7 +256,7 @@
                 self.components.stream_origins.record(stream, origin, left_ms)
         for strike in report.held_strikes():
             self.apply_strike(strike)
-        self.apply_part_evidence(report)
+        self.part_evidence.apply(report)
         if report.registry_age_ms >= 0:
             self.components.fleet_size.record_reading(
                 report.registered_routers,
@@ -337,33 +286,6 @@
                 age_ms=strike.age_ms,
             )
 
-    def apply_part_evidence(self, report: Report) -> None:
-        """Record what a peer knows of prompt parts that crash servers."""
-        crashing_parts = self.components.crashing_parts
-        new_crashes = [
-            crash
-            for crash in (PartCrash(*fields) for fields in report.part_crashes)
-            if crashing_parts.add_crash(crash)
-        ]
-        self.log_part_crashes(new_crashes, peer=True)
-        for part, age_ms in report.sound_parts:
-            crashing_parts.record_peer_success(part, age_ms)
-        for part, age_ms in report.wanted_parts:
-            crashing_parts.record_wanted(part, age_ms)
-        for part, age_ms in report.tried_parts:
-            crashing_parts.record_trial(part, age_ms)
-
-    def log_part_crashes(self, crashes: list[PartCrash], peer: bool) -> None:
-        """Log crashes of prompt parts, one line a server."""
-        for server in dict.fromkeys(crash.server for crash in crashes):
-            self.log.event(
-                PART_CRASH,
-                server=server,
-                parts=[crash.part for crash in crashes if crash.server == server],
-                age_ms=min(crash.age_ms for crash in crashes if crash.server == server),
-                peer=peer,
-            )
-
     def apply_departure(self, departure: Departure) -> None:
         """Stop using a server that a peer has seen leave the list."""
         if self.components.servers.record_departure(departure):
@@ -410,7 +332,8 @@
         self.live_addresses = live
         self.components.fleet_size.record_count(len(live) + 1)
         self.log_retry_share()
-        self.repeat_wanted_parts()
+        if self.part_evidence.must_repeat():
+            self.repeat_strikes()
 
     def log_retry_share(self) -> None:
         """Log what this router may spend of the retry slack if it has changed."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -8,7 +8,7 @@
 
 from .attempt import SUCCESS_STATUS_CLASS, Attempt, AttemptOutcome, OutcomeKind
 from .components import RouterComponents
-from .coordination.crashing_parts import part_key
+from .coordination.part_crashes import part_key
 from .coordination.retry_budget import RetryEnd
 from .coordination.server_health import AttemptResult
 from .logs import RequestLog
--- a/packages/medlarridge-direct/tests/direct/coordination/test_crashing_parts.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_crashing_parts.py
@@ -5,7 +5,6 @@
     FIRST_TRIAL_MS,
     MAX_CRASHES_BEFORE_TRIAL,
     MAX_CRASHES_KEPT,
-    MAX_KEY_LENGTH,
     MAX_SUCCESSES,
     MAX_SUSPECTS,
     MAX_TRIALS,
@@ -13,9 +12,12 @@
     MIN_CRASHES_AFTER_SUCCESS,
     PROBATION_TRIAL_MS,
     RETENTION_MS,
-    TOGETHER_MS,
     TRIAL_DELAY_PER_RANK_MS,
     CrashingParts,
+)
+from medlarridge_direct._internal.coordination.part_crashes import (
+    MAX_KEY_LENGTH,
+    TOGETHER_MS,
     PartCrash,
     part_key,
 )
