--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
@@ -45,9 +45,11 @@
 requests with it."""
 
 MAX_CRASHES_BEFORE_TRIAL = 4
-MAX_TRIALS = 2
-"""A refused part is tried while it has few crashes, or twice if it has more, since each
-trial may crash one more server. The platform allows three requests after five crashes."""
+MAX_TRIALS = 1
+MAX_TRIALS_AFTER_SUCCESS = 2
+"""A refused part is tried while it has few crashes, and so many times if it has more,
+since each trial may crash one more server. The platform allows three requests after five
+crashes, of which some may be on their way."""
 
 SAME_TRIAL_MS = 500
 """Difference up to which two reports mean the same trial."""
@@ -292,13 +294,18 @@
         suspect = self.suspects[part]
         delay_ms = PROBATION_TRIAL_MS
         if part in self.refused:
-            may_try_twice = not suspect.stored_crashes and suspect.trials < MAX_TRIALS
-            if suspect.crash_count > MAX_CRASHES_BEFORE_TRIAL and not may_try_twice:
+            if suspect.crash_count > MAX_CRASHES_BEFORE_TRIAL and (
+                suspect.stored_crashes or suspect.trials >= self.max_trials(part)
+            ):
                 return False
-            delay_ms = FIRST_TRIAL_MS << min(suspect.trials, MAX_TRIALS)
+            delay_ms = FIRST_TRIAL_MS << min(suspect.trials, MAX_TRIALS_AFTER_SUCCESS)
         since_ms = max(suspect.last_event_ms, self.started_ms)
         return self.clock.now_ms() - since_ms >= delay_ms + rank_delay_ms
 
+    def max_trials(self, part: str) -> int:
+        """Return how often a part with many crashes is tried."""
+        return MAX_TRIALS_AFTER_SUCCESS if part in self.successes else MAX_TRIALS
+
     def record_trial(self, part: str, age_ms: int) -> None:
         """Record that this router or a peer tries a part."""
         suspect = self.suspects.get(part)
--- a/packages/medlarridge-direct/tests/direct/coordination/test_crashing_parts.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_crashing_parts.py
@@ -8,6 +8,7 @@
     MAX_SUCCESSES,
     MAX_SUSPECTS,
     MAX_TRIALS,
+    MAX_TRIALS_AFTER_SUCCESS,
     MIN_CRASHES,
     MIN_CRASHES_AFTER_SUCCESS,
     PROBATION_TRIAL_MS,
@@ -219,12 +220,16 @@
         assert trials == MAX_CRASHES_BEFORE_TRIAL - MIN_CRASHES + 1
         assert MIN_CRASHES + trials <= CRASHES_ALLOWED
 
-    def test_a_part_that_was_blamed_for_many_crashes_is_tried_twice(
-        self, crashing_parts, clock
+    @pytest.mark.parametrize(
+        "answered, expected", [(True, MAX_TRIALS_AFTER_SUCCESS), (False, MAX_TRIALS)]
+    )
+    def test_a_part_that_was_blamed_for_many_crashes_is_tried(
+        self, crashing_parts, clock, answered, expected
     ):
         """Guards against a sound part that is refused forever as it has many crashes
         (fault soak, seed 951328), and against more trials than the platform allows."""
-        crashing_parts.record_success(["system"])
+        if answered:
+            crashing_parts.record_success(["system"])
         for number in range(2 * CRASHES_ALLOWED):
             crash(crashing_parts, clock, f"s-{number}", "system")
         assert crashing_parts.refused == {"system"}
@@ -235,7 +240,7 @@
             if crashing_parts.begin_trial(held, 0):
                 trials += 1
                 crash(crashing_parts, clock, f"t-{trials}", "system", pause_ms=100)
-        assert trials == MAX_TRIALS
+        assert trials == expected
 
     def test_a_request_with_two_refused_parts_tries_none(self, crashing_parts, clock):
         """Guards against a trial that cannot tell which part is sound."""
