Read, log and count the limits that servers name

ServerNotices keeps the latest statement of each start of a server: a stricter one holds at once, a looser one only if its request was sent after the stricter one had arrived, so responses that are read out of order do not lift a limit. A value that is no plain decimal number says nothing; of several the smallest holds. MR6118 and MR6119, medlarridge_servers_limited, medlarridge_server_notices_malformed.

No request is sent otherwise than before.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -108,6 +108,7 @@
         self.exchange: Exchange | None = None
         self.head: ResponseHead | None = None
         self.attempt_number = 0
+        self.sent_ms = 0
         self.received = ReceivedBody()
 
     def __enter__(self) -> "Attempt":
@@ -153,6 +154,7 @@
             )
         except TransportError as error:
             return AttemptOutcome(OutcomeKind.NOT_SENT, error.message)
+        self.sent_ms = self.components.clock.now_ms()
         self.attempt_number = self.components.health.record_sent(
             self.server.instance, self.server.pool
         )
@@ -194,6 +196,9 @@
             event.status, event.reason, event.headers
         )
         self.received.framing = event.framing
+        self.components.notices.record(
+            self.server.start, self.head.notice, self.sent_ms
+        )
         if self.is_event_stream(self.head):
             self.received.splitter = EventSplitter()
         return self.classify_head(self.head)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
@@ -20,6 +20,7 @@
 from .protocol.platform_interface import Dialect
 from .server_crashes import CrashProbes
 from .state.configuration_holder import ConfigurationHolder
+from .state.server_notices import ServerNotices
 from .state.server_table import ServerTable
 from .transport.server_connections import ConnectionPools
 
@@ -39,6 +40,7 @@
     dialect: Dialect
     configuration: ConfigurationHolder
     servers: ServerTable
+    notices: ServerNotices
     load: LoadView
     placement: Placement
     health: ServerHealth
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -26,11 +26,13 @@
 from .gauges import add_gauges
 from .logs import (
     CRASH_STRIKE,
+    NOTICE_MALFORMED,
     PART_CLEARED,
     PART_REFUSED,
     PROCESS_STALLED,
     READINESS_CHANGED,
     SERVER_AVOIDED,
+    SERVER_LIMIT_CHANGED,
     SERVER_RESPONDING,
     SERVER_SILENT,
     SETTINGS_RELOAD_FAILED,
@@ -53,6 +55,7 @@
 from .settings import DirectSettings, load_settings, split_endpoint
 from .state.configuration_holder import ConfigurationHolder
 from .state.peer_table import PeerTable, new_router_id
+from .state.server_notices import ServerNotices
 from .state.server_table import ServerTable
 from .store_sync import StoreSync
 from .transport.client_connection import ClientConnection, ResponseWriter
@@ -72,6 +75,10 @@
 STOP_MARGIN_MS = 500
 """Time between the exit of a stopping router and the moment it would be killed."""
 
+MAX_LOGGED_VALUES = 4
+MAX_LOGGED_VALUE = 40
+"""Malformed values of one response that are logged, and characters of each."""
+
 LISTEN_BACKLOG = 512
 """Length of the accept queue; a burst opens a few hundred connections at once."""
 
@@ -150,6 +157,11 @@
             dialect=dialect,
             configuration=ConfigurationHolder(clock),
             servers=ServerTable(clock),
+            notices=ServerNotices(
+                clock,
+                on_limit_change=self.handle_limit_change,
+                on_malformed=self.log_malformed_notice,
+            ),
             load=load,
             placement=Placement(
                 random,
@@ -195,6 +207,26 @@
             for_ms=health.avoid_ms,
         )
 
+    def handle_limit_change(
+        self, start: str, before: float | None, limit: float | None, from_peer: bool
+    ) -> None:
+        """Log that a server has named, changed or ended a limit."""
+        self.log.event(
+            SERVER_LIMIT_CHANGED,
+            server=start,
+            before=before,
+            limit_per_s=limit,
+            peer=from_peer,
+        )
+
+    def log_malformed_notice(self, start: str, values: tuple[str, ...]) -> None:
+        """Log what a server said of itself and could not be read."""
+        self.log.request_event(
+            NOTICE_MALFORMED,
+            server=start,
+            values=[value[:MAX_LOGGED_VALUE] for value in values[:MAX_LOGGED_VALUES]],
+        )
+
     def handle_server_ended(self, server: BackendServer) -> None:
         """Record that a server which closed a connection accepts no other."""
         record_server_down(self.components, server.instance)
@@ -382,6 +414,8 @@
             self.components.crashing_parts.expire()
             self.log_refused_parts()
             self.components.load.expire()
+            if self.components.notices.limits:
+                self.components.notices.expire(self.components.servers.starts())
             self.components.crash_detector.expire()
             self.components.stream_origins.expire()
             self.reload_if_changed()
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
@@ -62,6 +62,16 @@
         "Servers that accept no connection of this router.",
         lambda: len(components.health.unreachable_instances()),
     )
+    add(
+        "servers_limited",
+        "Servers that name a limit of requests a second.",
+        lambda: sum(1 for _ in components.notices.limited()),
+    )
+    add(
+        "server_notices_malformed",
+        "Responses in which a server said something of itself that could not be read.",
+        lambda: components.notices.malformed,
+    )
     add(
         "server_connects",
         "New connections to servers since the start.",
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -70,6 +70,10 @@
 SERVER_SILENT = register(6115, "WARNING", "server is silent while attempts wait")
 SERVER_RESPONDING = register(6116, "INFO", "server is no longer silent")
 SERVER_LEAVING = register(6117, "INFO", "a peer has seen the server leave the list")
+SERVER_LIMIT_CHANGED = register(6118, "INFO", "limit that a server names changed")
+NOTICE_MALFORMED = register(
+    6119, "WARNING", "server said something of itself that could not be read"
+)
 STORE_LOST = register(6120, "WARNING", "store unreachable")
 STORE_RECOVERED = register(6121, "INFO", "store reachable again")
 SNAPSHOT_FAILED = register(6122, "WARNING", "snapshot could not be read from peer")
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from .server_notices import NO_NOTICE, ServerNotice
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -89,7 +91,7 @@
     bytes. ``content_length`` is None if the response does not declare it.
     ``media_type`` is the type of the body without parameters, None if it is not
     declared. ``keep_alive_ms`` is the time for which the server keeps an idle
-    connection open.
+    connection open. ``notice`` is what the server says of itself.
     """
 
     status: int
@@ -102,3 +104,4 @@
     content_length: int | None
     media_type: str | None = None
     keep_alive_ms: int | None = None
+    notice: ServerNotice = NO_NOTICE
--- /dev/null
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/server_notices.py
@@ -0,0 +1,32 @@
+"""What servers say of themselves in the heads of their responses."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ServerNotice:
+    """What one response says of its server.
+
+    ``limit_per_s`` is the number of requests a second that the server takes from all
+    routers together, None if it names no limit. ``malformed`` are values that could not
+    be read; they say nothing.
+    """
+
+    limit_per_s: float | None = None
+    malformed: tuple[str, ...] = ()
+
+
+NO_NOTICE = ServerNotice()
+
+
+@dataclass(frozen=True, slots=True)
+class LimitStatement:
+    """A limit that a server stated, or that it has none (``per_s`` is None).
+
+    It was stated between ``asked_ms``, when the request was sent, and ``heard_ms``,
+    when the response arrived, both on the clock of the router that keeps it.
+    """
+
+    per_s: float | None
+    asked_ms: int
+    heard_ms: int
--- /dev/null
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_notices.py
@@ -0,0 +1,103 @@
+"""What servers have said of themselves, to this router or to its peers.
+
+Responses may arrive in another order than the one in which their servers sent them. A
+statement replaces a stricter one only if its request was sent after the stricter one
+had arrived, since only then it is certainly the later one.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from medlarridge._internal.clock import Clock
+
+from ..protocol.server_notices import LimitStatement, ServerNotice
+
+LIFT_RETENTION_MS = 60_000
+"""Time for which it is remembered that a limit has ended, so that a peer that has not
+heard of it yet cannot bring the limit back."""
+
+
+def ignore_limit_change(
+    start: str, before: float | None, limit: float | None, from_peer: bool
+) -> None:
+    """Do nothing about a changed limit."""
+
+
+def ignore_malformed(start: str, values: tuple[str, ...]) -> None:
+    """Do nothing about malformed values."""
+
+
+@dataclass(slots=True)
+class ServerNotices:
+    """The statements of servers, by start of a server.
+
+    ``on_limit_change`` takes the start, the limits before and after, None for none, and
+    whether a peer told; ``on_malformed`` takes the values that could not be read.
+    """
+
+    clock: Clock
+    limits: dict[str, LimitStatement] = field(default_factory=dict)
+    malformed: int = 0
+    on_limit_change: Callable[[str, float | None, float | None, bool], None] = (
+        ignore_limit_change
+    )
+    on_malformed: Callable[[str, tuple[str, ...]], None] = ignore_malformed
+
+    def record(self, start: str, notice: ServerNotice, asked_ms: int) -> None:
+        """Record what a response that has just arrived says of its server."""
+        if notice.malformed:
+            self.malformed += 1
+            self.on_malformed(start, notice.malformed)
+        if notice.limit_per_s is not None or not notice.malformed:
+            self.apply_limit(
+                start,
+                LimitStatement(notice.limit_per_s, asked_ms, self.clock.now_ms()),
+            )
+
+    def apply_limit(
+        self, start: str, statement: LimitStatement, from_peer: bool = False
+    ) -> None:
+        """Keep a statement about a limit unless a known one is later or stricter."""
+        known = self.limits.get(start)
+        if known is None:
+            if statement.per_s is None:
+                return
+        elif not replaces(statement, known):
+            return
+        self.limits[start] = statement
+        before = None if known is None else known.per_s
+        if statement.per_s != before:
+            self.on_limit_change(start, before, statement.per_s, from_peer)
+
+    def limit_per_s(self, start: str) -> float | None:
+        """Return the limit that a server has named, or None if it has none."""
+        statement = self.limits.get(start)
+        return None if statement is None else statement.per_s
+
+    def limited(self) -> Iterator[tuple[str, float]]:
+        """Yield the starts of servers that have a limit, and these limits."""
+        for start, statement in self.limits.items():
+            if statement.per_s is not None:
+                yield start, statement.per_s
+
+    def expire(self, listed: set[str]) -> None:
+        """Forget ended limits, and statements of servers that have left the list."""
+        oldest_ms = self.clock.now_ms() - LIFT_RETENTION_MS
+        for start, statement in list(self.limits.items()):
+            if statement.heard_ms < oldest_ms and (
+                statement.per_s is None or start not in listed
+            ):
+                del self.limits[start]
+
+
+def replaces(statement: LimitStatement, known: LimitStatement) -> bool:
+    """Return whether a statement takes the place of a known one."""
+    if statement.asked_ms > known.heard_ms:
+        return True
+    if statement.heard_ms <= known.asked_ms or statement.per_s is None:
+        return False
+    if known.per_s is None:
+        return True
+    return statement.per_s < known.per_s or (
+        statement.per_s == known.per_s and statement.heard_ms > known.heard_ms
+    )
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -351,6 +351,10 @@
             del self.departed[instance]
         return expired
 
+    def starts(self) -> set[str]:
+        """Return the starts of the listed servers."""
+        return {server.start for server in self.by_instance.values()}
+
     def age_ms(self) -> int | None:
         """Return the age of the list, or None if no list was read yet."""
         return (
--- a/packages/medlarridge-direct/src/medlarridge_direct/platform_api.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/platform_api.py
@@ -26,6 +26,7 @@
     ResponseHead,
 )
 from ._internal.protocol.revision import Revision
+from ._internal.protocol.server_notices import ServerNotice
 from ._internal.protocol.servers import BackendServer, ServerListing, ServerState
 from ._internal.settings import DirectSettings, load_settings, split_endpoint
 from ._internal.transport.http_client import HttpClient, HttpResponse
@@ -54,6 +55,7 @@
     "Route",
     "RouteKind",
     "ServerListing",
+    "ServerNotice",
     "ServerState",
     "TransportError",
     "UserError",
--- a/packages/medlarridge-direct/tests/adapter/test_headers.py
+++ b/packages/medlarridge-direct/tests/adapter/test_headers.py
@@ -138,3 +138,32 @@
     def test_a_malformed_inventory_is_none(self, body):
         """Guards against failing on the response of a faulty server."""
         assert HeaderDialect().parse_inventory(body) is None
+
+
+class TestServerLimits:
+    @pytest.mark.parametrize(
+        ("values", "limit", "malformed"),
+        [
+            ([], None, 0),
+            ([b"3.5"], 3.5, 0),
+            ([b" 12 "], 12.0, 0),
+            ([b"0"], 0.0, 0),
+            ([b"3.5", b"2"], 2.0, 0),
+            ([b"3.5, 2"], 2.0, 0),
+            ([b"3.5", b"nan"], 3.5, 1),
+            ([b"-1"], None, 1),
+            ([b"nan"], None, 1),
+            ([b"inf"], None, 1),
+            ([b"1e300"], None, 1),
+            ([b"9" * 300], None, 1),
+            ([b"1_0"], None, 1),
+            ([b""], None, 1),
+            ([b"\xff"], None, 1),
+        ],
+    )
+    def test_odd_values_say_nothing(self, values, limit, malformed):
+        """Guards against a limit that is taken from a value that is no plain number."""
+        headers = [(b"Server-Limit", value) for value in values]
+        notice = HeaderDialect().parse_response(200, b"OK", headers).notice
+        assert notice.limit_per_s == limit
+        assert len(notice.malformed) == malformed
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -20,9 +20,11 @@
 from medlarridge_direct._internal.coordination.stream_origins import StreamOrigins
 from medlarridge_direct._internal.metrics import Metrics
 from medlarridge_direct._internal.protocol.requests import RequestMetadata, ResponseHead
+from medlarridge_direct._internal.protocol.server_notices import ServerNotice
 from medlarridge_direct._internal.server_crashes import CrashProbes
 from medlarridge_direct._internal.settings import RetrySettings
 from medlarridge_direct._internal.state.configuration_holder import ConfigurationHolder
+from medlarridge_direct._internal.state.server_notices import ServerNotices
 from medlarridge_direct._internal.state.server_table import ServerTable
 from medlarridge_direct._internal.transport.http_connection import HttpConnection
 
@@ -158,6 +160,7 @@
         length = fields.get(b"content-length")
         request_id = fields.get(b"id")
         media_type = fields.get(b"content-type")
+        limit = fields.get(b"limit")
         return ResponseHead(
             status=status,
             reason=reason,
@@ -168,6 +171,7 @@
             encoded=b"content-encoding" in fields,
             content_length=None if length is None else int(length),
             media_type=None if media_type is None else media_type.decode(),
+            notice=ServerNotice(None if limit is None else float(limit)),
         )
 
     def client_headers(self, head):
@@ -205,6 +209,7 @@
         dialect=FakeDialect(),
         configuration=ConfigurationHolder(clock),
         servers=ServerTable(clock),
+        notices=ServerNotices(clock),
         load=load,
         placement=Placement(
             Random(7), load, PromptCacheIndex(clock), "anfa", load_factor
