Send a server that names a limit no more than it takes, by permits of one keeper

Cause: no part of the router read the limit, and a limit of all routers together cannot be kept by parts: with 100 routers and a limit of 1.1 a second, one request of each is more than 4 s allow.

Ruled out: equal parts, parts that follow need, a keeper chosen by reports or by the registry (docs/design.md, "Alternatives weighed").

Change: each request to a server with a limit needs a permit, also retries and resumed streams. One router at a time, which has a lease in the platform's store, gives out the permits of a pool; the others ask it. A permit counts until a window after its request has arrived at the latest. The proof is in docs/design.md. A request without a permit goes to another server, or is refused at once with a spread Retry-After, less urgent ones first. Chats begin and stay at servers without a limit where they can, and the load bound follows the mean of these.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -22,6 +22,7 @@
 )
 from .protocol.servers import BackendServer, ServerState
 from .received_body import BodyPart, ReceivedBody
+from .send_permits import Permit
 from .server_crashes import record_server_down
 from .transport.http_connection import (
     Broken,
@@ -79,6 +80,7 @@
 
     ``shared_parts`` are the keys of the prompt's parts that other requests may share.
     ``asks_reports`` tells that the server is one of models, which report their state.
+    ``permit`` is needed if the server names a limit.
     As a context manager, it counts as load of the server while it is open and releases
     or closes its connection on exit.
     """
@@ -94,6 +96,7 @@
         expects_stream: bool,
         shared_parts: tuple[str, ...] = (),
         asks_reports: bool = False,
+        permit: Permit | None = None,
     ) -> None:
         self.components = components
         self.server = server
@@ -104,6 +107,7 @@
         self.expects_stream = expects_stream
         self.shared_parts = shared_parts
         self.asks_reports = asks_reports
+        self.permit = permit
         self.first_bytes_ms: int | None = None
         self.exchange: Exchange | None = None
         self.head: ResponseHead | None = None
@@ -118,6 +122,8 @@
     def __exit__(self, *_: object) -> None:
         self.components.load.end_attempt(self.server.instance)
         if self.exchange is None:
+            if self.permit is not None:
+                self.permit.end(sent=False)
             return
         self.components.health.record_ended(self.server.instance, self.attempt_number)
         connection = self.exchange.connection
@@ -146,6 +152,9 @@
                 ended=isinstance(error, ConnectionRefused),
             )
             return AttemptOutcome(OutcomeKind.NOT_SENT, error.message)
+        if not self.may_send():
+            self.components.connections.release(self.server, connection, None)
+            return AttemptOutcome(OutcomeKind.NOT_SENT, "no permit for the server")
         try:
             self.exchange = connection.start(
                 self.request_bytes(metadata),
@@ -160,6 +169,18 @@
         )
         return await self.read_head(timeout_ms)
 
+    def may_send(self) -> bool:
+        """Return whether the server takes this request now.
+
+        It may have named a limit since it was selected, and a permit does not last.
+        """
+        if not self.components.permits.is_needed(self.server):
+            return True
+        return (
+            self.permit is not None
+            and self.components.clock.now_ms() <= self.permit.expires_ms
+        )
+
     def request_bytes(self, metadata: ForwardingMetadata) -> bytes:
         """Return the encoded request."""
         request = self.request
@@ -196,6 +217,8 @@
             event.status, event.reason, event.headers
         )
         self.received.framing = event.framing
+        if self.permit is not None:
+            self.permit.end(sent=True)
         self.components.notices.record(
             self.server.start, self.head.notice, self.sent_ms
         )
@@ -275,7 +298,7 @@
         if self.received.framing is not Framing.CLOSE:
             return False
         connections = self.components.connections
-        if self.asks_reports:
+        if self.asks_reports and not self.components.permits.is_needed(self.server):
             if await connections.is_serving(
                 self.server, self.connection_limit, self.components.dialect.report_path
             ):
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/cache_inventory.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/cache_inventory.py
@@ -113,7 +113,12 @@
         ]
 
     async def query_server(self, server: BackendServer) -> list[PromptPart] | None:
-        """Return the parts that a server caches, or None on failure."""
+        """Return the parts that a server caches, or None on failure.
+
+        A server that names a limit is not asked, since a request can use the permit.
+        """
+        if self.components.permits.is_needed(server):
+            return None
         try:
             connection = await self.components.connections.acquire(
                 server, CONNECTION_LIMIT
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
@@ -18,6 +18,7 @@
 from .coordination.stream_origins import StreamOrigins
 from .metrics import Metrics
 from .protocol.platform_interface import Dialect
+from .send_permits import SendPermits
 from .server_crashes import CrashProbes
 from .state.configuration_holder import ConfigurationHolder
 from .state.server_notices import ServerNotices
@@ -41,6 +42,7 @@
     configuration: ConfigurationHolder
     servers: ServerTable
     notices: ServerNotices
+    permits: SendPermits
     load: LoadView
     placement: Placement
     health: ServerHealth
--- /dev/null
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/permit_ledger.py
@@ -0,0 +1,136 @@
+"""Permits to send requests to servers that name a limit for all routers together.
+
+One router at a time, the keeper of a pool, gives out the permits for its servers. A
+permit counts from the moment it is given until a window after the last moment at which
+its request may arrive. So no window has more arrivals than its permits, however the
+requests are split over routers and however late they arrive. docs/design.md has the
+proof.
+"""
+
+from dataclasses import dataclass, field
+from math import ceil
+
+from medlarridge._internal.clock import MS_PER_S, Clock
+
+from .retry_budget import MAX_ARRIVAL_DELAY_MS
+
+WINDOW_MS = 2_000
+"""Window in which a server gets no more than its limit allows. Two of them make the
+four seconds of the platform's rule."""
+
+MAX_WINDOW_MS = 10_000
+"""Window in which a server may get one request, however low its limit is: nobody would
+notice otherwise that the limit has ended."""
+
+PERMIT_VALIDITY_MS = 300
+"""Time from asking for a permit within which its request must be sent: an exchange with
+the keeper, and a new connection to the server."""
+
+MAX_OPEN_MS = PERMIT_VALIDITY_MS + MAX_ARRIVAL_DELAY_MS
+"""Time from giving a permit until its request has arrived or is lost."""
+
+
+def window_ms(limit_per_s: float) -> int:
+    """Return the window for a limit; it is longer if a limit is below one in it."""
+    if limit_per_s * WINDOW_MS >= MS_PER_S:
+        return WINDOW_MS
+    if limit_per_s * MAX_WINDOW_MS <= MS_PER_S:
+        return MAX_WINDOW_MS
+    return ceil(MS_PER_S / limit_per_s)
+
+
+def capacity(limit_per_s: float) -> int:
+    """Return the number of requests that a server may get in a window."""
+    return max(int(limit_per_s * window_ms(limit_per_s) / MS_PER_S), 1)
+
+
+@dataclass(slots=True)
+class PermitLedger:
+    """The permits of one pool; ``end_ms`` has when each has arrived at the latest.
+
+    ``unknown_until_ms`` is when requests of permits that are not in this ledger, of an
+    earlier keeper, have arrived at the latest, None if there were none.
+    ``next_number`` continues from a random number, so that messages about the permits
+    of an earlier process are not taken for those of this one.
+    """
+
+    clock: Clock
+    next_number: int = 1
+    unknown_until_ms: int | None = None
+    end_ms: dict[str, dict[int, int]] = field(default_factory=dict)
+    starts: dict[int, str] = field(default_factory=dict)
+
+    def free(self, start: str, limit_per_s: float) -> int:
+        """Return how many permits may be given now for a server."""
+        window_start_ms = self.clock.now_ms() - window_ms(limit_per_s)
+        if (
+            self.unknown_until_ms is not None
+            and self.unknown_until_ms > window_start_ms
+        ):
+            return 0
+        used = sum(end > window_start_ms for end in self.end_ms.get(start, {}).values())
+        return capacity(limit_per_s) - used
+
+    def free_in_ms(self, start: str, limit_per_s: float) -> int:
+        """Return after which time a permit can be free, as far as is known now."""
+        if self.free(start, limit_per_s) > 0:
+            return 0
+        ends = sorted(self.end_ms.get(start, {}).values())
+        first_end_ms = ends[max(len(ends) - capacity(limit_per_s), 0)] if ends else 0
+        first_end_ms = max(first_end_ms, self.unknown_until_ms or 0)
+        return max(first_end_ms + window_ms(limit_per_s) - self.clock.now_ms(), 1)
+
+    def give(self, start: str) -> int:
+        """Give a permit for a server; return its number."""
+        self.expire()
+        number = self.next_number
+        self.next_number += 1
+        self.end_ms.setdefault(start, {})[number] = self.clock.now_ms() + MAX_OPEN_MS
+        self.starts[number] = start
+        return number
+
+    def end(self, number: int, sent: bool) -> None:
+        """Record that the request of a permit has arrived by now, or was not sent."""
+        start = self.starts.get(number)
+        if start is None:
+            return
+        if sent:
+            ends = self.end_ms[start]
+            ends[number] = min(ends[number], self.clock.now_ms())
+        else:
+            self.drop(number)
+
+    def drop(self, number: int) -> None:
+        """Remove a permit."""
+        start = self.starts.pop(number)
+        del self.end_ms[start][number]
+        if not self.end_ms[start]:
+            del self.end_ms[start]
+
+    def expire(self) -> None:
+        """Remove the permits that no window contains any more."""
+        oldest_ms = self.clock.now_ms() - MAX_WINDOW_MS
+        for number in [
+            number
+            for start, ends in self.end_ms.items()
+            for number, end in ends.items()
+            if end <= oldest_ms
+        ]:
+            self.drop(number)
+
+    def ends_after_ms(self) -> dict[str, list[int]]:
+        """Return the ends of the permits of each server, from now on."""
+        self.expire()
+        now_ms = self.clock.now_ms()
+        return {
+            start: [end - now_ms for end in ends.values()]
+            for start, ends in self.end_ms.items()
+        }
+
+    def add_ends(self, ends_after_ms: dict[str, list[int]]) -> None:
+        """Add the permits that an earlier keeper has handed over."""
+        now_ms = self.clock.now_ms()
+        for start, ends in ends_after_ms.items():
+            for after_ms in ends:
+                number = self.give(start)
+                self.end_ms[start][number] = now_ms + min(after_ms, MAX_OPEN_MS)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/placement.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/placement.py
@@ -71,11 +71,14 @@
         prompt: Sequence[PromptPart],
         failing: Set[str] = frozenset(),
         limit: float | None = None,
+        limited: Set[str] = frozenset(),
     ) -> list[BackendServer]:
         """Return the servers in the order in which they should be tried.
 
         ``failing`` servers come after the others, and servers over the load ``limit``
-        come last. The limit defaults to that of the given servers.
+        come last. The limit defaults to that of the given servers. For a prompt,
+        ``limited`` servers, which take only some requests a second, come after others:
+        a chat that begins there, or stays without need, would have to move later.
         """
         if limit is None:
             limit = self.load_limit(servers)
@@ -90,7 +93,11 @@
                 preference = self.load_sort_key(server)
             else:
                 is_holder = server.instance in holders
-                preference = not is_holder, -hash_to_fraction(key, server.instance)
+                preference = (
+                    not is_holder,
+                    server.instance in limited,
+                    -hash_to_fraction(key, server.instance),
+                )
             return False, server.instance in failing, *preference
 
         ranked = sorted(servers, key=sort_key)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -51,6 +51,7 @@
 from .protocol.requests import ClientRequest
 from .protocol.servers import BackendServer
 from .request_handler import RequestHandler
+from .send_permits import SendPermits
 from .server_crashes import CrashProbes, record_server_down
 from .settings import DirectSettings, load_settings, split_endpoint
 from .state.configuration_holder import ConfigurationHolder
@@ -141,7 +142,10 @@
             self.log,
             settings.node,
             self.peer_reports.announce_departures,
+            settings.first_start,
         )
+        self.peer_reports.kept_permits = self.store_sync.permit_leases.kept
+        self.peer_reports.on_kept_permits = self.store_sync.permit_leases.observe_kept
 
     def create_components(self, dialect: Dialect) -> RouterComponents:
         """Create the state, the decision logic and the connections."""
@@ -151,16 +155,26 @@
         crashing_parts = CrashingParts(clock)
         connections = ConnectionPools()
         fleet_size = FleetSize(clock)
+        notices = ServerNotices(
+            clock,
+            on_limit_change=self.handle_limit_change,
+            on_malformed=self.log_malformed_notice,
+        )
         return RouterComponents(
             clock=clock,
             random=random,
             dialect=dialect,
             configuration=ConfigurationHolder(clock),
             servers=ServerTable(clock),
-            notices=ServerNotices(
+            notices=notices,
+            permits=SendPermits(
                 clock,
-                on_limit_change=self.handle_limit_change,
-                on_malformed=self.log_malformed_notice,
+                random,
+                notices,
+                lambda pool: self.peers.keeper_address(pool),
+                lambda data, address: self.peer_reports.send_permit_message(
+                    data, address
+                ),
             ),
             load=load,
             placement=Placement(
@@ -218,6 +232,8 @@
             limit_per_s=limit,
             peer=from_peer,
         )
+        if not from_peer:
+            self.peer_reports.send_report()
 
     def log_malformed_notice(self, start: str, values: tuple[str, ...]) -> None:
         """Log what a server said of itself and could not be read."""
@@ -308,6 +324,7 @@
                 self.peer_reports.run,
                 self.store_sync.registry.run,
                 self.store_sync.refused_parts.run,
+                self.store_sync.permit_leases.run,
                 self.store_sync.sync_servers,
                 self.store_sync.watch_servers,
                 self.store_sync.sync_configuration,
@@ -345,6 +362,7 @@
         operator_listener.close()
         for task in background_tasks:
             task.cancel()
+        await self.store_sync.permit_leases.release_all()
         self.log.event(STOPPED, in_flight=self.handler.in_flight)
         self.log.flush()
 
@@ -414,6 +432,7 @@
             self.components.crashing_parts.expire()
             self.log_refused_parts()
             self.components.load.expire()
+            self.components.permits.expire()
             if self.components.notices.limits:
                 self.components.notices.expire(self.components.servers.starts())
             self.components.crash_detector.expire()
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
@@ -67,6 +67,26 @@
         "Servers that name a limit of requests a second.",
         lambda: sum(1 for _ in components.notices.limited()),
     )
+    add(
+        "permits_given",
+        "Permits that this router got for servers with a limit.",
+        lambda: components.permits.given,
+    )
+    add(
+        "permits_refused",
+        "Requests of this router for which no permit was free.",
+        lambda: components.permits.refused,
+    )
+    add(
+        "permits_unanswered",
+        "Requests for a permit that the keeper did not answer in time.",
+        lambda: components.permits.unanswered,
+    )
+    add(
+        "permit_pools_kept",
+        "Pools whose permits this router gives out.",
+        lambda: sum(lease.held for lease in components.permits.leases.values()),
+    )
     add(
         "server_notices_malformed",
         "Responses in which a server said something of itself that could not be read.",
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -3,6 +3,7 @@
 import os
 import sys
 from collections import deque
+from collections.abc import Sequence
 from datetime import UTC, datetime
 
 import msgspec
@@ -42,6 +43,7 @@
     6009, "INFO", "waiting for a prompt that the server is processing"
 )
 
+PERMIT_REFUSED = register(6011, "INFO", "servers with a limit take no request now")
 STREAM_TAKEN_UP = register(6010, "INFO", "client takes up a stream")
 
 STARTED = register(6100, "INFO", "router started")
@@ -74,6 +76,10 @@
 NOTICE_MALFORMED = register(
     6119, "WARNING", "server said something of itself that could not be read"
 )
+PERMITS_KEPT = register(
+    6160, "INFO", "this router gives out the permits for servers with a limit"
+)
+PERMITS_LEFT = register(6161, "INFO", "this router no longer gives out permits")
 STORE_LOST = register(6120, "WARNING", "store unreachable")
 STORE_RECOVERED = register(6121, "INFO", "store reachable again")
 SNAPSHOT_FAILED = register(6122, "WARNING", "snapshot could not be read from peer")
@@ -273,6 +279,10 @@
         """Log that the request tries parts that are held otherwise."""
         self.write(PARTS_TRIED, parts=parts)
 
+    def permit_refused(self, servers: Sequence[BackendServer]) -> None:
+        """Log that servers with a limit take no further request now."""
+        self.write(PERMIT_REFUSED, servers=[server.instance for server in servers])
+
     def prompt_awaited(self, server: BackendServer, wait_ms: float) -> None:
         """Log that the request waits for a prompt that the server is processing."""
         self.write(PROMPT_AWAITED, server=server.instance, wait_ms=round(wait_ms))
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -22,11 +22,15 @@
 from .protocol.peer_messages import (
     Departure,
     HeldStrike,
+    KeptPermits,
     Report,
+    ReportedLimit,
     StreamGroup,
     decode_report,
     encode_report,
 )
+from .protocol.permit_messages import is_permit_message
+from .protocol.server_notices import LimitStatement
 from .state.peer_table import Address, PeerTable
 from .stream_announcements import StreamAnnouncements
 from .transport.datagrams import DatagramSocket
@@ -53,11 +57,18 @@
 MAX_STRIKES_PER_REPORT = 60
 """Limit of the strikes in one report; those of the newest requests go first."""
 
+MAX_LIMITS_PER_REPORT = 60
+"""Limit of the statements of servers in one report."""
+
 MAX_CATCH_UP_SENDERS = 2
 """Number of routers that send all cached parts and all known streams to a new router,
 since reports of one may be lost."""
 
 
+def ignore_kept_permits(kept: KeptPermits) -> None:
+    """Do nothing about permits that a peer gives out."""
+
+
 class PeerReports:
     """Sends reports to peers and applies theirs."""
 
@@ -79,6 +90,8 @@
         self.part_evidence = PartEvidenceExchange(components, log)
         self.streams = StreamAnnouncements(components.stream_origins)
         self.departures: list[tuple[int, Departure]] = []
+        self.kept_permits: Callable[[], list[KeptPermits]] = list
+        self.on_kept_permits: Callable[[KeptPermits], None] = ignore_kept_permits
         self.sequence = 0
         self.live_addresses: set[Address] = set()
         self.malformed_reports = 0
@@ -225,12 +238,22 @@
             sound_parts=evidence.sound_parts(),
             wanted_parts=evidence.wanted_parts() if repeats else [],
             tried_parts=evidence.tried_parts() if repeats else [],
+            limits=self.reported_limits(),
+            kept_permits=self.kept_permits(),
         )
 
+    def send_permit_message(self, data: bytes, address: Address) -> None:
+        """Send a message about permits to a peer."""
+        self.socket.send(data, address)
+        self.components.metrics.control_bytes["sent", "permit"] += len(data)
+
     def handle_datagram(self, data: bytes, address: Address) -> None:
         """Apply the report of a peer."""
         self.components.metrics.control_bytes["received", "report"] += len(data)
         try:
+            if is_permit_message(data):
+                self.components.permits.handle_datagram(data, address)
+                return
             report = decode_report(data)
         except CodecError:
             self.malformed_reports += 1
@@ -262,6 +285,10 @@
                 report.registered_routers,
                 self.components.clock.now_ms() - report.registry_age_ms,
             )
+        for limit in report.limits:
+            self.apply_limit(limit)
+        for kept in report.kept_permits:
+            self.on_kept_permits(kept)
         for departure in report.departures:
             self.apply_departure(departure)
         for instance in report.unreachable:
@@ -273,6 +300,29 @@
         if self.peers.handover_rank() < MAX_CATCH_UP_SENDERS:
             self.streams.begin_handover(address)
 
+    def reported_limits(self) -> list[ReportedLimit]:
+        """Return what servers have stated, the newest statements first."""
+        now_ms = self.components.clock.now_ms()
+        limits = self.components.notices.limits
+        newest = sorted(limits, key=lambda start: -limits[start].heard_ms)
+        return [
+            ReportedLimit(
+                start,
+                limits[start].per_s,
+                now_ms - limits[start].asked_ms,
+                now_ms - limits[start].heard_ms,
+            )
+            for start in newest[:MAX_LIMITS_PER_REPORT]
+        ]
+
+    def apply_limit(self, limit: ReportedLimit) -> None:
+        """Keep what a server has stated to a peer."""
+        now_ms = self.components.clock.now_ms()
+        statement = LimitStatement(
+            limit.per_s, now_ms - limit.asked_age_ms, now_ms - limit.heard_age_ms
+        )
+        self.components.notices.apply_limit(limit.start, statement, from_peer=True)
+
     def apply_strike(self, strike: HeldStrike) -> None:
         """Record a strike that a peer knows."""
         if self.components.crash_guard.add_strike(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
@@ -43,6 +43,29 @@
     streams: list[tuple[int, int]]
 
 
+class KeptPermits(msgspec.Struct, frozen=True, array_like=True):
+    """The sender gives out the permits of a pool.
+
+    Its lease has a revision in the store that it wrote ``age_ms`` ago.
+    """
+
+    pool: str
+    revision: Revision
+    age_ms: int
+
+
+class ReportedLimit(msgspec.Struct, frozen=True, array_like=True):
+    """A limit that a server stated, or that it has none.
+
+    It was stated between ``asked_age_ms`` and ``heard_age_ms`` before the report.
+    """
+
+    start: str
+    per_s: float | None
+    asked_age_ms: int
+    heard_age_ms: int
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """State of one router and what it learned since its last report.
 
@@ -65,7 +88,8 @@
     parts, starts of servers that went down under them, and the ages of these crashes.
     ``sound_parts`` are parts that were answered, ``wanted_parts`` refused parts that
     requests still have, and ``tried_parts`` parts that were tried, all with the age of
-    that.
+    that. ``limits`` are what servers have stated, ``kept_permits`` the pools whose
+    permits the sender gives out.
     """
 
     router_id: int
@@ -93,6 +117,8 @@
     sound_parts: list[tuple[str, int]] = []
     wanted_parts: list[tuple[str, int]] = []
     tried_parts: list[tuple[str, int]] = []
+    limits: list[ReportedLimit] = []
+    kept_permits: list[KeptPermits] = []
 
     def held_strikes(self) -> list[HeldStrike]:
         """Return the strikes; those without an age, of an older build, are new."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
@@ -6,6 +6,7 @@
 from medlarridge._internal.errors import TransportError
 
 from .configuration import Configuration
+from .permit_leases import LeaseRecord, StoredLease
 from .requests import (
     ForwardingMetadata,
     Headers,
@@ -97,6 +98,19 @@
         """Remove a stored prompt part."""
         ...
 
+    async def read_permit_lease(self, pool: str) -> StoredLease:
+        """Return the lease of a pool's permits as of a time not before the call."""
+        ...
+
+    async def write_permit_lease(
+        self, pool: str, record: LeaseRecord, revision: Revision | None
+    ) -> Revision | None:
+        """Write a lease in place of the one at ``revision``, None for none.
+
+        Return the new revision, or None if the store has another one.
+        """
+        ...
+
     async def list_servers(self) -> ServerListing:
         """Return all servers as of a time not before the call."""
         ...
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -1,7 +1,9 @@
 """Forwarding of one client request: attempts, retries and delivery of the response."""
 
+from collections.abc import Sequence
 from dataclasses import replace
 from enum import StrEnum
+from itertools import takewhile
 
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.protocol.server_sent_events import is_after
@@ -19,6 +21,7 @@
 from .protocol.servers import BackendServer
 from .received_body import BodyPart
 from .refusals import send_refusal
+from .send_permits import Permit
 from .server_selection import rank_servers
 from .stream_continuity import StreamContinuity
 from .transport.client_connection import ResponseWriter
@@ -54,12 +57,22 @@
 
 MIN_SERVER_ERROR_STATUS = 500
 
+SPARE_SHARE = 0.25
+"""Share of a server's permits that requests leave which can go to another server, and
+share that each rank of a less urgent request leaves where all servers have a limit."""
+
+MAX_URGENCY_RANKS = 2
+EQUAL_SHARE = 0.125
+"""Share of the requests that compete for permits whatever their urgency, so that less
+urgent ones are not starved."""
+
 
 class GiveUpReason(StrEnum):
     """Reasons for giving up a request."""
 
     DEADLINE = "deadline"
     NO_SERVER = "no-server"
+    SERVER_LIMITS = "server-limits"
     NO_SERVER_OF_VERSION = "no-server-of-version"
     UNKNOWN_STREAM = "unknown-stream"
     BUDGET = "retry-budget"
@@ -74,6 +87,7 @@
 
     ``attempts_received`` counts the attempts that a server received, ``runs`` those
     that may have run there and ``attempts_not_run`` those that did not run.
+    ``without_permit`` are servers with a limit that had no permit for this request.
     ``tries_part`` marks a request that tries a prompt part which is refused otherwise.
     """
 
@@ -101,6 +115,7 @@
             timeout_ms = min(timeout_ms, accepted.metadata.deadline_ms)
         self.deadline_at_ms = accepted.request.received_ms + timeout_ms
         self.tried_instances: set[str] = set()
+        self.without_permit: set[str] = set()
         self.attempts_received = 0
         self.attempts_not_run = 0
         self.any_silent = False
@@ -127,23 +142,33 @@
             if reason is not None:
                 self.give_up(reason)
                 return
-            server = self.select_server()
-            if server is None:
+            ranked = self.rank_servers()
+            if not ranked:
                 self.give_up(self.reason_without_server())
                 return
+            server, permit = ranked[0], None
             if await self.prompt_reuse.wait_until_processed(server):
                 continue
+            if self.components.permits.is_needed(server):
+                permit = await self.acquire_permit(ranked)
+                if permit is None:
+                    continue
+                server = permit.server
             if self.attempts_received and not self.components.retry_budget.take(
                 self.accepted.pool.name
             ):
+                if permit is not None:
+                    permit.end(sent=False)
                 self.give_up(GiveUpReason.BUDGET)
                 return
             self.tried_instances.add(server.instance)
-            if await self.attempt(server):
+            if await self.attempt(server, permit):
                 return
 
     def reason_without_server(self) -> GiveUpReason:
         """Return why no server is left to try."""
+        if self.without_permit:
+            return GiveUpReason.SERVER_LIMITS
         if self.continuity.origin is not None:
             return GiveUpReason.NO_SERVER_OF_VERSION
         return GiveUpReason.NO_SERVER
@@ -183,19 +208,44 @@
             return False
         return True
 
-    def select_server(self) -> BackendServer | None:
-        """Return the best server that was not tried yet, or None."""
-        ranked = rank_servers(
+    def rank_servers(self) -> list[BackendServer]:
+        """Return the servers that may still be tried, the best first."""
+        return rank_servers(
             self.components,
             self.accepted.pool,
             self.prompt_reuse.prompt,
-            self.tried_instances,
+            self.tried_instances | self.without_permit,
             self.may_run_again(),
             self.continuity.software_version,
         )
-        return ranked[0] if ranked else None
 
-    async def attempt(self, server: BackendServer) -> bool:
+    async def acquire_permit(self, ranked: Sequence[BackendServer]) -> Permit | None:
+        """Return a permit for one of the servers that rank first and have a limit.
+
+        Without one, these servers are left out, and the next ones are tried.
+        """
+        permits = self.components.permits
+        limited = list(takewhile(permits.is_needed, ranked))
+        permit = await permits.acquire(
+            self.accepted.pool.name,
+            limited,
+            self.permit_reserve(can_go_elsewhere=len(limited) < len(ranked)),
+        )
+        if permit is None:
+            self.without_permit.update(server.instance for server in limited)
+            self.log.permit_refused(limited)
+        return permit
+
+    def permit_reserve(self, can_go_elsewhere: bool) -> float:
+        """Return the share of a server's permits that this request leaves for others."""
+        if can_go_elsewhere:
+            return SPARE_SHARE
+        if self.components.random.random() < EQUAL_SHARE:
+            return 0.0
+        priority = effective_priority(self.route, self.accepted.account)
+        return SPARE_SHARE * min(max(priority, 0), MAX_URGENCY_RANKS)
+
+    async def attempt(self, server: BackendServer, permit: Permit | None) -> bool:
         """Send the request to a server; return whether the request is finished."""
         metadata = self.forwarding_metadata(server)
         with Attempt(
@@ -208,6 +258,7 @@
             self.route.kind is RouteKind.STREAM,
             self.shared_parts,
             self.accepted.pool.runs_models,
+            permit,
         ) as attempt:
             self.log.attempt_sent(
                 server,
@@ -436,6 +487,16 @@
             return True
         return False
 
+    def retry_after_ms(self, reason: GiveUpReason) -> int:
+        """Return the time after which a refused client may return."""
+        retry_after_ms = RETRY_AFTER_MS
+        if reason is GiveUpReason.SERVER_LIMITS:
+            told_ms = self.components.permits.retry_after_ms.get(
+                self.accepted.pool.name, 0
+            )
+            retry_after_ms = max(retry_after_ms, told_ms)
+        return retry_after_ms + self.components.random.randrange(RETRY_AFTER_JITTER_MS)
+
     def give_up(self, reason: GiveUpReason) -> None:
         """Refuse the request, or truncate its response if it has begun."""
         if self.response.started:
@@ -444,9 +505,7 @@
         retry_after_ms = 0
         if self.runs == 0:
             status = 503
-            retry_after_ms = RETRY_AFTER_MS + self.components.random.randrange(
-                RETRY_AFTER_JITTER_MS
-            )
+            retry_after_ms = self.retry_after_ms(reason)
         else:
             status = 504 if reason is GiveUpReason.DEADLINE else 502
         send_refusal(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/server_selection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/server_selection.py
@@ -35,7 +35,12 @@
     ] or untried
     failing = components.health.failing(instances)
     load_limit = components.placement.load_limit(servers_in_load_mean(components, pool))
-    return components.placement.rank(candidates, prompt, failing, load_limit)
+    limited = {
+        server.instance
+        for server in candidates
+        if components.notices.has_recent_limit(server.start)
+    }
+    return components.placement.rank(candidates, prompt, failing, load_limit, limited)
 
 
 def servers_in_load_mean(
@@ -43,14 +48,19 @@
 ) -> Sequence[BackendServer]:
     """Return the servers of a pool whose mean load determines the load limit.
 
+    Servers with a limit do not count if there are others: they cannot take their part.
     Silent servers count, since they may be working for other routers, and so do
     draining ones, which still finish their requests. Unreachable servers count only if
     all are unreachable.
     """
     now_ms = components.clock.now_ms()
     pool_servers = components.servers.in_pool(pool.name)
-    return [
+    reachable = [
         server
         for server in pool_servers
         if not components.health.is_unreachable(server.instance, now_ms)
-    ] or pool_servers
+    ]
+    unlimited = [
+        server for server in reachable if not components.permits.is_needed(server)
+    ]
+    return unlimited or reachable or pool_servers
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
@@ -37,7 +37,7 @@
     ``router_id`` identifies one start of its process, which has been heard without a
     longer silence since ``heard_since_ms``. ``list_revision`` is the store's
     revision of its server list. ``registered`` tells whether the store lists its
-    address.
+    address. ``kept_pools`` are the pools whose permits it gives out.
     """
 
     address: Address
@@ -51,6 +51,7 @@
     configuration_version: int = 0
     list_revision: Revision = NO_REVISION
     registered: bool = False
+    kept_pools: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
@@ -92,6 +93,7 @@
         peer.configuration_version = report.configuration_version
         peer.last_report_ms = self.clock.now_ms()
         peer.list_revision = report.list_revision
+        peer.kept_pools = frozenset(kept.pool for kept in report.kept_permits)
         return True
 
     def is_new_router(self, address: Address, router_id: int) -> bool:
@@ -99,6 +101,17 @@
         peer = self.peers.get(address)
         return peer is None or peer.router_id != router_id
 
+    def has_registered(self) -> bool:
+        """Return whether the store lists another router."""
+        return any(peer.registered for peer in self.peers.values())
+
+    def keeper_address(self, pool: str) -> Address | None:
+        """Return the address of the router that gives out a pool's permits, or None."""
+        keepers = [peer for peer in self.live_peers() if pool in peer.kept_pools]
+        if not keepers:
+            return None
+        return max(keepers, key=lambda peer: peer.last_report_ms or 0).address
+
     def has_first_address(self) -> bool:
         """Return whether this router's address is the first of the registered ones.
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_notices.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_notices.py
@@ -12,6 +12,9 @@
 
 from ..protocol.server_notices import LimitStatement, ServerNotice
 
+CHECK_INTERVAL_MS = 1_000
+"""Time without a response after which it is uncertain whether a limit still holds."""
+
 LIFT_RETENTION_MS = 60_000
 """Time for which it is remembered that a limit has ended, so that a peer that has not
 heard of it yet cannot bring the limit back."""
@@ -60,7 +63,8 @@
         """Keep a statement about a limit unless a known one is later or stricter."""
         known = self.limits.get(start)
         if known is None:
-            if statement.per_s is None:
+            if statement.per_s is None and not from_peer:
+                # A server that has never named a limit, as most.
                 return
         elif not replaces(statement, known):
             return
@@ -74,6 +78,19 @@
         statement = self.limits.get(start)
         return None if statement is None else statement.per_s
 
+    def has_recent_limit(self, start: str) -> bool:
+        """Return whether a server has named a limit a moment ago.
+
+        One that was not heard for longer gets requests like others, as far as its limit
+        allows, so that the end of the limit is noticed.
+        """
+        statement = self.limits.get(start)
+        return (
+            statement is not None
+            and statement.per_s is not None
+            and self.clock.now_ms() - statement.heard_ms < CHECK_INTERVAL_MS
+        )
+
     def limited(self) -> Iterator[tuple[str, float]]:
         """Yield the starts of servers that have a limit, and these limits."""
         for start, statement in self.limits.items():
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -21,6 +21,7 @@
     Log,
 )
 from .peer_snapshots import PeerSnapshots
+from .permit_lease_sync import PermitLeaseSync
 from .protocol.peer_messages import Departure
 from .protocol.platform_interface import (
     ConfigurationSnapshot,
@@ -81,6 +82,7 @@
         log: Log,
         node: str,
         on_departures: Callable[[list[Departure]], None],
+        first_start: bool = False,
     ) -> None:
         self.components = components
         self.store = store
@@ -95,6 +97,15 @@
         self.refused_parts = RefusedPartsSync(
             components, store, peers, self.set_store_reachable
         )
+        self.permit_leases = PermitLeaseSync(
+            components,
+            store,
+            peers,
+            log,
+            node,
+            self.set_store_reachable,
+            first_start,
+        )
         components.servers.on_era_change = self.handle_era_change
 
     def handle_era_change(self, change: EraChange) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/platform_api.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/platform_api.py
@@ -12,6 +12,7 @@
     Route,
     RouteKind,
 )
+from ._internal.protocol.permit_leases import LeaseRecord, StoredLease
 from ._internal.protocol.platform_interface import (
     ConfigurationSnapshot,
     Dialect,
@@ -45,6 +46,7 @@
     "HistoryGone",
     "HttpClient",
     "HttpResponse",
+    "LeaseRecord",
     "PlatformStore",
     "Pool",
     "PoolShare",
@@ -57,6 +59,7 @@
     "ServerListing",
     "ServerNotice",
     "ServerState",
+    "StoredLease",
     "TransportError",
     "UserError",
     "load_settings",
--- a/packages/medlarridge-direct/tests/adapter/test_store.py
+++ b/packages/medlarridge-direct/tests/adapter/test_store.py
@@ -4,9 +4,11 @@
 from medlarridge_direct.platform_api import (
     HistoryGone,
     HttpResponse,
+    LeaseRecord,
     Revision,
     RouteKind,
     ServerState,
+    StoredLease,
     TransportError,
 )
 from medlarridge_platform.store import ObjectStore, parse_server
@@ -85,7 +87,10 @@
     async def call(self, method, path, body, read_timeout_ms):
         self.paths.append(method + b" " + path)
         self.bodies.append(body)
-        return HttpResponse(self.responses.pop(0), [], b"")
+        response = self.responses.pop(0)
+        if isinstance(response, HttpResponse):
+            return response
+        return HttpResponse(response, [], b"")
 
 
 class TestServers:
@@ -339,3 +344,60 @@
             await store.save_refused_part("bad", 3)
         with pytest.raises(TransportError):
             await store.delete_refused_part("bad")
+
+
+class TestPermitLeases:
+    RECORD = LeaseRecord("front-1", 2**62 + 1, 2, {"i-1/5": [900, -100]}, -50)
+
+    def saved(self, client, index):
+        return msgspec.json.decode(client.bodies[index])
+
+    async def test_a_lease_is_read_as_it_was_written(self):
+        """Guards against permits that are lost when a router hands them over."""
+        client = FakeClient(in_era(2, item("x", {}, revision=8)))
+        store = ObjectStore(client)
+        written = await store.write_permit_lease("models/a b", self.RECORD, None)
+        assert written == Revision(2, 8)
+        object_written = self.saved(client, 0) | {}
+        object_written["metadata"]["revision"] = 8
+        reader = FakeClient(in_era(2, object_written))
+        stored = await ObjectStore(reader).read_permit_lease("models/a b")
+        assert stored == StoredLease(self.RECORD, Revision(2, 8))
+
+    async def test_a_lease_replaces_the_one_at_its_revision_only(self):
+        """Guards against two routers that have one lease."""
+        client = FakeClient(409, 409, 404)
+        store = ObjectStore(client)
+        for revision in (None, Revision(2, 7), Revision(2, 7)):
+            assert await store.write_permit_lease("p", self.RECORD, revision) is None
+        assert [path.split(b" ")[0] for path in client.paths] == [
+            b"POST",
+            b"PUT",
+            b"PUT",
+        ]
+        assert "revision" not in self.saved(client, 0)["metadata"]
+        assert self.saved(client, 1)["metadata"]["revision"] == 7
+
+    async def test_a_missing_lease_has_the_era_of_the_store(self):
+        """Guards against a lease that is taken although the store has lost it."""
+        client = FakeClient(HttpResponse(404, [(b"Store-Era", b"3")], b"{}"))
+        stored = await ObjectStore(client).read_permit_lease("p")
+        assert stored.record is None
+        assert stored.revision.era == 3
+
+    @pytest.mark.parametrize(
+        "spec", [{}, {"node": 1}, {"node": "n", "process": "x"}, None, "text"]
+    )
+    async def test_a_malformed_lease_is_that_of_an_unknown_router(self, spec):
+        """Guards against permits that a damaged object stops for ever."""
+        client = FakeClient(in_era(2, item("p", spec)))
+        stored = await ObjectStore(client).read_permit_lease("p")
+        assert not stored.record.released
+        assert stored.revision == Revision(2, 3)
+
+    async def test_failed_calls_raise(self):
+        """Guards against a lease that counts as written although it is not."""
+        store = ObjectStore(FakeClient(503, HttpResponse(201, [], b"{}")))
+        for _ in range(2):
+            with pytest.raises(TransportError):
+                await store.write_permit_lease("p", self.RECORD, None)
--- a/packages/medlarridge-direct/tests/direct/router_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/router_fleet.py
@@ -1,11 +1,13 @@
 """Routers that share limits, with a network and a store that can fail between them."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from medlarridge import ManualClock, TransportError
 from medlarridge_direct._internal.logs import Log
 from medlarridge_direct._internal.peer_reports import REPORT_INTERVAL_MS, PeerReports
 from medlarridge_direct._internal.peer_snapshots import PeerSnapshots
+from medlarridge_direct._internal.protocol.permit_leases import StoredLease
+from medlarridge_direct._internal.protocol.revision import Revision
 from medlarridge_direct._internal.router_registry import (
     MAX_REGISTRY_INTERVAL_MS,
     MIN_REGISTRY_INTERVAL_MS,
@@ -22,11 +24,26 @@
 
 @dataclass
 class Registry:
-    """The part of the store that lists routers and refused prompt parts."""
+    """The part of the store that has routers, refused prompt parts and leases.
+
+    ``copies`` are earlier states of the leases, from which a drill may go on. The
+    answer to the next write of a node in ``losing_answers_to`` is lost.
+    """
 
     addresses: dict[str, tuple[str, int]] = field(default_factory=dict)
     refused_parts: dict[str, int] = field(default_factory=dict)
     unreachable_for: set[str] = field(default_factory=set)
+    leases: dict[str, StoredLease] = field(default_factory=dict)
+    era: int = 0
+    last_number: int = 0
+    copies: list[tuple[dict[str, StoredLease], int]] = field(default_factory=list)
+    losing_answers_to: set[str] = field(default_factory=set)
+
+    def go_back(self, copy):
+        """Go on from an earlier state, in a new era."""
+        leases, self.last_number = self.copies[copy]
+        self.leases = dict(leases)
+        self.era += 1
 
     def for_node(self, node):
         return NodeStore(self, node)
@@ -63,6 +80,30 @@
         self.check()
         self.registry.refused_parts.pop(part, None)
 
+    async def read_permit_lease(self, pool):
+        self.check()
+        stored = self.registry.leases.get(pool)
+        if stored is None:
+            return StoredLease(None, Revision(self.registry.era, 0))
+        revision = Revision(self.registry.era, stored.revision.number)
+        return replace(stored, revision=revision)
+
+    async def write_permit_lease(self, pool, record, revision):
+        self.check()
+        registry = self.registry
+        stored = registry.leases.get(pool)
+        number = None if stored is None else stored.revision.number
+        if number != (None if revision is None else revision.number):
+            return None
+        registry.copies.append((dict(registry.leases), registry.last_number))
+        registry.last_number += 1
+        written = Revision(registry.era, registry.last_number)
+        registry.leases[pool] = StoredLease(record, written)
+        if self.node in registry.losing_answers_to:
+            registry.losing_answers_to.discard(self.node)
+            raise TransportError("answer lost", step="write")
+        return written
+
 
 class FleetRouter:
     """One incarnation of a router; it takes every retry that its budget allows."""
@@ -91,7 +132,13 @@
             log,
             self.node,
             self.reports.announce_departures,
+            first_start=incarnation == 1,
         )
+        leases = self.sync.permit_leases
+        self.reports.kept_permits = leases.kept
+        self.reports.on_kept_permits = leases.observe_kept
+        self.components.permits.find_keeper = self.peers.keeper_address
+        self.components.permits.transmit = self.transmit
 
     def transmit(self, data, address):
         self.fleet.deliver(self, data, address)
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -10,6 +10,11 @@
 from medlarridge_direct._internal.coordination.crashing_parts import CrashingParts
 from medlarridge_direct._internal.coordination.fleet_size import FleetSize
 from medlarridge_direct._internal.coordination.load_view import LoadView
+from medlarridge_direct._internal.coordination.permit_lease import (
+    PermitLease,
+    StoreEraView,
+)
+from medlarridge_direct._internal.coordination.permit_ledger import PermitLedger
 from medlarridge_direct._internal.coordination.placement import Placement
 from medlarridge_direct._internal.coordination.prompt_cache_index import (
     PromptCacheIndex,
@@ -21,6 +26,7 @@
 from medlarridge_direct._internal.metrics import Metrics
 from medlarridge_direct._internal.protocol.requests import RequestMetadata, ResponseHead
 from medlarridge_direct._internal.protocol.server_notices import ServerNotice
+from medlarridge_direct._internal.send_permits import SendPermits
 from medlarridge_direct._internal.server_crashes import CrashProbes
 from medlarridge_direct._internal.settings import RetrySettings
 from medlarridge_direct._internal.state.configuration_holder import ConfigurationHolder
@@ -181,6 +187,12 @@
         return b"retry-after-ms: %d\r\n" % retry_after_ms
 
 
+class HeldLease(PermitLease):
+    """A lease that this router has for ever."""
+
+    held = True
+
+
 class KnownFleet(FleetSize):
     """A fleet of one router that has been known for long."""
 
@@ -193,7 +205,11 @@
 def make_components(scripts=None, clock=None, load_factor=2.0):
     """Return the components of a router that has been running for long."""
     clock = clock or ManualClock(1_000_000)
-    return make_starting_components(scripts, clock, load_factor, KnownFleet)
+    components = make_starting_components(scripts, clock, load_factor, KnownFleet)
+    components.permits.leases["models"] = HeldLease(
+        clock, "node", 1, clock.now_ms(), StoreEraView(clock, None), PermitLedger(clock)
+    )
+    return components
 
 
 def make_starting_components(scripts, clock, load_factor=2.0, fleet_type=FleetSize):
@@ -203,13 +219,17 @@
     crashing_parts = CrashingParts(clock)
     connections = ScriptedConnections(scripts or {})
     fleet_size = fleet_type(clock)
+    notices = ServerNotices(clock)
     return RouterComponents(
         clock=clock,
         random=Random(7),
         dialect=FakeDialect(),
         configuration=ConfigurationHolder(clock),
         servers=ServerTable(clock),
-        notices=ServerNotices(clock),
+        notices=notices,
+        permits=SendPermits(
+            clock, Random(7), notices, lambda pool: None, lambda data, address: None
+        ),
         load=load,
         placement=Placement(
             Random(7), load, PromptCacheIndex(clock), "anfa", load_factor
