--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/permit_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/permit_messages.py
@@ -12,14 +12,15 @@
 class PermitAsk(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Asks for a permit for one of some servers, the best first.
 
-    ``starts`` are those of the servers. At least the share ``reserve`` of a server's
-    permits is to be left for others.
+    ``starts`` are those of the servers. ``rank`` is the urgency of the request, 0 first.
+    One that ``can_go_elsewhere`` leaves some permits for others.
     """
 
     number: int
     pool: str
     starts: list[str]
-    reserve: float
+    rank: int
+    can_go_elsewhere: bool
 
 
 class PermitAnswer(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -57,15 +57,6 @@
 
 MIN_SERVER_ERROR_STATUS = 500
 
-SPARE_SHARE = 0.25
-"""Share of a server's permits that requests leave which can go to another server, and
-share that each rank of a less urgent request leaves where all servers have a limit."""
-
-MAX_URGENCY_RANKS = 2
-EQUAL_SHARE = 0.125
-"""Share of the requests that compete for permits whatever their urgency, so that less
-urgent ones are not starved."""
-
 
 class GiveUpReason(StrEnum):
     """Reasons for giving up a request."""
@@ -229,22 +220,14 @@
         permit = await permits.acquire(
             self.accepted.pool.name,
             limited,
-            self.permit_reserve(can_go_elsewhere=len(limited) < len(ranked)),
+            rank=effective_priority(self.route, self.accepted.account),
+            can_go_elsewhere=len(limited) < len(ranked),
         )
         if permit is None:
             self.without_permit.update(server.instance for server in limited)
             self.log.permit_refused(limited)
         return permit
 
-    def permit_reserve(self, can_go_elsewhere: bool) -> float:
-        """Return the share of a server's permits that this request leaves for others."""
-        if can_go_elsewhere:
-            return SPARE_SHARE
-        if self.components.random.random() < EQUAL_SHARE:
-            return 0.0
-        priority = effective_priority(self.route, self.accepted.account)
-        return SPARE_SHARE * min(max(priority, 0), MAX_URGENCY_RANKS)
-
     async def attempt(self, server: BackendServer, permit: Permit | None) -> bool:
         """Send the request to a server; return whether the request is finished."""
         metadata = self.forwarding_metadata(server)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/send_permits.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/send_permits.py
@@ -8,10 +8,12 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from math import ceil
 from random import Random
 
 from medlarridge._internal.clock import MS_PER_S, Clock
 
+from .coordination.permit_demand import PermitDemand
 from .coordination.permit_lease import PermitLease
 from .coordination.permit_ledger import PERMIT_VALIDITY_MS, WINDOW_MS, capacity
 from .protocol.permit_messages import (
@@ -34,6 +36,13 @@
 MAX_ASKED_SERVERS = 8
 """Servers that are named in one ask."""
 
+SPARE_SHARE = 0.25
+"""Share of a server's permits that requests leave which can go to another server."""
+
+RANK_SPARE_SHARE = 0.2
+"""Share of all permits, for each rank, that must be free before a request gets one
+which is not admitted beside the more urgent ones."""
+
 MAX_HINT_MS = 250
 """Time for which a keeper's answer that no permit is free is relied on; another router
 may give one back sooner."""
@@ -85,6 +94,7 @@
         self.free_at_ms: dict[str, int] = {}
         self.retry_after_ms: dict[str, int] = {}
         self.refused_ms: dict[str, deque[int]] = {}
+        self.demand: dict[str, PermitDemand] = {}
         self.given = 0
         self.refused = 0
         self.unanswered = 0
@@ -94,11 +104,16 @@
         return self.notices.limit_per_s(server.start) is not None
 
     async def acquire(
-        self, pool: str, servers: Sequence[BackendServer], reserve: float = 0.0
+        self,
+        pool: str,
+        servers: Sequence[BackendServer],
+        rank: int = 0,
+        can_go_elsewhere: bool = False,
     ) -> Permit | None:
         """Return a permit for one of some servers, or None.
 
-        ``reserve`` is the share of a server's permits to be left for other requests.
+        ``rank`` is the urgency of the request, 0 first. One that ``can_go_elsewhere``
+        leaves some permits for others.
         """
         asked_ms = self.clock.now_ms()
         wanted = [
@@ -112,7 +127,8 @@
             self.random.getrandbits(63),
             pool,
             [server.start for server in wanted],
-            reserve,
+            rank,
+            can_go_elsewhere,
         )
         lease = self.leases.get(pool)
         if lease is not None and lease.held:
@@ -201,21 +217,37 @@
     def answer(self, ask: PermitAsk, lease: PermitLease) -> PermitAnswer:
         """Give a permit for the first server that has one to spare."""
         ledger = lease.ledger
-        free_in_ms = []
-        for choice, start in enumerate(ask.starts):
-            limit_per_s = self.notices.limit_per_s(start)
-            if limit_per_s is None:
-                # The asker's knowledge is newer; it asks again once this router has it.
-                free_in_ms.append(0)
-                continue
-            reserved = int(ask.reserve * capacity(limit_per_s))
-            if ledger.free(start, limit_per_s) > reserved:
-                return PermitAnswer(ask.number, ledger.give(start), choice, [], 0)
-            free_in_ms.append(ledger.free_in_ms(start, limit_per_s))
+        limits = {
+            start: limit_per_s
+            for start in ask.starts
+            if (limit_per_s := self.notices.limit_per_s(start)) is not None
+        }
+        free = {start: ledger.free(start, limit) for start, limit in limits.items()}
+        permits = sum(capacity(limit) for limit in limits.values())
+        if ask.can_go_elsewhere or self.admits(ask, permits, sum(free.values())):
+            share = SPARE_SHARE if ask.can_go_elsewhere else 0.0
+            for choice, start in enumerate(ask.starts):
+                if start in free and free[start] > ceil(
+                    share * (capacity(limits[start]) - 1)
+                ):
+                    return PermitAnswer(ask.number, ledger.give(start), choice, [], 0)
+        # Of a server without a limit here, the asker's knowledge is newer.
+        free_in_ms = [
+            ledger.free_in_ms(start, limits[start]) if start in limits else 0
+            for start in ask.starts
+        ]
         return PermitAnswer(
             ask.number, 0, 0, free_in_ms, self.count_refused(ask, max(free_in_ms))
         )
 
+    def admits(self, ask: PermitAsk, permits: int, free: int) -> bool:
+        """Return whether a request may have a permit beside the more urgent ones."""
+        demand = self.demand.setdefault(ask.pool, PermitDemand(self.clock))
+        demand.count(ask.rank)
+        return free > (1 + ask.rank) * RANK_SPARE_SHARE * permits or (
+            self.random.random() < demand.admitted_share(ask.rank, permits)
+        )
+
     def count_refused(self, ask: PermitAsk, free_in_ms: int) -> int:
         """Count a refused ask; return when its client may come back.
 
