Read and log servers that ask for rest and servers that say they leave

Retry-After of a 503 and Server-Leaving are read beside the limit, with the same rule for odd values. No request is sent otherwise.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -34,6 +34,8 @@
     SERVER_AVOIDED,
     SERVER_LIMIT_CHANGED,
     SERVER_RESPONDING,
+    SERVER_RESTS,
+    SERVER_SAYS_LEAVING,
     SERVER_SILENT,
     SETTINGS_RELOAD_FAILED,
     SETTINGS_RELOADED,
@@ -158,6 +160,8 @@
         notices = ServerNotices(
             clock,
             on_limit_change=self.handle_limit_change,
+            on_rest=self.log_rest,
+            on_leaving=self.log_leaving,
             on_malformed=self.log_malformed_notice,
         )
         return RouterComponents(
@@ -235,6 +239,14 @@
         if not from_peer:
             self.peer_reports.send_report()
 
+    def log_rest(self, start: str, rest_ms: int) -> None:
+        """Log that a server wants no request of this router for a time."""
+        self.log.request_event(SERVER_RESTS, server=start, rest_ms=rest_ms)
+
+    def log_leaving(self, start: str) -> None:
+        """Log that a server says that it leaves."""
+        self.log.request_event(SERVER_SAYS_LEAVING, server=start)
+
     def log_malformed_notice(self, start: str, values: tuple[str, ...]) -> None:
         """Log what a server said of itself and could not be read."""
         self.log.request_event(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -76,6 +76,8 @@
 NOTICE_MALFORMED = register(
     6119, "WARNING", "server said something of itself that could not be read"
 )
+SERVER_RESTS = register(6162, "INFO", "server asks this router for rest")
+SERVER_SAYS_LEAVING = register(6163, "INFO", "server says that it leaves")
 PERMITS_KEPT = register(
     6160, "INFO", "this router gives out the permits for servers with a limit"
 )
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/server_notices.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/server_notices.py
@@ -8,12 +8,16 @@
     """What one response says of its server.
 
     ``limit_per_s`` is the number of requests a second that the server takes from all
-    routers together, None if it names no limit. ``malformed`` are values that could not
-    be read; they say nothing.
+    routers together, None if it names no limit. ``rest_ms`` is the time for which it
+    wants no request from this router, 0 if it asks for none. A ``leaving`` server takes
+    no new request. ``malformed`` are values that could not be read; they say nothing.
     """
 
     limit_per_s: float | None = None
+    rest_ms: int = 0
+    leaving: bool = False
     malformed: tuple[str, ...] = ()
+    limit_malformed: bool = False
 
 
 NO_NOTICE = ServerNotice()
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_notices.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_notices.py
@@ -26,6 +26,14 @@
     """Do nothing about a changed limit."""
 
 
+def ignore_rest(start: str, rest_ms: int) -> None:
+    """Do nothing about a server that asks for rest."""
+
+
+def ignore_leaving(start: str) -> None:
+    """Do nothing about a server that leaves."""
+
+
 def ignore_malformed(start: str, values: tuple[str, ...]) -> None:
     """Do nothing about malformed values."""
 
@@ -35,7 +43,8 @@
     """The statements of servers, by start of a server.
 
     ``on_limit_change`` takes the start, the limits before and after, None for none, and
-    whether a peer told; ``on_malformed`` takes the values that could not be read.
+    whether a peer told; ``on_rest`` takes the time in milliseconds, ``on_malformed``
+    the values that could not be read.
     """
 
     clock: Clock
@@ -44,6 +53,8 @@
     on_limit_change: Callable[[str, float | None, float | None, bool], None] = (
         ignore_limit_change
     )
+    on_rest: Callable[[str, int], None] = ignore_rest
+    on_leaving: Callable[[str], None] = ignore_leaving
     on_malformed: Callable[[str, tuple[str, ...]], None] = ignore_malformed
 
     def record(self, start: str, notice: ServerNotice, asked_ms: int) -> None:
@@ -51,7 +62,11 @@
         if notice.malformed:
             self.malformed += 1
             self.on_malformed(start, notice.malformed)
-        if notice.limit_per_s is not None or not notice.malformed:
+        if notice.rest_ms:
+            self.on_rest(start, notice.rest_ms)
+        if notice.leaving:
+            self.on_leaving(start)
+        if notice.limit_per_s is not None or not notice.limit_malformed:
             self.apply_limit(
                 start,
                 LimitStatement(notice.limit_per_s, asked_ms, self.clock.now_ms()),
--- a/packages/medlarridge-direct/tests/adapter/test_headers.py
+++ b/packages/medlarridge-direct/tests/adapter/test_headers.py
@@ -167,3 +167,49 @@
         notice = HeaderDialect().parse_response(200, b"OK", headers).notice
         assert notice.limit_per_s == limit
         assert len(notice.malformed) == malformed
+
+
+class TestServersAtRest:
+    @pytest.mark.parametrize(
+        ("status", "values", "rest_ms", "malformed"),
+        [
+            (503, [], 0, 0),
+            (503, [b"3"], 3_000, 0),
+            (503, [b"0.25"], 250, 0),
+            (503, [b"0.0004"], 1, 0),
+            (503, [b"0"], 0, 0),
+            (503, [b"1", b"3"], 3_000, 0),
+            (503, [b"3", b"-1"], 3_000, 1),
+            (503, [b"-1"], 0, 1),
+            (503, [b"1e9"], 0, 1),
+            (503, [b"1000000000"], 0, 1),
+            (503, [b"Wed, 21 Oct 2026 07:28:00 GMT"], 0, 2),
+            (200, [b"3"], 0, 0),
+            (429, [b"3"], 0, 0),
+        ],
+    )
+    def test_odd_values_ask_for_no_rest(self, status, values, rest_ms, malformed):
+        """Guards against a rest that is read from a date or a damaged header."""
+        headers = [(b"Retry-After", value) for value in values]
+        notice = HeaderDialect().parse_response(status, b"", headers).notice
+        assert notice.rest_ms == rest_ms
+        assert len(notice.malformed) == malformed
+        assert not notice.limit_malformed
+
+
+class TestServersThatLeave:
+    @pytest.mark.parametrize(
+        ("values", "leaving", "malformed"),
+        [
+            ([], False, 0),
+            ([b"1"], True, 0),
+            ([b"0"], False, 0),
+            ([b"0", b"1"], True, 0),
+            ([b"yes"], False, 1),
+        ],
+    )
+    def test_only_a_plain_statement_counts(self, values, leaving, malformed):
+        """Guards against a server that gets no more work for a damaged header."""
+        headers = [(b"Server-Leaving", value) for value in values]
+        notice = HeaderDialect().parse_response(200, b"", headers).notice
+        assert (notice.leaving, len(notice.malformed)) == (leaving, malformed)
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -177,7 +177,11 @@
             encoded=b"content-encoding" in fields,
             content_length=None if length is None else int(length),
             media_type=None if media_type is None else media_type.decode(),
-            notice=ServerNotice(None if limit is None else float(limit)),
+            notice=ServerNotice(
+                None if limit is None else float(limit),
+                rest_ms=int(fields.get(b"rest", b"0")),
+                leaving=b"leaving" in fields,
+            ),
         )
 
     def client_headers(self, head):
--- a/packages/medlarridge-direct/tests/direct/state/test_server_notices.py
+++ b/packages/medlarridge-direct/tests/direct/state/test_server_notices.py
@@ -21,7 +21,9 @@
 def hear(notices, limit, asked_ms_ago=0, malformed=()):
     notices.clock.advance(10)
     notices.record(
-        START, ServerNotice(limit, malformed), notices.clock.now_ms() - asked_ms_ago
+        START,
+        ServerNotice(limit, malformed=malformed, limit_malformed=bool(malformed)),
+        notices.clock.now_ms() - asked_ms_ago,
     )
     return notices.limit_per_s(START)
 
