Send nothing to a server for the rest that it has asked for

What callers saw: their requests were turned away by servers at rest, up to four times each, and over a tenth of them refused.

Cause: the Retry-After of servers was not read.

Ruled out: a longer back-off of the passive health check, which would judge by failures and still send probes.

Change: ServerNotices keeps until when each server wants nothing of this router; a shorter rest or a 200 does not end a longer one. Such a server is left out of the selection, and checked again when a connection has opened. Retries, resumed streams and the router's own questions are covered. Peers are told and prefer other servers. Routers come back over a quarter of the rest, at most 1 s. If all servers rest, the request is refused at once; Retry-After is the earliest end and a spread.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -154,7 +154,7 @@
             return AttemptOutcome(OutcomeKind.NOT_SENT, error.message)
         if not self.may_send():
             self.components.connections.release(self.server, connection, None)
-            return AttemptOutcome(OutcomeKind.NOT_SENT, "no permit for the server")
+            return AttemptOutcome(OutcomeKind.NOT_SENT, "server takes no request now")
         try:
             self.exchange = connection.start(
                 self.request_bytes(metadata),
@@ -172,8 +172,11 @@
     def may_send(self) -> bool:
         """Return whether the server takes this request now.
 
-        It may have named a limit since it was selected, and a permit does not last.
+        It may have asked for rest or named a limit since it was selected, and a permit
+        does not last.
         """
+        if not self.components.notices.accepts(self.server.start):
+            return False
         if not self.components.permits.is_needed(self.server):
             return True
         return (
@@ -298,7 +301,10 @@
         if self.received.framing is not Framing.CLOSE:
             return False
         connections = self.components.connections
-        if self.asks_reports and not self.components.permits.is_needed(self.server):
+        may_ask = self.components.notices.accepts(
+            self.server.start
+        ) and not self.components.permits.is_needed(self.server)
+        if self.asks_reports and may_ask:
             if await connections.is_serving(
                 self.server, self.connection_limit, self.components.dialect.report_path
             ):
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/cache_inventory.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/cache_inventory.py
@@ -115,9 +115,12 @@
     async def query_server(self, server: BackendServer) -> list[PromptPart] | None:
         """Return the parts that a server caches, or None on failure.
 
-        A server that names a limit is not asked, since a request can use the permit.
+        A server that names a limit is not asked, since a request can use the permit,
+        and one that wants no requests neither.
         """
-        if self.components.permits.is_needed(server):
+        if self.components.permits.is_needed(
+            server
+        ) or not self.components.notices.accepts(server.start):
             return None
         try:
             connection = await self.components.connections.acquire(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -159,6 +159,7 @@
         fleet_size = FleetSize(clock)
         notices = ServerNotices(
             clock,
+            random,
             on_limit_change=self.handle_limit_change,
             on_rest=self.log_rest,
             on_leaving=self.log_leaving,
@@ -445,8 +446,7 @@
             self.log_refused_parts()
             self.components.load.expire()
             self.components.permits.expire()
-            if self.components.notices.limits:
-                self.components.notices.expire(self.components.servers.starts())
+            self.components.notices.expire(self.components.servers)
             self.components.crash_detector.expire()
             self.components.stream_origins.expire()
             self.reload_if_changed()
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
@@ -67,6 +67,11 @@
         "Servers that name a limit of requests a second.",
         lambda: sum(1 for _ in components.notices.limited()),
     )
+    add(
+        "servers_at_rest",
+        "Servers that want no request of this router for a time.",
+        lambda: len(components.notices.rests()),
+    )
     add(
         "permits_given",
         "Permits that this router got for servers with a limit.",
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -57,8 +57,8 @@
 MAX_STRIKES_PER_REPORT = 60
 """Limit of the strikes in one report; those of the newest requests go first."""
 
-MAX_LIMITS_PER_REPORT = 60
-"""Limit of the statements of servers in one report."""
+MAX_NOTICES_PER_REPORT = 60
+"""Limit of the statements of servers of each kind in one report."""
 
 MAX_CATCH_UP_SENDERS = 2
 """Number of routers that send all cached parts and all known streams to a new router,
@@ -240,6 +240,7 @@
             tried_parts=evidence.tried_parts() if repeats else [],
             limits=self.reported_limits(),
             kept_permits=self.kept_permits(),
+            rests=self.components.notices.rests()[:MAX_NOTICES_PER_REPORT],
         )
 
     def send_permit_message(self, data: bytes, address: Address) -> None:
@@ -287,6 +288,8 @@
             )
         for limit in report.limits:
             self.apply_limit(limit)
+        for start, rest_ms in report.rests:
+            self.components.notices.begin_peer_rest(start, rest_ms)
         for kept in report.kept_permits:
             self.on_kept_permits(kept)
         for departure in report.departures:
@@ -312,7 +315,7 @@
                 now_ms - limits[start].asked_ms,
                 now_ms - limits[start].heard_ms,
             )
-            for start in newest[:MAX_LIMITS_PER_REPORT]
+            for start in newest[:MAX_NOTICES_PER_REPORT]
         ]
 
     def apply_limit(self, limit: ReportedLimit) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
@@ -89,7 +89,8 @@
     ``sound_parts`` are parts that were answered, ``wanted_parts`` refused parts that
     requests still have, and ``tried_parts`` parts that were tried, all with the age of
     that. ``limits`` are what servers have stated, ``kept_permits`` the pools whose
-    permits the sender gives out.
+    permits the sender gives out. ``rests`` are the servers that want no request of the
+    sender, and the times left.
     """
 
     router_id: int
@@ -119,6 +120,7 @@
     tried_parts: list[tuple[str, int]] = []
     limits: list[ReportedLimit] = []
     kept_permits: list[KeptPermits] = []
+    rests: list[tuple[str, int]] = []
 
     def held_strikes(self) -> list[HeldStrike]:
         """Return the strikes; those without an age, of an older build, are new."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -38,6 +38,9 @@
 """Delay after which a refused client may retry. The jitter keeps clients that were
 refused together from retrying together."""
 
+MAX_REST_JITTER_MS = 2_000
+"""Longest time over which clients return after the rest of a server."""
+
 RETRY_TIMEOUT_FACTOR = 2.5
 MIN_RETRY_TIMEOUT_MS = 250
 MIN_RESUME_TIMEOUT_MS = 1_000
@@ -64,6 +67,7 @@
     DEADLINE = "deadline"
     NO_SERVER = "no-server"
     SERVER_LIMITS = "server-limits"
+    SERVERS_REST = "servers-rest"
     NO_SERVER_OF_VERSION = "no-server-of-version"
     UNKNOWN_STREAM = "unknown-stream"
     BUDGET = "retry-budget"
@@ -160,6 +164,8 @@
         """Return why no server is left to try."""
         if self.without_permit:
             return GiveUpReason.SERVER_LIMITS
+        if self.rest_left_ms() > 0:
+            return GiveUpReason.SERVERS_REST
         if self.continuity.origin is not None:
             return GiveUpReason.NO_SERVER_OF_VERSION
         return GiveUpReason.NO_SERVER
@@ -478,8 +484,22 @@
                 self.accepted.pool.name, 0
             )
             retry_after_ms = max(retry_after_ms, told_ms)
+        if reason is GiveUpReason.SERVERS_REST:
+            rest_ms = self.rest_left_ms()
+            retry_after_ms = max(retry_after_ms, rest_ms)
+            return retry_after_ms + self.components.random.randrange(
+                max(min(rest_ms, MAX_REST_JITTER_MS), RETRY_AFTER_JITTER_MS)
+            )
         return retry_after_ms + self.components.random.randrange(RETRY_AFTER_JITTER_MS)
 
+    def rest_left_ms(self) -> int:
+        """Return when the first server that rests takes requests again, 0 without one."""
+        rests_ms = [
+            self.components.notices.rest_left_ms(server.start)
+            for server in self.components.servers.ready(self.accepted.pool.name)
+        ]
+        return min((rest_ms for rest_ms in rests_ms if rest_ms), default=0)
+
     def give_up(self, reason: GiveUpReason) -> None:
         """Refuse the request, or truncate its response if it has begun."""
         if self.response.started:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/server_selection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/server_selection.py
@@ -19,9 +19,15 @@
     """Return the servers of a pool that may be tried, best first.
 
     A ``repeatable`` request may be used to probe a server that has been silent. A stream
-    that has begun goes on only at servers of its ``software_version``.
+    that has begun goes on only at servers of its ``software_version``. Servers that want
+    no requests are left out; those that want none of a peer come after others.
     """
-    ready_servers = components.servers.ready(pool.name)
+    notices = components.notices
+    ready_servers = [
+        server
+        for server in components.servers.ready(pool.name)
+        if notices.accepts(server.start)
+    ]
     instances = [server.instance for server in ready_servers]
     reachable = components.health.reachable(instances, repeatable)
     untried = [
@@ -33,12 +39,14 @@
     candidates = [
         server for server in untried if server.instance in reachable
     ] or untried
-    failing = components.health.failing(instances)
+    failing = components.health.failing(instances) | {
+        server.instance for server in candidates if notices.rests_for_peer(server.start)
+    }
     load_limit = components.placement.load_limit(servers_in_load_mean(components, pool))
     limited = {
         server.instance
         for server in candidates
-        if components.notices.has_recent_limit(server.start)
+        if notices.has_recent_limit(server.start)
     }
     return components.placement.rank(candidates, prompt, failing, load_limit, limited)
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_notices.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_notices.py
@@ -7,14 +7,21 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from random import Random
 
 from medlarridge._internal.clock import Clock
 
 from ..protocol.server_notices import LimitStatement, ServerNotice
+from .server_table import ServerTable
 
 CHECK_INTERVAL_MS = 1_000
 """Time without a response after which it is uncertain whether a limit still holds."""
 
+REST_SPREAD_SHARE = 0.25
+MAX_REST_SPREAD_MS = 1_000
+"""Time over which the routers come back to a server after its rest: a share of the
+rest, up to a maximum."""
+
 LIFT_RETENTION_MS = 60_000
 """Time for which it is remembered that a limit has ended, so that a peer that has not
 heard of it yet cannot bring the limit back."""
@@ -42,13 +49,18 @@
 class ServerNotices:
     """The statements of servers, by start of a server.
 
+    ``rest_until_ms`` are the times until which servers want no request of this router,
+    ``peer_rest_until_ms`` those that they have told to peers.
     ``on_limit_change`` takes the start, the limits before and after, None for none, and
     whether a peer told; ``on_rest`` takes the time in milliseconds, ``on_malformed``
     the values that could not be read.
     """
 
     clock: Clock
+    random: Random = field(default_factory=Random)
     limits: dict[str, LimitStatement] = field(default_factory=dict)
+    rest_until_ms: dict[str, int] = field(default_factory=dict)
+    peer_rest_until_ms: dict[str, int] = field(default_factory=dict)
     malformed: int = 0
     on_limit_change: Callable[[str, float | None, float | None, bool], None] = (
         ignore_limit_change
@@ -63,7 +75,7 @@
             self.malformed += 1
             self.on_malformed(start, notice.malformed)
         if notice.rest_ms:
-            self.on_rest(start, notice.rest_ms)
+            self.begin_rest(start, notice.rest_ms)
         if notice.leaving:
             self.on_leaving(start)
         if notice.limit_per_s is not None or not notice.limit_malformed:
@@ -72,6 +84,44 @@
                 LimitStatement(notice.limit_per_s, asked_ms, self.clock.now_ms()),
             )
 
+    def begin_rest(self, start: str, rest_ms: int) -> None:
+        """Send a server nothing for a time; a shorter rest does not end a longer one.
+
+        Routers that were asked together come back one after the other.
+        """
+        spread_ms = min(int(REST_SPREAD_SHARE * rest_ms), MAX_REST_SPREAD_MS)
+        until_ms = self.clock.now_ms() + rest_ms + self.random.randint(0, spread_ms)
+        if until_ms > self.rest_until_ms.get(start, 0):
+            self.rest_until_ms[start] = until_ms
+            self.on_rest(start, rest_ms)
+
+    def begin_peer_rest(self, start: str, rest_ms: int) -> None:
+        """Prefer other servers while a server wants nothing from a peer."""
+        until_ms = self.clock.now_ms() + rest_ms
+        self.peer_rest_until_ms[start] = max(
+            until_ms, self.peer_rest_until_ms.get(start, 0)
+        )
+
+    def rest_left_ms(self, start: str) -> int:
+        """Return for how long a server wants no request of this router."""
+        return max(self.rest_until_ms.get(start, 0) - self.clock.now_ms(), 0)
+
+    def rests_for_peer(self, start: str) -> bool:
+        """Return whether a server wants no request of a peer."""
+        return self.peer_rest_until_ms.get(start, 0) > self.clock.now_ms()
+
+    def rests(self) -> list[tuple[str, int]]:
+        """Return the servers that want no request of this router, and the times left."""
+        return [
+            (start, left_ms)
+            for start in self.rest_until_ms
+            if (left_ms := self.rest_left_ms(start))
+        ]
+
+    def accepts(self, start: str) -> bool:
+        """Return whether a server takes requests of this router at all."""
+        return not self.rest_left_ms(start)
+
     def apply_limit(
         self, start: str, statement: LimitStatement, from_peer: bool = False
     ) -> None:
@@ -112,9 +162,18 @@
             if statement.per_s is not None:
                 yield start, statement.per_s
 
-    def expire(self, listed: set[str]) -> None:
-        """Forget ended limits, and statements of servers that have left the list."""
-        oldest_ms = self.clock.now_ms() - LIFT_RETENTION_MS
+    def expire(self, servers: ServerTable) -> None:
+        """Forget what has ended, and statements of servers that have left the list."""
+        now_ms = self.clock.now_ms()
+        for rests in (self.rest_until_ms, self.peer_rest_until_ms):
+            for start in [
+                each for each, until_ms in rests.items() if until_ms <= now_ms
+            ]:
+                del rests[start]
+        if not self.limits:
+            return
+        listed = servers.starts()
+        oldest_ms = now_ms - LIFT_RETENTION_MS
         for start, statement in list(self.limits.items()):
             if statement.heard_ms < oldest_ms and (
                 statement.per_s is None or start not in listed
--- a/packages/medlarridge-direct/tests/direct/state/test_server_notices.py
+++ b/packages/medlarridge-direct/tests/direct/state/test_server_notices.py
@@ -9,10 +9,20 @@
     LIFT_RETENTION_MS,
     ServerNotices,
 )
+from medlarridge_direct._internal.state.server_table import ServerTable
+
+from ..samples import listing, server
 
 START = "s-1/5"
 
 
+def listing_of(*names):
+    servers = ServerTable(ManualClock(1_000_000))
+    listed = [server(name, started_at=5) for name in names]
+    servers.update(listing(*listed), 1_000_000)
+    return servers
+
+
 @pytest.fixture
 def notices():
     return ServerNotices(ManualClock(1_000_000))
@@ -33,7 +43,7 @@
         """Guards against a limit that is forgotten, or that never ends."""
         assert hear(notices, 3.5) == 3.5
         notices.clock.advance(500_000)
-        notices.expire({START})
+        notices.expire(listing_of("s-1"))
         assert notices.limit_per_s(START) == 3.5
         assert hear(notices, None) is None
 
@@ -107,5 +117,43 @@
         """Guards against memory that grows with every server there ever was."""
         hear(notices, 3.5)
         notices.clock.advance(LIFT_RETENTION_MS + 1)
-        notices.expire(set())
+        notices.expire(listing_of())
         assert not notices.limits
+
+
+class TestRests:
+    def test_a_shorter_rest_does_not_end_a_longer_one(self, notices):
+        """Guards against answers with different rests, in any order."""
+        for order in ([3_000, 1_000], [1_000, 3_000]):
+            notices.rest_until_ms.clear()
+            for rest_ms in order:
+                notices.record(START, ServerNotice(rest_ms=rest_ms), 0)
+            assert notices.rest_left_ms(START) >= 3_000
+
+    def test_a_response_without_one_does_not_end_a_rest(self, notices):
+        """Guards against a 200 of a request that was already running."""
+        notices.record(START, ServerNotice(rest_ms=3_000), 0)
+        notices.clock.advance(100)
+        notices.record(START, ServerNotice(), notices.clock.now_ms() - 10)
+        assert notices.rest_left_ms(START) >= 2_900
+
+    def test_routers_come_back_one_after_the_other(self, notices):
+        """Guards against a rush of all routers at the end of a rest."""
+        times = set()
+        for _ in range(50):
+            notices.rest_until_ms.clear()
+            notices.begin_rest(START, 3_000)
+            times.add(notices.rest_left_ms(START))
+        assert min(times) >= 3_000
+        assert max(times) - min(times) > 300
+
+    def test_a_rest_ends_and_is_forgotten(self, notices):
+        """Guards against a server that stays out, and against growing memory."""
+        notices.begin_rest(START, 100)
+        notices.begin_peer_rest(START, 100)
+        notices.clock.advance(200)
+        assert notices.accepts(START)
+        assert not notices.rests_for_peer(START)
+        notices.expire(listing_of("s-1"))
+        assert not notices.rest_until_ms
+        assert not notices.peer_rest_until_ms
