Send nothing more to a server that says in its answers that it leaves

Cause: Server-Leaving was not read; only the list in the store told of a server that leaves, which lags behind or cannot be read while the store is down.

Change: ServerNotices keeps the starts of servers that have said so. No later answer, list or era of the store takes it back; a new start at the address is another server. Peers are told at once, and by each report while the server is listed, so a router that has just started knows. Streams that run there end there. A server that leaves and closes its connections is no crash. If all servers of a pool leave, its requests are refused: the rule allows no request later than 2 s after the answer.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -333,8 +333,10 @@
     def may_have_crashed(self) -> bool:
         """Return whether the server may have crashed under this attempt.
 
-        A server that drains ends by itself.
+        A server that drains or says that it leaves ends by itself.
         """
+        if self.components.notices.is_leaving(self.server.start):
+            return False
         entry = self.components.servers.by_instance.get(self.server.instance)
         if entry is None or entry.state is not ServerState.READY:
             return False
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -162,7 +162,7 @@
             random,
             on_limit_change=self.handle_limit_change,
             on_rest=self.log_rest,
-            on_leaving=self.log_leaving,
+            on_leaving=self.handle_leaving,
             on_malformed=self.log_malformed_notice,
         )
         return RouterComponents(
@@ -244,9 +244,11 @@
         """Log that a server wants no request of this router for a time."""
         self.log.request_event(SERVER_RESTS, server=start, rest_ms=rest_ms)
 
-    def log_leaving(self, start: str) -> None:
-        """Log that a server says that it leaves."""
-        self.log.request_event(SERVER_SAYS_LEAVING, server=start)
+    def handle_leaving(self, start: str, from_peer: bool) -> None:
+        """Log that a server says that it leaves, and tell the peers at once."""
+        self.log.event(SERVER_SAYS_LEAVING, server=start, peer=from_peer)
+        if not from_peer:
+            self.peer_reports.send_report()
 
     def log_malformed_notice(self, start: str, values: tuple[str, ...]) -> None:
         """Log what a server said of itself and could not be read."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
@@ -72,6 +72,11 @@
         "Servers that want no request of this router for a time.",
         lambda: len(components.notices.rests()),
     )
+    add(
+        "servers_leaving",
+        "Servers that have said that they leave.",
+        lambda: len(components.notices.leaving),
+    )
     add(
         "permits_given",
         "Permits that this router got for servers with a limit.",
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -241,6 +241,7 @@
             limits=self.reported_limits(),
             kept_permits=self.kept_permits(),
             rests=self.components.notices.rests()[:MAX_NOTICES_PER_REPORT],
+            leaving_servers=self.reported_leaving(),
         )
 
     def send_permit_message(self, data: bytes, address: Address) -> None:
@@ -288,6 +289,8 @@
             )
         for limit in report.limits:
             self.apply_limit(limit)
+        for start in report.leaving_servers:
+            self.components.notices.begin_leaving(start, from_peer=True)
         for start, rest_ms in report.rests:
             self.components.notices.begin_peer_rest(start, rest_ms)
         for kept in report.kept_permits:
@@ -318,6 +321,14 @@
             for start in newest[:MAX_NOTICES_PER_REPORT]
         ]
 
+    def reported_leaving(self) -> list[str]:
+        """Return the servers that have said that they leave and are still listed."""
+        leaving = self.components.notices.leaving
+        if not leaving:
+            return []
+        listed = self.components.servers.starts()
+        return [start for start in leaving if start in listed][-MAX_NOTICES_PER_REPORT:]
+
     def apply_limit(self, limit: ReportedLimit) -> None:
         """Keep what a server has stated to a peer."""
         now_ms = self.components.clock.now_ms()
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
@@ -90,7 +90,8 @@
     requests still have, and ``tried_parts`` parts that were tried, all with the age of
     that. ``limits`` are what servers have stated, ``kept_permits`` the pools whose
     permits the sender gives out. ``rests`` are the servers that want no request of the
-    sender, and the times left.
+    sender, and the times left. ``leaving_servers`` are the starts of servers that have
+    said that they leave.
     """
 
     router_id: int
@@ -121,6 +122,7 @@
     limits: list[ReportedLimit] = []
     kept_permits: list[KeptPermits] = []
     rests: list[tuple[str, int]] = []
+    leaving_servers: list[str] = []
 
     def held_strikes(self) -> list[HeldStrike]:
         """Return the strikes; those without an age, of an older build, are new."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_notices.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_notices.py
@@ -23,8 +23,9 @@
 rest, up to a maximum."""
 
 LIFT_RETENTION_MS = 60_000
-"""Time for which it is remembered that a limit has ended, so that a peer that has not
-heard of it yet cannot bring the limit back."""
+"""Time for which it is remembered that a limit has ended or that a server was leaving:
+a peer that has not heard of the end cannot bring the limit back, and an older copy of
+the list cannot bring the server back."""
 
 
 def ignore_limit_change(
@@ -37,7 +38,7 @@
     """Do nothing about a server that asks for rest."""
 
 
-def ignore_leaving(start: str) -> None:
+def ignore_leaving(start: str, from_peer: bool) -> None:
     """Do nothing about a server that leaves."""
 
 
@@ -50,7 +51,8 @@
     """The statements of servers, by start of a server.
 
     ``rest_until_ms`` are the times until which servers want no request of this router,
-    ``peer_rest_until_ms`` those that they have told to peers.
+    ``peer_rest_until_ms`` those that they have told to peers. ``leaving`` are the starts
+    that have said that they leave, and when this was last told.
     ``on_limit_change`` takes the start, the limits before and after, None for none, and
     whether a peer told; ``on_rest`` takes the time in milliseconds, ``on_malformed``
     the values that could not be read.
@@ -61,12 +63,13 @@
     limits: dict[str, LimitStatement] = field(default_factory=dict)
     rest_until_ms: dict[str, int] = field(default_factory=dict)
     peer_rest_until_ms: dict[str, int] = field(default_factory=dict)
+    leaving: dict[str, int] = field(default_factory=dict)
     malformed: int = 0
     on_limit_change: Callable[[str, float | None, float | None, bool], None] = (
         ignore_limit_change
     )
     on_rest: Callable[[str, int], None] = ignore_rest
-    on_leaving: Callable[[str], None] = ignore_leaving
+    on_leaving: Callable[[str, bool], None] = ignore_leaving
     on_malformed: Callable[[str, tuple[str, ...]], None] = ignore_malformed
 
     def record(self, start: str, notice: ServerNotice, asked_ms: int) -> None:
@@ -77,7 +80,7 @@
         if notice.rest_ms:
             self.begin_rest(start, notice.rest_ms)
         if notice.leaving:
-            self.on_leaving(start)
+            self.begin_leaving(start)
         if notice.limit_per_s is not None or not notice.limit_malformed:
             self.apply_limit(
                 start,
@@ -102,6 +105,17 @@
             until_ms, self.peer_rest_until_ms.get(start, 0)
         )
 
+    def begin_leaving(self, start: str, from_peer: bool = False) -> None:
+        """Send a server nothing any more; no later statement takes this back."""
+        is_new = start not in self.leaving
+        self.leaving[start] = self.clock.now_ms()
+        if is_new:
+            self.on_leaving(start, from_peer)
+
+    def is_leaving(self, start: str) -> bool:
+        """Return whether a server has said that it leaves."""
+        return start in self.leaving
+
     def rest_left_ms(self, start: str) -> int:
         """Return for how long a server wants no request of this router."""
         return max(self.rest_until_ms.get(start, 0) - self.clock.now_ms(), 0)
@@ -120,7 +134,7 @@
 
     def accepts(self, start: str) -> bool:
         """Return whether a server takes requests of this router at all."""
-        return not self.rest_left_ms(start)
+        return not self.rest_left_ms(start) and start not in self.leaving
 
     def apply_limit(
         self, start: str, statement: LimitStatement, from_peer: bool = False
@@ -170,10 +184,13 @@
                 each for each, until_ms in rests.items() if until_ms <= now_ms
             ]:
                 del rests[start]
-        if not self.limits:
+        if not self.limits and not self.leaving:
             return
         listed = servers.starts()
         oldest_ms = now_ms - LIFT_RETENTION_MS
+        for start, told_ms in list(self.leaving.items()):
+            if told_ms < oldest_ms and start not in listed:
+                del self.leaving[start]
         for start, statement in list(self.limits.items()):
             if statement.heard_ms < oldest_ms and (
                 statement.per_s is None or start not in listed
