--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/cache_inventory.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/cache_inventory.py
@@ -1,6 +1,7 @@
 """Rebuilds the prompt cache index from the servers after all routers have lost it."""
 
 import asyncio
+from collections.abc import Callable
 
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.errors import TransportError
@@ -132,9 +133,18 @@
             )
         except TransportError:
             return None
+        asked_ms = self.components.clock.now_ms()
+
+        def record_notice(head: RawResponseHead) -> None:
+            """Keep what the server says of itself, as in answers to requests."""
+            notice = self.components.dialect.parse_response(
+                head.status, head.reason, head.headers
+            ).notice
+            self.components.notices.record(server.start, notice, asked_ms)
+
         try:
             async with asyncio.timeout(CALL_TIMEOUT_MS / MS_PER_S):
-                body = await read_body(exchange)
+                body = await read_body(exchange, record_notice)
         except TimeoutError:
             body = None
         if body is None:
@@ -144,13 +154,16 @@
         return self.components.dialect.parse_inventory(body)
 
 
-async def read_body(exchange: Exchange) -> bytes | None:
+async def read_body(
+    exchange: Exchange, on_head: Callable[[RawResponseHead], None]
+) -> bytes | None:
     """Return the body of a successful response, or None, also if it is too large."""
     body = bytearray()
     successful = False
     while True:
         event = await exchange.next_event()
         if isinstance(event, RawResponseHead):
+            on_head(event)
             successful = event.status == STATUS_OK
         elif isinstance(event, Data):
             body += event.data
--- a/packages/medlarridge-direct/tests/direct/transport/test_endless_bytes.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_endless_bytes.py
@@ -260,7 +260,12 @@
         """Guards against a server whose list of cached parts never ends."""
         pieces = [chunk(b"x" * PIECE_BYTES)] * PIECES
         connection = scripted_connection(STREAM, *pieces, b"0\r\n\r\n")
-        assert await read_body(connection.start(b"GET / HTTP/1.1\r\n\r\n")) is None
+        assert (
+            await read_body(
+                connection.start(b"GET / HTTP/1.1\r\n\r\n"), lambda head: None
+            )
+            is None
+        )
 
     async def test_a_snapshot_of_a_peer_is_bounded(self):
         """Guards against a small snapshot that unpacks to any size."""
