Let the soak's servers name limits, ask for rest and say that they leave

In half of the runs servers name a limit while faults last; a hundredth of the requests is turned away with Retry-After; draining servers send Server-Leaving. The store honours the revision of a write. A new check counts what arrives at servers with a limit, by the platform's tolerance, outside of disturbances of the routers.

--- a/packages/medlarridge-direct/tests/soak/checks.py
+++ b/packages/medlarridge-direct/tests/soak/checks.py
@@ -23,6 +23,10 @@
 STABILITY_S = 3.0
 """After ``MAX_CRASHES`` crashes under a part, and this time, only few requests with it
 may reach servers."""
+LIMIT_SPAN_S = 4.0
+LIMIT_TOLERANCE = 1.5
+LIMIT_SLACK = 5
+"""Tolerance of the platform for requests beyond the limit that a server names."""
 MAX_LATE_STOPS = 3
 """Requests that may continue beyond ``DISCONNECT_GRACE_S``."""
 MIN_SERVED_SHARE = 0.95
@@ -85,6 +89,7 @@
         violations += check_drains(observations)
         violations += check_disconnects(observations)
         violations += check_crashing_parts(observations)
+        violations += check_limits(observations)
     return violations
 
 
@@ -217,6 +222,44 @@
     return [f"BUDGET: prompts with a part that crashes servers went on to run: {late}"]
 
 
+def check_limits(observations: Observations) -> list[str]:
+    """Check that servers get no more than the limit that they name allows.
+
+    Requests in the stability window after a disturbance of the routers do not count.
+    """
+    arrivals = defaultdict(list)
+    for record in observations.records:
+        if record["event"] == "arrived" and record["limit"] is not None:
+            arrivals[record["server"]].append((record["at"], record["limit"]))
+    violations = []
+    for server, records in arrivals.items():
+        records.sort()
+        named_s = records[0][0] + STABILITY_S
+        times_s = [
+            at_s
+            for at_s, _ in records
+            if at_s > named_s
+            and not any(
+                start_s <= at_s <= end_s + STABILITY_S
+                for start_s, end_s in observations.disturbances
+            )
+        ]
+        allowed = LIMIT_TOLERANCE * LIMIT_SPAN_S * records[0][1] + LIMIT_SLACK
+        most = max(
+            (
+                bisect_right(times_s, at_s + LIMIT_SPAN_S) - index
+                for index, at_s in enumerate(times_s)
+            ),
+            default=0,
+        )
+        if most > allowed:
+            violations.append(
+                f"LIMIT: {server} got {most} requests in {LIMIT_SPAN_S} s at a limit "
+                f"of {records[0][1]:.1f} a second"
+            )
+    return violations
+
+
 def check_recovery(observations: Observations) -> list[str]:
     """Check that requests after the faults are served and none is lost."""
     violations = []
--- a/packages/medlarridge-direct/tests/soak/run.py
+++ b/packages/medlarridge-direct/tests/soak/run.py
@@ -39,12 +39,13 @@
     "junk": 0.01,
     "cut": 0.04,
     "extra": 0.03,
+    "rest": 0.01,
 }
 """Share of a server's responses with each fault while faults are injected.
 
 ``lost`` resets the connection before a response, ``error`` returns status 500,
 ``junk`` sends bytes that are not HTTP, ``cut`` breaks off a response and ``extra``
-sends a second, unsolicited response.
+sends a second, unsolicited response. ``rest`` turns a request away with Retry-After.
 """
 
 DISTURBING_FAULTS = ("router", "all-routers", "store", "engine-link", "client-link")
@@ -91,7 +92,7 @@
                 asyncio.create_task(self.run_client(n)) for n in range(CLIENT_COUNT)
             ]
             for server in self.fleet.servers:
-                server.send_command(BASE_FAULT_RATES)
+                server.send_command(BASE_FAULT_RATES | self.server_limit())
             await self.inject_faults()
             await self.clear_faults()
             await self.run_planned_work()
@@ -106,6 +107,11 @@
             self.save_artifacts(violations)
         return violations
 
+    def server_limit(self) -> dict[str, float]:
+        """Return the limit that servers name while faults last, in half of the runs."""
+        random = Random(f"{self.seed}-limit")
+        return {} if random.random() < 0.5 else {"limit": random.uniform(2, 12)}
+
     async def run_client(self, number: int) -> None:
         """Send requests as one client until the run stops."""
         random = Random(f"{self.seed}-{number}")
--- a/packages/medlarridge-direct/tests/soak/server_process.py
+++ b/packages/medlarridge-direct/tests/soak/server_process.py
@@ -43,6 +43,8 @@
 """Share of the streams with an interim response before the final one."""
 ENDED_CUT_SHARE = 0.3
 """Share of the cut streams whose last chunk follows part of an event."""
+MAX_REST_S = 1.0
+"""Longest rest that a server asks for."""
 CRASHING_PART = b"cc"
 """Part of a prompt under which a server crashes, unless it is the last one."""
 CRASH_EXIT_CODE = 70
@@ -184,17 +186,25 @@
         if request.target == names.INVENTORY_PATH:
             await connection.respond(200, [], b'{"epoch": 1, "next": 1, "held": []}')
             return
+        report("arrived", limit=self.faults.get("limit"))
         request_id = request.headers.get(names.REQUEST_ID, b"").decode()
         expected = request.headers.get(names.EXPECTED_INSTANCE, b"").decode()
         headers = [
             (names.REQUEST_ID, request_id.encode()),
             (names.SIGNATURE, b"by-" + self.instance.encode()),
+            *self.notices(),
         ]
         not_run = [*headers, (names.NOT_EXECUTED, b"1")]
         if expected and expected != self.instance:
             report("rejected", id=request_id, status=421)
             await connection.respond(421, not_run, b"")
             return
+        if self.fault_occurs("rest"):
+            report("rejected", id=request_id, status=503)
+            rest_s = self.random.uniform(0, MAX_REST_S)
+            not_run.append((names.RETRY_AFTER, b"%.2f" % rest_s))
+            await connection.respond(503, not_run, b"")
+            return
         if self.request_count >= SLOT_COUNT + MAX_QUEUED:
             report("rejected", id=request_id, status=503)
             await connection.respond(503, not_run, b"")
@@ -213,6 +223,15 @@
         finally:
             self.request_count -= 1
 
+    def notices(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers in which the server speaks of itself."""
+        headers = []
+        if "limit" in self.faults:
+            headers.append((names.SERVER_LIMIT, b"%.1f" % self.faults["limit"]))
+        if self.state == "draining":
+            headers.append((names.SERVER_LEAVING, b"1"))
+        return headers
+
     def report_run(self, request_id: str, request: ReceivedRequest) -> None:
         """Report the start of a request with the request as received."""
         report(
--- a/packages/medlarridge-direct/tests/soak/store_process.py
+++ b/packages/medlarridge-direct/tests/soak/store_process.py
@@ -171,6 +171,11 @@
             name = item["metadata"]["name"]
             if name in objects:
                 return 409, objects[name]
+        elif (revision := item.get("metadata", {}).get("revision")) is not None:
+            if name not in objects:
+                return 404, {}
+            if objects[name]["metadata"]["revision"] != revision:
+                return 409, objects[name]
         return 200, self.write(kind, name, item["spec"])
 
     async def watch(self, kind: str, query: dict[str, str]) -> tuple[int, dict]:
--- a/packages/medlarridge-direct/tests/soak/test_soak.py
+++ b/packages/medlarridge-direct/tests/soak/test_soak.py
@@ -261,3 +261,24 @@
         ]
         records = [make_run(each) for each in requests] + end_records
         assert violated_rules(*requests, records=records, faults_end_s=9.0) == ["GONE"]
+
+
+class TestLimits:
+    def observe(self, limit, times_s, disturbances=()):
+        records = [
+            {"event": "arrived", "server": "i-1", "at": at_s, "limit": limit}
+            for at_s in times_s
+        ]
+        return Observations(records=records, disturbances=list(disturbances))
+
+    def test_requests_beyond_a_limit_are_found(self):
+        """Guards against a check that accepts any number of requests."""
+        times_s = [0.0, *(10 + number / 10 for number in range(40))]
+        assert check_limits(self.observe(2.0, times_s))
+        assert not check_limits(self.observe(6.0, times_s))
+        assert not check_limits(self.observe(None, times_s))
+
+    def test_requests_around_a_disturbance_do_not_count(self):
+        """Guards against blaming routers that the platform excuses."""
+        times_s = [0.0, *(10 + number / 10 for number in range(40))]
+        assert not check_limits(self.observe(2.0, times_s, [(9.0, 12.0)]))
