--- a/packages/medlarridge-direct/tests/soak/test_soak.py
+++ b/packages/medlarridge-direct/tests/soak/test_soak.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from .checks import Observations, check_all
+from .checks import Observations, check_all, check_limits
 from .clients import REQUEST_KINDS, Client, SentRequest
 from .plan import make_plan
 from .processes import ROOT, child_environment
