Let the router that has a lease write it again when the store has lost it

The keeper knows that it is its own: nobody else can take it before it runs out, so whatever the store shows in its place is of the older copy. Test: TestStoreDrill, failing before (the keeper changed, or none was).

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/permit_lease.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/permit_lease.py
@@ -63,7 +63,6 @@
     era_view: StoreEraView
     ledger: PermitLedger
     written_ms: int | None = None
-    written_era: int = 0
     revision: Revision | None = None
     seen_revision: Revision = NO_REVISION
     seen_ms: int = 0
@@ -76,7 +75,6 @@
         return (
             self.written_ms is not None
             and self.clock.now_ms() < self.written_ms + TERM_MS - MAX_OPEN_MS
-            and self.era_view.era in (None, self.written_era)
         )
 
     def observe(self, revision: Revision, written_ms: int) -> None:
@@ -116,6 +114,15 @@
         """Return whether a lease may be in force that the store has lost."""
         return stored.record is None or stored.record.era != stored.revision.era
 
+    def may_renew(self, stored: StoredLease) -> bool:
+        """Return whether the record that was read does not end a lease in force.
+
+        While it is in force no other router has taken it, so another record that is
+        there, or none, is of an older copy of the store.
+        """
+        record = stored.record
+        return record is None or record.process == self.process or self.in_doubt(stored)
+
     def record(self) -> LeaseRecord:
         """Return the record by which this router takes or renews the lease."""
         return LeaseRecord(self.node, self.process, self.era_view.era or 0)
@@ -149,7 +156,6 @@
         """Record that the lease was written."""
         self.observe(revision, sent_ms)
         self.revision, self.written_ms = revision, sent_ms
-        self.written_era = revision.era
 
     def lose(self) -> None:
         """Stop giving out permits."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/permit_lease_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/permit_lease_sync.py
@@ -140,12 +140,14 @@
             lease.next_read_ms = now_ms + rank * RANK_DELAY_MS
         return now_ms >= lease.next_read_ms
 
-    async def renew(self, pool: str, lease: PermitLease, revision: Revision) -> None:
-        """Write the lease again; without it, stop giving out permits."""
+    async def renew(
+        self, pool: str, lease: PermitLease, revision: Revision | None
+    ) -> None:
+        """Write the lease again; if the store has another revision, read it first."""
         sent_ms = self.components.clock.now_ms()
         written = await self.write(pool, lease.record(), revision)
-        if written is None or written.era != lease.written_era:
-            self.leave(pool, lease, "taken by another router")
+        if written is None:
+            lease.revision, lease.next_read_ms = None, 0
         else:
             lease.renew(written, sent_ms)
 
@@ -155,17 +157,17 @@
         stored = await self.store.read_permit_lease(pool)
         self.era_view.record(stored.revision.era)
         record = stored.record
+        revision = None if record is None else stored.revision
         if lease.held:
-            # The answer to a write was lost.
-            if record is None or record.process != lease.process or record.released:
-                self.leave(pool, lease, "taken by another router")
+            # The answer to a write was lost, or the store came back from an older copy.
+            if lease.may_renew(stored):
+                await self.renew(pool, lease, revision)
             else:
-                await self.renew(pool, lease, stored.revision)
+                self.leave(pool, lease, "taken by another router")
             return
         if not lease.may_take(stored):
             return
         sent_ms = self.components.clock.now_ms()
-        revision = None if record is None else stored.revision
         written = await self.write(pool, lease.record(), revision)
         if written is None or written.era != stored.revision.era:
             return
--- a/packages/medlarridge-direct/tests/direct/test_fleet_permits.py
+++ b/packages/medlarridge-direct/tests/direct/test_fleet_permits.py
@@ -205,6 +205,20 @@
             fleet.registry.losing_answers_to.add(node)
 
 
+class TestStoreDrill:
+    async def test_the_keeper_goes_on_when_the_store_has_lost_its_lease(self):
+        """Guards against servers that get nothing for a term after a drill (soak)."""
+        fleet = PermitFleet(4, 3.5, late_share=0)
+        await fleet.run(5_000)
+        keeper = fleet.keeper()
+        for copy in (0, 0, -2):
+            fleet.registry.go_back(copy)
+            fleet.arrivals_ms.clear()
+            await fleet.run(5_000)
+            assert fleet.keeper() == keeper
+            assert len(fleet.arrivals_ms) >= 0.8 * 5 * 3.5
+
+
 class TestManyRouters:
     @pytest.mark.parametrize(("size", "duration_ms"), [(25, 16_000), (100, 5_000)])
     async def test_a_small_limit_holds_and_is_used(self, size, duration_ms):
