Judge the evidence against prompt parts once a batch, and parts of the same crashes as one

What callers saw: one caller that names many parts, beside one real crash, stopped every router for seconds.

Cause: all suspects were judged anew for each part of each crash and each success, and each judgement compared every suspect with every other one.

Change: the judgement is made when it is asked for after the evidence has changed. Servers are bits of a mask; parts that crashed the same servers are one group, and a group that does not convict is left out. Suspects beyond the limit are dropped in batches. Reports no longer build a list of all evidence. Of equally strong and rare parts the first by name is refused now, before it was the last.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
@@ -20,7 +20,7 @@
 
 from medlarridge._internal.clock import Clock
 
-from .part_crashes import PartCrash, Suspect, count_times
+from .part_crashes import CrashedServers, PartCrash, Suspect
 
 MIN_CRASHES = 3
 """Servers that must have gone down, each at another time, before a part is refused."""
@@ -61,6 +61,10 @@
 """Time for which the success of a suspected part is reported."""
 
 MAX_SUSPECTS = 2_000
+SUSPECTS_KEPT = 1_800
+"""Suspects that are kept when there are more than ``MAX_SUSPECTS``."""
+
+MAX_CRASHED_SERVERS = 512
 MAX_CRASHES_KEPT = 64
 MAX_SUCCESSES = 10_000
 
@@ -71,20 +75,36 @@
 
     ``successes`` are the times at which parts were last answered. ``answered`` are such
     parts that peers should know of, and since when: new evidence came against them, or
-    has ended. ``refused`` parts and those on ``probation`` follow from the evidence.
+    has ended. ``refused`` parts and those on ``probation`` follow from the evidence; they
+    are found when they are asked for after it has changed.
     """
 
     clock: Clock
     suspects: OrderedDict[str, Suspect] = field(default_factory=OrderedDict)
     successes: OrderedDict[str, int] = field(default_factory=OrderedDict)
     answered: dict[str, int] = field(default_factory=dict)
-    refused: set[str] = field(default_factory=set)
-    probation: set[str] = field(default_factory=set)
+    servers: CrashedServers = field(default_factory=CrashedServers)
+    judged_refused: set[str] = field(default_factory=set)
+    judged_probation: set[str] = field(default_factory=set)
+    is_judged: bool = True
+    judgements: int = 0
     started_ms: int = field(init=False)
 
     def __post_init__(self) -> None:
         self.started_ms = self.clock.now_ms()
 
+    @property
+    def refused(self) -> set[str]:
+        """Return the parts that are refused."""
+        self.judge_if_changed()
+        return self.judged_refused
+
+    @property
+    def probation(self) -> set[str]:
+        """Return the parts whose requests run one after the other."""
+        self.judge_if_changed()
+        return self.judged_probation
+
     # Evidence
 
     def add_crash(self, crash: PartCrash) -> bool:
@@ -100,10 +120,11 @@
         if crash.server in suspect.crashes or len(suspect.crashes) >= MAX_CRASHES_KEPT:
             return False
         suspect.crashes[crash.server] = crashed_ms
+        suspect.mask |= self.servers.bit(crash.server, crashed_ms)
         suspect.wanted_ms = max(suspect.wanted_ms, crashed_ms)
         self.suspects.move_to_end(crash.part)
         self.limit_suspects()
-        self.judge()
+        self.is_judged = False
         return True
 
     def record_success(self, parts: Iterable[str]) -> list[str]:
@@ -142,9 +163,10 @@
             return False
         self.answered[part] = self.clock.now_ms()
         suspect.crashes, suspect.stored_crashes = kept, 0
+        suspect.mask = self.servers.mask(kept)
         if not kept:
             del self.suspects[part]
-        self.judge()
+        self.is_judged = False
         return True
 
     def add_stored(self, part: str, crashes: int) -> bool:
@@ -155,7 +177,7 @@
         suspect.stored_crashes = max(crashes, 1)
         suspect.stored_ms = suspect.wanted_ms = self.clock.now_ms()
         self.limit_suspects()
-        self.judge()
+        self.is_judged = False
         return True
 
     def record_wanted(self, part: str, age_ms: int = 0) -> None:
@@ -179,77 +201,101 @@
         for part in expired:
             del self.suspects[part]
         if expired:
-            self.judge()
+            self.is_judged = False
 
     def limit_suspects(self) -> None:
         """Drop the suspects with least evidence, the oldest first."""
-        while len(self.suspects) > MAX_SUSPECTS:
-            weakest = min(
-                self.suspects,
-                key=lambda part: (
-                    part in self.refused,
-                    len(self.suspects[part].crashes),
-                ),
-            )
-            del self.suspects[weakest]
+        if len(self.suspects) <= MAX_SUSPECTS:
+            return
+        refused = self.refused
+        weakest_first = sorted(
+            self.suspects,
+            key=lambda part: (part in refused, len(self.suspects[part].crashes)),
+        )
+        for part in weakest_first[: len(self.suspects) - SUSPECTS_KEPT]:
+            del self.suspects[part]
+        self.is_judged = False
+
+    def forget_servers(self) -> None:
+        """Forget the servers under which no suspect is left to have crashed."""
+        self.servers = CrashedServers()
+        for suspect in self.suspects.values():
+            suspect.mask = self.servers.mask(suspect.crashes)
 
     # Judgement
 
+    def judge_if_changed(self) -> None:
+        """Judge the evidence if it has changed."""
+        if not self.is_judged:
+            self.is_judged = True
+            self.judge()
+
     def judge(self) -> None:
-        """Find the parts to refuse: those that explain most crashes come first."""
-        refused = {part for part, each in self.suspects.items() if each.stored_crashes}
-        explained: set[str] = set()
+        """Find the parts to refuse: those that explain most crashes come first.
+
+        Parts that crashed the same servers are judged as one group. A group that does
+        not convict once does not later, when more of its crashes are explained.
+        """
+        self.judgements += 1
+        if len(self.servers.times_ms) > MAX_CRASHED_SERVERS:
+            self.forget_servers()
+        suspects, successes = self.suspects, self.successes
+        refused = {part for part, each in suspects.items() if each.stored_crashes}
+        explained = 0
         for part in refused:
-            explained |= self.suspects[part].crashes.keys()
-        candidates = {
-            part
-            for part, suspect in self.suspects.items()
-            if len(suspect.crashes) >= MIN_CRASHES and part not in refused
-        }
-        while candidates:
-            part = max(candidates, key=lambda each: self.rank(each, explained))
-            candidates.remove(part)
-            if self.is_convicting(part, explained):
-                refused.add(part)
-                explained |= self.suspects[part].crashes.keys()
-        self.refused = refused
-        self.probation = {
+            explained |= suspects[part].mask
+        groups: dict[tuple[int, bool], list[str]] = {}
+        for part, suspect in suspects.items():
+            if suspect.mask.bit_count() >= MIN_CRASHES and part not in refused:
+                groups.setdefault((suspect.mask, part not in successes), []).append(
+                    part
+                )
+        convicting = [key for key in groups if self.is_convicting(*key, explained)]
+        while convicting:
+            key = min(
+                convicting,
+                key=lambda key: self.rank(*key, explained, groups[key]),
+            )
+            refused.add(min(groups[key], key=self.rarity))
+            explained |= key[0]
+            convicting = [
+                key for key in convicting if self.is_convicting(*key, explained)
+            ]
+        self.judged_refused = refused
+        self.judged_probation = {
             part
-            for part, suspect in self.suspects.items()
-            if len(suspect.crashes) >= MIN_CRASHES
-            and part not in refused
-            and part not in self.successes
-            and len(self.unexplained_ms(part, explained)) >= MIN_CRASHES
+            for (mask, is_new), parts in groups.items()
+            if is_new and (mask & ~explained).bit_count() >= MIN_CRASHES
+            for part in parts
+            if part not in refused
         }
 
-    def unexplained_ms(self, part: str, explained: set[str]) -> list[int]:
-        """Return the times of the crashes that no refused part explains."""
-        return [
-            crashed_ms
-            for server, crashed_ms in self.suspects[part].crashes.items()
-            if server not in explained
-        ]
+    def rarity(self, part: str) -> tuple[int, str]:
+        """Return a key by which rarer parts come first, and then by name."""
+        return self.suspects[part].requests, part
 
-    def rank(self, part: str, explained: set[str]) -> tuple[bool, int, int, int, str]:
-        """Return the strength of the evidence; rarer parts come first if it is equal.
+    def rank(self, mask: int, is_new: bool, explained: int, parts: list[str]) -> tuple:
+        """Return a key by which groups with stronger evidence come first.
 
         Parts that were never answered come before all others: while servers crash one
         after the other, no part is answered for some time.
         """
-        times_ms = self.unexplained_ms(part, explained)
+        unexplained = mask & ~explained
         return (
-            part not in self.successes,
-            count_times(times_ms),
-            len(times_ms),
-            -self.suspects[part].requests,
-            part,
+            not is_new,
+            -self.servers.count_times(unexplained),
+            -unexplained.bit_count(),
+            min(map(self.rarity, parts)),
         )
 
-    def is_convicting(self, part: str, explained: set[str]) -> bool:
+    def is_convicting(self, mask: int, is_new: bool, explained: int) -> bool:
         """Return whether the unexplained crashes suffice to refuse a part."""
-        times_ms = self.unexplained_ms(part, explained)
-        crashes, times = len(times_ms), count_times(times_ms)
-        if part in self.successes:
+        unexplained = mask & ~explained
+        crashes = unexplained.bit_count()
+        if crashes < MIN_CRASHES:
+            return False
+        times = self.servers.count_times(unexplained)
+        if not is_new:
             return (
                 crashes >= MIN_CRASHES_AFTER_SUCCESS
                 and times >= MIN_TIMES_AFTER_SUCCESS
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/part_evidence_exchange.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/part_evidence_exchange.py
@@ -1,5 +1,7 @@
 """What routers tell each other of prompt parts that crash servers."""
 
+from itertools import islice
+
 from .components import RouterComponents
 from .coordination.part_crashes import PartCrash
 from .logs import PART_CRASH, Log
@@ -27,15 +29,14 @@
 
     def next_crashes(self) -> list[tuple[str, str, int]]:
         """Return parts, servers and ages of crashes; reports take turns if many."""
-        crashes = [
-            (crash.part, crash.server, crash.age_ms)
-            for crash in self.crashing_parts.held_crashes()
-        ]
-        if self.next_crash >= len(crashes):
-            self.next_crash = 0
         start = self.next_crash
         self.next_crash += MAX_CRASHES_PER_REPORT
-        return crashes[start : self.next_crash]
+        crashes = list(
+            islice(self.crashing_parts.held_crashes(), start, self.next_crash)
+        )
+        if len(crashes) < MAX_CRASHES_PER_REPORT:
+            self.next_crash = 0
+        return [(crash.part, crash.server, crash.age_ms) for crash in crashes]
 
     def sound_parts(self) -> list[tuple[str, int]]:
         """Return parts that were answered, with the ages of their last successes."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -10,7 +10,7 @@
 
 from .attempt import SUCCESS_STATUS_CLASS, Attempt, AttemptOutcome, OutcomeKind
 from .components import RouterComponents
-from .coordination.part_crashes import part_key
+from .coordination.part_crashes import part_keys
 from .coordination.retry_budget import RetryEnd
 from .coordination.server_health import AttemptResult
 from .logs import RequestLog
@@ -116,7 +116,7 @@
         self.any_silent = False
         self.runs = 0
         self.last_event_id = accepted.metadata.resume_after
-        self.shared_parts = tuple(map(part_key, accepted.metadata.shared_parts))
+        self.shared_parts = part_keys(accepted.metadata.shared_parts)
         self.tries_part = False
 
     def remaining_ms(self) -> int:
--- a/packages/medlarridge-direct/tests/direct/coordination/test_crashing_parts.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_crashing_parts.py
@@ -18,9 +18,12 @@
 )
 from medlarridge_direct._internal.coordination.part_crashes import (
     MAX_KEY_LENGTH,
+    MAX_OWN_KEYS,
+    SHARED_KEYS,
     TOGETHER_MS,
     PartCrash,
     part_key,
+    part_keys,
 )
 
 CRASHES_ALLOWED = 5
@@ -318,3 +321,56 @@
         assert not crashing_parts.begin_trial(["bad"], 1)
         clock.advance(PROBATION_TRIAL_MS + TRIAL_DELAY_PER_RANK_MS)
         assert crashing_parts.begin_trial(["bad"], 1)
+
+
+class TestCostOfJudgement:
+    SUSPECTS = 500
+
+    def test_a_crash_under_many_parts_is_judged_once(self, crashing_parts, clock):
+        """Guards against a crash that holds the event loop for seconds."""
+        parts = [f"p-{number}" for number in range(self.SUSPECTS)]
+        for number in range(MIN_CRASHES + 3):
+            crash(crashing_parts, clock, f"s-{number}", *parts)
+            judged_before = crashing_parts.judgements
+            crashing_parts.find_held(parts)
+            assert crashing_parts.judgements <= judged_before + 1
+        crashing_parts.record_success(parts)
+        assert not crashing_parts.refused
+        assert crashing_parts.judgements <= judged_before + 2
+
+    def test_parts_of_the_same_crashes_are_compared_as_one(
+        self, crashing_parts, clock, monkeypatch
+    ):
+        """Guards against a comparison of each suspect with each other one."""
+        compared = []
+        rarity = CrashingParts.rarity
+        monkeypatch.setattr(
+            CrashingParts,
+            "rarity",
+            lambda self, part: compared.append(part) or rarity(self, part),
+        )
+        parts = [f"p-{number}" for number in range(self.SUSPECTS)]
+        for number in range(MIN_CRASHES + 3):
+            crash(crashing_parts, clock, f"s-{number}", *parts)
+        assert len(crashing_parts.refused) == 1
+        assert len(compared) <= 4 * self.SUSPECTS
+
+    def test_suspects_are_dropped_in_batches(self, crashing_parts, clock):
+        """Guards against a search of all suspects for each one beyond the limit."""
+        crash(crashing_parts, clock, "s-0", *(f"p-{n}" for n in range(MAX_SUSPECTS)))
+        crash(crashing_parts, clock, "s-1", *(f"q-{n}" for n in range(100)))
+        assert crashing_parts.judgements <= 1
+        assert len(crashing_parts.suspects) <= MAX_SUSPECTS
+
+    def test_a_prompt_names_a_bounded_number_of_suspects(self):
+        """Guards against a caller that names parts to keep routers busy."""
+        few = [f"p-{number}" for number in range(MAX_OWN_KEYS)]
+        many = [f"p-{number}" for number in range(1_000)]
+        assert part_keys(few) == tuple(few)
+        assert part_keys(many)[:MAX_OWN_KEYS] == tuple(few)
+        assert len(part_keys(many)) <= MAX_OWN_KEYS + SHARED_KEYS
+        # A part beyond the bound still has a key by which it is found.
+        assert part_keys(many + ["bad"])[MAX_OWN_KEYS:]
+        assert set(part_keys([*few, "bad"])[MAX_OWN_KEYS:]) <= set(
+            part_keys([*many, "bad"])
+        )
