--- a/packages/medlarridge-direct/tests/direct/coordination/test_crashing_parts.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_crashing_parts.py
@@ -370,7 +370,7 @@
         assert part_keys(many)[:MAX_OWN_KEYS] == tuple(few)
         assert len(part_keys(many)) <= MAX_OWN_KEYS + SHARED_KEYS
         # A part beyond the bound still has a key by which it is found.
-        assert part_keys(many + ["bad"])[MAX_OWN_KEYS:]
+        assert part_keys([*many, "bad"])[MAX_OWN_KEYS:]
         assert set(part_keys([*few, "bad"])[MAX_OWN_KEYS:]) <= set(
             part_keys([*many, "bad"])
         )
