Accept connections at a stopping router while no other one serves

Cause: each stopping router closed its listener after 2.5 s and then waited up to 5 s for its last streams. With all of them stopping, none accepted.

Change: a stopping router listens until it ends while no live peer has a configuration and is not stopping. The router that stops first closes as before, so that it is back soon. Idle connections are closed after 0.3 s, so that a first request arrives.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
@@ -1,7 +1,7 @@
 """The components of a router that request handling uses."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from medlarridge._internal.clock import Clock
@@ -14,6 +14,7 @@
 from .coordination.part_crashes import PartCrash
 from .coordination.placement import Placement
 from .coordination.retry_budget import RetryBudget
+from .coordination.route_durations import RouteDurations
 from .coordination.server_health import ServerHealth
 from .coordination.stream_origins import StreamOrigins
 from .metrics import Metrics
@@ -34,6 +35,8 @@
     or a success of a suspected prompt part, ``on_parts_changed`` report to the others;
     ``router_rank`` returns the position of this router among all;
     ``on_server_avoided`` takes a server and the result for which it is avoided.
+    ``work_ends_ms`` returns when requests that are accepted now must have ended, None
+    while the router does not stop.
     """
 
     clock: Clock
@@ -61,3 +64,5 @@
     on_parts_changed: Callable[[], None]
     router_rank: Callable[[], int]
     on_stream_begun: Callable[[int], None]
+    work_ends_ms: Callable[[], int | None]
+    durations: RouteDurations = field(default_factory=RouteDurations)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -72,8 +72,11 @@
 loop delays it by some ten milliseconds."""
 
 BALANCER_REMOVAL_MS = 2_500
-"""Time for which a stopping router still accepts connections: the load balancer probes
-once a second and removes it after two failed probes."""
+"""Time after which a stopping router normally gets no new connections: the load balancer
+probes once a second and removes it after two failed probes."""
+
+FIRST_REQUEST_MS = 300
+"""Time in which the first request arrives on a new connection."""
 
 STOP_MARGIN_MS = 500
 """Time between the exit of a stopping router and the moment it would be killed."""
@@ -104,6 +107,7 @@
         self.connections: set[ClientConnection] = set()
         self.internal_connections: set[ClientConnection] = set()
         self.stopping_since_ms: int | None = None
+        self.stops_first = False
         self.logged_ready = False
         self.silent_servers: set[str] = set()
         self.refused_parts: set[str] = set()
@@ -205,6 +209,7 @@
             on_parts_changed=self.announce_changed_parts,
             router_rank=lambda: self.peers.live_rank(),
             on_stream_begun=self.announce_stream,
+            work_ends_ms=self.work_ends_ms,
         )
 
     def announce_cached_parts(self, cached_parts: list[tuple[str, str]]) -> None:
@@ -362,16 +367,13 @@
             OperatorEndpoint(self.handler).handle,
             self.internal_connections,
         )
-        client_listener = await self.listen(
-            split_endpoint(self.settings.listen.clients),
-            self.handler.handle,
-            self.connections,
-        )
+        client_listener = await self.listen_for_clients()
         self.log.event(
             STARTED, role=self.settings.role, clients=self.settings.listen.clients
         )
         await stop.wait()
-        await self.drain(client_listener)
+        client_listener = await self.drain(client_listener)
+        client_listener.close()
         readiness_listener.close()
         peer_listener.close()
         operator_listener.close()
@@ -420,20 +422,53 @@
         """Become not ready, so that the load balancer stops sending connections."""
         if self.stopping_since_ms is None:
             self.stopping_since_ms = self.clock.now_ms()
+            self.stops_first = not any(
+                peer.stopping for peer in self.peers.live_peers()
+            )
             self.log.event(STOPPING, in_flight=self.handler.in_flight)
         stop.set()
 
-    async def drain(self, client_listener: asyncio.Server) -> None:
-        """Accept connections until the load balancer reacts, then finish requests."""
+    def work_ends_ms(self) -> int | None:
+        """Return when requests that are accepted now must have ended, None for any time.
+
+        Until the load balancer reacts, all requests are served as far as possible.
+        """
+        if self.stopping_since_ms is None:
+            return None
+        if self.clock.now_ms() < self.stopping_since_ms + BALANCER_REMOVAL_MS:
+            return None
+        return self.stopping_since_ms + self.settings.grace_ms - STOP_MARGIN_MS
+
+    async def listen_for_clients(self) -> asyncio.Server:
+        """Accept connections of clients."""
+        return await self.listen(
+            split_endpoint(self.settings.listen.clients),
+            self.handler.handle,
+            self.connections,
+        )
+
+    async def drain(self, client_listener: asyncio.Server) -> asyncio.Server:
+        """Accept connections until the load balancer reacts, then finish requests.
+
+        While no other router serves, connections are accepted all the same, since the
+        load balancer has no other to send them to. The router that stops first does
+        not, so that it is back soon. Return the last listener.
+        """
         assert self.stopping_since_ms is not None
         end_ms = self.stopping_since_ms + self.settings.grace_ms - STOP_MARGIN_MS
         await self.sleep_until(self.stopping_since_ms + BALANCER_REMOVAL_MS)
-        client_listener.close()
         while self.connections and self.clock.now_ms() < end_ms:
+            is_needed = not self.stops_first and not self.peers.any_serves()
+            if client_listener.is_serving() and not is_needed:
+                client_listener.close()
+            elif is_needed and not client_listener.is_serving():
+                client_listener = await self.listen_for_clients()
+            oldest_ms = self.clock.now_ms() - FIRST_REQUEST_MS
             for connection in list(self.connections):
-                if connection.idle:
+                if connection.idle and connection.idle_since_ms <= oldest_ms:
                     connection.close()
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_MS / MS_PER_S)
+        return client_listener
 
     async def sleep_until(self, time_ms: int) -> None:
         """Sleep until a time of the router's clock."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
@@ -11,10 +11,11 @@
 from .protocol.configuration import Account, Configuration, Pool, Route
 from .protocol.requests import ClientRequest, RequestMetadata
 from .refusals import send_refusal
-from .request_run import RequestRun
+from .request_run import RETRY_AFTER_JITTER_MS, RETRY_AFTER_MS, RequestRun
 from .transport.client_connection import ClientDisconnected, ResponseWriter
 
 SERVICE_UNAVAILABLE = 503
+STOPPING = "router is stopping"
 FRESH_CONFIGURATION_MS = 2_000
 """Age of the configuration up to which requests that it does not allow are rejected.
 With an older one, clients are asked to retry, since a change may have been missed."""
@@ -56,6 +57,9 @@
             log.kind, log.route = accepted.route.kind, accepted.route.name
             log.shared_parts = accepted.metadata.shared_parts
             await RequestRun(self.components, accepted, response, log).run()
+            if response.ended:
+                duration_ms = self.components.clock.now_ms() - request.received_ms
+                self.components.durations.record(accepted.route.name, duration_ms)
         except Rejection as rejection:
             self.reject(rejection, response, log)
         except (asyncio.CancelledError, ClientDisconnected):
@@ -83,6 +87,7 @@
         route = configuration.find_route(metadata.host, path)
         if route is None:
             raise self.unavailable_if_stale(Rejection(404, "no route"))
+        self.check_time_left(route)
         account = self.find_account(configuration, route, metadata)
         pool = self.select_pool(configuration, route, metadata)
         name = "" if account is None else account.name
@@ -97,6 +102,15 @@
             ),
         )
 
+    def check_time_left(self, route: Route) -> None:
+        """Reject a request that would not end before this router stops."""
+        work_ends_ms = self.components.work_ends_ms()
+        if work_ends_ms is None:
+            return
+        left_ms = work_ends_ms - self.components.clock.now_ms()
+        if not self.components.durations.fits(route.name, route.timeout_ms, left_ms):
+            raise Rejection(SERVICE_UNAVAILABLE, STOPPING)
+
     def find_account(
         self, configuration: Configuration, route: Route, metadata: RequestMetadata
     ) -> Account | None:
@@ -138,8 +152,10 @@
         """Send the error response to a request that is not allowed."""
         retry_after_ms = 0
         if rejection.status == SERVICE_UNAVAILABLE:
-            jitter_ms = self.components.random.randrange(NOT_READY_RETRY_JITTER_MS)
-            retry_after_ms = NOT_READY_RETRY_AFTER_MS + jitter_ms
+            delay_ms, jitter_ms = NOT_READY_RETRY_AFTER_MS, NOT_READY_RETRY_JITTER_MS
+            if str(rejection) == STOPPING:
+                delay_ms, jitter_ms = RETRY_AFTER_MS, RETRY_AFTER_JITTER_MS
+            retry_after_ms = delay_ms + self.components.random.randrange(jitter_ms)
         send_refusal(
             self.components.dialect,
             response,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
@@ -105,6 +105,13 @@
         """Return whether the store lists another router."""
         return any(peer.registered for peer in self.peers.values())
 
+    def any_serves(self) -> bool:
+        """Return whether a live peer has a configuration and is not stopping."""
+        return any(
+            peer.configuration_version and not peer.stopping
+            for peer in self.live_peers()
+        )
+
     def keeper_address(self, pool: str) -> Address | None:
         """Return the address of the router that gives out a pool's permits, or None."""
         keepers = [peer for peer in self.live_peers() if pool in peer.kept_pools]
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -256,4 +256,5 @@
         on_parts_changed=lambda: None,
         router_rank=lambda: 0,
         on_stream_begun=lambda stream: None,
+        work_ends_ms=lambda: None,
     )
--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/test_stopping.py
@@ -0,0 +1,64 @@
+"""Requests that arrive at a router that stops."""
+
+import pytest
+
+from medlarridge_direct._internal.protocol.configuration import RouteKind
+
+from .router_fleet import RouterFleet
+from .samples import configuration
+from .scripted import make_components
+from .test_request_run import OK, handle_request, sent_to
+
+pytestmark = pytest.mark.anyio
+
+
+def make_stopping(scripts, left_ms, durations_ms=()):
+    components = make_components(scripts)
+    for duration_ms in durations_ms:
+        components.durations.record("r-1", duration_ms)
+    ends_ms = components.clock.now_ms() + left_ms
+    components.work_ends_ms = lambda: ends_ms
+    return components
+
+
+class TestTimeLeft:
+    @pytest.mark.parametrize("kind", [RouteKind.AT_MOST_ONCE, RouteKind.IDEMPOTENT])
+    async def test_a_request_that_fits_is_served(self, kind):
+        """Guards against a fleet that serves nothing while all routers stop."""
+        scripts = {"a": [(OK,)]}
+        components = make_stopping(scripts, 500, durations_ms=[90, 100])
+        response, _ = await handle_request(scripts, kind, components=components)
+        assert (response.status, bytes(response.body)) == (200, b"ok")
+
+    @pytest.mark.parametrize("durations_ms", [[], [100, 450]])
+    async def test_a_request_that_does_not_fit_is_refused_as_not_run(
+        self, durations_ms
+    ):
+        """Guards against requests that a stopping router accepts and then cuts."""
+        scripts = {"a": [(OK,)]}
+        components = make_stopping(scripts, 500, durations_ms)
+        response, _ = await handle_request(scripts, components=components)
+        assert response.status == 503
+        assert int(response.headers.split(b": ")[1].strip()) > 0
+        assert not sent_to(components)
+
+    async def test_a_router_that_does_not_stop_learns_the_durations(self):
+        """Guards against an estimate that never has samples."""
+        scripts = {"a": [(OK,)] * 2}
+        _, components = await handle_request(scripts)
+        assert list(components.durations.samples_ms["r-1"]) == [0]
+
+
+class TestPeers:
+    async def test_a_router_knows_whether_another_one_serves(self):
+        """Guards against a fleet of which no router accepts connections."""
+        fleet = RouterFleet(2)
+        await fleet.run(1_000, traffic=False)
+        first, second = fleet.routers.values()
+        assert not first.peers.any_serves()
+        second.components.configuration.apply_if_newer(configuration(), 1_000_000)
+        await fleet.run(200, traffic=False)
+        assert first.peers.any_serves()
+        second.reports.is_stopping = lambda: True
+        await fleet.run(200, traffic=False)
+        assert not first.peers.any_serves()
