Count unknown permits also when an older copy of the store shows an own lease

A router whose lease another one had taken since could find its own record in an older copy, take the lease after the wait, and give permits in the window in which the other's had just arrived. Found by reading the proof; the new view of test_fleet_permits.py plays the case (it does not exceed the limit without this change either, since the wait is longer than these arrivals need in it). Also: reports because of what a server has said are sent early at most four times in an interval, and old permits are dropped twice a second instead of with each one.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/permit_lease.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/permit_lease.py
@@ -143,10 +143,10 @@
     def begin(self, stored: StoredLease, revision: Revision, sent_ms: int) -> None:
         """Take the lease, which was written in place of ``stored``.
 
-        Without a record of this process in between, its own permits are all there are.
+        If the last record is certainly this process's, its own permits are all there are.
         """
         record = stored.record
-        if record is None or record.process != self.process:
+        if record is None or record.process != self.process or self.in_doubt(stored):
             self.ledger.unknown_until_ms = self.unknown_until_ms(stored)
             if record is not None and record.released:
                 self.ledger.add_ends(record.ends_after_ms)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/permit_ledger.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/permit_ledger.py
@@ -22,6 +22,8 @@
 """Window in which a server may get one request, however low its limit is: nobody would
 notice otherwise that the limit has ended."""
 
+EXPIRY_INTERVAL_MS = 500
+
 PERMIT_VALIDITY_MS = 300
 """Time from asking for a permit within which its request must be sent: an exchange with
 the keeper, and a new connection to the server."""
@@ -57,6 +59,7 @@
     clock: Clock
     next_number: int = 1
     unknown_until_ms: int | None = None
+    expired_ms: int = 0
     end_ms: dict[str, dict[int, int]] = field(default_factory=dict)
     starts: dict[int, str] = field(default_factory=dict)
 
@@ -82,7 +85,8 @@
 
     def give(self, start: str) -> int:
         """Give a permit for a server; return its number."""
-        self.expire()
+        if self.clock.now_ms() - self.expired_ms >= EXPIRY_INTERVAL_MS:
+            self.expire()
         number = self.next_number
         self.next_number += 1
         self.end_ms.setdefault(start, {})[number] = self.clock.now_ms() + MAX_OPEN_MS
@@ -109,6 +113,7 @@
 
     def expire(self) -> None:
         """Remove the permits that no window contains any more."""
+        self.expired_ms = self.clock.now_ms()
         oldest_ms = self.clock.now_ms() - MAX_WINDOW_MS
         for number in [
             number
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -243,7 +243,7 @@
             peer=from_peer,
         )
         if not from_peer:
-            self.peer_reports.send_report()
+            self.peer_reports.announce_notice()
 
     def log_rest(self, start: str, rest_ms: int) -> None:
         """Log that a server wants no request of this router for a time."""
@@ -253,7 +253,7 @@
         """Log that a server says that it leaves, and tell the peers at once."""
         self.log.event(SERVER_SAYS_LEAVING, server=start, peer=from_peer)
         if not from_peer:
-            self.peer_reports.send_report()
+            self.peer_reports.announce_notice()
 
     def log_malformed_notice(self, start: str, values: tuple[str, ...]) -> None:
         """Log what a server said of itself and could not be read."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -60,6 +60,9 @@
 MAX_NOTICES_PER_REPORT = 60
 """Limit of the statements of servers of each kind in one report."""
 
+NOTICE_REPORTS = 4
+"""Reports in an interval that are sent early because of what a server has said."""
+
 MAX_CATCH_UP_SENDERS = 2
 """Number of routers that send all cached parts and all known streams to a new router,
 since reports of one may be lost."""
@@ -90,6 +93,7 @@
         self.part_evidence = PartEvidenceExchange(components, log)
         self.streams = StreamAnnouncements(components.stream_origins)
         self.departures: list[tuple[int, Departure]] = []
+        self.notice_reported_ms = 0
         self.kept_permits: Callable[[], list[KeptPermits]] = list
         self.on_kept_permits: Callable[[KeptPermits], None] = ignore_kept_permits
         self.sequence = 0
@@ -137,6 +141,13 @@
         self.departures += [(now_ms, departure) for departure in departures]
         self.send_report()
 
+    def announce_notice(self) -> None:
+        """Report at once what a server has said, unless that was done a moment ago."""
+        now_ms = self.components.clock.now_ms()
+        if now_ms - self.notice_reported_ms >= self.interval_ms() / NOTICE_REPORTS:
+            self.notice_reported_ms = now_ms
+            self.send_report()
+
     def recent_departures(self) -> list[Departure]:
         """Return the departures that are still reported.
 
--- a/packages/medlarridge-direct/tests/direct/test_fleet_permits.py
+++ b/packages/medlarridge-direct/tests/direct/test_fleet_permits.py
@@ -131,6 +131,23 @@
     await fleet.run(2 * TERM_MS)
 
 
+@view
+async def store_shows_an_earlier_lease_of_a_former_keeper(fleet):
+    former = fleet.keeper()
+    fleet.cut(former)
+    fleet.registry.unreachable_for.add(f"front-{former}")
+    copy = len(fleet.registry.copies) - 1
+    await fleet.run(TERM_MS + 4_000)
+    fleet.heal()
+    fleet.registry.unreachable_for.clear()
+    fleet.registry.go_back(copy)
+    for number in fleet.routers:
+        if number != former:
+            fleet.cut(number)
+            fleet.registry.unreachable_for.add(f"front-{number}")
+    await fleet.run(TERM_MS + 2_000)
+
+
 @view
 async def answers_of_the_store_lost(fleet):
     for _ in range(6):
