Let routers that rank late read a lease that nobody has less often

With 1,000 routers each would read twice a second for up to ten seconds, the store's whole rate. The interval grows with the rank; fleets of up to seven routers read as before. Test: TestStoreCalls, 40 routers.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/permit_lease_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/permit_lease_sync.py
@@ -19,7 +19,8 @@
 STEP_INTERVAL_MS = 50
 
 READ_INTERVAL_MS = 500
-"""Interval at which a router reads a lease that it waits for."""
+"""Interval at which a router that ranks first reads a lease that it waits for. It grows
+with the rank, so that a large fleet does not use up the store's rate."""
 
 RANK_DELAY_MS = 150
 """Delay for each rank after which a router takes a lease that nobody has."""
@@ -124,7 +125,7 @@
             if now_ms - (lease.written_ms or 0) >= RENEWAL_MS and not alone:
                 await self.renew(pool, lease, lease.revision)
         elif self.may_read(pool, lease):
-            lease.next_read_ms = now_ms + READ_INTERVAL_MS
+            lease.next_read_ms = now_ms + self.read_interval_ms()
             await self.read_and_take(pool, lease)
 
     def may_read(self, pool: str, lease: PermitLease) -> bool:
@@ -143,6 +144,10 @@
             lease.next_read_ms = now_ms + rank * RANK_DELAY_MS
         return now_ms >= lease.next_read_ms
 
+    def read_interval_ms(self) -> int:
+        """Return the interval of reads; routers that rank late leave them to others."""
+        return READ_INTERVAL_MS * max(self.peers.live_rank() // MAX_DELAYED_RANK, 1)
+
     async def renew(
         self, pool: str, lease: PermitLease, revision: Revision | None
     ) -> None:
--- a/packages/medlarridge-direct/tests/direct/test_fleet_permits.py
+++ b/packages/medlarridge-direct/tests/direct/test_fleet_permits.py
@@ -250,6 +250,22 @@
         assert len(fleet.arrivals_ms) >= 0.8 * 1.1 * duration_ms / 1_000
 
 
+class TestStoreCalls:
+    async def test_a_large_fleet_does_not_wait_at_the_store(self):
+        """Guards against reads of every router twice a second while nobody can take."""
+        fleet = PermitFleet(40, 3.5)
+        await fleet.run(1_000)
+        del fleet.routers[fleet.keeper()]
+        await fleet.run(2_000)
+        calls = [
+            router.components.metrics.store_calls for router in fleet.routers.values()
+        ]
+        before = sum(each["read-permit-lease"] for each in calls)
+        await fleet.run(5_000, traffic=False)
+        reads = sum(each["read-permit-lease"] for each in calls) - before
+        assert reads <= 0.4 * 2 * 5 * len(calls)
+
+
 class TestUse:
     @pytest.mark.parametrize("limit", [1.1, 3.5, 12.0])
     async def test_calm_routers_use_the_limit(self, limit):
