Load no generated methods and no log framework at the start of a direct router

Cause: after a loss of all power nobody serves until the routers have loaded their modules. Of 757 million instructions (user space) up to the last import, 80 data classes took about 210 (their methods are compiled at each start) and loguru 99, although request lines already bypassed it. Change: msgspec structs in place of data classes in all that the router loads; all log lines are encoded by msgspec, as those of requests were; two classes with fields that follow from others are ordinary classes.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -1,9 +1,10 @@
 """One attempt to get a response to a request from one server."""
 
 import asyncio
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.errors import TransportError
 from medlarridge._internal.protocol.server_sent_events import (
@@ -56,8 +57,7 @@
     FAULTY = "faulty"
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptOutcome:
+class AttemptOutcome(Struct, frozen=True):
     """Result of an attempt once its response head arrived or it ended without one."""
 
     kind: OutcomeKind
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
@@ -1,9 +1,10 @@
 """The components of a router that request handling uses."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from random import Random
 
+from msgspec import Struct, field
+
 from medlarridge._internal.clock import Clock
 
 from .coordination.crash_detector import CrashDetector, Strike
@@ -27,8 +28,7 @@
 from .transport.server_connections import ConnectionPools
 
 
-@dataclass(slots=True)
-class RouterComponents:
+class RouterComponents(Struct):
     """State, decision logic and connections of one router.
 
     ``on_parts_cached``, ``on_crash_evidence``, ``on_stream_begun`` and, after a trial
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crash_detector.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crash_detector.py
@@ -1,7 +1,8 @@
 """Detection of crashes: matches broken attempts with servers that go down."""
 
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from medlarridge._internal.clock import Clock
 
@@ -15,8 +16,7 @@
 heartbeats, and the list is read once a second."""
 
 
-@dataclass(frozen=True, slots=True)
-class BrokenAttempt:
+class BrokenAttempt(Struct, frozen=True):
     """An attempt whose connection was lost before its response was complete.
 
     ``parts`` are those under which its server may have crashed, and ``server_start``
@@ -29,16 +29,14 @@
     server_start: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Strike:
+class Strike(Struct, frozen=True):
     """A request that was running on a server when the server went down."""
 
     fingerprint: int
     server: str
 
 
-@dataclass(slots=True)
-class CrashDetector:
+class CrashDetector(Struct):
     """Broken attempts by server, kept until the server is down or they expire."""
 
     clock: Clock
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crash_guard.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crash_guard.py
@@ -5,10 +5,10 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
 from itertools import islice
 
 import xxhash
+from msgspec import Struct, field
 
 from medlarridge._internal.clock import Clock
 
@@ -30,8 +30,7 @@
     return digest.intdigest()
 
 
-@dataclass(slots=True)
-class Strikes:
+class Strikes(Struct):
     """Servers that went down while running a request, with the times of the strikes."""
 
     servers: dict[str, int] = field(default_factory=dict)
@@ -42,8 +41,7 @@
         return max(self.servers.values(), default=0)
 
 
-@dataclass(slots=True)
-class CrashGuard:
+class CrashGuard(Struct):
     """Strikes by request fingerprint, including those that peers reported."""
 
     clock: Clock
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
@@ -16,7 +16,6 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
 
 from medlarridge._internal.clock import Clock
 
@@ -69,7 +68,6 @@
 MAX_SUCCESSES = 10_000
 
 
-@dataclass(slots=True)
 class CrashingParts:
     """Evidence against prompt parts, of this router and its peers.
 
@@ -79,19 +77,17 @@
     are found when they are asked for after it has changed.
     """
 
-    clock: Clock
-    suspects: OrderedDict[str, Suspect] = field(default_factory=OrderedDict)
-    successes: OrderedDict[str, int] = field(default_factory=OrderedDict)
-    answered: dict[str, int] = field(default_factory=dict)
-    servers: CrashedServers = field(default_factory=CrashedServers)
-    judged_refused: set[str] = field(default_factory=set)
-    judged_probation: set[str] = field(default_factory=set)
-    is_judged: bool = True
-    judgements: int = 0
-    started_ms: int = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.started_ms = self.clock.now_ms()
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.suspects: OrderedDict[str, Suspect] = OrderedDict()
+        self.successes: OrderedDict[str, int] = OrderedDict()
+        self.answered: dict[str, int] = {}
+        self.servers: CrashedServers = CrashedServers()
+        self.judged_refused: set[str] = set()
+        self.judged_probation: set[str] = set()
+        self.is_judged = True
+        self.judgements = 0
+        self.started_ms = clock.now_ms()
 
     @property
     def refused(self) -> set[str]:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/fleet_size.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/fleet_size.py
@@ -7,7 +7,8 @@
 """
 
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from medlarridge._internal.clock import Clock
 
@@ -31,8 +32,7 @@
 """Assumed number of routers before the registry is known for the first time."""
 
 
-@dataclass(slots=True)
-class FleetSize:
+class FleetSize(Struct):
     """Counts of routers, from the registry and from peers.
 
     ``joined_ms`` is when this router was first known to be registered, and
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/load_view.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/load_view.py
@@ -1,7 +1,8 @@
 """Load of each server: the attempts in flight of this router and of its peers."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from medlarridge._internal.clock import Clock
 
@@ -12,16 +13,14 @@
 second."""
 
 
-@dataclass(slots=True)
-class PeerLoad:
+class PeerLoad(Struct):
     """The last report of a peer: its attempts in flight by instance key."""
 
     in_flight: dict[int, int]
     received_ms: int
 
 
-@dataclass(slots=True)
-class LoadView:
+class LoadView(Struct):
     """Attempts in flight by instance key.
 
     ``own`` are those of this router. ``peers`` are the last reports by router ID, and
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/part_crashes.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/part_crashes.py
@@ -1,9 +1,9 @@
 """Prompt parts and the servers that went down under them."""
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
 
 import xxhash
+from msgspec import Struct, field
 
 TOGETHER_MS = 1_000
 """Servers that go down within this time count as one crash."""
@@ -47,8 +47,7 @@
     return (*map(part_key, own), *sorted(buckets))
 
 
-@dataclass(frozen=True, slots=True)
-class PartCrash:
+class PartCrash(Struct, frozen=True):
     """A server that went down under a request with a part, and how long ago."""
 
     part: str
@@ -56,8 +55,7 @@
     age_ms: int = 0
 
 
-@dataclass(slots=True)
-class Suspect:
+class Suspect(Struct):
     """A part that was running on servers when they went down.
 
     ``crashes`` are the times by start of a server. ``wanted_ms`` is the last time at
@@ -88,8 +86,7 @@
         return max(self.trial_ms, *self.crashes.values(), 0)
 
 
-@dataclass(slots=True)
-class CrashedServers:
+class CrashedServers(Struct):
     """The servers that went down, each with a bit in masks of servers.
 
     A start of a server goes down once, so one time is kept for all parts.
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/permit_demand.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/permit_demand.py
@@ -6,7 +6,8 @@
 """
 
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from medlarridge._internal.clock import Clock
 
@@ -19,8 +20,7 @@
 """Share of the permits for which each rank may compete."""
 
 
-@dataclass(slots=True)
-class PermitDemand:
+class PermitDemand(Struct):
     """The asks for permits of one pool in the last window: times and ranks."""
 
     clock: Clock
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/permit_lease.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/permit_lease.py
@@ -8,7 +8,7 @@
 as such a lease could last.
 """
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from medlarridge._internal.clock import Clock
 
@@ -25,8 +25,7 @@
 """Age of a lease at which it is written again."""
 
 
-@dataclass(slots=True)
-class StoreEraView:
+class StoreEraView(Struct):
     """The era of the store, and since when this router knows of it.
 
     ``since_ms`` is None if no lease can have been written in an earlier era.
@@ -47,8 +46,7 @@
         return 0 if self.since_ms is None else self.since_ms + TERM_MS
 
 
-@dataclass(slots=True)
-class PermitLease:
+class PermitLease(Struct):
     """What this router knows of the lease of one pool, and its permits.
 
     ``written_ms`` is when the write was sent by which this router has the lease, None
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/permit_ledger.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/permit_ledger.py
@@ -7,9 +7,10 @@
 proof.
 """
 
-from dataclasses import dataclass, field
 from math import ceil
 
+from msgspec import Struct, field
+
 from medlarridge._internal.clock import MS_PER_S, Clock
 
 from .retry_budget import MAX_ARRIVAL_DELAY_MS
@@ -46,8 +47,7 @@
     return max(int(limit_per_s * window_ms(limit_per_s) / MS_PER_S), 1)
 
 
-@dataclass(slots=True)
-class PermitLedger:
+class PermitLedger(Struct):
     """The permits of one pool; ``end_ms`` has when each has arrived at the latest.
 
     ``unknown_until_ms`` is when requests of permits that are not in this ledger, of an
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/placement.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/placement.py
@@ -6,9 +6,10 @@
 """
 
 from collections.abc import Sequence, Set
-from dataclasses import dataclass, field
 from random import Random
 
+from msgspec import Struct, field
+
 from ..protocol.requests import PromptPart
 from ..protocol.servers import BackendServer
 from .hashing import hash_to_fraction
@@ -32,8 +33,7 @@
 """Fetching fewer cached tokens from another server is not worth a call."""
 
 
-@dataclass(slots=True)
-class Placement:
+class Placement(Struct):
     """Ranks the servers of a pool for a request.
 
     ``data_centre`` is that of this router. ``load_factor`` is the multiple of the mean
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/processing_pace.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/processing_pace.py
@@ -1,6 +1,6 @@
 """Observed pace at which the servers of a pool process prompts."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 EWMA_WEIGHT = 0.1
 """Weight of the newest observation in the moving average."""
@@ -9,8 +9,7 @@
 """Shorter prompts say little, since other delays outweigh their processing."""
 
 
-@dataclass(slots=True)
-class ProcessingPace:
+class ProcessingPace(Struct):
     """Moving average of the milliseconds per token by pool."""
 
     ms_per_token: dict[str, float] = field(default_factory=dict)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/prompt_cache_index.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/prompt_cache_index.py
@@ -2,7 +2,8 @@
 
 from collections import OrderedDict
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from medlarridge._internal.clock import Clock
 
@@ -33,8 +34,7 @@
     return parts[-1].part_id if parts else None
 
 
-@dataclass(slots=True)
-class Holding:
+class Holding(Struct):
     """Use of a part by a server.
 
     ``since_ms`` is the time at which the server was first sent the part, or 0 once it
@@ -45,8 +45,7 @@
     last_used_ms: int
 
 
-@dataclass(slots=True)
-class PromptCacheIndex:
+class PromptCacheIndex(Struct):
     """Use of parts by server instance; the least recent parts are evicted.
 
     ``synced`` is set once the index covers what servers cached before this router
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/quiet_times.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/quiet_times.py
@@ -4,7 +4,7 @@
 that takes differs between pools and changes with their load, so it is observed.
 """
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from medlarridge._internal.clock import Clock
 
@@ -20,8 +20,7 @@
 """Timeout as a multiple of the longest quiet time."""
 
 
-@dataclass(slots=True)
-class LongestQuietTime:
+class LongestQuietTime(Struct):
     """Longest quiet time in the current window and in the one before it."""
 
     window: int = 0
@@ -37,8 +36,7 @@
         self.window = window
 
 
-@dataclass(slots=True)
-class QuietTimes:
+class QuietTimes(Struct):
     """Longest quiet times by pool.
 
     ``responding`` tells whether a response was under way: its next piece is due sooner
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/retry_budget.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/retry_budget.py
@@ -17,12 +17,13 @@
 """
 
 from collections import deque
-from dataclasses import dataclass, field
 from enum import Enum, auto
 from itertools import accumulate
 from math import ceil
 from typing import Protocol
 
+from msgspec import Struct, field
+
 from medlarridge._internal.clock import MS_PER_S, Clock
 
 from .fleet_size import FleetSize
@@ -79,8 +80,7 @@
     window_s: float
 
 
-@dataclass(slots=True)
-class PoolHistory:
+class PoolHistory(Struct):
     """Requests and retries of one pool, counted by slot.
 
     ``requests`` ends with the count of ``newest_slot``. ``ended_retries`` counts retries
@@ -110,8 +110,7 @@
             del self.ended_retries[slot]
 
 
-@dataclass(slots=True)
-class RetryBudget:
+class RetryBudget(Struct):
     """Share of this process in the budgets of all pools."""
 
     clock: Clock
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/route_durations.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/route_durations.py
@@ -1,7 +1,8 @@
 """How long the requests of each route take, to tell which still fit before a stop."""
 
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 SAMPLES = 32
 """Number of the latest requests of a route that are kept."""
@@ -10,8 +11,7 @@
 """Factor by which a request may take longer than all of these."""
 
 
-@dataclass(slots=True)
-class RouteDurations:
+class RouteDurations(Struct):
     """Durations of the latest answered requests, by route."""
 
     samples_ms: dict[str, deque[int]] = field(default_factory=dict)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
@@ -10,9 +10,10 @@
   at their load limit, because the whole pool is needed when most of it fails.
 """
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+from msgspec import Struct, field
+
 from medlarridge._internal.clock import Clock
 
 from .quiet_times import MIN_TIMEOUT_MS, QuietTimes
@@ -52,8 +53,7 @@
 """A response that this router got within this time outweighs the finding of a peer."""
 
 
-@dataclass(slots=True)
-class WaitingAttempt:
+class WaitingAttempt(Struct):
     """An attempt in flight; both times are equal until the first bytes arrive."""
 
     sent_ms: int
@@ -65,8 +65,7 @@
         return self.last_received_ms > self.sent_ms
 
 
-@dataclass(slots=True)
-class InstanceHealth:
+class InstanceHealth(Struct):
     """Health of one server instance.
 
     ``failed_share`` is a moving average of failures. ``detected_locally`` tells whether
@@ -90,8 +89,7 @@
     probe_interval_ms: int = MIN_AVOID_MS
 
 
-@dataclass(slots=True)
-class ServerHealth:
+class ServerHealth(Struct):
     """Health of all servers, by instance.
 
     ``last_number`` is the number of the newest attempt.
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_origins.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_origins.py
@@ -6,7 +6,8 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from medlarridge._internal.clock import Clock
 
@@ -20,24 +21,21 @@
 """Interval at which all streams are looked through."""
 
 
-@dataclass(frozen=True, slots=True)
-class StreamOrigin:
+class StreamOrigin(Struct, frozen=True):
     """The pool and the software version whose server wrote a stream's first event."""
 
     pool: str
     software_version: str
 
 
-@dataclass(frozen=True, slots=True)
-class KnownStream:
+class KnownStream(Struct, frozen=True):
     """A stream's origin, and the time until which a client may take the stream up."""
 
     origin: StreamOrigin
     expires_ms: int
 
 
-@dataclass(slots=True)
-class StreamOrigins:
+class StreamOrigins(Struct):
     """Known streams by the key of the request that brought the first event."""
 
     clock: Clock
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -7,7 +7,6 @@
 from datetime import UTC, datetime
 
 import msgspec
-from loguru import logger
 
 from medlarridge._internal.clock import MS_PER_S, Clock
 from medlarridge._internal.events import Event, register
@@ -137,43 +136,22 @@
         self.total_dropped = 0
         os.set_blocking(sys.stdout.fileno(), False)
         self.writer = LogWriter(sys.stdout.fileno())
-        logger.remove()
-        logger.add(self.write_record, level="INFO", format="{message}")
-
-    def write_record(self, message: object) -> None:
-        """Write a loguru record as one JSON line."""
-        record = message.record  # type: ignore[attr-defined]
-        self.write_line(
-            record["level"].name,
-            record["extra"]["code"],
-            record["message"],
-            record["extra"]["fields"],
-        )
 
-    def write_line(
-        self, level: str, code: str, text: str, fields: dict[str, object]
-    ) -> None:
-        """Queue one JSON line."""
+    def event(self, event: Event, **fields: object) -> None:
+        """Log a change of the router's state."""
         line = {
             "time": datetime.now(UTC).isoformat(timespec="milliseconds"),
             "steady_ms": self.clock.now_ms(),
-            "level": level,
+            "level": event.level,
             "node": self.node,
-            "code": code,
-            "text": text,
+            "code": event.code,
+            "text": event.text,
             **fields,
         }
         self.writer.write(ENCODER.encode(line) + b"\n")
 
-    def event(self, event: Event, **fields: object) -> None:
-        """Log a change of the router's state."""
-        logger.bind(code=event.code, fields=fields).log(event.level, event.text)
-
     def request_event(self, event: Event, **fields: object) -> None:
-        """Log an event of a request unless the limit per second is reached.
-
-        This bypasses loguru, whose records cost several times as much as the line.
-        """
+        """Log an event of a request unless the limit per second is reached."""
         second = self.clock.now_ms() // MS_PER_S
         if second != self.current_second:
             if self.dropped:
@@ -188,7 +166,7 @@
             self.total_dropped += 1
             return
         self.lines_left -= 1
-        self.write_line(event.level, event.code, event.text, fields)
+        self.event(event, **fields)
 
     def flush(self) -> None:
         """Write the queued lines."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
@@ -7,9 +7,10 @@
 from bisect import bisect_left
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 if TYPE_CHECKING:
     from prometheus_client import Metric
 
@@ -17,8 +18,7 @@
 MS_PER_S = 1000
 
 
-@dataclass(slots=True)
-class LatencyHistogram:
+class LatencyHistogram(Struct):
     """Histogram of latencies in milliseconds."""
 
     counts: list[int] = field(default_factory=lambda: [0] * (len(LATENCY_BOUNDS_S) + 1))
@@ -41,8 +41,7 @@
 Gauge = Callable[[], float]
 
 
-@dataclass(slots=True, eq=False)
-class Metrics:
+class Metrics(Struct, eq=False):
     """Metrics of a router; ``gauges`` are read when the metrics are requested."""
 
     requests: Counter = field(default_factory=Counter)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/accepted_request.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/accepted_request.py
@@ -1,13 +1,12 @@
 """Requests that the configuration allows."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from .configuration import Account, Pool, Route
 from .requests import ClientRequest, RequestMetadata
 
 
-@dataclass(frozen=True, slots=True)
-class AcceptedRequest:
+class AcceptedRequest(Struct, frozen=True):
     """A request that the configuration allows, with its route, pool and account."""
 
     request: ClientRequest
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
@@ -4,9 +4,10 @@
 routers of another version.
 """
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+from msgspec import Struct, field
+
 
 class RouteKind(StrEnum):
     """Kind of a route, on which it depends whether its requests may be repeated."""
@@ -16,16 +17,14 @@
     STREAM = "stream"
 
 
-@dataclass(frozen=True, slots=True)
-class PoolShare:
+class PoolShare(Struct, frozen=True):
     """A pool of a route and its weight in the route's traffic split."""
 
     pool: str
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """A route: the requests it matches, their pools, and how they are handled.
 
     ``objective_ms`` is the target latency, 0 if there is none. ``priority`` 0 is the
@@ -57,8 +56,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class Pool:
+class Pool(Struct, frozen=True):
     """A pool of backend servers.
 
     ``max_connections`` is the limit for all routers together. ``runs_models`` marks
@@ -70,16 +68,14 @@
     runs_models: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Account:
+class Account(Struct, frozen=True):
     """A client account; its priority, if set, overrides that of the route."""
 
     name: str
     priority: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ClientLimits:
+class ClientLimits(Struct, frozen=True):
     """Limits on the size of client requests and on the time that clients may take."""
 
     max_header_bytes: int = 16_384
@@ -88,8 +84,7 @@
     idle_timeout_ms: int = 15_000
 
 
-@dataclass(slots=True)
-class Configuration:
+class Configuration(Struct):
     """One version of the configuration.
 
     ``version`` is the operator's and orders the configurations, also when the store
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
@@ -1,8 +1,7 @@
 """Datagrams that routers send to each other."""
 
-from dataclasses import dataclass
-
 import msgspec
+from msgspec import Struct
 
 from medlarridge._internal.errors import CodecError
 
@@ -22,8 +21,7 @@
     sequence: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class HeldStrike:
+class HeldStrike(Struct, frozen=True):
     """A strike as it is handed to routers that may not know it."""
 
     fingerprint: int
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/permit_leases.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/permit_leases.py
@@ -1,12 +1,11 @@
 """The store's record of which router gives out the permits for a pool."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from .revision import Revision
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseRecord:
+class LeaseRecord(Struct, frozen=True):
     """What a router writes when it takes, renews or releases the lease of a pool.
 
     ``node`` is empty if the lease is released, ``process`` the ID of the router's
@@ -28,8 +27,7 @@
         return not self.node
 
 
-@dataclass(frozen=True, slots=True)
-class StoredLease:
+class StoredLease(Struct, frozen=True):
     """A record at its revision in the store; without one ``record`` is None."""
 
     record: LeaseRecord | None
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
@@ -1,8 +1,9 @@
 """Interfaces that the adapter of a platform implements for the router."""
 
-from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec import Struct
+
 from medlarridge._internal.errors import TransportError
 
 from .configuration import Configuration
@@ -61,8 +62,7 @@
     """
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationSnapshot:
+class ConfigurationSnapshot(Struct, frozen=True):
     """The result of reading or watching the configuration at a revision of the store.
 
     ``configuration`` is None if there is none or a watch found no change.
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/requests.py
@@ -1,23 +1,22 @@
 """Requests and responses in the router's own types."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 from .server_notices import NO_NOTICE, ServerNotice
 
 Headers = list[tuple[bytes, bytes]]
 
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
+class PromptPart(Struct, frozen=True):
     """A part of a prompt that other requests may share."""
 
     part_id: str
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class ClientRequest:
+class ClientRequest(Struct, frozen=True):
     """A request that was received completely from a client.
 
     ``accepts_chunks`` is False for clients of HTTP/1.0, which know no chunks.
@@ -32,8 +31,7 @@
     accepts_chunks: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class RequestMetadata:
+class RequestMetadata(Struct, frozen=True):
     """Metadata that a client sends in the headers of its request.
 
     ``deadline_ms`` is the time that the client waits for the response, from the moment
@@ -56,8 +54,7 @@
         return tuple(part.part_id for part in self.prompt[:-1])
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardingMetadata:
+class ForwardingMetadata(Struct, frozen=True):
     """Metadata that the router adds to a request for one attempt.
 
     ``deadline_ms`` is the remaining time. ``urgency`` is from 0, served first, to 9.
@@ -81,8 +78,7 @@
     NO_BODY = "no-body"
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseHead:
+class ResponseHead(Struct, frozen=True):
     """Status and headers of a server's response.
 
     ``signed`` tells whether the response carries the server's signature, and
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/server_notices.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/server_notices.py
@@ -1,10 +1,9 @@
 """What servers say of themselves in the heads of their responses."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class ServerNotice:
+class ServerNotice(Struct, frozen=True):
     """What one response says of its server.
 
     ``limit_per_s`` is the number of requests a second that the server takes from all
@@ -23,8 +22,7 @@
 NO_NOTICE = ServerNotice()
 
 
-@dataclass(frozen=True, slots=True)
-class LimitStatement:
+class LimitStatement(Struct, frozen=True):
     """A limit that a server stated, or that it has none (``per_s`` is None).
 
     It was stated between ``asked_ms``, when the request was sent, and ``heard_ms``,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/servers.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/servers.py
@@ -5,9 +5,10 @@
 """
 
 from collections.abc import Iterable, Set
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 from .revision import Revision
 
 
@@ -18,8 +19,7 @@
     DRAINING = "draining"
 
 
-@dataclass(frozen=True, slots=True)
-class BackendServer:
+class BackendServer(Struct, frozen=True):
     """One entry of the server list.
 
     ``instance`` identifies one start of a server, and ``started_at`` (milliseconds
@@ -54,8 +54,7 @@
         return f"{self.instance}/{self.started_at}"
 
 
-@dataclass(frozen=True, slots=True)
-class ServerListing:
+class ServerListing(Struct, frozen=True):
     """All servers at one revision of the store.
 
     ``malformed`` is the number of entries that were skipped.
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/received_body.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/received_body.py
@@ -1,6 +1,6 @@
 """What an attempt has received of a response body."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from medlarridge._internal.protocol.server_sent_events import (
     EventSplitter,
@@ -13,16 +13,14 @@
 """Bytes of one event above which a stream counts as broken."""
 
 
-@dataclass(frozen=True, slots=True)
-class BodyPart:
+class BodyPart(Struct, frozen=True):
     """Next bytes of a body and the events of a stream that they complete."""
 
     data: bytes
     events: list[StreamEvent]
 
 
-@dataclass(slots=True)
-class ReceivedBody:
+class ReceivedBody(Struct):
     """What was received of a response body.
 
     ``splitter`` is None if the body is not an event stream.
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -1,10 +1,11 @@
 """Forwarding of one client request: attempts, retries and delivery of the response."""
 
 from collections.abc import Sequence
-from dataclasses import replace
 from enum import StrEnum
 from itertools import takewhile
 
+from msgspec.structs import replace
+
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.protocol.server_sent_events import is_after
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/send_permits.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/send_permits.py
@@ -7,10 +7,11 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from math import ceil
 from random import Random
 
+from msgspec import Struct
+
 from medlarridge._internal.clock import MS_PER_S, Clock
 
 from .coordination.permit_demand import PermitDemand
@@ -53,8 +54,7 @@
 MAX_RETRY_AFTER_MS = 5_000
 
 
-@dataclass(slots=True)
-class Permit:
+class Permit(Struct):
     """A permit for one request; ``tell`` tells the keeper once how it ended."""
 
     server: BackendServer
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/left_servers.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/left_servers.py
@@ -3,7 +3,8 @@
 When the store comes back from an older copy, its list may show them as ready again.
 """
 
-from dataclasses import dataclass, field, replace
+from msgspec import Struct, field
+from msgspec.structs import replace
 
 from medlarridge._internal.clock import Clock
 
@@ -20,8 +21,7 @@
 of a copy from which the store may come back."""
 
 
-@dataclass(frozen=True, slots=True)
-class LeftServer:
+class LeftServer(Struct, frozen=True):
     """The last entry of a server that was draining or gone, and when that was seen."""
 
     started_at: int
@@ -34,8 +34,7 @@
         return server.started_at == self.started_at and server.sequence <= self.sequence
 
 
-@dataclass(slots=True)
-class LeftServers:
+class LeftServers(Struct):
     """The servers that left, by instance.
 
     ``ignored`` are those that the list of the current era shows as ready.
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/own_read.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/own_read.py
@@ -1,12 +1,11 @@
 """The time at which this router itself last read something from the store."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from medlarridge._internal.clock import Clock
 
 
-@dataclass(slots=True)
-class OwnRead:
+class OwnRead(Struct):
     """Time of the last read; None before the first one."""
 
     clock: Clock
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/peer_table.py
@@ -1,9 +1,10 @@
 """Table of the other routers and of their last reports."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from random import Random
 
+from msgspec import Struct, field
+
 from medlarridge._internal.clock import Clock
 
 from ..protocol.peer_messages import Report
@@ -30,8 +31,7 @@
     return link_class << RANDOM_BITS | random.getrandbits(RANDOM_BITS)
 
 
-@dataclass(slots=True)
-class Peer:
+class Peer(Struct):
     """Another router and the contents of its last report.
 
     ``router_id`` identifies one start of its process, which has been heard without a
@@ -54,8 +54,7 @@
     kept_pools: frozenset[str] = frozenset()
 
 
-@dataclass(slots=True)
-class PeerTable:
+class PeerTable(Struct):
     """Peers by address.
 
     ``store_reachable`` tells whether this router itself reaches the store.
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/pool_versions.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/pool_versions.py
@@ -1,7 +1,8 @@
 """Software versions that the servers of each pool have had lately."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from medlarridge._internal.clock import Clock
 
@@ -11,8 +12,7 @@
 """Age of the server list above which a version may have come and gone unseen."""
 
 
-@dataclass(slots=True)
-class PoolVersions:
+class PoolVersions(Struct):
     """Versions in the newest list, and when the others were last listed, by pool.
 
     ``since_ms`` is the time from which on all versions are known.
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_notices.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_notices.py
@@ -6,9 +6,10 @@
 """
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
 from random import Random
 
+from msgspec import Struct, field
+
 from medlarridge._internal.clock import Clock
 
 from ..protocol.server_notices import LimitStatement, ServerNotice
@@ -46,8 +47,7 @@
     """Do nothing about malformed values."""
 
 
-@dataclass(slots=True)
-class ServerNotices:
+class ServerNotices(Struct):
     """The statements of servers, by start of a server.
 
     ``rest_until_ms`` are the times until which servers want no request of this router,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/server_table.py
@@ -7,10 +7,11 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
 import xxhash
+from msgspec import Struct
+from msgspec.structs import replace
 
 from medlarridge._internal.clock import Clock
 
@@ -48,24 +49,21 @@
     GONE = "gone"
 
 
-@dataclass(frozen=True, slots=True)
-class ServerChange:
+class ServerChange(Struct, frozen=True):
     """A change of one server."""
 
     server: BackendServer
     kind: ServerChangeKind
 
 
-@dataclass(frozen=True, slots=True)
-class DepartedServer:
+class DepartedServer(Struct, frozen=True):
     """A server that left the list, and the time at which this was detected."""
 
     server: BackendServer
     departed_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class EraChange:
+class EraChange(Struct, frozen=True):
     """What the first list of a new era of the store has changed.
 
     ``missing`` servers are kept for a while, ``ignored`` entries show servers as ready
@@ -82,7 +80,6 @@
     """Do nothing about a new era."""
 
 
-@dataclass(slots=True)
 class ServerTable:
     """The newest server list, lapsed entries that are kept, and servers that left.
 
@@ -95,30 +92,26 @@
     era.
     """
 
-    clock: Clock
-    by_instance: dict[str, BackendServer] = field(default_factory=dict)
-    ready_by_pool: dict[str, list[BackendServer]] = field(default_factory=dict)
-    all_by_pool: dict[str, list[BackendServer]] = field(default_factory=dict)
-    lapsed: set[str] = field(default_factory=set)
-    revision: Revision = NO_REVISION
-    digest: int = 0
-    listing: ServerListing | None = None
-    confirmed_ms: int | None = None
-    store_seen_ms: int | None = None
-    leaving: dict[str, Departure] = field(default_factory=dict)
-    left: LeftServers = field(init=False)
-    refused_by_era: int = 0
-    on_era_change: Callable[[EraChange], None] = ignore_era_change
-    outdated: bool = False
-    keep_lapsed_until_ms: int = 0
-    departed: dict[str, DepartedServer] = field(default_factory=dict)
-    own_read: OwnRead = field(init=False)
-    versions: PoolVersions = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.left = LeftServers(self.clock)
-        self.own_read = OwnRead(self.clock)
-        self.versions = PoolVersions(self.clock)
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.by_instance: dict[str, BackendServer] = {}
+        self.ready_by_pool: dict[str, list[BackendServer]] = {}
+        self.all_by_pool: dict[str, list[BackendServer]] = {}
+        self.lapsed: set[str] = set()
+        self.revision: Revision = NO_REVISION
+        self.digest = 0
+        self.listing: ServerListing | None = None
+        self.confirmed_ms: int | None = None
+        self.store_seen_ms: int | None = None
+        self.leaving: dict[str, Departure] = {}
+        self.left = LeftServers(clock)
+        self.refused_by_era = 0
+        self.on_era_change: Callable[[EraChange], None] = ignore_era_change
+        self.outdated = False
+        self.keep_lapsed_until_ms = 0
+        self.departed: dict[str, DepartedServer] = {}
+        self.own_read = OwnRead(clock)
+        self.versions = PoolVersions(clock)
 
     def update(self, listing: ServerListing, read_ms: int) -> list[ServerChange]:
         """Apply a list that was requested at ``read_ms``; return the changes."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_announcements.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_announcements.py
@@ -1,7 +1,8 @@
 """What a router tells the others of the streams that clients may take up again."""
 
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from .coordination.stream_origins import StreamOrigin, StreamOrigins
 from .protocol.peer_messages import StreamGroup
@@ -14,8 +15,7 @@
 """Limit of the streams in one report, so that it fits into a few packets."""
 
 
-@dataclass(slots=True)
-class StreamAnnouncements:
+class StreamAnnouncements(Struct):
     """Streams that the next reports name.
 
     ``pending`` holds the keys of new streams for all peers, once for each report, and
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_client.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_client.py
@@ -1,7 +1,8 @@
 """HTTP client for the platform's store and other routers."""
 
 import asyncio
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from medlarridge._internal.clock import MS_PER_S, Clock, SystemClock
 from medlarridge._internal.errors import TransportError
@@ -25,8 +26,7 @@
 largest size takes about 30 s over a link of 5 Mbit/s, and a watch waits up to 30 s."""
 
 
-@dataclass(frozen=True, slots=True)
-class HttpResponse:
+class HttpResponse(Struct, frozen=True):
     """A complete response."""
 
     status: int
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
@@ -3,9 +3,9 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import httptools
+from msgspec import Struct
 
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.errors import TransportError
@@ -28,8 +28,7 @@
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
-@dataclass(frozen=True, slots=True)
-class RawResponseHead:
+class RawResponseHead(Struct, frozen=True):
     """Status line and headers of a response."""
 
     status: int
@@ -38,20 +37,17 @@
     framing: Framing
 
 
-@dataclass(frozen=True, slots=True)
-class Data:
+class Data(Struct, frozen=True):
     """Next bytes of the response body."""
 
     data: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class End:
+class End(Struct, frozen=True):
     """The end of a complete response."""
 
 
-@dataclass(frozen=True, slots=True)
-class Broken:
+class Broken(Struct, frozen=True):
     """A connection failure before the response was complete.
 
     ``ended_by_server`` tells that the server's side ended the connection, as its
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.errors import TransportError
@@ -42,8 +43,7 @@
     """Raised when the router's share of the server's connections is in use."""
 
 
-@dataclass(slots=True)
-class ServerConnections:
+class ServerConnections(Struct):
     """Connections to one server instance.
 
     The connection that has been idle for longest is reused first, so that none reaches
--- a/packages/medlarridge-direct/tests/direct/router_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/router_fleet.py
@@ -1,6 +1,8 @@
 """Routers that share limits, with a network and a store that can fail between them."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
 
 from medlarridge import ManualClock, TransportError
 from medlarridge_direct._internal.logs import Log
--- a/packages/medlarridge-direct/tests/direct/test_logs.py
+++ b/packages/medlarridge-direct/tests/direct/test_logs.py
@@ -28,7 +28,7 @@
 
 class TestLog:
     def test_request_lines_have_the_format_of_other_lines(self, log, capfd):
-        """Guards against two formats, as request lines bypass loguru."""
+        """Guards against two formats, as only request lines are limited."""
         log.event(READINESS_CHANGED, ready=True)
         log.request_event(RESPONSE_DELIVERED, request="r-1", status=200)
         first, second = written_lines(log, capfd)
--- a/packages/medlarridge/src/medlarridge/_internal/coordination/acceptance.py
+++ b/packages/medlarridge/src/medlarridge/_internal/coordination/acceptance.py
@@ -1,8 +1,9 @@
 """Validation of the operators' tables and publication as a new configuration."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 import msgspec
+from msgspec.structs import replace
 from pydantic import ValidationError
 from result import Err, Ok, Result
 
--- a/packages/medlarridge/src/medlarridge/_internal/errors.py
+++ b/packages/medlarridge/src/medlarridge/_internal/errors.py
@@ -1,8 +1,9 @@
 """Errors of the library and the binaries."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
+
 
 class MedlarridgeError(Exception):
     """Base of all errors raised by the project.
@@ -61,8 +62,7 @@
     TOO_LARGE = "too_large"
 
 
-@dataclass(frozen=True)
-class StoreError:
+class StoreError(msgspec.Struct, frozen=True):
     """A failed call to the object store.
 
     ``UNAVAILABLE`` means that the call had no effect, ``AMBIGUOUS`` that it may have
--- a/packages/medlarridge/src/medlarridge/_internal/events.py
+++ b/packages/medlarridge/src/medlarridge/_internal/events.py
@@ -1,10 +1,9 @@
 """Registry of numbered log events; docs/log-events.md lists them."""
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(frozen=True)
-class Event:
+class Event(msgspec.Struct, frozen=True):
     """A kind of log event.
 
     Numbers: 1000 router, 2000 sidecar, 3000 configuration and store, 4000
--- a/packages/medlarridge/src/medlarridge/_internal/protocol/server_sent_events.py
+++ b/packages/medlarridge/src/medlarridge/_internal/protocol/server_sent_events.py
@@ -1,7 +1,8 @@
 """Parser of server-sent events (text/event-stream) that keeps their bytes unchanged."""
 
 import re
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 EVENT_STREAM_TYPE = "text/event-stream"
 
@@ -14,8 +15,7 @@
 ID_FIELD = b"id:"
 
 
-@dataclass(frozen=True, slots=True)
-class StreamEvent:
+class StreamEvent(Struct, frozen=True):
     """One complete event; ``event_id`` is None if the event has no ID."""
 
     data: bytes
@@ -27,8 +27,7 @@
         return self.data.strip() == DONE_EVENT
 
 
-@dataclass(slots=True)
-class EventSplitter:
+class EventSplitter(Struct):
     """Splits a byte stream into complete events and buffers an incomplete one.
 
     A CR at the end of the received bytes ends a line at once. If an LF of the same line
