Open the accept queue before the router is loaded

Cause: while a router loads its modules, connections to it are refused; after a loss of all power, the balancer uses all routers, ready or not, and clients give up after one retry. Clients wait in it until the router is ready, at most 500 ms after its loop runs. What waited counts as received when the queue was opened, so that no server gets more time than the client still waits.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -61,6 +61,7 @@
 from .state.server_notices import ServerNotices
 from .state.server_table import ServerTable
 from .store_sync import StoreSync
+from .transport.accept_queue import LISTEN_BACKLOG, AcceptQueue
 from .transport.client_connection import ClientConnection, ResponseWriter
 from .transport.server_connections import ConnectionPools
 
@@ -85,8 +86,12 @@
 MAX_LOGGED_VALUE = 40
 """Malformed values of one response that are logged, and characters of each."""
 
-LISTEN_BACKLOG = 512
-"""Length of the accept queue; a burst opens a few hundred connections at once."""
+FIRST_ACCEPT_DELAY_MS = 500
+"""Time for which clients are left in the accept queue of a router that has started and is
+not ready yet. The configuration normally arrives within a few tens of milliseconds."""
+
+READINESS_POLL_MS = 5
+"""Interval at which a starting router checks whether it is ready."""
 
 
 class DirectRouter:
@@ -98,8 +103,10 @@
         settings_path: Path,
         dialect: Dialect,
         store: PlatformStore,
+        accept_queue: AcceptQueue | None = None,
     ) -> None:
         self.settings = settings
+        self.accept_queue = accept_queue
         self.settings_path = settings_path
         self.settings_modified_ns = modification_time_ns(settings_path)
         self.clock = SystemClock()
@@ -367,10 +374,11 @@
             OperatorEndpoint(self.handler).handle,
             self.internal_connections,
         )
-        client_listener = await self.listen_for_clients()
         self.log.event(
             STARTED, role=self.settings.role, clients=self.settings.listen.clients
         )
+        await self.wait_until_ready()
+        client_listener = await self.listen_for_clients()
         await stop.wait()
         client_listener = await self.drain(client_listener)
         client_listener.close()
@@ -403,21 +411,42 @@
         address: tuple[str, int],
         handler: Callable,
         connections: set[ClientConnection],
+        queue: AcceptQueue | None = None,
     ) -> asyncio.Server:
-        """Start a server that accepts connections at an address."""
+        """Start a server that accepts connections at an address, or from its queue."""
         loop = asyncio.get_running_loop()
-        return await loop.create_server(
-            lambda: ClientConnection(
+
+        def create_connection() -> ClientConnection:
+            return ClientConnection(
                 handler,
                 self.components.configuration.limits,
                 self.clock,
                 connections,
                 lambda: self.stopping_since_ms is not None,
-            ),
-            *address,
-            backlog=LISTEN_BACKLOG,
+                None if queue is None else queue.waiting_since_ms(),
+            )
+
+        if queue is None:
+            return await loop.create_server(
+                create_connection, *address, backlog=LISTEN_BACKLOG
+            )
+        return await loop.create_server(
+            create_connection, sock=queue.begin_accepting(), backlog=LISTEN_BACKLOG
         )
 
+    async def wait_until_ready(self) -> None:
+        """Leave clients in the accept queue until the router is ready, for a short time.
+
+        Without a configuration they would be refused.
+        """
+        end_ms = self.clock.now_ms() + FIRST_ACCEPT_DELAY_MS
+        while (
+            not self.ready
+            and self.stopping_since_ms is None
+            and self.clock.now_ms() < end_ms
+        ):
+            await asyncio.sleep(READINESS_POLL_MS / MS_PER_S)
+
     def begin_stop(self, stop: asyncio.Event) -> None:
         """Become not ready, so that the load balancer stops sending connections."""
         if self.stopping_since_ms is None:
@@ -440,12 +469,13 @@
         return self.stopping_since_ms + self.settings.grace_ms - STOP_MARGIN_MS
 
     async def listen_for_clients(self) -> asyncio.Server:
-        """Accept connections of clients."""
-        return await self.listen(
-            split_endpoint(self.settings.listen.clients),
-            self.handler.handle,
-            self.connections,
-        )
+        """Accept connections of clients, the first time from the accept queue."""
+        address = split_endpoint(self.settings.listen.clients)
+        queue, self.accept_queue = self.accept_queue, None
+        if queue is not None and queue.address != address:
+            queue.close()
+            queue = None
+        return await self.listen(address, self.handler.handle, self.connections, queue)
 
     async def drain(self, client_listener: asyncio.Server) -> asyncio.Server:
         """Accept connections until the load balancer reacts, then finish requests.
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -120,12 +120,14 @@
         clock: Clock,
         connections: set["ClientConnection"],
         is_stopping: Callable[[], bool],
+        queued_since_ms: int | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.clock = clock
         self.connections = connections
         self.is_stopping = is_stopping
+        self.queued_since_ms = queued_since_ms
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
@@ -279,6 +281,8 @@
     def on_message_begin(self) -> None:
         self.reset_message()
         self.message_started_ms = self.clock.now_ms()
+        if self.queued_since_ms is not None:
+            self.message_started_ms, self.queued_since_ms = self.queued_since_ms, None
         if self.task is None and self.timer is not None:
             self.timer.cancel()
             self.check_timeouts()
--- /dev/null
+++ b/packages/medlarridge-direct/src/medlarridge_direct/early_start.py
@@ -0,0 +1,7 @@
+"""Public API for what an adapter does before it loads the rest of the router."""
+
+from medlarridge._internal.clock import SystemClock
+
+from ._internal.transport.accept_queue import AcceptQueue, open_accept_queue
+
+__all__ = ["AcceptQueue", "SystemClock", "open_accept_queue"]
