Bound what a router sends to its peers by a share of its link

Its link was full of datagrams: each restarted router made two others send their whole cache index to all 67 peers, 200 parts every 20 ms, whatever the number of peers, and each request under a crashed server a report to all. Routers that were not heard were told everything again. A router with 6,000 parts sent 18.2 MB in one second over a link that carries 2.5 MB; 400 strikes were 13 MB at once. Change: a tenth of the link, with a burst of a quarter second, for all that is sent beside the periodic reports; urgent reports that do not fit are merged into one that is sent as soon as it fits; a new router alone is told what servers cache.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -131,6 +131,7 @@
             self.peers,
             self.log,
             lambda: self.stopping_since_ms is not None,
+            settings.link_mbps,
         )
         add_gauges(
             self.components,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -89,6 +89,9 @@
 RETRY_SHARE_CHANGED = register(
     6132, "INFO", "this router's share of the retry slack changed"
 )
+REPORTS_HELD_BACK = register(
+    6136, "WARNING", "reports wait because their share of the link is used"
+)
 CACHE_INDEX_SYNCED = register(6135, "INFO", "prompt cache index synced")
 TASK_FAILED = register(6141, "ERROR", "background task failed and is restarted")
 READINESS_CHANGED = register(6140, "INFO", "readiness changed")
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -9,11 +9,13 @@
 from .components import RouterComponents
 from .coordination.crash_detector import Strike
 from .coordination.part_crashes import PartCrash
+from .coordination.send_pacer import SendPacer, control_bytes_per_s
 from .coordination.stream_origins import StreamOrigin
 from .logs import (
     CRASH_STRIKE,
     PEER_FOUND,
     PEER_LOST,
+    REPORTS_HELD_BACK,
     RETRY_SHARE_CHANGED,
     SERVER_LEAVING,
     Log,
@@ -37,14 +39,14 @@
 
 REPORT_INTERVAL_MS = 100
 INTERVAL_PER_PEER_MS = 8
-"""Minimum interval of reports, in total and per peer: a router sends and receives at
-most 125 datagrams a second, however many peers it has."""
+"""Minimum interval of periodic reports, in total and per peer: a router sends and
+receives at most 125 of their datagrams a second, however many peers it has."""
 
 MAX_PARTS_PER_REPORT = 200
 """Limit of the prompt parts in one report, so that it fits into a few packets."""
 
 BACKLOG_INTERVAL_MS = 20
-"""Interval of reports while prompt parts are left over from the last report."""
+"""Minimum interval of reports while something is left over from the last one."""
 
 DEPARTURE_REPEAT_MS = 1_000
 """Time for which reports repeat that a server left, since single reports may be
@@ -63,6 +65,9 @@
 NOTICE_REPORTS = 4
 """Reports in an interval that are sent early because of what a server has said."""
 
+DEFAULT_LINK_MBPS = 1_000.0
+"""Speed of the link if it is not known."""
+
 MAX_CATCH_UP_SENDERS = 2
 """Number of routers that send all cached parts and all known streams to a new router,
 since reports of one may be lost."""
@@ -81,14 +86,18 @@
         peers: PeerTable,
         log: Log,
         is_stopping: Callable[[], bool],
+        link_mbps: float = DEFAULT_LINK_MBPS,
     ) -> None:
         self.components = components
+        self.pacer = SendPacer(components.clock, control_bytes_per_s(link_mbps))
         self.peers = peers
         self.log = log
         self.is_stopping = is_stopping
         self.socket = DatagramSocket(self.handle_datagram)
         self.pending_parts: list[tuple[str, str]] = []
         self.pending_processed_parts: list[tuple[str, str]] = []
+        self.part_handovers: dict[Address, list[tuple[str, str]]] = {}
+        self.delayed_report: asyncio.TimerHandle | None = None
         self.repeat_strikes_until_ms = 0
         self.part_evidence = PartEvidenceExchange(components, log)
         self.streams = StreamAnnouncements(components.stream_origins)
@@ -112,13 +121,25 @@
             self.send_report()
             self.update_live_peers()
             self.peers.remove_silent()
-            has_backlog = (
-                self.pending_parts
-                or self.pending_processed_parts
-                or self.streams.handovers
-            )
-            pause_ms = BACKLOG_INTERVAL_MS if has_backlog else self.interval_ms()
-            await asyncio.sleep(pause_ms / MS_PER_S)
+            await self.send_backlog(self.components.clock.now_ms() + self.interval_ms())
+
+    async def send_backlog(self, end_ms: int) -> None:
+        """Send what the last report left over, as the link allows, until ``end_ms``."""
+        clock = self.components.clock
+        is_left_over = self.has_pending_parts
+        while (left_ms := end_ms - clock.now_ms()) > 0:
+            if not is_left_over and not self.has_handovers:
+                await asyncio.sleep(left_ms / MS_PER_S)
+                return
+            pause_ms = max(BACKLOG_INTERVAL_MS, self.pacer.delay_ms())
+            await asyncio.sleep(min(pause_ms, left_ms) / MS_PER_S)
+            if pause_ms >= left_ms:
+                return
+            if is_left_over:
+                self.send_report()
+                is_left_over = self.has_pending_parts
+            else:
+                self.send_handovers()
 
     def interval_ms(self) -> int:
         """Return the interval of reports."""
@@ -139,14 +160,14 @@
         """
         now_ms = self.components.clock.now_ms()
         self.departures += [(now_ms, departure) for departure in departures]
-        self.send_report()
+        self.send_soon()
 
     def announce_notice(self) -> None:
         """Report at once what a server has said, unless that was done a moment ago."""
         now_ms = self.components.clock.now_ms()
         if now_ms - self.notice_reported_ms >= self.interval_ms() / NOTICE_REPORTS:
             self.notice_reported_ms = now_ms
-            self.send_report()
+            self.send_soon()
 
     def recent_departures(self) -> list[Departure]:
         """Return the departures that are still reported.
@@ -164,12 +185,12 @@
         """Report at once the requests that were running when a server went down."""
         if evidence:
             self.repeat_strikes()
-            self.send_report()
+            self.send_soon()
 
     def announce_changed_parts(self) -> None:
         """Report at once which suspected parts were tried or answered."""
         self.repeat_strikes()
-        self.send_report()
+        self.send_soon()
 
     def repeat_strikes(self) -> None:
         """Let the next reports carry the known strikes."""
@@ -182,8 +203,33 @@
             return []
         return self.components.crash_guard.newest_strikes(MAX_STRIKES_PER_REPORT)
 
+    def send_soon(self) -> None:
+        """Send a report to all peers at once, or as soon as the link allows.
+
+        What is announced meanwhile goes with the same report.
+        """
+        delay_ms = self.pacer.delay_ms()
+        if delay_ms == 0:
+            self.send_report()
+        elif self.delayed_report is None:
+            self.log.request_event(
+                REPORTS_HELD_BACK, for_ms=delay_ms, peers=len(self.peers.peers)
+            )
+            loop = asyncio.get_running_loop()
+            self.delayed_report = loop.call_later(
+                delay_ms / MS_PER_S, self.send_delayed_report
+            )
+
+    def send_delayed_report(self) -> None:
+        """Send the report that had to wait for the link."""
+        self.delayed_report = None
+        self.send_soon()
+
     def send_report(self) -> None:
-        """Send a report to all peers."""
+        """Send a report to all peers, then what single peers are told."""
+        if self.delayed_report is not None:
+            self.delayed_report.cancel()
+            self.delayed_report = None
         if not self.peers.peers:
             self.pending_parts.clear()
             self.pending_processed_parts.clear()
@@ -200,9 +246,36 @@
             cached_parts, processed_parts, self.streams.next_groups()
         )
         self.send_to(report, list(self.peers.peers))
-        for address, groups in self.streams.next_handovers().items():
-            self.sequence += 1
-            self.send_to(self.build_report([], [], groups), [address])
+        self.send_handovers()
+
+    @property
+    def has_pending_parts(self) -> bool:
+        """Return whether cached parts wait for the next report to all peers."""
+        return bool(self.pending_parts or self.pending_processed_parts)
+
+    @property
+    def has_handovers(self) -> bool:
+        """Return whether a peer is still to be told what all others know."""
+        return bool(self.part_handovers or self.streams.handovers)
+
+    def send_handovers(self) -> None:
+        """Tell new peers what the others know, as far as the link allows, at least once."""
+        while self.has_handovers:
+            self.send_handover()
+            if self.pacer.delay_ms():
+                return
+
+    def send_handover(self) -> None:
+        """Tell one new peer the next cached parts and streams; peers take turns."""
+        address = next(iter({**self.part_handovers, **self.streams.handovers}))
+        parts, left = take_first(
+            self.part_handovers.pop(address, []), MAX_PARTS_PER_REPORT
+        )
+        if left:
+            self.part_handovers[address] = left
+        self.sequence += 1
+        groups = self.streams.next_handover(address)
+        self.send_to(self.build_report([], parts, groups), [address])
 
     def send_to(self, report: Report, addresses: list[Address]) -> None:
         """Send a report to some peers."""
@@ -211,6 +284,7 @@
             self.socket.send(data, address)
         control_bytes = self.components.metrics.control_bytes
         control_bytes["sent", "report"] += len(data) * len(addresses)
+        self.pacer.record(len(data) * len(addresses))
 
     def build_report(
         self,
@@ -259,6 +333,7 @@
         """Send a message about permits to a peer."""
         self.socket.send(data, address)
         self.components.metrics.control_bytes["sent", "permit"] += len(data)
+        self.pacer.record(len(data))
 
     def handle_datagram(self, data: bytes, address: Address) -> None:
         """Apply the report of a peer."""
@@ -279,7 +354,7 @@
             self.repeat_strikes()
             self.hand_over_streams(address)
         if is_new:
-            self.announce_all_cached_parts()
+            self.hand_over_cached_parts(address)
         self.components.load.apply_report(report.router_id, report.in_flight)
         cache_index = self.components.placement.cache_index
         for part_id, instance in report.cached_parts:
@@ -370,11 +445,13 @@
                 revision=str(departure.revision),
             )
 
-    def announce_all_cached_parts(self) -> None:
-        """Queue all cached parts for a router that has just started."""
+    def hand_over_cached_parts(self, address: Address) -> None:
+        """Tell a router that has just started all cached parts."""
         cache_index = self.components.placement.cache_index
         if cache_index.synced and self.peers.store_reader_rank() < MAX_CATCH_UP_SENDERS:
-            self.announce_processed_parts(cache_index.entries())
+            entries = cache_index.entries()
+            if entries:
+                self.part_handovers[address] = entries
 
     def apply_store_state(self, report: Report) -> None:
         """Confirm state that equals the peer's, and mark older state as outdated."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_announcements.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_announcements.py
@@ -47,15 +47,12 @@
         if self.origins.streams:
             self.handovers[address] = list(self.origins.streams)
 
-    def next_handovers(self) -> dict[Address, list[StreamGroup]]:
-        """Return the next streams for each peer to which all are handed."""
-        groups = {}
-        for address, streams in list(self.handovers.items()):
-            groups[address] = self.group(streams[:MAX_STREAMS_PER_REPORT])
+    def next_handover(self, address: Address) -> list[StreamGroup]:
+        """Return the next streams for a peer to which all are handed; peers take turns."""
+        streams = self.handovers.pop(address, [])
+        if len(streams) > MAX_STREAMS_PER_REPORT:
             self.handovers[address] = streams[MAX_STREAMS_PER_REPORT:]
-            if not self.handovers[address]:
-                del self.handovers[address]
-        return groups
+        return self.group(streams[:MAX_STREAMS_PER_REPORT])
 
     def group(self, streams: list[int]) -> list[StreamGroup]:
         """Return streams by their origin; forgotten ones are left out."""
