Update the load of peers by the difference of a report

Cause: each report of a peer summed the reports of all peers anew, work that grows with the square of the fleet.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/load_view.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/load_view.py
@@ -48,8 +48,12 @@
 
     def apply_report(self, router_id: int, in_flight: dict[int, int]) -> None:
         """Replace the previous report of a peer."""
+        previous = self.peers.get(router_id)
         self.peers[router_id] = PeerLoad(in_flight, self.clock.now_ms())
-        self.update_peer_totals()
+        if previous is None or previous.in_flight != in_flight:
+            self.add_to_totals(in_flight, 1)
+            if previous is not None:
+                self.add_to_totals(previous.in_flight, -1)
 
     def expire(self) -> None:
         """Discard the reports of peers that stopped reporting."""
@@ -60,16 +64,19 @@
             if load.received_ms < oldest_ms
         ]
         for router_id in expired:
-            del self.peers[router_id]
-        if expired:
-            self.update_peer_totals()
-
-    def update_peer_totals(self) -> None:
-        """Recompute the totals over all peers."""
-        self.peer_totals = {}
-        for load in self.peers.values():
-            for key, count in load.in_flight.items():
-                self.peer_totals[key] = self.peer_totals.get(key, 0) + count
+            self.add_to_totals(self.peers.pop(router_id).in_flight, -1)
+
+    def add_to_totals(self, in_flight: dict[int, int], sign: int) -> None:
+        """Add the counts of one report to the totals, or subtract them.
+
+        The work does not grow with the number of peers.
+        """
+        for key, count in in_flight.items():
+            total = self.peer_totals.get(key, 0) + sign * count
+            if total:
+                self.peer_totals[key] = total
+            else:
+                self.peer_totals.pop(key, None)
 
     def in_flight(self, instance: str) -> int:
         """Return the number of attempts in flight at a server."""
