--- a/packages/medlarridge-direct/src/medlarridge_direct/early_start.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/early_start.py
@@ -3,5 +3,6 @@
 from medlarridge._internal.clock import SystemClock
 
 from ._internal.transport.accept_queue import AcceptQueue, open_accept_queue
+from ._internal.transport.omitted_tls import omit_tls
 
-__all__ = ["AcceptQueue", "SystemClock", "open_accept_queue"]
+__all__ = ["AcceptQueue", "SystemClock", "omit_tls", "open_accept_queue"]
--- a/packages/medlarridge-direct/tests/adapter/test_serve.py
+++ b/packages/medlarridge-direct/tests/adapter/test_serve.py
@@ -9,7 +9,14 @@
 ROOT = Path(__file__).parents[4]
 SERVE = ROOT / "platform" / "serve.py"
 SLOW_MODULE = "print('loading', flush=True)\ninput()\nraise SystemExit(3)\n"
-NOT_NEEDED_TO_SERVE = {"loguru", "pydantic", "prometheus_client", "anyio", "httpx"}
+NOT_NEEDED_TO_SERVE = {
+    "_ssl",
+    "loguru",
+    "pydantic",
+    "prometheus_client",
+    "anyio",
+    "httpx",
+}
 
 
 @contextmanager
--- a/packages/medlarridge-direct/tests/soak/fleet.py
+++ b/packages/medlarridge-direct/tests/soak/fleet.py
@@ -119,7 +119,11 @@
         arguments = ["-m", "soak.store_process", store, "8223", "8224"]
         self.store = Process("store", arguments, self.on_store_line)
         self.routers = [
-            Process(f"router-{number}", ["platform/serve.py"], self.on_router_line)
+            Process(
+                f"router-{number}",
+                ["platform/serve.py", f"{self.ip(1, number)}:8227"],
+                self.on_router_line,
+            )
             for number in range(ROUTER_COUNT)
         ]
         self.servers = [
