--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_reports.py
@@ -10,14 +10,11 @@
 from .coordination.crash_detector import Strike
 from .coordination.part_crashes import PartCrash
 from .coordination.send_pacer import SendPacer, control_bytes_per_s
-from .coordination.stream_origins import StreamOrigin
 from .logs import (
-    CRASH_STRIKE,
     PEER_FOUND,
     PEER_LOST,
     REPORTS_HELD_BACK,
     RETRY_SHARE_CHANGED,
-    SERVER_LEAVING,
     Log,
 )
 from .part_evidence_exchange import PartEvidenceExchange
@@ -32,7 +29,7 @@
     encode_report,
 )
 from .protocol.permit_messages import is_permit_message
-from .protocol.server_notices import LimitStatement
+from .report_application import ReportApplication
 from .state.peer_table import Address, PeerTable
 from .stream_announcements import StreamAnnouncements
 from .transport.datagrams import DatagramSocket
@@ -100,6 +97,7 @@
         self.delayed_report: asyncio.TimerHandle | None = None
         self.repeat_strikes_until_ms = 0
         self.part_evidence = PartEvidenceExchange(components, log)
+        self.application = ReportApplication(components, self.part_evidence, log)
         self.streams = StreamAnnouncements(components.stream_origins)
         self.departures: list[tuple[int, Departure]] = []
         self.notice_reported_ms = 0
@@ -355,37 +353,9 @@
             self.hand_over_streams(address)
         if is_new:
             self.hand_over_cached_parts(address)
-        self.components.load.apply_report(report.router_id, report.in_flight)
-        cache_index = self.components.placement.cache_index
-        for part_id, instance in report.cached_parts:
-            cache_index.record(part_id, instance)
-        for part_id, instance in report.processed_parts:
-            cache_index.record_processed_part(part_id, instance)
-        for group in report.streams:
-            origin = StreamOrigin(group.pool, group.software_version)
-            for stream, left_ms in group.streams:
-                self.components.stream_origins.record(stream, origin, left_ms)
-        for strike in report.held_strikes():
-            self.apply_strike(strike)
-        self.part_evidence.apply(report)
-        if report.registry_age_ms >= 0:
-            self.components.fleet_size.record_reading(
-                report.registered_routers,
-                self.components.clock.now_ms() - report.registry_age_ms,
-            )
-        for limit in report.limits:
-            self.apply_limit(limit)
-        for start in report.leaving_servers:
-            self.components.notices.begin_leaving(start, from_peer=True)
-        for start, rest_ms in report.rests:
-            self.components.notices.begin_peer_rest(start, rest_ms)
+        self.application.apply(report)
         for kept in report.kept_permits:
             self.on_kept_permits(kept)
-        for departure in report.departures:
-            self.apply_departure(departure)
-        for instance in report.unreachable:
-            self.components.health.record_peer_unreachable(instance)
-        self.apply_store_state(report)
 
     def hand_over_streams(self, address: Address) -> None:
         """Tell a router that has just started, or was silent, all known streams."""
@@ -415,36 +385,6 @@
         listed = self.components.servers.starts()
         return [start for start in leaving if start in listed][-MAX_NOTICES_PER_REPORT:]
 
-    def apply_limit(self, limit: ReportedLimit) -> None:
-        """Keep what a server has stated to a peer."""
-        now_ms = self.components.clock.now_ms()
-        statement = LimitStatement(
-            limit.per_s, now_ms - limit.asked_age_ms, now_ms - limit.heard_age_ms
-        )
-        self.components.notices.apply_limit(limit.start, statement, from_peer=True)
-
-    def apply_strike(self, strike: HeldStrike) -> None:
-        """Record a strike that a peer knows."""
-        if self.components.crash_guard.add_strike(
-            strike.fingerprint, strike.server, strike.age_ms
-        ):
-            self.log.event(
-                CRASH_STRIKE,
-                fingerprint=f"{strike.fingerprint:016x}",
-                server=strike.server,
-                peer=True,
-                age_ms=strike.age_ms,
-            )
-
-    def apply_departure(self, departure: Departure) -> None:
-        """Stop using a server that a peer has seen leave the list."""
-        if self.components.servers.record_departure(departure):
-            self.log.event(
-                SERVER_LEAVING,
-                server=departure.instance,
-                revision=str(departure.revision),
-            )
-
     def hand_over_cached_parts(self, address: Address) -> None:
         """Tell a router that has just started all cached parts."""
         cache_index = self.components.placement.cache_index
@@ -453,27 +393,6 @@
             if entries:
                 self.part_handovers[address] = entries
 
-    def apply_store_state(self, report: Report) -> None:
-        """Confirm state that equals the peer's, and mark older state as outdated."""
-        now_ms = self.components.clock.now_ms()
-        servers, configuration = self.components.servers, self.components.configuration
-        if (
-            report.configuration_age_ms >= 0
-            and report.configuration_version == configuration.version
-        ):
-            configuration.confirm(now_ms - report.configuration_age_ms)
-        configuration.record_peer(
-            report.configuration_version, report.configuration_watched_revision
-        )
-        if report.list_digest == servers.digest:
-            if report.list_age_ms >= 0:
-                servers.confirm(now_ms - report.list_age_ms)
-            # An equal list of a new era still ends what waits for the earlier one.
-            if report.list_revision.era > servers.revision.era:
-                servers.outdated = True
-        elif report.list_revision > servers.revision:
-            servers.outdated = True
-
     def update_live_peers(self) -> None:
         """Log peers that were found or lost, and count the routers that are heard."""
         live = {peer.address for peer in self.peers.live_peers()}
