End the accept queue by a timer of the event loop instead of a time

Cause, found while reading the change: connections accepted within 50 ms of the first accept counted as queued. A router with an eighth of a core accepts some tens of connections in that time, so of many queued requests the last counted as received just then, up to seconds late, and a server could get more time than its client waits. Change: the event loop accepts all that wait in one turn and runs the timer that ends the queue in a later one. The test accepts 20 connections that take 100 ms each; before, all but the first counted as new. Two tests of serve share their subprocess.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -432,7 +432,7 @@
                 create_connection, *address, backlog=LISTEN_BACKLOG
             )
         return await loop.create_server(
-            create_connection, sock=queue.begin_accepting(), backlog=LISTEN_BACKLOG
+            create_connection, sock=queue.begin_accepting(loop), backlog=LISTEN_BACKLOG
         )
 
     async def wait_until_ready(self) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/accept_queue.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/accept_queue.py
@@ -5,15 +5,19 @@
 """
 
 import socket
+from typing import TYPE_CHECKING
 
-from medlarridge._internal.clock import Clock
+from medlarridge._internal.clock import MS_PER_S, Clock
+
+if TYPE_CHECKING:
+    import asyncio
 
 LISTEN_BACKLOG = 512
 """Length of the accept queue; a burst opens a few hundred connections at once."""
 
 ACCEPT_MARGIN_MS = 50
-"""Time after the first accept in which connections may still come from the queue; one
-turn of a busy event loop takes some ten milliseconds."""
+"""Delay of the timer that ends the queue. The event loop accepts all that wait in one
+turn, however long that takes, and runs the timer in a later one."""
 
 
 class AcceptQueue:
@@ -26,9 +30,8 @@
 
     def __init__(self, address: tuple[str, int], clock: Clock) -> None:
         self.address = address
-        self.clock = clock
         self.opened_ms = clock.now_ms()
-        self.accepting_since_ms: int | None = None
+        self.is_accepting = False
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -38,18 +41,19 @@
             self.socket.close()
             raise
 
-    def begin_accepting(self) -> socket.socket:
-        """Hand the socket over to the event loop."""
-        self.accepting_since_ms = self.clock.now_ms()
+    def begin_accepting(self, loop: "asyncio.AbstractEventLoop") -> socket.socket:
+        """Hand the socket over to the event loop, which accepts what waits."""
+        self.is_accepting = True
+        loop.call_later(ACCEPT_MARGIN_MS / MS_PER_S, self.end_accepting)
         return self.socket
 
+    def end_accepting(self) -> None:
+        """Take connections that are accepted from now on for new ones."""
+        self.is_accepting = False
+
     def waiting_since_ms(self) -> int | None:
         """Return since when a connection accepted now may have waited, if it has."""
-        if self.accepting_since_ms is None:
-            return None
-        if self.clock.now_ms() > self.accepting_since_ms + ACCEPT_MARGIN_MS:
-            return None
-        return self.opened_ms
+        return self.opened_ms if self.is_accepting else None
 
     def close(self) -> None:
         """Close the socket; clients in the queue are refused."""
--- a/packages/medlarridge-direct/tests/adapter/test_serve.py
+++ b/packages/medlarridge-direct/tests/adapter/test_serve.py
@@ -66,34 +66,29 @@
                 pass
 
 
+def print_after_import(expression):
+    """Return the words that an expression prints in a process that imported serve."""
+    path = os.pathsep.join([str(SERVE.parent), *sys.path])
+    return subprocess.run(
+        [sys.executable, "-S", "-c", f"import sys, serve; print(*{expression})"],
+        env={"PATH": os.environ["PATH"], "PYTHONPATH": path},
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stdout.split()
+
+
 class TestImports:
     def test_a_start_loads_no_library_that_serving_does_not_need(self):
         """Guards against processor time of a start, which delays the first answer."""
-        script = "import sys, serve; print(*sys.modules)"
-        path = os.pathsep.join([str(SERVE.parent), *sys.path])
-        loaded = subprocess.run(
-            [sys.executable, "-S", "-c", script],
-            env={"PATH": os.environ["PATH"], "PYTHONPATH": path},
-            capture_output=True,
-            text=True,
-            check=True,
-        ).stdout.split()
-        assert not NOT_NEEDED_TO_SERVE & set(loaded)
+        assert not NOT_NEEDED_TO_SERVE & set(print_after_import("sys.modules"))
 
     def test_a_start_generates_no_methods(self):
         """Guards against data classes whose methods are compiled at each start."""
-        script = (
-            "import dataclasses, sys, serve;"
-            "print(*[m for m in list(sys.modules) if m.startswith('medlarridge')"
-            " and any(dataclasses.is_dataclass(v) for v in"
-            " vars(sys.modules[m]).values())])"
+        found = print_after_import(
+            "[name for name, module in list(sys.modules.items())"
+            " if name.startswith('medlarridge') and any("
+            " hasattr(value, '__dataclass_fields__')"
+            " for value in vars(module).values())]"
         )
-        path = os.pathsep.join([str(SERVE.parent), *sys.path])
-        found = subprocess.run(
-            [sys.executable, "-S", "-c", script],
-            env={"PATH": os.environ["PATH"], "PYTHONPATH": path},
-            capture_output=True,
-            text=True,
-            check=True,
-        ).stdout.split()
         assert found == []
--- a/packages/medlarridge-direct/tests/direct/test_accept_queue.py
+++ b/packages/medlarridge-direct/tests/direct/test_accept_queue.py
@@ -9,7 +9,6 @@
 from medlarridge_direct._internal.daemon import FIRST_ACCEPT_DELAY_MS, DirectRouter
 from medlarridge_direct._internal.settings import load_settings
 from medlarridge_direct._internal.transport.accept_queue import (
-    ACCEPT_MARGIN_MS,
     AcceptQueue,
     open_accept_queue,
 )
@@ -82,7 +81,8 @@
         try:
             head = await exchange(queue.address, waiting)
             assert head.startswith(b"HTTP/1.1 200")
-            clock.advance(ACCEPT_MARGIN_MS + 1)
+            clock.advance(LOADING_MS)
+            queue.end_accepting()
             await exchange(queue.address)
         finally:
             server.close()
@@ -100,7 +100,8 @@
         reader, writer = await asyncio.open_connection(sock=waiting)
         try:
             await reader.readuntil(b"\r\n\r\n")
-            clock.advance(ACCEPT_MARGIN_MS + 1)
+            clock.advance(LOADING_MS)
+            queue.end_accepting()
             writer.write(GET)
             await reader.readuntil(b"\r\n\r\n")
         finally:
@@ -108,6 +109,44 @@
             server.close()
         assert router.handler.received_ms[1] == clock.now_ms()
 
+    async def test_all_that_waited_counts_however_long_the_first_turn_takes(
+        self, router, queue, clock
+    ):
+        """Guards against the last of many queued requests, which count as new."""
+        connection_times = []
+        accept = queue.waiting_since_ms
+
+        def accept_slowly():
+            clock.advance(100)
+            connection_times.append(accept())
+            return connection_times[-1]
+
+        queue.waiting_since_ms = accept_slowly
+        router.handler = RecordingHandler()
+        opened_ms = clock.now_ms()
+        waiting = [socket.create_connection(queue.address) for _ in range(20)]
+        server = await router.listen_for_clients()
+        try:
+            for sock in waiting:
+                sock.sendall(GET)
+            for sock in waiting:
+                await exchange(queue.address, sock)
+        finally:
+            server.close()
+        assert connection_times == [opened_ms] * len(waiting)
+
+    async def test_the_queue_ends_by_itself(self, queue, clock, monkeypatch):
+        """Guards against new requests that count as having waited."""
+        timers = []
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(loop, "call_later", lambda _, call: timers.append(call))
+        queue.begin_accepting(loop)
+        assert queue.waiting_since_ms() == queue.opened_ms
+        for call in timers:
+            call()
+        assert queue.waiting_since_ms() is None
+        queue.close()
+
     async def test_a_queue_of_another_address_is_not_served(self, router, clock):
         """Guards against a router that serves at an address its settings do not name."""
         other = AcceptQueue(("127.0.0.1", 0), clock)
