Do not count the time in the accept queue as that of a slow client

Cause, found while reading the change: what waited in the queue counted as begun when the queue was opened, also for the time that a client has for its head. Now only the request's time of receipt is that of the opening. The test got 408 before.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -111,7 +111,11 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """Connection from a client, whose requests are handled one after the other."""
+    """Connection from a client, whose requests are handled one after the other.
+
+    The first request of a connection from the accept queue counts as received at
+    ``queued_since_ms``. The client's time for sending its head begins when it is read.
+    """
 
     def __init__(
         self,
@@ -281,8 +285,6 @@
     def on_message_begin(self) -> None:
         self.reset_message()
         self.message_started_ms = self.clock.now_ms()
-        if self.queued_since_ms is not None:
-            self.message_started_ms, self.queued_since_ms = self.queued_since_ms, None
         if self.task is None and self.timer is not None:
             self.timer.cancel()
             self.check_timeouts()
@@ -320,12 +322,15 @@
         if self.rejected:
             return
         self.received_bytes = self.body_bytes = 0
+        queued_since_ms, self.queued_since_ms = self.queued_since_ms, None
         request = ClientRequest(
             method=self.parser.get_method(),
             target=self.target,
             headers=self.headers,
             body=bytes(self.body),
-            received_ms=self.message_started_ms or self.clock.now_ms(),
+            received_ms=queued_since_ms
+            or self.message_started_ms
+            or self.clock.now_ms(),
             keep_alive=self.parser.should_keep_alive(),
             accepts_chunks=self.parser.get_http_version() != "1.0",
         )
--- a/packages/medlarridge-direct/tests/direct/test_accept_queue.py
+++ b/packages/medlarridge-direct/tests/direct/test_accept_queue.py
@@ -88,6 +88,21 @@
             server.close()
         assert router.handler.received_ms == [opened_ms, clock.now_ms()]
 
+    async def test_the_time_in_the_queue_is_not_the_time_of_a_slow_client(
+        self, router, queue, clock
+    ):
+        """Guards against 408 for clients that waited longer than the header timeout."""
+        router.handler = RecordingHandler()
+        waiting = socket.create_connection(queue.address)
+        waiting.sendall(GET)
+        clock.advance(router.components.configuration.limits().header_timeout_ms + 1)
+        server = await router.listen_for_clients()
+        try:
+            head = await exchange(queue.address, waiting)
+        finally:
+            server.close()
+        assert head.startswith(b"HTTP/1.1 200")
+
     async def test_only_the_first_request_of_a_connection_waited(
         self, router, queue, clock
     ):
