--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 export PYTHONPATH := $(CURDIR)/$(subst $(eval) ,:$(CURDIR)/,$(strip $(patsubst %/pyproject.toml,%/src,$(PACKAGES))))
 
-.PHONY: setup format lint unit test demo measure capacity start-cost soak clean
+.PHONY: setup format lint unit test demo measure capacity startcost soak clean
 
 setup: $(STAMP)
 
@@ -42,7 +42,7 @@
 	MEDLARRIDGE_COMMIT=$$(git rev-parse --short HEAD) $(BIN)/python -m medlarridge_standins.capacity $(ARGS)
 
 # Compares the processor time of a start with other source trees, named in ARGS.
-start-cost: setup
+startcost: setup
 	$(BIN)/python -m medlarridge_standins.start_cost $(ARGS)
 
 # Plays fresh seeds with real processes for some minutes; not a part of the tests.
