Move the stop of a router to modules of its own

No change of behaviour, but that a settings file which changes during a stop no longer moves the end of the work: the grace in force at the first signal counts. The times of a stop are in coordination/stop_schedule.py, without I/O; what is done is in graceful_stop.py.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
@@ -17,6 +17,7 @@
 from .coordination.retry_budget import RetryBudget
 from .coordination.route_durations import RouteDurations
 from .coordination.server_health import ServerHealth
+from .coordination.stop_schedule import StopSchedule
 from .coordination.stream_origins import StreamOrigins
 from .metrics import Metrics
 from .protocol.platform_interface import Dialect
@@ -35,8 +36,6 @@
     or a success of a suspected prompt part, ``on_parts_changed`` report to the others;
     ``router_rank`` returns the position of this router among all;
     ``on_server_avoided`` takes a server and the result for which it is avoided.
-    ``work_ends_ms`` returns when requests that are accepted now must have ended, None
-    while the router does not stop.
     """
 
     clock: Clock
@@ -64,5 +63,5 @@
     on_parts_changed: Callable[[], None]
     router_rank: Callable[[], int]
     on_stream_begun: Callable[[int], None]
-    work_ends_ms: Callable[[], int | None]
+    stop_schedule: StopSchedule
     durations: RouteDurations = field(default_factory=RouteDurations)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -22,8 +22,10 @@
 from .coordination.quiet_times import QuietTimes
 from .coordination.retry_budget import RetryBudget
 from .coordination.server_health import ServerHealth
+from .coordination.stop_schedule import StopSchedule
 from .coordination.stream_origins import StreamOrigins
 from .gauges import add_gauges
+from .graceful_stop import GracefulStop
 from .logs import (
     CRASH_STRIKE,
     NOTICE_MALFORMED,
@@ -72,16 +74,6 @@
 """Delay of the housekeeping above which the process counts as stalled; a busy event
 loop delays it by some ten milliseconds."""
 
-BALANCER_REMOVAL_MS = 2_500
-"""Time after which a stopping router normally gets no new connections: the load balancer
-probes once a second and removes it after two failed probes."""
-
-FIRST_REQUEST_MS = 300
-"""Time in which the first request arrives on a new connection."""
-
-STOP_MARGIN_MS = 500
-"""Time between the exit of a stopping router and the moment it would be killed."""
-
 MAX_LOGGED_VALUES = 4
 MAX_LOGGED_VALUE = 40
 """Malformed values of one response that are logged, and characters of each."""
@@ -113,8 +105,7 @@
         self.log = Log(self.clock, settings.node)
         self.connections: set[ClientConnection] = set()
         self.internal_connections: set[ClientConnection] = set()
-        self.stopping_since_ms: int | None = None
-        self.stops_first = False
+        self.stop_schedule = StopSchedule(self.clock)
         self.logged_ready = False
         self.silent_servers: set[str] = set()
         self.refused_parts: set[str] = set()
@@ -130,9 +121,12 @@
             self.components,
             self.peers,
             self.log,
-            lambda: self.stopping_since_ms is not None,
+            lambda: self.stop_schedule.has_begun,
             settings.link_mbps,
         )
+        self.graceful_stop = GracefulStop(
+            self.stop_schedule, self.connections, self.peers, self.listen_for_clients
+        )
         add_gauges(
             self.components,
             self.handler,
@@ -217,7 +211,7 @@
             on_parts_changed=self.announce_changed_parts,
             router_rank=lambda: self.peers.live_rank(),
             on_stream_begun=self.announce_stream,
-            work_ends_ms=self.work_ends_ms,
+            stop_schedule=self.stop_schedule,
         )
 
     def announce_cached_parts(self, cached_parts: list[tuple[str, str]]) -> None:
@@ -301,7 +295,7 @@
     def ready(self) -> bool:
         """Return whether the router can serve requests and is not stopping."""
         return (
-            self.stopping_since_ms is None
+            not self.stop_schedule.has_begun
             and self.components.configuration.current is not None
             and self.components.servers.confirmed_ms is not None
         )
@@ -381,7 +375,7 @@
         await self.wait_until_ready()
         client_listener = await self.listen_for_clients()
         await stop.wait()
-        client_listener = await self.drain(client_listener)
+        client_listener = await self.graceful_stop.drain(client_listener)
         client_listener.close()
         readiness_listener.close()
         peer_listener.close()
@@ -423,7 +417,7 @@
                 self.components.configuration.limits,
                 self.clock,
                 connections,
-                lambda: self.stopping_since_ms is not None,
+                lambda: self.stop_schedule.has_begun,
                 None if queue is None else queue.waiting_since_ms(),
             )
 
@@ -443,32 +437,18 @@
         end_ms = self.clock.now_ms() + FIRST_ACCEPT_DELAY_MS
         while (
             not self.ready
-            and self.stopping_since_ms is None
+            and not self.stop_schedule.has_begun
             and self.clock.now_ms() < end_ms
         ):
             await asyncio.sleep(READINESS_POLL_MS / MS_PER_S)
 
     def begin_stop(self, stop: asyncio.Event) -> None:
         """Become not ready, so that the load balancer stops sending connections."""
-        if self.stopping_since_ms is None:
-            self.stopping_since_ms = self.clock.now_ms()
-            self.stops_first = not any(
-                peer.stopping for peer in self.peers.live_peers()
-            )
+        if not self.stop_schedule.has_begun:
+            self.graceful_stop.begin(self.settings.grace_ms)
             self.log.event(STOPPING, in_flight=self.handler.in_flight)
         stop.set()
 
-    def work_ends_ms(self) -> int | None:
-        """Return when requests that are accepted now must have ended, None for any time.
-
-        Until the load balancer reacts, all requests are served as far as possible.
-        """
-        if self.stopping_since_ms is None:
-            return None
-        if self.clock.now_ms() < self.stopping_since_ms + BALANCER_REMOVAL_MS:
-            return None
-        return self.stopping_since_ms + self.settings.grace_ms - STOP_MARGIN_MS
-
     async def listen_for_clients(self) -> asyncio.Server:
         """Accept connections of clients, the first time from the accept queue."""
         address = split_endpoint(self.settings.listen.clients)
@@ -478,33 +458,6 @@
             queue = None
         return await self.listen(address, self.handler.handle, self.connections, queue)
 
-    async def drain(self, client_listener: asyncio.Server) -> asyncio.Server:
-        """Accept connections until the load balancer reacts, then finish requests.
-
-        While no other router serves, connections are accepted all the same, since the
-        load balancer has no other to send them to. The router that stops first does
-        not, so that it is back soon. Return the last listener.
-        """
-        assert self.stopping_since_ms is not None
-        end_ms = self.stopping_since_ms + self.settings.grace_ms - STOP_MARGIN_MS
-        await self.sleep_until(self.stopping_since_ms + BALANCER_REMOVAL_MS)
-        while self.connections and self.clock.now_ms() < end_ms:
-            is_needed = not self.stops_first and not self.peers.any_serves()
-            if client_listener.is_serving() and not is_needed:
-                client_listener.close()
-            elif is_needed and not client_listener.is_serving():
-                client_listener = await self.listen_for_clients()
-            oldest_ms = self.clock.now_ms() - FIRST_REQUEST_MS
-            for connection in list(self.connections):
-                if connection.idle and connection.idle_since_ms <= oldest_ms:
-                    connection.close()
-            await asyncio.sleep(HOUSEKEEPING_INTERVAL_MS / MS_PER_S)
-        return client_listener
-
-    async def sleep_until(self, time_ms: int) -> None:
-        """Sleep until a time of the router's clock."""
-        await asyncio.sleep(max(time_ms - self.clock.now_ms(), 0) / MS_PER_S)
-
     async def run_housekeeping(self) -> None:
         """Periodically log changes of state, expire old state and flush the log."""
         while True:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
@@ -104,10 +104,10 @@
 
     def check_time_left(self, route: Route) -> None:
         """Reject a request that would not end before this router stops."""
-        work_ends_ms = self.components.work_ends_ms()
-        if work_ends_ms is None:
+        schedule = self.components.stop_schedule
+        left_ms = schedule.left_ms()
+        if left_ms is None or schedule.takes_all():
             return
-        left_ms = work_ends_ms - self.components.clock.now_ms()
         if not self.components.durations.fits(route.name, route.timeout_ms, left_ms):
             raise Rejection(SERVICE_UNAVAILABLE, STOPPING)
 
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -22,6 +22,7 @@
 from medlarridge_direct._internal.coordination.quiet_times import QuietTimes
 from medlarridge_direct._internal.coordination.retry_budget import RetryBudget
 from medlarridge_direct._internal.coordination.server_health import ServerHealth
+from medlarridge_direct._internal.coordination.stop_schedule import StopSchedule
 from medlarridge_direct._internal.coordination.stream_origins import StreamOrigins
 from medlarridge_direct._internal.metrics import Metrics
 from medlarridge_direct._internal.protocol.requests import RequestMetadata, ResponseHead
@@ -256,5 +257,5 @@
         on_parts_changed=lambda: None,
         router_rank=lambda: 0,
         on_stream_begun=lambda stream: None,
-        work_ends_ms=lambda: None,
+        stop_schedule=StopSchedule(clock),
     )
--- a/packages/medlarridge-direct/tests/direct/test_stopping.py
+++ b/packages/medlarridge-direct/tests/direct/test_stopping.py
@@ -2,6 +2,10 @@
 
 import pytest
 
+from medlarridge_direct._internal.coordination.stop_schedule import (
+    BALANCER_REMOVAL_MS,
+    STOP_MARGIN_MS,
+)
 from medlarridge_direct._internal.protocol.configuration import RouteKind
 
 from .router_fleet import RouterFleet
@@ -16,8 +20,8 @@
     components = make_components(scripts)
     for duration_ms in durations_ms:
         components.durations.record("r-1", duration_ms)
-    ends_ms = components.clock.now_ms() + left_ms
-    components.work_ends_ms = lambda: ends_ms
+    components.stop_schedule.begin(BALANCER_REMOVAL_MS + left_ms + STOP_MARGIN_MS)
+    components.clock.advance(BALANCER_REMOVAL_MS)
     return components
 
 
