Tell requests that a stop ends from clients that leave

A request that a stopping router left unfinished was written as MR6005, as if its client had left, or not at all: the lines were queued after the last flush. MR6012 and medlarridge_ended_by_stop_total tell its stage and when it was taken; MR6006 of a stopping router has the time left and the time that did not fit. No decision changes.

What callers saw: nothing changes for them.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/route_durations.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/route_durations.py
@@ -21,11 +21,11 @@
         samples = self.samples_ms.setdefault(route, deque(maxlen=SAMPLES))
         samples.append(duration_ms)
 
-    def fits(self, route: str, timeout_ms: int, left_ms: int) -> bool:
-        """Return whether a request is likely to end in the time that is left.
+    def expected_ms(self, route: str, timeout_ms: int) -> int:
+        """Return how long a request is likely to take at most.
 
         Without samples it may take as long as its route allows.
         """
         samples = self.samples_ms.get(route)
-        longest_ms = MARGIN * max(samples) if samples else timeout_ms
-        return min(longest_ms, timeout_ms) <= left_ms
+        longest_ms = int(MARGIN * max(samples)) if samples else timeout_ms
+        return min(longest_ms, timeout_ms)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -383,6 +383,7 @@
         for task in background_tasks:
             task.cancel()
         await self.store_sync.permit_leases.release_all()
+        self.handler.log_unfinished()
         self.log.event(STOPPED, in_flight=self.handler.in_flight)
         self.log.flush()
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -17,6 +17,7 @@
 from .protocol.requests import ForwardingMetadata, RequestMetadata
 from .protocol.servers import BackendServer
 from .received_body import ReceivedBody
+from .request_stage import RequestStage
 
 MAX_LINES_PER_S = 400
 """Request lines that a process writes per second; further ones are counted and dropped.
@@ -42,6 +43,7 @@
     6009, "INFO", "waiting for a prompt that the server is processing"
 )
 
+ENDED_BY_STOP = register(6012, "WARNING", "request ended because the router stops")
 PERMIT_REFUSED = register(6011, "INFO", "servers with a limit take no request now")
 STREAM_TAKEN_UP = register(6010, "INFO", "client takes up a stream")
 
@@ -333,6 +335,19 @@
         self.metrics.requests[self.kind, "cut"] += 1
         self.write(RESPONSE_TRUNCATED, reason=reason)
 
+    def ended_by_stop(self, stage: RequestStage, taken_since_stop_ms: int) -> None:
+        """Log that the stop of this router ends the request.
+
+        ``taken_since_stop_ms`` is negative for a request taken before the signal.
+        """
+        self.metrics.ended_by_stop[stage] += 1
+        self.write(
+            ENDED_BY_STOP,
+            route=self.route,
+            stage=stage,
+            taken_since_stop_ms=taken_since_stop_ms,
+        )
+
     def client_disconnected(self) -> None:
         """Log that the client disconnected."""
         self.metrics.requests[self.kind, "client-gone"] += 1
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
@@ -50,6 +50,7 @@
     resumptions: Counter = field(default_factory=Counter)
     responses: Counter = field(default_factory=Counter)
     refusals: Counter = field(default_factory=Counter)
+    ended_by_stop: Counter = field(default_factory=Counter)
     control_bytes: Counter = field(default_factory=Counter)
     store_calls: Counter = field(default_factory=Counter)
     store_rewrites: Counter = field(default_factory=Counter)
@@ -91,6 +92,11 @@
                 ["framing", "ending"],
             ),
             ("refusals", "Requests the router ended itself.", ["status", "reason"]),
+            (
+                "ended_by_stop",
+                "Requests that the stop of this router ended, by stage.",
+                ["stage"],
+            ),
             (
                 "control_bytes",
                 "Bytes of messages between routers, without headers.",
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
@@ -28,12 +28,16 @@
 
 
 class Rejection(Exception):
-    """Raised for a request that is not allowed; ``status`` is sent to the client."""
+    """Raised for a request that is not allowed; ``status`` is sent to the client.
 
-    def __init__(self, status: int, reason: str) -> None:
+    ``details`` are logged: what the rejection was decided on.
+    """
+
+    def __init__(self, status: int, reason: str, **details: object) -> None:
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        self.details = details
 
 
 class RequestHandler:
@@ -43,6 +47,7 @@
         self.components = components
         self.log = log
         self.in_flight = 0
+        self.running: set[RequestRun] = set()
 
     async def handle(self, request: ClientRequest, response: ResponseWriter) -> None:
         """Serve one request and send its response."""
@@ -56,14 +61,15 @@
             accepted = self.accept(request, metadata)
             log.kind, log.route = accepted.route.kind, accepted.route.name
             log.shared_parts = accepted.metadata.shared_parts
-            await RequestRun(self.components, accepted, response, log).run()
+            await self.run(RequestRun(self.components, accepted, response, log))
             if response.ended:
                 duration_ms = self.components.clock.now_ms() - request.received_ms
                 self.components.durations.record(accepted.route.name, duration_ms)
         except Rejection as rejection:
             self.reject(rejection, response, log)
         except (asyncio.CancelledError, ClientDisconnected):
-            log.client_disconnected()
+            if response.client_left:
+                log.client_disconnected()
             raise
         except Exception as error:
             log.write(REQUEST_FAILED, error=type(error).__name__, detail=str(error))
@@ -74,6 +80,23 @@
         finally:
             self.in_flight -= 1
 
+    async def run(self, run: RequestRun) -> None:
+        """Forward a request that is listed as running meanwhile."""
+        self.running.add(run)
+        try:
+            await run.run()
+        finally:
+            self.running.discard(run)
+
+    def log_unfinished(self) -> None:
+        """Log the requests that the end of the process leaves unfinished."""
+        for run in self.running:
+            run.log.ended_by_stop(run.stage, self.since_stop_ms(run.log.started_ms))
+
+    def since_stop_ms(self, time_ms: int) -> int:
+        """Return how long after the stop signal a time is, 0 without a stop."""
+        return self.components.stop_schedule.since_ms(time_ms) or 0
+
     def accept(
         self, request: ClientRequest, metadata: RequestMetadata | None
     ) -> AcceptedRequest:
@@ -108,8 +131,11 @@
         left_ms = schedule.left_ms()
         if left_ms is None or schedule.takes_all():
             return
-        if not self.components.durations.fits(route.name, route.timeout_ms, left_ms):
-            raise Rejection(SERVICE_UNAVAILABLE, STOPPING)
+        needs_ms = self.components.durations.expected_ms(route.name, route.timeout_ms)
+        if needs_ms > left_ms:
+            raise Rejection(
+                SERVICE_UNAVAILABLE, STOPPING, left_ms=left_ms, needs_ms=needs_ms
+            )
 
     def find_account(
         self, configuration: Configuration, route: Route, metadata: RequestMetadata
@@ -171,4 +197,5 @@
             reason=rejection.reason,
             configuration=self.components.configuration.version,
             age_ms=self.components.configuration.age_ms(),
+            **rejection.details,
         )
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -22,6 +22,7 @@
 from .protocol.servers import BackendServer
 from .received_body import BodyPart
 from .refusals import send_refusal
+from .request_stage import RequestStage
 from .send_permits import Permit
 from .server_selection import rank_servers
 from .stream_continuity import StreamContinuity
@@ -119,6 +120,17 @@
         self.last_event_id = accepted.metadata.resume_after
         self.shared_parts = part_keys(accepted.metadata.shared_parts)
         self.tries_part = False
+        self.current_attempt: Attempt | None = None
+
+    @property
+    def stage(self) -> RequestStage:
+        """Return how far the request has come."""
+        if self.response.started:
+            return RequestStage.BEGUN
+        attempt = self.current_attempt
+        if self.runs or (attempt is not None and attempt.exchange is not None):
+            return RequestStage.SENT
+        return RequestStage.WAITING
 
     def remaining_ms(self) -> int:
         """Return the time that is left before the deadline."""
@@ -250,6 +262,7 @@
             self.accepted.pool.runs_models,
             permit,
         ) as attempt:
+            self.current_attempt = attempt
             self.log.attempt_sent(
                 server,
                 self.components,
@@ -265,8 +278,11 @@
             if outcome.kind is OutcomeKind.RESPONSE:
                 elapsed_ms = self.components.clock.now_ms() - sent_ms
                 self.prompt_reuse.record_processed(server, elapsed_ms)
-                return await self.deliver(attempt, outcome)
+                is_finished = await self.deliver(attempt, outcome)
+                self.current_attempt = None
+                return is_finished
             self.record_failure(attempt, outcome)
+            self.current_attempt = None
             return False
 
     async def start(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -59,6 +59,11 @@
         self.has_body = request.method != b"HEAD"
         self.keep_alive = request.keep_alive
 
+    @property
+    def client_left(self) -> bool:
+        """Return whether the client has closed its connection or its half of it."""
+        return self.connection.client_left
+
     def begin(
         self, status: int, reason: bytes, headers: bytes, content_length: int | None
     ) -> None:
@@ -141,6 +146,7 @@
         self.drain_waiter: asyncio.Future[None] | None = None
         self.write_paused = False
         self.disconnected = False
+        self.client_left = False
         self.rejected = False
         self.idle_since_ms = clock.now_ms()
         self.message_started_ms: int | None = None
@@ -165,7 +171,7 @@
         self.check_timeouts()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.disconnected = True
+        self.disconnected = self.client_left = True
         self.connections.discard(self)
         if self.timer is not None:
             self.timer.cancel()
@@ -175,6 +181,7 @@
             self.task.cancel()
 
     def eof_received(self) -> bool:
+        self.client_left = True
         if self.task is not None:
             self.task.cancel()
         return False
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -72,6 +72,8 @@
 class RecordedResponse:
     """Records the response that a client gets."""
 
+    client_left = False
+
     def __init__(self):
         self.started = self.ended = False
         self.status = None
@@ -103,6 +105,7 @@
     response=None,
     versions=None,
     method=b"POST",
+    handler=None,
     **changes,
 ):
     """Handle one request with scripted servers; return response and components.
@@ -134,9 +137,8 @@
         keep_alive=True,
     )
     response = response or RecordedResponse()
-    await RequestHandler(components, Log(components.clock, "node")).handle(
-        request, response
-    )
+    handler = handler or RequestHandler(components, Log(components.clock, "node"))
+    await handler.handle(request, response)
     return response, components
 
 
--- a/packages/medlarridge-direct/tests/direct/test_stopping.py
+++ b/packages/medlarridge-direct/tests/direct/test_stopping.py
@@ -1,17 +1,21 @@
 """Requests that arrive at a router that stops."""
 
+import asyncio
+
 import pytest
 
 from medlarridge_direct._internal.coordination.stop_schedule import (
     BALANCER_REMOVAL_MS,
     STOP_MARGIN_MS,
 )
+from medlarridge_direct._internal.logs import Log
 from medlarridge_direct._internal.protocol.configuration import RouteKind
+from medlarridge_direct._internal.request_handler import RequestHandler
 
 from .router_fleet import RouterFleet
 from .samples import configuration
 from .scripted import make_components
-from .test_request_run import OK, handle_request, sent_to
+from .test_request_run import EVENT, OK, STREAM, chunk, handle_request, sent_to
 
 pytestmark = pytest.mark.anyio
 
@@ -25,6 +29,10 @@
     return components
 
 
+async def never(*_):
+    await asyncio.Event().wait()
+
+
 class TestTimeLeft:
     @pytest.mark.parametrize("kind", [RouteKind.AT_MOST_ONCE, RouteKind.IDEMPOTENT])
     async def test_a_request_that_fits_is_served(self, kind):
@@ -66,3 +74,33 @@
         second.reports.is_stopping = lambda: True
         await fleet.run(200, traffic=False)
         assert not first.peers.any_serves()
+
+
+class TestUnfinishedRequests:
+    @pytest.mark.parametrize(
+        ("script", "stage"),
+        [
+            (None, "waiting"),
+            ((), "sent"),
+            ((STREAM + chunk(EVENT),), "begun"),
+        ],
+    )
+    async def test_the_stage_of_an_unfinished_request_is_counted(self, script, stage):
+        """Guards against logs that show requests which a stop ends as clients leaving."""
+        scripts = {"a": [script]}
+        components = make_components(scripts)
+        if script is None:
+            components.connections.acquire = never
+        handler = RequestHandler(components, Log(components.clock, "node"))
+        task = asyncio.create_task(
+            handle_request(
+                scripts, RouteKind.STREAM, components=components, handler=handler
+            )
+        )
+        await asyncio.sleep(0.01)
+        components.stop_schedule.begin(8_000)
+        handler.log_unfinished()
+        task.cancel()
+        await asyncio.wait([task])
+        assert dict(components.metrics.ended_by_stop) == {stage: 1}
+        assert components.metrics.requests["stream", "client-gone"] == 0
