--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/test_end_of_work.py
@@ -0,0 +1,180 @@
+"""Requests that are in flight when a stopping router has to end its work."""
+
+import asyncio
+
+import pytest
+
+from medlarridge_direct._internal.graceful_stop import GracefulStop
+from medlarridge_direct._internal.protocol.configuration import RouteKind
+
+from .scripted import make_components
+from .stopping_router import StoppingRouter, read_all
+from .test_request_run import EVENT, NOT_EXECUTED_503, STREAM, chunk
+
+pytestmark = pytest.mark.anyio
+
+
+class TestAnswersAtTheEnd:
+    @pytest.mark.parametrize("kind", [RouteKind.AT_MOST_ONCE, RouteKind.STREAM])
+    @pytest.mark.parametrize(
+        ("script", "status"), [(None, b"503"), ((), b"504")], ids=["waiting", "sent"]
+    )
+    async def test_a_request_without_a_response_is_told_how_it_ended(
+        self, tmp_path, monkeypatch, kind, script, status
+    ):
+        """Guards against connections that end without an answer when the grace ends."""
+        fleet = StoppingRouter(tmp_path, monkeypatch, script, kind)
+        await fleet.start()
+        request = asyncio.create_task(fleet.request())
+        await asyncio.sleep(0.05)
+        fleet.stop()
+        await fleet.pass_balancer_removal()
+        await fleet.end()
+        answer = await request
+        assert answer.split(b" ")[1:2] == [status]
+        assert answer.endswith(b'"}')
+        assert (b"retry-after" in answer) == (status == b"503")
+
+    async def test_a_request_that_a_server_did_not_run_is_told_so(
+        self, tmp_path, monkeypatch
+    ):
+        """Guards against 504 for a request that provably has not run."""
+        fleet = StoppingRouter(tmp_path, monkeypatch, None, RouteKind.AT_MOST_ONCE)
+        fleet.router.components.connections.scripts["a"] = [(NOT_EXECUTED_503,), None]
+        await fleet.start()
+        request = asyncio.create_task(fleet.request())
+        await asyncio.sleep(0.05)
+        fleet.stop()
+        await fleet.pass_balancer_removal()
+        await fleet.end()
+        assert (await request).split(b" ")[1:2] == [b"503"]
+
+    async def test_a_begun_response_is_cut_and_not_made_to_look_complete(
+        self, tmp_path, monkeypatch
+    ):
+        """Guards against a stream that ends as if it were whole."""
+        script = (STREAM + chunk(EVENT),)
+        fleet = StoppingRouter(tmp_path, monkeypatch, script, RouteKind.STREAM)
+        await fleet.start()
+        request = asyncio.create_task(fleet.request())
+        await asyncio.sleep(0.05)
+        fleet.stop()
+        await fleet.pass_balancer_removal()
+        await fleet.end()
+        answer = await request
+        assert EVENT in answer
+        assert b"Transfer-Encoding: chunked" in answer
+        assert b"\r\n0\r\n\r\n" not in answer
+        assert dict(fleet.router.components.metrics.ended_by_stop) == {"begun": 1}
+
+    async def test_a_request_while_leases_are_released_is_refused(
+        self, tmp_path, monkeypatch
+    ):
+        """Guards against requests that are taken when nobody waits for them any more."""
+        fleet = StoppingRouter(tmp_path, monkeypatch, (), RouteKind.IDEMPOTENT)
+        await fleet.start()
+        released = asyncio.Event()
+        fleet.router.store_sync.permit_leases.release_all = released.wait
+        reader, writer = await fleet.connect()
+        fleet.stop()
+        await fleet.pass_balancer_removal()
+        ending = asyncio.create_task(fleet.end())
+        await asyncio.sleep(0.15)
+        fleet.send(writer)
+        await asyncio.sleep(0.05)
+        released.set()
+        await ending
+        assert (await read_all(reader)).split(b" ")[1:2] == [b"503"]
+
+    async def test_a_router_without_a_configuration_answers_while_it_stops(
+        self, tmp_path, monkeypatch
+    ):
+        """Guards against clients of a router that is stopped before it is ready."""
+        fleet = StoppingRouter(tmp_path, monkeypatch, "unconfigured")
+        task = asyncio.create_task(fleet.start())
+        await asyncio.sleep(0.02)
+        fleet.stop()
+        await task
+        assert (await fleet.request()).split(b" ")[1:2] == [b"503"]
+        await fleet.pass_balancer_removal()
+        await fleet.end()
+
+
+class Listener:
+    """A listener that counts how often it was closed."""
+
+    def __init__(self):
+        self.closed = 0
+
+    def is_serving(self):
+        return not self.closed
+
+    def close(self):
+        self.closed += 1
+
+
+class Peers:
+    """Peers of which none serves, or all."""
+
+    def __init__(self, serving):
+        self.serving = serving
+
+    def any_serves(self):
+        return self.serving
+
+    def live_peers(self):
+        return []
+
+
+class Connection:
+    """A connection with a request in flight."""
+
+    idle = False
+    idle_since_ms = 0
+
+
+class TestDrain:
+    def make_stop(self, serving=True, listen=None):
+        components = make_components()
+        stop = GracefulStop(
+            components.stop_schedule, set(), Peers(serving), listen or Listener
+        )
+        stop.begin(8_000)
+        components.clock.advance(2_500)
+        return stop
+
+    async def test_a_connection_accepted_before_the_listener_closed_is_waited_for(self):
+        """Guards against requests on connections that the event loop still hands over."""
+        stop = self.make_stop()
+        connection = Connection()
+        drain = asyncio.create_task(stop.drain(Listener()))
+        await asyncio.sleep(0.02)
+        stop.connections.add(connection)
+        await asyncio.sleep(0.3)
+        assert not drain.done()
+        stop.connections.clear()
+        await asyncio.wait_for(drain, 5)
+
+    async def test_a_listener_that_cannot_open_again_ends_no_request(self):
+        """Guards against a stop that fails because the address is in use."""
+
+        async def fail():
+            raise OSError("address in use")
+
+        stop = self.make_stop(serving=False, listen=fail)
+        stop.stops_first = False
+        stop.connections.add(Connection())
+        listener = Listener()
+        listener.close()
+        drain = asyncio.create_task(stop.drain(listener))
+        await asyncio.sleep(0.3)
+        assert not drain.done()
+        stop.connections.clear()
+        await asyncio.wait_for(drain, 5)
+
+    async def test_a_second_signal_and_a_reload_change_no_time(self):
+        """Guards against a later end of the work than the platform waits for."""
+        stop = self.make_stop()
+        ends_ms = stop.schedule.work_ends_ms
+        stop.begin(60_000)
+        assert stop.schedule.work_ends_ms == ends_ms
--- a/packages/medlarridge-direct/tests/direct/test_stopping.py
+++ b/packages/medlarridge-direct/tests/direct/test_stopping.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from medlarridge_direct._internal.coordination.route_durations import SAMPLES
 from medlarridge_direct._internal.coordination.stop_schedule import (
     BALANCER_REMOVAL_MS,
     STOP_MARGIN_MS,
@@ -14,11 +15,24 @@
 
 from .router_fleet import RouterFleet
 from .samples import configuration
-from .scripted import make_components
-from .test_request_run import EVENT, OK, STREAM, chunk, handle_request, sent_to
+from .scripted import REFUSE, make_components
+from .test_request_run import (
+    END,
+    ERROR,
+    EVENT,
+    NOT_EXECUTED_503,
+    OK,
+    STREAM,
+    RecordedResponse,
+    chunk,
+    handle_request,
+    sent_to,
+)
 
 pytestmark = pytest.mark.anyio
 
+BUSY = b"HTTP/1.1 429 Busy\r\nId: 1\r\nSignature: s\r\nContent-Length: 0\r\n\r\n"
+
 
 def make_stopping(scripts, left_ms, durations_ms=()):
     components = make_components(scripts)
@@ -54,6 +68,66 @@
         assert int(response.headers.split(b": ")[1].strip()) > 0
         assert not sent_to(components)
 
+    async def test_a_stream_that_may_outlast_the_work_is_refused(self):
+        """Guards against streams that are taken on an estimate and then cut."""
+        scripts = {"a": [(OK,)]}
+        components = make_stopping(scripts, 1_000, durations_ms=[100] * SAMPLES)
+        response, _ = await handle_request(
+            scripts, RouteKind.STREAM, components=components
+        )
+        assert response.status == 503
+        assert not sent_to(components)
+
+    async def test_a_stream_whose_deadline_ends_it_in_time_is_served(self):
+        """Guards against refusals of streams that cannot outlast the work."""
+        scripts = {"a": [(STREAM + chunk(EVENT) + END,)]}
+        components = make_stopping(scripts, 1_000)
+        response, _ = await handle_request(
+            scripts,
+            RouteKind.STREAM,
+            headers=[(b"deadline", b"700")],
+            components=components,
+        )
+        assert response.status == 200
+
+    @pytest.mark.parametrize("answer", [NOT_EXECUTED_503, ERROR, BUSY, REFUSE])
+    async def test_failures_and_refusals_are_no_durations(self, answer):
+        """Guards against a route that looks fast because its servers fail or shed."""
+        scripts = {"a": [answer if answer is REFUSE else (answer,)] * SAMPLES}
+        components = make_components(scripts)
+        for _ in range(SAMPLES):
+            await handle_request(scripts, RouteKind.AT_MOST_ONCE, components=components)
+        components.stop_schedule.begin(BALANCER_REMOVAL_MS + 1_000 + STOP_MARGIN_MS)
+        components.clock.advance(BALANCER_REMOVAL_MS)
+        components.connections.sent.clear()
+        response, _ = await handle_request(
+            scripts, RouteKind.AT_MOST_ONCE, components=components
+        )
+        assert response.status == 503
+        assert not sent_to(components)
+        assert b"router is stopping" in bytes(response.body)
+
+    async def test_few_durations_tell_nothing(self):
+        """Guards against an estimate that one or two requests make."""
+        scripts = {"a": [(OK,)]}
+        components = make_stopping(scripts, 500, durations_ms=[90, 100])
+        response, _ = await handle_request(scripts, components=components)
+        assert response.status == 503
+
+    async def test_a_large_response_that_may_outlast_the_work_does_not_begin(self):
+        """Guards against a response that is cut because it is too large to hold back."""
+        head = OK.partition(b"Content-Length")[0] + b"Content-Length: 9000000\r\n\r\n"
+        scripts = {"a": [(head + bytes(1_200_000),)]}
+        components = make_stopping(scripts, 1_000, durations_ms=[100] * SAMPLES)
+        response = RecordedResponse()
+        task = asyncio.create_task(
+            handle_request(scripts, components=components, response=response)
+        )
+        await asyncio.sleep(0.05)
+        assert not response.started or response.ended
+        task.cancel()
+        await asyncio.wait([task])
+
     async def test_a_router_that_does_not_stop_learns_the_durations(self):
         """Guards against an estimate that never has samples."""
         scripts = {"a": [(OK,)] * 2}
--- a/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
@@ -279,3 +279,51 @@
         await client.send()
         assert len(client.handled) == 2
         assert client.transport.closed
+
+    async def test_requests_read_together_are_served_while_the_router_stops(self):
+        """Guards against losing a request that was read behind another one."""
+        client = Client(stopping=True)
+        await client.send(GET + GET)
+        await client.send()
+        assert client.status_lines == [b"200", b"200"]
+        assert bytes(client.transport.written).count(b"Connection: close") == 1
+        assert client.transport.closed
+
+    async def test_requests_read_before_an_invalid_message_are_served(self):
+        """Guards against losing requests that were read before the invalid message."""
+        client = Client()
+        await client.send(GET + GET, b"bad\r\n\r\n")
+        await client.send()
+        assert client.status_lines == [b"200", b"200", b"400"]
+        assert client.transport.closed
+
+    async def test_what_follows_an_announced_close_is_not_read(self):
+        """Guards against a request that is read whole and closed without an answer."""
+        client = Client(stopping=True)
+        ended = asyncio.Event()
+
+        async def stream(request, response):
+            client.handled.append(request)
+            response.begin(200, b"OK", b"", None)
+            await ended.wait()
+            response.end()
+
+        client.connection.handler = stream
+        await client.send(GET)
+        await client.send(GET)
+        assert not client.connection.pending
+        ended.set()
+        await client.send()
+        assert len(client.handled) == 1
+        assert client.transport.closed
+
+    async def test_an_error_of_the_handler_ends_the_connection(self):
+        """Guards against a client that waits on a connection nobody serves."""
+        client = Client()
+
+        async def fail(request, response):
+            raise ValueError("broken")
+
+        client.connection.handler = fail
+        await client.send(GET)
+        assert client.transport.closed
