--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stop_schedule.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stop_schedule.py
@@ -1,7 +1,11 @@
 """When a router that got the stop signal takes requests, and when its work ends."""
 
+from msgspec import Struct
+
 from medlarridge._internal.clock import Clock
 
+from ..protocol.accepted_request import LATE_DELIVERY_MS
+
 BALANCER_REMOVAL_MS = 2_500
 """Time after which a stopping router normally gets no new connections: the load balancer
 probes once a second and removes it after two failed probes."""
@@ -11,6 +15,13 @@
 killed."""
 
 
+class Misfit(Struct, frozen=True):
+    """Why a request does not fit: the time left, and the longer one that it needs."""
+
+    left_ms: int
+    needs_ms: int
+
+
 class StopSchedule:
     """The times of one stop, None until the stop signal has come.
 
@@ -38,17 +49,44 @@
         return None if self.began_ms is None else time_ms - self.began_ms
 
     def takes_all(self) -> bool:
-        """Return whether requests are taken however long they may last.
+        """Return whether requests are taken now however long they may last."""
+        return self.is_before_removal(self.clock.now_ms())
+
+    def is_before_removal(self, time_ms: int) -> bool:
+        """Return whether the load balancer may not have reacted yet at a time.
 
-        Until the load balancer reacts, a stopping router serves as far as possible.
+        Until then a stopping router serves as far as possible.
         """
-        return (
-            self.began_ms is None
-            or self.clock.now_ms() < self.began_ms + BALANCER_REMOVAL_MS
-        )
+        return self.began_ms is None or time_ms < self.began_ms + BALANCER_REMOVAL_MS
 
-    def left_ms(self) -> int | None:
-        """Return the time until the work ends, None without a stop."""
-        if self.work_ends_ms is None:
+    def find_misfit(
+        self, deadline_at_ms: int, is_stream: bool, estimate_ms: int | None
+    ) -> Misfit | None:
+        """Return why a request may not be taken now, None if it may.
+
+        A stream is complete only at its end, so it must have ended by its deadline. A
+        buffered response can always be replaced by an error when the work ends; whether
+        taking the request is useful is told by the estimate, if there is one.
+        """
+        if self.takes_all():
             return None
-        return self.work_ends_ms - self.clock.now_ms()
+        assert self.work_ends_ms is not None
+        now_ms = self.clock.now_ms()
+        needs_ms = deadline_at_ms + LATE_DELIVERY_MS - now_ms
+        if not is_stream and estimate_ms is not None:
+            needs_ms = min(needs_ms, estimate_ms)
+        left_ms = self.work_ends_ms - now_ms
+        if left_ms > 0 and needs_ms <= left_ms:
+            return None
+        return Misfit(left_ms, needs_ms)
+
+    def may_begin_incomplete(self, taken_ms: int, deadline_at_ms: int) -> bool:
+        """Return whether a buffered response may begin before it is complete.
+
+        Once it has begun, no error can replace it, so it is bounded like a stream.
+        """
+        return (
+            self.work_ends_ms is None
+            or self.is_before_removal(taken_ms)
+            or deadline_at_ms + LATE_DELIVERY_MS <= self.work_ends_ms
+        )
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
@@ -7,8 +7,8 @@
 from .coordination.hashing import hash_to_fraction
 from .coordination.prompt_cache_index import affinity_key
 from .logs import REQUEST_FAILED, REQUEST_REJECTED, Log, RequestLog
-from .protocol.accepted_request import AcceptedRequest
-from .protocol.configuration import Account, Configuration, Pool, Route
+from .protocol.accepted_request import AcceptedRequest, deadline_at_ms
+from .protocol.configuration import Account, Configuration, Pool, Route, RouteKind
 from .protocol.requests import ClientRequest, RequestMetadata
 from .refusals import send_refusal
 from .request_run import RETRY_AFTER_JITTER_MS, RETRY_AFTER_MS, RequestRun
@@ -62,9 +62,6 @@
             log.kind, log.route = accepted.route.kind, accepted.route.name
             log.shared_parts = accepted.metadata.shared_parts
             await self.run(RequestRun(self.components, accepted, response, log))
-            if response.ended:
-                duration_ms = self.components.clock.now_ms() - request.received_ms
-                self.components.durations.record(accepted.route.name, duration_ms)
         except Rejection as rejection:
             self.reject(rejection, response, log)
         except (asyncio.CancelledError, ClientDisconnected):
@@ -110,7 +107,8 @@
         route = configuration.find_route(metadata.host, path)
         if route is None:
             raise self.unavailable_if_stale(Rejection(404, "no route"))
-        self.check_time_left(route)
+        ends_ms = deadline_at_ms(request, metadata, route)
+        self.check_time_left(route, ends_ms)
         account = self.find_account(configuration, route, metadata)
         pool = self.select_pool(configuration, route, metadata)
         name = "" if account is None else account.name
@@ -123,18 +121,23 @@
             fingerprint=request_fingerprint(
                 request.method, request.target, name, request.body
             ),
+            taken_ms=self.components.clock.now_ms(),
+            deadline_at_ms=ends_ms,
         )
 
-    def check_time_left(self, route: Route) -> None:
+    def check_time_left(self, route: Route, deadline_at_ms: int) -> None:
         """Reject a request that would not end before this router stops."""
-        schedule = self.components.stop_schedule
-        left_ms = schedule.left_ms()
-        if left_ms is None or schedule.takes_all():
-            return
-        needs_ms = self.components.durations.expected_ms(route.name, route.timeout_ms)
-        if needs_ms > left_ms:
+        misfit = self.components.stop_schedule.find_misfit(
+            deadline_at_ms,
+            route.kind is RouteKind.STREAM,
+            self.components.durations.estimate_ms(route.name),
+        )
+        if misfit is not None:
             raise Rejection(
-                SERVICE_UNAVAILABLE, STOPPING, left_ms=left_ms, needs_ms=needs_ms
+                SERVICE_UNAVAILABLE,
+                STOPPING,
+                left_ms=misfit.left_ms,
+                needs_ms=misfit.needs_ms,
             )
 
     def find_account(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -16,7 +16,7 @@
 from .coordination.server_health import AttemptResult
 from .logs import RequestLog
 from .prompt_reuse import PromptReuse
-from .protocol.accepted_request import AcceptedRequest
+from .protocol.accepted_request import LATE_DELIVERY_MS, AcceptedRequest
 from .protocol.configuration import RouteKind, effective_priority
 from .protocol.requests import ForwardingMetadata, ResponseHead
 from .protocol.servers import BackendServer
@@ -49,9 +49,6 @@
 """Time without data after which a repeatable request is sent to another server: a
 multiple of the route's latency objective, but at least the time a busy server needs."""
 
-LATE_DELIVERY_MS = 250
-"""Time after the deadline for which a response that keeps arriving is still read."""
-
 MAX_BUFFERED_RESPONSE_BYTES = 1_048_576
 """Responses up to this size are sent only when complete, so that a broken one can still
 be retried or replaced by an error."""
@@ -77,6 +74,11 @@
     MAY_HAVE_RUN = "may-have-run"
     CRASHES_SERVERS = "crashes-servers"
     CRASHING_PART = "crashing-part"
+    STOPPING = "router-stopping"
+
+
+TIMEOUT_REASONS = frozenset({GiveUpReason.DEADLINE, GiveUpReason.STOPPING})
+"""Reasons for which the server was not waited for any longer."""
 
 
 class RequestRun:
@@ -107,10 +109,7 @@
         self.continuity = StreamContinuity(
             components, accepted.route, accepted.metadata, log
         )
-        timeout_ms = accepted.route.timeout_ms
-        if accepted.metadata.deadline_ms is not None:
-            timeout_ms = min(timeout_ms, accepted.metadata.deadline_ms)
-        self.deadline_at_ms = accepted.request.received_ms + timeout_ms
+        self.deadline_at_ms = accepted.deadline_at_ms
         self.tried_instances: set[str] = set()
         self.without_permit: set[str] = set()
         self.attempts_received = 0
@@ -403,7 +402,12 @@
             if part is None:
                 break
             buffered += part.data
-            if len(buffered) > MAX_BUFFERED_RESPONSE_BYTES or self.response.started:
+            is_large = len(buffered) > MAX_BUFFERED_RESPONSE_BYTES
+            if is_large and not self.may_begin_incomplete():
+                self.runs += 1
+                self.give_up(GiveUpReason.STOPPING)
+                return True
+            if is_large or self.response.started:
                 self.begin_response(head, head.content_length)
                 await self.response.write(bytes(buffered))
                 buffered.clear()
@@ -413,6 +417,15 @@
         self.record_delivered(attempt, head)
         return True
 
+    def may_begin_incomplete(self) -> bool:
+        """Return whether the response may begin before it is complete."""
+        return (
+            self.response.started
+            or self.components.stop_schedule.may_begin_incomplete(
+                self.accepted.taken_ms, self.deadline_at_ms
+            )
+        )
+
     async def deliver_stream(self, attempt: Attempt, head: ResponseHead) -> bool:
         """Relay a stream without a declared length, since it may still break off."""
         if not self.route.resumable:
@@ -475,6 +488,10 @@
     def record_delivered(self, attempt: Attempt, head: ResponseHead) -> None:
         """Record and log a complete response and how its end was told."""
         successful = head.status // 100 == SUCCESS_STATUS_CLASS
+        if successful:
+            now_ms = self.components.clock.now_ms()
+            duration_ms = now_ms - self.accepted.request.received_ms
+            self.components.durations.record(self.route.name, duration_ms)
         crashing_parts = self.components.crashing_parts
         if successful and crashing_parts.record_success(self.shared_parts):
             self.components.on_parts_changed()
@@ -527,7 +544,7 @@
             status = 503
             retry_after_ms = self.retry_after_ms(reason)
         else:
-            status = 504 if reason is GiveUpReason.DEADLINE else 502
+            status = 504 if reason in TIMEOUT_REASONS else 502
         send_refusal(
             self.components.dialect,
             self.response,
--- a/packages/medlarridge-direct/tests/direct/test_stopping.py
+++ b/packages/medlarridge-direct/tests/direct/test_stopping.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from medlarridge_direct._internal.coordination.route_durations import SAMPLES
+from medlarridge_direct._internal.coordination.route_durations import (
+    MIN_SAMPLES,
+    SAMPLES,
+)
 from medlarridge_direct._internal.coordination.stop_schedule import (
     BALANCER_REMOVAL_MS,
     STOP_MARGIN_MS,
@@ -52,11 +55,13 @@
     async def test_a_request_that_fits_is_served(self, kind):
         """Guards against a fleet that serves nothing while all routers stop."""
         scripts = {"a": [(OK,)]}
-        components = make_stopping(scripts, 500, durations_ms=[90, 100])
+        components = make_stopping(scripts, 500, durations_ms=[90, 100] * MIN_SAMPLES)
         response, _ = await handle_request(scripts, kind, components=components)
         assert (response.status, bytes(response.body)) == (200, b"ok")
 
-    @pytest.mark.parametrize("durations_ms", [[], [100, 450]])
+    @pytest.mark.parametrize(
+        "durations_ms", [[], [100, 450], [100] * 7, [100, 450] * MIN_SAMPLES]
+    )
     async def test_a_request_that_does_not_fit_is_refused_as_not_run(
         self, durations_ms
     ):
