--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stop_schedule.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stop_schedule.py
@@ -14,6 +14,12 @@
 """Time between the end of the work of a stopping router and the moment it would be
 killed."""
 
+EXIT_MS = 100
+"""Time before the kill at which the last connections are closed."""
+
+RELEASE_MARGIN_MS = 50
+"""Time that is left for these connections after the calls to the store."""
+
 
 class Misfit(Struct, frozen=True):
     """Why a request does not fit: the time left, and the longer one that it needs."""
@@ -25,19 +31,44 @@
 class StopSchedule:
     """The times of one stop, None until the stop signal has come.
 
-    ``work_ends_ms`` is the time at which requests in flight are ended.
+    ``work_ends_ms`` is the time at which requests in flight are ended and after which
+    none is taken, ``exits_ms`` the time at which the last connections are closed.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.began_ms: int | None = None
         self.work_ends_ms: int | None = None
+        self.exits_ms: int | None = None
 
     def begin(self, grace_ms: int) -> None:
         """Begin the stop; the grace that was in force at the first signal counts."""
         if self.began_ms is None:
             self.began_ms = self.clock.now_ms()
-            self.work_ends_ms = self.began_ms + grace_ms - STOP_MARGIN_MS
+            self.work_ends_ms = self.began_ms + max(grace_ms - STOP_MARGIN_MS, 0)
+            self.exits_ms = self.began_ms + max(grace_ms - EXIT_MS, 0)
+
+    def end(self) -> None:
+        """End the work now, as no request is in flight or the time has come."""
+        assert self.work_ends_ms is not None
+        self.work_ends_ms = min(self.work_ends_ms, self.clock.now_ms())
+
+    def has_ended(self) -> bool:
+        """Return whether the work has ended."""
+        return self.work_ends_ms is not None and (
+            self.clock.now_ms() >= self.work_ends_ms
+        )
+
+    def removed_ms(self) -> int:
+        """Return when the load balancer has reacted, or the work ends if it is sooner."""
+        assert self.began_ms is not None
+        assert self.work_ends_ms is not None
+        return min(self.began_ms + BALANCER_REMOVAL_MS, self.work_ends_ms)
+
+    def release_left_ms(self) -> int:
+        """Return the time that calls to the store may take before the exit."""
+        assert self.exits_ms is not None
+        return max(self.exits_ms - RELEASE_MARGIN_MS - self.clock.now_ms(), 0)
 
     @property
     def has_begun(self) -> bool:
@@ -57,7 +88,7 @@
 
         Until then a stopping router serves as far as possible.
         """
-        return self.began_ms is None or time_ms < self.began_ms + BALANCER_REMOVAL_MS
+        return not self.has_begun or time_ms < self.removed_ms()
 
     def find_misfit(
         self, deadline_at_ms: int, is_stream: bool, estimate_ms: int | None
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -125,7 +125,11 @@
             settings.link_mbps,
         )
         self.graceful_stop = GracefulStop(
-            self.stop_schedule, self.connections, self.peers, self.listen_for_clients
+            self.stop_schedule,
+            self.handler,
+            self.connections,
+            self.peers,
+            self.listen_for_clients,
         )
         add_gauges(
             self.components,
@@ -376,14 +380,15 @@
         client_listener = await self.listen_for_clients()
         await stop.wait()
         client_listener = await self.graceful_stop.drain(client_listener)
+        await self.graceful_stop.end_work()
         client_listener.close()
         readiness_listener.close()
         peer_listener.close()
         operator_listener.close()
         for task in background_tasks:
             task.cancel()
-        await self.store_sync.permit_leases.release_all()
-        self.handler.log_unfinished()
+        await self.graceful_stop.release(self.store_sync.permit_leases.release_all)
+        await self.graceful_stop.close_connections()
         self.log.event(STOPPED, in_flight=self.handler.in_flight)
         self.log.flush()
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
@@ -11,7 +11,12 @@
 from .protocol.configuration import Account, Configuration, Pool, Route, RouteKind
 from .protocol.requests import ClientRequest, RequestMetadata
 from .refusals import send_refusal
-from .request_run import RETRY_AFTER_JITTER_MS, RETRY_AFTER_MS, RequestRun
+from .request_run import (
+    RETRY_AFTER_JITTER_MS,
+    RETRY_AFTER_MS,
+    GiveUpReason,
+    RequestRun,
+)
 from .transport.client_connection import ClientDisconnected, ResponseWriter
 
 SERVICE_UNAVAILABLE = 503
@@ -47,7 +52,7 @@
         self.components = components
         self.log = log
         self.in_flight = 0
-        self.running: set[RequestRun] = set()
+        self.running: dict[RequestRun, asyncio.Task] = {}
 
     async def handle(self, request: ClientRequest, response: ResponseWriter) -> None:
         """Serve one request and send its response."""
@@ -57,16 +62,21 @@
             self.log, self.components.clock, self.components.metrics, request_id
         )
         self.in_flight += 1
+        run = None
         try:
             accepted = self.accept(request, metadata)
             log.kind, log.route = accepted.route.kind, accepted.route.name
             log.shared_parts = accepted.metadata.shared_parts
-            await self.run(RequestRun(self.components, accepted, response, log))
+            run = RequestRun(self.components, accepted, response, log)
+            await self.run(run)
         except Rejection as rejection:
             self.reject(rejection, response, log)
         except (asyncio.CancelledError, ClientDisconnected):
             if response.client_left:
                 log.client_disconnected()
+            elif run is not None and run.ended_by_stop:
+                run.give_up(GiveUpReason.STOPPING)
+                return
             raise
         except Exception as error:
             log.write(REQUEST_FAILED, error=type(error).__name__, detail=str(error))
@@ -79,20 +89,23 @@
 
     async def run(self, run: RequestRun) -> None:
         """Forward a request that is listed as running meanwhile."""
-        self.running.add(run)
+        task = asyncio.current_task()
+        assert task is not None
+        self.running[run] = task
         try:
             await run.run()
         finally:
-            self.running.discard(run)
+            del self.running[run]
 
-    def log_unfinished(self) -> None:
-        """Log the requests that the end of the process leaves unfinished."""
-        for run in self.running:
-            run.log.ended_by_stop(run.stage, self.since_stop_ms(run.log.started_ms))
+    def end_all(self) -> None:
+        """Give up all requests in flight whose response is not complete.
 
-    def since_stop_ms(self, time_ms: int) -> int:
-        """Return how long after the stop signal a time is, 0 without a stop."""
-        return self.components.stop_schedule.since_ms(time_ms) or 0
+        Each answers in its own task, in the next turns of the event loop.
+        """
+        for run, task in list(self.running.items()):
+            if not run.response.ended:
+                run.ended_by_stop = True
+                task.cancel()
 
     def accept(
         self, request: ClientRequest, metadata: RequestMetadata | None
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -120,6 +120,7 @@
         self.shared_parts = part_keys(accepted.metadata.shared_parts)
         self.tries_part = False
         self.current_attempt: Attempt | None = None
+        self.ended_by_stop = False
 
     @property
     def stage(self) -> RequestStage:
@@ -184,6 +185,8 @@
 
     def reason_to_give_up(self) -> GiveUpReason | None:
         """Return why no further attempt may be made, or None."""
+        if self.components.stop_schedule.has_ended():
+            return GiveUpReason.STOPPING
         if self.remaining_ms() < MIN_ATTEMPT_TIME_MS:
             return GiveUpReason.DEADLINE
         if self.runs and not self.route.repeatable:
@@ -404,7 +407,6 @@
             buffered += part.data
             is_large = len(buffered) > MAX_BUFFERED_RESPONSE_BYTES
             if is_large and not self.may_begin_incomplete():
-                self.runs += 1
                 self.give_up(GiveUpReason.STOPPING)
                 return True
             if is_large or self.response.started:
@@ -535,12 +537,19 @@
         return min((rest_ms for rest_ms in rests_ms if rest_ms), default=0)
 
     def give_up(self, reason: GiveUpReason) -> None:
-        """Refuse the request, or truncate its response if it has begun."""
+        """Refuse the request, or truncate its response if it has begun.
+
+        It is told whether it may have run, also by an attempt that is not over.
+        """
+        if reason is GiveUpReason.STOPPING:
+            schedule = self.components.stop_schedule
+            since_ms = schedule.since_ms(self.accepted.taken_ms) or 0
+            self.log.ended_by_stop(self.stage, since_ms)
         if self.response.started:
             self.log.response_truncated(reason)
             return
         retry_after_ms = 0
-        if self.runs == 0:
+        if self.stage is RequestStage.WAITING:
             status = 503
             retry_after_ms = self.retry_after_ms(reason)
         else:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -223,9 +223,12 @@
     @property
     def idle(self) -> bool:
         """Return whether no request is being read, pending or being handled."""
-        return (
-            self.task is None and not self.pending and self.message_started_ms is None
-        )
+        return not self.is_handling and self.message_started_ms is None
+
+    @property
+    def is_handling(self) -> bool:
+        """Return whether a request that was read whole has no answer yet."""
+        return self.task is not None or bool(self.pending)
 
     def must_close_for_stop(self) -> bool:
         """Return whether the router is stopping and no pipelined request is pending.
