--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/graceful_stop.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/graceful_stop.py
@@ -63,12 +63,19 @@
         not, so that it is back soon. Return the last listener.
         """
         await self.sleep_until(self.schedule.removed_ms())
-        while self.connections and not self.schedule.has_ended():
-            is_needed = not self.stops_first and not self.peers.any_serves()
+        # What the event loop has accepted is listed only in one of its next turns.
+        may_accept = True
+        while not self.schedule.has_ended() and (self.connections or may_accept):
+            is_needed = (
+                bool(self.connections)
+                and not self.stops_first
+                and not self.peers.any_serves()
+            )
             if client_listener.is_serving() and not is_needed:
                 client_listener.close()
             elif is_needed and not client_listener.is_serving():
                 client_listener = await self.listen()
+            may_accept = client_listener.is_serving()
             self.close_idle()
             await asyncio.sleep(DRAIN_INTERVAL_MS / MS_PER_S)
         return client_listener
