--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/graceful_stop.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/graceful_stop.py
@@ -74,7 +74,9 @@
             if client_listener.is_serving() and not is_needed:
                 client_listener.close()
             elif is_needed and not client_listener.is_serving():
-                client_listener = await self.listen()
+                # The address may be in use; it is tried again in the next turn.
+                with contextlib.suppress(OSError):
+                    client_listener = await self.listen()
             may_accept = client_listener.is_serving()
             self.close_idle()
             await asyncio.sleep(DRAIN_INTERVAL_MS / MS_PER_S)
