--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -77,7 +77,7 @@
         if status in BODILESS_STATUSES:
             self.has_body = False
             content_length = None
-        if self.connection.is_stopping():
+        if self.connection.must_close_for_stop():
             self.keep_alive = False
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, reason), headers]
         if content_length is not None:
@@ -89,6 +89,7 @@
             lines.append(b"Transfer-Encoding: chunked\r\n")
         if not self.keep_alive:
             lines.append(b"Connection: close\r\n")
+            self.connection.announces_close = True
         lines.append(b"\r\n")
         self.connection.write(b"".join(lines))
 
@@ -148,6 +149,7 @@
         self.disconnected = False
         self.client_left = False
         self.rejected = False
+        self.announces_close = False
         self.idle_since_ms = clock.now_ms()
         self.message_started_ms: int | None = None
         self.received_bytes = 0
@@ -265,7 +267,7 @@
     # Reading
 
     def data_received(self, data: bytes) -> None:
-        if self.rejected:
+        if self.rejected or self.announces_close:
             return
         self.received_bytes += len(data)
         try:
@@ -329,7 +331,7 @@
             self.reject_message(413)
 
     def on_message_complete(self) -> None:
-        if self.rejected:
+        if self.rejected or self.announces_close:
             return
         self.received_bytes = self.body_bytes = 0
         queued_since_ms, self.queued_since_ms = self.queued_since_ms, None
