--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -148,7 +148,7 @@
         self.write_paused = False
         self.disconnected = False
         self.client_left = False
-        self.rejected = False
+        self.rejected_status: int | None = None
         self.announces_close = False
         self.idle_since_ms = clock.now_ms()
         self.message_started_ms: int | None = None
@@ -267,7 +267,7 @@
     # Reading
 
     def data_received(self, data: bytes) -> None:
-        if self.rejected or self.announces_close:
+        if self.rejected_status is not None or self.announces_close:
             return
         self.received_bytes += len(data)
         try:
@@ -331,7 +331,7 @@
             self.reject_message(413)
 
     def on_message_complete(self) -> None:
-        if self.rejected or self.announces_close:
+        if self.rejected_status is not None or self.announces_close:
             return
         self.received_bytes = self.body_bytes = 0
         queued_since_ms, self.queued_since_ms = self.queued_since_ms, None
@@ -352,18 +352,25 @@
         self.start_next_request()
 
     def reject_message(self, status: int) -> None:
-        """Reject a message that violates the limits or HTTP, and close."""
-        if self.rejected:
+        """Reject a message that violates the limits or HTTP, and close.
+
+        Requests that were read before it are answered first.
+        """
+        if self.rejected_status is not None:
             return
-        self.rejected = True
-        if self.task is None:
-            body = b'{"error": "%s"}' % REASON_PHRASES[status].lower()
-            self.write(
-                b"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
-                b"Content-Length: %d\r\nConnection: close\r\n\r\n%s"
-                % (status, REASON_PHRASES[status], len(body), body)
-            )
-            self.close()
+        self.rejected_status = status
+        if not self.is_handling:
+            self.send_rejection(status)
+
+    def send_rejection(self, status: int) -> None:
+        """Answer a message that was rejected, and close."""
+        body = b'{"error": "%s"}' % REASON_PHRASES[status].lower()
+        self.write(
+            b"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+            b"Content-Length: %d\r\nConnection: close\r\n\r\n%s"
+            % (status, REASON_PHRASES[status], len(body), body)
+        )
+        self.close()
 
     # Handling
 
@@ -390,12 +397,19 @@
         self.idle_since_ms = self.clock.now_ms()
         if not response.ended:
             self.abort()
-        elif not response.keep_alive or self.rejected or self.must_close_for_stop():
+        elif not response.keep_alive:
             self.close()
-        else:
-            if (
-                len(self.pending) < MAX_PIPELINED_REQUESTS
-                and self.transport is not None
-            ):
-                self.transport.resume_reading()
+        elif self.pending:
+            self.resume_reading()
             self.start_next_request()
+        elif self.rejected_status is not None:
+            self.send_rejection(self.rejected_status)
+        elif self.must_close_for_stop():
+            self.close()
+        else:
+            self.resume_reading()
+
+    def resume_reading(self) -> None:
+        """Read on, unless too many requests are read ahead."""
+        if len(self.pending) < MAX_PIPELINED_REQUESTS and self.transport is not None:
+            self.transport.resume_reading()
