--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -182,7 +182,7 @@
     """Log lines and metrics of one request."""
 
     def __init__(
-        self, log: Log, clock: Clock, metrics: Metrics, request_id: str
+        self, log: Log, clock: Clock, metrics: Metrics, request_id: str = ""
     ) -> None:
         self.log = log
         self.clock = clock
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
@@ -56,14 +56,13 @@
 
     async def handle(self, request: ClientRequest, response: ResponseWriter) -> None:
         """Serve one request and send its response."""
-        metadata = self.components.dialect.parse_request(request.headers)
-        request_id = "" if metadata is None else metadata.request_id
-        log = RequestLog(
-            self.log, self.components.clock, self.components.metrics, request_id
-        )
+        log = RequestLog(self.log, self.components.clock, self.components.metrics)
         self.in_flight += 1
         run = None
         try:
+            metadata = self.components.dialect.parse_request(request.headers)
+            if metadata is not None:
+                log.request_id = metadata.request_id
             accepted = self.accept(request, metadata)
             log.kind, log.route = accepted.route.kind, accepted.route.name
             log.shared_parts = accepted.metadata.shared_parts
@@ -82,7 +81,11 @@
             log.write(REQUEST_FAILED, error=type(error).__name__, detail=str(error))
             if not response.started:
                 send_refusal(
-                    self.components.dialect, response, 502, "internal", request_id
+                    self.components.dialect,
+                    response,
+                    502,
+                    "internal",
+                    log.request_id or None,
                 )
         finally:
             self.in_flight -= 1
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -21,6 +21,8 @@
 """Bytes of chunk sizes that are read for each byte of a body, which may come in chunks
 of one byte."""
 
+INTERNAL_ERROR_STATUS = 502
+
 LAST_CHUNK = b"0\r\n\r\n"
 REASON_PHRASES = {
     200: b"OK",
@@ -392,6 +394,13 @@
         except (asyncio.CancelledError, ClientDisconnected):
             self.abort()
             return
+        except Exception as error:
+            self.loop.call_exception_handler(
+                {"message": "error while handling a request", "exception": error}
+            )
+            if not response.started:
+                response.keep_alive = False
+                response.send(INTERNAL_ERROR_STATUS, b"", b"")
         finally:
             self.task = None
         self.idle_since_ms = self.clock.now_ms()
--- a/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
@@ -320,10 +320,19 @@
     async def test_an_error_of_the_handler_ends_the_connection(self):
         """Guards against a client that waits on a connection nobody serves."""
         client = Client()
+        errors = []
+        loop = asyncio.get_running_loop()
+        usual_handler = loop.get_exception_handler()
+        loop.set_exception_handler(
+            lambda loop, context: errors.append(str(context["exception"]))
+        )
 
         async def fail(request, response):
             raise ValueError("broken")
 
         client.connection.handler = fail
         await client.send(GET)
+        loop.set_exception_handler(usual_handler)
+        assert client.status_lines == [b"502"]
         assert client.transport.closed
+        assert errors == ["broken"]
