--- a/packages/medlarridge-direct/tests/direct/test_end_of_work.py
+++ b/packages/medlarridge-direct/tests/direct/test_end_of_work.py
@@ -5,12 +5,15 @@
 import pytest
 
 from medlarridge_direct._internal.graceful_stop import GracefulStop
+from medlarridge_direct._internal.logs import Log
 from medlarridge_direct._internal.protocol.configuration import RouteKind
 from medlarridge_direct._internal.request_handler import RequestHandler
+from medlarridge_direct._internal.transport.client_connection import ClientConnection
 
-from .scripted import make_components
+from .samples import configuration, listing, server
+from .scripted import FakeTransport, make_components
 from .stopping_router import StoppingRouter, read_all
-from .test_request_run import EVENT, NOT_EXECUTED_503, STREAM, chunk
+from .test_request_run import EVENT, NOT_EXECUTED_503, OK, STREAM, chunk
 
 pytestmark = pytest.mark.anyio
 
@@ -101,6 +104,40 @@
         await fleet.end()
 
 
+class TestSlowReaders:
+    async def test_a_complete_response_is_not_cut_while_its_client_reads(self):
+        """Guards against whole responses that are thrown away for a slow reader."""
+        scripts = {"a": [(OK,)]}
+        components = make_components(scripts)
+        components.configuration.apply_if_newer(configuration(), 1_000_000)
+        components.servers.update(listing(server("a")), 1_000_000)
+        handler = RequestHandler(components, Log(components.clock, "node"))
+        connection = ClientConnection(
+            handler.handle,
+            components.configuration.limits,
+            components.clock,
+            set(),
+            lambda: True,
+        )
+        transport = FakeTransport(connection)
+        connection.connection_made(transport)
+        connection.pause_writing()
+        connection.data_received(
+            b"POST /plan/1 HTTP/1.1\r\nid: 1\r\nhost: desk.example\r\nkey: key-1\r\n"
+            b"content-length: 0\r\n\r\n"
+        )
+        await asyncio.sleep(0.05)
+        components.stop_schedule.begin(8_000)
+        components.stop_schedule.end()
+        handler.end_all()
+        await asyncio.sleep(0.02)
+        assert not transport.aborted
+        connection.resume_writing()
+        await asyncio.sleep(0.02)
+        assert transport.closed
+        assert transport.written.endswith(b"ok")
+
+
 class Listener:
     """A listener that counts how often it was closed."""
 
