--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -414,8 +414,7 @@
                 await self.response.write(bytes(buffered))
                 buffered.clear()
         self.begin_response(head, len(buffered) if not self.response.started else None)
-        await self.response.write(bytes(buffered))
-        self.response.end()
+        await self.response.write_last(bytes(buffered))
         self.record_delivered(attempt, head)
         return True
 
@@ -452,8 +451,7 @@
                 self.begin_response(head, None)
                 await self.response.write(bytes(new_events))
         self.begin_response(head, None)
-        await self.response.write(attempt.received.rest())
-        self.response.end()
+        await self.response.write_last(attempt.received.rest())
         self.record_delivered(attempt, head)
         return True
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -97,12 +97,23 @@
 
     async def write(self, data: bytes) -> None:
         """Write the next part of the body; wait while the client reads slowly."""
+        if self.write_part(data):
+            await self.connection.drain()
+
+    async def write_last(self, data: bytes) -> None:
+        """Write the last part of the body, complete the response, and wait likewise."""
+        self.write_part(data)
+        self.end()
+        await self.connection.drain()
+
+    def write_part(self, data: bytes) -> bool:
+        """Write a part of the body; return whether it has any bytes."""
         if not data or not self.has_body:
-            return
+            return False
         if self.chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self.connection.write(data)
-        await self.connection.drain()
+        return True
 
     def end(self) -> None:
         """Complete the response."""
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -88,6 +88,10 @@
     async def write(self, data):
         self.body += data
 
+    async def write_last(self, data):
+        await self.write(data)
+        self.end()
+
     def end(self):
         self.ended = True
 
