--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/graceful_stop.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/graceful_stop.py
@@ -62,6 +62,7 @@
         load balancer has no other to send them to. The router that stops first does
         not, so that it is back soon. Return the last listener.
         """
+        assert self.schedule.work_ends_ms is not None
         await self.sleep_until(self.schedule.removed_ms())
         # What the event loop has accepted is listed only in one of its next turns.
         may_accept = True
@@ -79,7 +80,8 @@
                     client_listener = await self.listen()
             may_accept = client_listener.is_serving()
             self.close_idle()
-            await asyncio.sleep(DRAIN_INTERVAL_MS / MS_PER_S)
+            left_ms = max(self.schedule.work_ends_ms - self.clock.now_ms(), 0)
+            await asyncio.sleep(min(left_ms, DRAIN_INTERVAL_MS) / MS_PER_S)
         return client_listener
 
     async def end_work(self) -> None:
--- a/packages/medlarridge-direct/tests/direct/test_end_of_work.py
+++ b/packages/medlarridge-direct/tests/direct/test_end_of_work.py
@@ -90,6 +90,31 @@
         await ending
         assert (await read_all(reader)).split(b" ")[1:2] == [b"503"]
 
+    async def test_a_store_that_does_not_answer_delays_no_exit(
+        self, tmp_path, monkeypatch
+    ):
+        """Guards against a kill while the store is asked to take leases back."""
+        fleet = StoppingRouter(tmp_path, monkeypatch, ())
+        await fleet.start()
+        fleet.router.store_sync.permit_leases.release_all = asyncio.Event().wait
+        fleet.stop()
+        await fleet.pass_balancer_removal()
+        await fleet.end()
+
+    async def test_a_second_signal_ends_nothing_sooner(self, tmp_path, monkeypatch):
+        """Guards against requests that end because the platform signals twice."""
+        fleet = StoppingRouter(tmp_path, monkeypatch, (), RouteKind.IDEMPOTENT)
+        await fleet.start()
+        request = asyncio.create_task(fleet.request())
+        await asyncio.sleep(0.05)
+        fleet.stop()
+        await fleet.pass_balancer_removal()
+        fleet.stop()
+        await asyncio.sleep(0.2)
+        assert not request.done()
+        await fleet.end()
+        assert (await request).split(b" ")[1:2] == [b"504"]
+
     async def test_a_router_without_a_configuration_answers_while_it_stops(
         self, tmp_path, monkeypatch
     ):
