--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
@@ -7,11 +7,16 @@
 from .coordination.hashing import hash_to_fraction
 from .coordination.prompt_cache_index import affinity_key
 from .logs import REQUEST_FAILED, REQUEST_REJECTED, Log, RequestLog
-from .protocol.accepted_request import AcceptedRequest
-from .protocol.configuration import Account, Configuration, Pool, Route
+from .protocol.accepted_request import AcceptedRequest, deadline_at_ms
+from .protocol.configuration import Account, Configuration, Pool, Route, RouteKind
 from .protocol.requests import ClientRequest, RequestMetadata
 from .refusals import send_refusal
-from .request_run import RETRY_AFTER_JITTER_MS, RETRY_AFTER_MS, RequestRun
+from .request_run import (
+    RETRY_AFTER_JITTER_MS,
+    RETRY_AFTER_MS,
+    GiveUpReason,
+    RequestRun,
+)
 from .transport.client_connection import ClientDisconnected, ResponseWriter
 
 SERVICE_UNAVAILABLE = 503
@@ -28,12 +33,16 @@
 
 
 class Rejection(Exception):
-    """Raised for a request that is not allowed; ``status`` is sent to the client."""
+    """Raised for a request that is not allowed; ``status`` is sent to the client.
 
-    def __init__(self, status: int, reason: str) -> None:
+    ``details`` are logged: what the rejection was decided on.
+    """
+
+    def __init__(self, status: int, reason: str, **details: object) -> None:
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        self.details = details
 
 
 class RequestHandler:
@@ -43,37 +52,64 @@
         self.components = components
         self.log = log
         self.in_flight = 0
+        self.running: dict[RequestRun, asyncio.Task] = {}
 
     async def handle(self, request: ClientRequest, response: ResponseWriter) -> None:
         """Serve one request and send its response."""
-        metadata = self.components.dialect.parse_request(request.headers)
-        request_id = "" if metadata is None else metadata.request_id
-        log = RequestLog(
-            self.log, self.components.clock, self.components.metrics, request_id
-        )
+        log = RequestLog(self.log, self.components.clock, self.components.metrics)
         self.in_flight += 1
+        run = None
         try:
+            metadata = self.components.dialect.parse_request(request.headers)
+            if metadata is not None:
+                log.request_id = metadata.request_id
             accepted = self.accept(request, metadata)
             log.kind, log.route = accepted.route.kind, accepted.route.name
             log.shared_parts = accepted.metadata.shared_parts
-            await RequestRun(self.components, accepted, response, log).run()
-            if response.ended:
-                duration_ms = self.components.clock.now_ms() - request.received_ms
-                self.components.durations.record(accepted.route.name, duration_ms)
+            run = RequestRun(self.components, accepted, response, log)
+            await self.run(run)
         except Rejection as rejection:
             self.reject(rejection, response, log)
         except (asyncio.CancelledError, ClientDisconnected):
-            log.client_disconnected()
+            if response.client_left:
+                log.client_disconnected()
+            elif run is not None and run.ended_by_stop:
+                run.give_up(GiveUpReason.STOPPING)
+                return
             raise
         except Exception as error:
             log.write(REQUEST_FAILED, error=type(error).__name__, detail=str(error))
             if not response.started:
                 send_refusal(
-                    self.components.dialect, response, 502, "internal", request_id
+                    self.components.dialect,
+                    response,
+                    502,
+                    "internal",
+                    log.request_id or None,
                 )
         finally:
             self.in_flight -= 1
 
+    async def run(self, run: RequestRun) -> None:
+        """Forward a request that is listed as running meanwhile."""
+        task = asyncio.current_task()
+        assert task is not None
+        self.running[run] = task
+        try:
+            await run.run()
+        finally:
+            del self.running[run]
+
+    def end_all(self) -> None:
+        """Give up all requests in flight whose response is not complete.
+
+        Each answers in its own task, in the next turns of the event loop.
+        """
+        for run, task in list(self.running.items()):
+            if not run.response.ended:
+                run.ended_by_stop = True
+                task.cancel()
+
     def accept(
         self, request: ClientRequest, metadata: RequestMetadata | None
     ) -> AcceptedRequest:
@@ -87,7 +123,8 @@
         route = configuration.find_route(metadata.host, path)
         if route is None:
             raise self.unavailable_if_stale(Rejection(404, "no route"))
-        self.check_time_left(route)
+        ends_ms = deadline_at_ms(request, metadata, route)
+        self.check_time_left(route, ends_ms)
         account = self.find_account(configuration, route, metadata)
         pool = self.select_pool(configuration, route, metadata)
         name = "" if account is None else account.name
@@ -100,16 +137,24 @@
             fingerprint=request_fingerprint(
                 request.method, request.target, name, request.body
             ),
+            taken_ms=self.components.clock.now_ms(),
+            deadline_at_ms=ends_ms,
         )
 
-    def check_time_left(self, route: Route) -> None:
+    def check_time_left(self, route: Route, deadline_at_ms: int) -> None:
         """Reject a request that would not end before this router stops."""
-        work_ends_ms = self.components.work_ends_ms()
-        if work_ends_ms is None:
-            return
-        left_ms = work_ends_ms - self.components.clock.now_ms()
-        if not self.components.durations.fits(route.name, route.timeout_ms, left_ms):
-            raise Rejection(SERVICE_UNAVAILABLE, STOPPING)
+        misfit = self.components.stop_schedule.find_misfit(
+            deadline_at_ms,
+            route.kind is RouteKind.STREAM,
+            self.components.durations.estimate_ms(route.name),
+        )
+        if misfit is not None:
+            raise Rejection(
+                SERVICE_UNAVAILABLE,
+                STOPPING,
+                left_ms=misfit.left_ms,
+                needs_ms=misfit.needs_ms,
+            )
 
     def find_account(
         self, configuration: Configuration, route: Route, metadata: RequestMetadata
@@ -171,4 +216,5 @@
             reason=rejection.reason,
             configuration=self.components.configuration.version,
             age_ms=self.components.configuration.age_ms(),
+            **rejection.details,
         )
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -16,12 +16,13 @@
 from .coordination.server_health import AttemptResult
 from .logs import RequestLog
 from .prompt_reuse import PromptReuse
-from .protocol.accepted_request import AcceptedRequest
+from .protocol.accepted_request import LATE_DELIVERY_MS, AcceptedRequest
 from .protocol.configuration import RouteKind, effective_priority
 from .protocol.requests import ForwardingMetadata, ResponseHead
 from .protocol.servers import BackendServer
 from .received_body import BodyPart
 from .refusals import send_refusal
+from .request_stage import RequestStage
 from .send_permits import Permit
 from .server_selection import rank_servers
 from .stream_continuity import StreamContinuity
@@ -48,9 +49,6 @@
 """Time without data after which a repeatable request is sent to another server: a
 multiple of the route's latency objective, but at least the time a busy server needs."""
 
-LATE_DELIVERY_MS = 250
-"""Time after the deadline for which a response that keeps arriving is still read."""
-
 MAX_BUFFERED_RESPONSE_BYTES = 1_048_576
 """Responses up to this size are sent only when complete, so that a broken one can still
 be retried or replaced by an error."""
@@ -76,6 +74,11 @@
     MAY_HAVE_RUN = "may-have-run"
     CRASHES_SERVERS = "crashes-servers"
     CRASHING_PART = "crashing-part"
+    STOPPING = "router-stopping"
+
+
+TIMEOUT_REASONS = frozenset({GiveUpReason.DEADLINE, GiveUpReason.STOPPING})
+"""Reasons for which the server was not waited for any longer."""
 
 
 class RequestRun:
@@ -106,10 +109,7 @@
         self.continuity = StreamContinuity(
             components, accepted.route, accepted.metadata, log
         )
-        timeout_ms = accepted.route.timeout_ms
-        if accepted.metadata.deadline_ms is not None:
-            timeout_ms = min(timeout_ms, accepted.metadata.deadline_ms)
-        self.deadline_at_ms = accepted.request.received_ms + timeout_ms
+        self.deadline_at_ms = accepted.deadline_at_ms
         self.tried_instances: set[str] = set()
         self.without_permit: set[str] = set()
         self.attempts_received = 0
@@ -119,6 +119,18 @@
         self.last_event_id = accepted.metadata.resume_after
         self.shared_parts = part_keys(accepted.metadata.shared_parts)
         self.tries_part = False
+        self.current_attempt: Attempt | None = None
+        self.ended_by_stop = False
+
+    @property
+    def stage(self) -> RequestStage:
+        """Return how far the request has come."""
+        if self.response.started:
+            return RequestStage.BEGUN
+        attempt = self.current_attempt
+        if self.runs or (attempt is not None and attempt.exchange is not None):
+            return RequestStage.SENT
+        return RequestStage.WAITING
 
     def remaining_ms(self) -> int:
         """Return the time that is left before the deadline."""
@@ -173,6 +185,8 @@
 
     def reason_to_give_up(self) -> GiveUpReason | None:
         """Return why no further attempt may be made, or None."""
+        if self.components.stop_schedule.has_ended():
+            return GiveUpReason.STOPPING
         if self.remaining_ms() < MIN_ATTEMPT_TIME_MS:
             return GiveUpReason.DEADLINE
         if self.runs and not self.route.repeatable:
@@ -250,6 +264,7 @@
             self.accepted.pool.runs_models,
             permit,
         ) as attempt:
+            self.current_attempt = attempt
             self.log.attempt_sent(
                 server,
                 self.components,
@@ -265,8 +280,11 @@
             if outcome.kind is OutcomeKind.RESPONSE:
                 elapsed_ms = self.components.clock.now_ms() - sent_ms
                 self.prompt_reuse.record_processed(server, elapsed_ms)
-                return await self.deliver(attempt, outcome)
+                is_finished = await self.deliver(attempt, outcome)
+                self.current_attempt = None
+                return is_finished
             self.record_failure(attempt, outcome)
+            self.current_attempt = None
             return False
 
     async def start(
@@ -387,16 +405,28 @@
             if part is None:
                 break
             buffered += part.data
-            if len(buffered) > MAX_BUFFERED_RESPONSE_BYTES or self.response.started:
+            is_large = len(buffered) > MAX_BUFFERED_RESPONSE_BYTES
+            if is_large and not self.may_begin_incomplete():
+                self.give_up(GiveUpReason.STOPPING)
+                return True
+            if is_large or self.response.started:
                 self.begin_response(head, head.content_length)
                 await self.response.write(bytes(buffered))
                 buffered.clear()
         self.begin_response(head, len(buffered) if not self.response.started else None)
-        await self.response.write(bytes(buffered))
-        self.response.end()
+        await self.response.write_last(bytes(buffered))
         self.record_delivered(attempt, head)
         return True
 
+    def may_begin_incomplete(self) -> bool:
+        """Return whether the response may begin before it is complete."""
+        return (
+            self.response.started
+            or self.components.stop_schedule.may_begin_incomplete(
+                self.accepted.taken_ms, self.deadline_at_ms
+            )
+        )
+
     async def deliver_stream(self, attempt: Attempt, head: ResponseHead) -> bool:
         """Relay a stream without a declared length, since it may still break off."""
         if not self.route.resumable:
@@ -421,8 +451,7 @@
                 self.begin_response(head, None)
                 await self.response.write(bytes(new_events))
         self.begin_response(head, None)
-        await self.response.write(attempt.received.rest())
-        self.response.end()
+        await self.response.write_last(attempt.received.rest())
         self.record_delivered(attempt, head)
         return True
 
@@ -459,6 +488,10 @@
     def record_delivered(self, attempt: Attempt, head: ResponseHead) -> None:
         """Record and log a complete response and how its end was told."""
         successful = head.status // 100 == SUCCESS_STATUS_CLASS
+        if successful:
+            now_ms = self.components.clock.now_ms()
+            duration_ms = now_ms - self.accepted.request.received_ms
+            self.components.durations.record(self.route.name, duration_ms)
         crashing_parts = self.components.crashing_parts
         if successful and crashing_parts.record_success(self.shared_parts):
             self.components.on_parts_changed()
@@ -502,16 +535,23 @@
         return min((rest_ms for rest_ms in rests_ms if rest_ms), default=0)
 
     def give_up(self, reason: GiveUpReason) -> None:
-        """Refuse the request, or truncate its response if it has begun."""
+        """Refuse the request, or truncate its response if it has begun.
+
+        It is told whether it may have run, also by an attempt that is not over.
+        """
+        if reason is GiveUpReason.STOPPING:
+            schedule = self.components.stop_schedule
+            since_ms = schedule.since_ms(self.accepted.taken_ms) or 0
+            self.log.ended_by_stop(self.stage, since_ms)
         if self.response.started:
             self.log.response_truncated(reason)
             return
         retry_after_ms = 0
-        if self.runs == 0:
+        if self.stage is RequestStage.WAITING:
             status = 503
             retry_after_ms = self.retry_after_ms(reason)
         else:
-            status = 504 if reason is GiveUpReason.DEADLINE else 502
+            status = 504 if reason in TIMEOUT_REASONS else 502
         send_refusal(
             self.components.dialect,
             self.response,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -21,6 +21,8 @@
 """Bytes of chunk sizes that are read for each byte of a body, which may come in chunks
 of one byte."""
 
+INTERNAL_ERROR_STATUS = 502
+
 LAST_CHUNK = b"0\r\n\r\n"
 REASON_PHRASES = {
     200: b"OK",
@@ -59,6 +61,11 @@
         self.has_body = request.method != b"HEAD"
         self.keep_alive = request.keep_alive
 
+    @property
+    def client_left(self) -> bool:
+        """Return whether the client has closed its connection or its half of it."""
+        return self.connection.client_left
+
     def begin(
         self, status: int, reason: bytes, headers: bytes, content_length: int | None
     ) -> None:
@@ -72,7 +79,7 @@
         if status in BODILESS_STATUSES:
             self.has_body = False
             content_length = None
-        if self.connection.is_stopping():
+        if self.connection.must_close_for_stop():
             self.keep_alive = False
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, reason), headers]
         if content_length is not None:
@@ -84,17 +91,29 @@
             lines.append(b"Transfer-Encoding: chunked\r\n")
         if not self.keep_alive:
             lines.append(b"Connection: close\r\n")
+            self.connection.announces_close = True
         lines.append(b"\r\n")
         self.connection.write(b"".join(lines))
 
     async def write(self, data: bytes) -> None:
         """Write the next part of the body; wait while the client reads slowly."""
+        if self.write_part(data):
+            await self.connection.drain()
+
+    async def write_last(self, data: bytes) -> None:
+        """Write the last part of the body, complete the response, and wait likewise."""
+        self.write_part(data)
+        self.end()
+        await self.connection.drain()
+
+    def write_part(self, data: bytes) -> bool:
+        """Write a part of the body; return whether it has any bytes."""
         if not data or not self.has_body:
-            return
+            return False
         if self.chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self.connection.write(data)
-        await self.connection.drain()
+        return True
 
     def end(self) -> None:
         """Complete the response."""
@@ -141,7 +160,9 @@
         self.drain_waiter: asyncio.Future[None] | None = None
         self.write_paused = False
         self.disconnected = False
-        self.rejected = False
+        self.client_left = False
+        self.rejected_status: int | None = None
+        self.announces_close = False
         self.idle_since_ms = clock.now_ms()
         self.message_started_ms: int | None = None
         self.received_bytes = 0
@@ -165,7 +186,7 @@
         self.check_timeouts()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.disconnected = True
+        self.disconnected = self.client_left = True
         self.connections.discard(self)
         if self.timer is not None:
             self.timer.cancel()
@@ -175,6 +196,7 @@
             self.task.cancel()
 
     def eof_received(self) -> bool:
+        self.client_left = True
         if self.task is not None:
             self.task.cancel()
         return False
@@ -216,9 +238,12 @@
     @property
     def idle(self) -> bool:
         """Return whether no request is being read, pending or being handled."""
-        return (
-            self.task is None and not self.pending and self.message_started_ms is None
-        )
+        return not self.is_handling and self.message_started_ms is None
+
+    @property
+    def is_handling(self) -> bool:
+        """Return whether a request that was read whole has no answer yet."""
+        return self.task is not None or bool(self.pending)
 
     def must_close_for_stop(self) -> bool:
         """Return whether the router is stopping and no pipelined request is pending.
@@ -255,7 +280,7 @@
     # Reading
 
     def data_received(self, data: bytes) -> None:
-        if self.rejected:
+        if self.rejected_status is not None or self.announces_close:
             return
         self.received_bytes += len(data)
         try:
@@ -319,7 +344,7 @@
             self.reject_message(413)
 
     def on_message_complete(self) -> None:
-        if self.rejected:
+        if self.rejected_status is not None or self.announces_close:
             return
         self.received_bytes = self.body_bytes = 0
         queued_since_ms, self.queued_since_ms = self.queued_since_ms, None
@@ -340,18 +365,25 @@
         self.start_next_request()
 
     def reject_message(self, status: int) -> None:
-        """Reject a message that violates the limits or HTTP, and close."""
-        if self.rejected:
+        """Reject a message that violates the limits or HTTP, and close.
+
+        Requests that were read before it are answered first.
+        """
+        if self.rejected_status is not None:
             return
-        self.rejected = True
-        if self.task is None:
-            body = b'{"error": "%s"}' % REASON_PHRASES[status].lower()
-            self.write(
-                b"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
-                b"Content-Length: %d\r\nConnection: close\r\n\r\n%s"
-                % (status, REASON_PHRASES[status], len(body), body)
-            )
-            self.close()
+        self.rejected_status = status
+        if not self.is_handling:
+            self.send_rejection(status)
+
+    def send_rejection(self, status: int) -> None:
+        """Answer a message that was rejected, and close."""
+        body = b'{"error": "%s"}' % REASON_PHRASES[status].lower()
+        self.write(
+            b"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+            b"Content-Length: %d\r\nConnection: close\r\n\r\n%s"
+            % (status, REASON_PHRASES[status], len(body), body)
+        )
+        self.close()
 
     # Handling
 
@@ -373,17 +405,31 @@
         except (asyncio.CancelledError, ClientDisconnected):
             self.abort()
             return
+        except Exception as error:
+            self.loop.call_exception_handler(
+                {"message": "error while handling a request", "exception": error}
+            )
+            if not response.started:
+                response.keep_alive = False
+                response.send(INTERNAL_ERROR_STATUS, b"", b"")
         finally:
             self.task = None
         self.idle_since_ms = self.clock.now_ms()
         if not response.ended:
             self.abort()
-        elif not response.keep_alive or self.rejected or self.must_close_for_stop():
+        elif not response.keep_alive:
             self.close()
-        else:
-            if (
-                len(self.pending) < MAX_PIPELINED_REQUESTS
-                and self.transport is not None
-            ):
-                self.transport.resume_reading()
+        elif self.pending:
+            self.resume_reading()
             self.start_next_request()
+        elif self.rejected_status is not None:
+            self.send_rejection(self.rejected_status)
+        elif self.must_close_for_stop():
+            self.close()
+        else:
+            self.resume_reading()
+
+    def resume_reading(self) -> None:
+        """Read on, unless too many requests are read ahead."""
+        if len(self.pending) < MAX_PIPELINED_REQUESTS and self.transport is not None:
+            self.transport.resume_reading()
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -72,6 +72,8 @@
 class RecordedResponse:
     """Records the response that a client gets."""
 
+    client_left = False
+
     def __init__(self):
         self.started = self.ended = False
         self.status = None
@@ -86,6 +88,10 @@
     async def write(self, data):
         self.body += data
 
+    async def write_last(self, data):
+        await self.write(data)
+        self.end()
+
     def end(self):
         self.ended = True
 
@@ -103,6 +109,7 @@
     response=None,
     versions=None,
     method=b"POST",
+    handler=None,
     **changes,
 ):
     """Handle one request with scripted servers; return response and components.
@@ -134,9 +141,8 @@
         keep_alive=True,
     )
     response = response or RecordedResponse()
-    await RequestHandler(components, Log(components.clock, "node")).handle(
-        request, response
-    )
+    handler = handler or RequestHandler(components, Log(components.clock, "node"))
+    await handler.handle(request, response)
     return response, components
 
 
