--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -42,6 +42,17 @@
 """Script of a server that refuses the connection."""
 
 
+class Kept(tuple):
+    """Script of a connection that has carried another request."""
+
+
+def kept(*steps):
+    return Kept(steps)
+
+
+EARLIER_RESPONSE = b"HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 0\r\n\r\n"
+
+
 class FakeTransport:
     """Transport that records writes and runs a script after the first one."""
 
@@ -102,6 +113,17 @@
     return connection
 
 
+def kept_connection(*script):
+    """Return a connection that has carried a request and its response."""
+    connection = scripted_connection()
+    connection.start(b"GET /earlier HTTP/1.1\r\n\r\n")
+    connection.data_received(EARLIER_RESPONSE)
+    assert connection.release()
+    connection.transport.written.clear()
+    connection.transport.script = script
+    return connection
+
+
 class ScriptedConnections:
     """Connection pools whose servers respond from scripts, one script per attempt."""
 
@@ -115,7 +137,8 @@
         script = self.scripts[server.instance].pop(0)
         if script is REFUSE:
             raise TransportError("refused", step="connect", peer=server.address)
-        connection = scripted_connection(*script)
+        connect = kept_connection if isinstance(script, Kept) else scripted_connection
+        connection = connect(*script)
         self.sent.append((server.instance, connection.transport))
         return connection
 
