--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -75,6 +75,17 @@
         return self.reached_server and self.kind is not OutcomeKind.NOT_RUN
 
 
+class DiscardedResponse(Struct, frozen=True):
+    """A response that is not to this attempt's request.
+
+    ``request_id`` is what it names, None for nothing; ``earlier`` is the number of
+    responses that came before it on its connection.
+    """
+
+    request_id: str | None
+    earlier: int
+
+
 class Attempt:
     """Sends a request to a server and returns the events of its response.
 
@@ -111,6 +122,7 @@
         self.first_bytes_ms: int | None = None
         self.exchange: Exchange | None = None
         self.head: ResponseHead | None = None
+        self.discarded: list[DiscardedResponse] = []
         self.attempt_number = 0
         self.sent_ms = 0
         self.received = ReceivedBody()
@@ -196,8 +208,13 @@
 
     def matches_request(self, headers: Headers) -> bool:
         """Return whether a response is to this request and not to an earlier one."""
-        head = self.components.dialect.parse_response(0, b"", headers)
-        return head.request_id is None or head.request_id == self.request_id
+        assert self.exchange is not None
+        named = self.components.dialect.parse_response(0, b"", headers).request_id
+        if named is None or named == self.request_id:
+            return True
+        earlier = self.exchange.connection.responses
+        self.discarded.append(DiscardedResponse(named, earlier))
+        return False
 
     async def read_head(self, timeout_ms: int) -> AttemptOutcome:
         """Wait for the response head and classify it."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -11,6 +11,7 @@
 from medlarridge._internal.clock import MS_PER_S, Clock
 from medlarridge._internal.events import Event, register
 
+from .attempt import DiscardedResponse
 from .components import RouterComponents
 from .coordination.stream_origins import StreamOrigin
 from .metrics import Metrics
@@ -42,6 +43,9 @@
     6009, "INFO", "waiting for a prompt that the server is processing"
 )
 
+RESPONSE_DISCARDED = register(
+    6014, "WARNING", "server sent a response that is not to the request in flight"
+)
 PERMIT_REFUSED = register(6011, "INFO", "servers with a limit take no request now")
 STREAM_TAKEN_UP = register(6010, "INFO", "client takes up a stream")
 
@@ -270,6 +274,20 @@
         """Log that the request waits for a prompt that the server is processing."""
         self.write(PROMPT_AWAITED, server=server.instance, wait_ms=round(wait_ms))
 
+    def responses_discarded(
+        self, server: BackendServer, discarded: Sequence[DiscardedResponse]
+    ) -> None:
+        """Log responses of a server that are not to this request."""
+        for response in discarded:
+            names = "nothing" if response.request_id is None else "another request"
+            self.metrics.discarded[server.pool, names] += 1
+            self.write(
+                RESPONSE_DISCARDED,
+                server=server.instance,
+                names=response.request_id,
+                earlier_on_connection=response.earlier,
+            )
+
     def attempt_ended(self, server: BackendServer, ended: str, detail: str) -> None:
         """Log that an attempt ended without a response."""
         self.metrics.attempts[server.pool, ended] += 1
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
@@ -49,6 +49,7 @@
     retries: Counter = field(default_factory=Counter)
     resumptions: Counter = field(default_factory=Counter)
     responses: Counter = field(default_factory=Counter)
+    discarded: Counter = field(default_factory=Counter)
     refusals: Counter = field(default_factory=Counter)
     control_bytes: Counter = field(default_factory=Counter)
     store_calls: Counter = field(default_factory=Counter)
@@ -90,6 +91,11 @@
                 "Responses of servers by framing and ending.",
                 ["framing", "ending"],
             ),
+            (
+                "discarded",
+                "Responses that are not to the request in flight, by what they name.",
+                ["pool", "names"],
+            ),
             ("refusals", "Requests the router ended itself.", ["status", "reason"]),
             (
                 "control_bytes",
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -287,6 +287,7 @@
                 end = RetryEnd.ARRIVED
             return outcome
         finally:
+            self.log.responses_discarded(attempt.server, attempt.discarded)
             if is_retry:
                 self.components.retry_budget.end_retry(self.accepted.pool.name, end)
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
@@ -104,7 +104,8 @@
 
     Bytes that arrive while no exchange is open belong to no request and close the
     connection. A response that ``matches_request`` rejects is a late response to an
-    earlier request; it is discarded, and the connection is not reused.
+    earlier request; it is discarded, and the connection is not reused. ``responses``
+    counts the heads of final responses.
     """
 
     def __init__(self, peer: str) -> None:
@@ -123,6 +124,7 @@
         self.in_message = False
         self.head_complete = False
         self.ends_at_close = False
+        self.responses = 0
         self.reason = b""
         self.headers: Headers = []
         self.received_bytes = 0
@@ -266,7 +268,9 @@
             return
         framing = self.response_framing(status)
         self.ends_at_close = framing is Framing.CLOSE
-        if self.matches_request is not None and not self.matches_request(self.headers):
+        matches = self.matches_request is None or self.matches_request(self.headers)
+        self.responses += 1
+        if not matches:
             self.discarding = True
             self.must_close = True
             return
--- a/packages/medlarridge-direct/tests/direct/test_repeated_responses.py
+++ b/packages/medlarridge-direct/tests/direct/test_repeated_responses.py
@@ -133,3 +133,11 @@
         components, permit.server, sent, "1", 7, 5, False, permit=permit
     ) as sending:
         return await sending.start(ForwardingMetadata("a", 20, None), timeout_ms=20)
+
+
+class TestObservability:
+    async def test_a_discarded_response_is_counted(self):
+        """Guards against a faulty server that no log and no metric shows."""
+        other = SHED + b"Id: 0\r\n" + EMPTY
+        _, components = await request("at most once", {"a": [kept(other, OK)]})
+        assert components.metrics.discarded == {("models", "another request"): 1}
