--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -30,6 +30,7 @@
     ConnectionRefused,
     Data,
     Exchange,
+    HttpConnection,
     RawResponseHead,
 )
 from .transport.server_connections import ConnectionLimitReached
@@ -123,6 +124,8 @@
         self.exchange: Exchange | None = None
         self.head: ResponseHead | None = None
         self.discarded: list[DiscardedResponse] = []
+        self.head_timeout: asyncio.Timeout | None = None
+        self.unnamed_wait_ms = 0
         self.attempt_number = 0
         self.sent_ms = 0
         self.received = ReceivedBody()
@@ -147,13 +150,16 @@
             connection.abort()
 
     async def start(
-        self, metadata: ForwardingMetadata, timeout_ms: int
+        self, metadata: ForwardingMetadata, timeout_ms: int, unnamed_wait_ms: int
     ) -> AttemptOutcome:
-        """Send the request and wait for the response head."""
+        """Send the request and wait for the response head.
+
+        After a response that names no request and may be to an earlier one, wait for
+        ``unnamed_wait_ms`` at most.
+        """
+        self.unnamed_wait_ms = unnamed_wait_ms
         try:
-            connection = await self.components.connections.acquire(
-                self.server, self.connection_limit
-            )
+            connection = await self.connect()
         except ConnectionLimitReached as error:
             return AttemptOutcome(OutcomeKind.NO_CONNECTION, error.message)
         except TransportError as error:
@@ -181,6 +187,13 @@
         )
         return await self.read_head(timeout_ms)
 
+    async def connect(self) -> HttpConnection:
+        """Return a connection, a new one if the server does not name requests."""
+        connections = self.components.connections
+        if self.components.health.names_requests(self.server.instance):
+            return await connections.acquire(self.server, self.connection_limit)
+        return await connections.open(self.server, self.connection_limit)
+
     def may_send(self) -> bool:
         """Return whether the server takes this request now.
 
@@ -207,22 +220,40 @@
         return b"".join((head, headers, length, b"\r\n", request.body))
 
     def matches_request(self, headers: Headers) -> bool:
-        """Return whether a response is to this request and not to an earlier one."""
+        """Return whether a response is to this request and not to an earlier one.
+
+        One that names no request is to the only one that its connection has carried.
+        """
         assert self.exchange is not None
         named = self.components.dialect.parse_response(0, b"", headers).request_id
-        if named is None or named == self.request_id:
-            return True
         earlier = self.exchange.connection.responses
+        if named == self.request_id or (named is None and not earlier):
+            return True
         self.discarded.append(DiscardedResponse(named, earlier))
+        if named is None:
+            self.shorten_wait()
         return False
 
+    def shorten_wait(self) -> None:
+        """Bound the wait for a response, as that of a server without IDs has passed."""
+        timeout = self.head_timeout
+        if timeout is None or timeout.expired():
+            return
+        end_s = asyncio.get_running_loop().time() + self.unnamed_wait_ms / MS_PER_S
+        timeout.reschedule(min(end_s, timeout.when() or end_s))
+
     async def read_head(self, timeout_ms: int) -> AttemptOutcome:
         """Wait for the response head and classify it."""
         assert self.exchange is not None
         try:
-            async with asyncio.timeout(timeout_ms / MS_PER_S):
+            async with asyncio.timeout(timeout_ms / MS_PER_S) as self.head_timeout:
                 event = await self.exchange.next_event()
         except TimeoutError:
+            if any(each.request_id is None for each in self.discarded):
+                self.record_unnamed()
+                return AttemptOutcome(
+                    OutcomeKind.SILENT, "no response after one that names no request"
+                )
             return AttemptOutcome(
                 OutcomeKind.SILENT, f"no response within {timeout_ms} ms"
             )
@@ -236,6 +267,9 @@
         self.head = self.components.dialect.parse_response(
             event.status, event.reason, event.headers
         )
+        if self.head.request_id is None:
+            self.exchange.connection.must_close = True
+            self.record_unnamed()
         self.received.framing = event.framing
         if self.permit is not None:
             self.permit.end(sent=True)
@@ -332,6 +366,11 @@
         record_server_down(self.components, self.server.instance)
         return True
 
+    def record_unnamed(self) -> None:
+        """Record that the server does not name requests; keep no connection to it."""
+        self.components.health.record_unnamed(self.server.instance)
+        self.components.connections.close_idle(self.server.instance)
+
     def record_result(self, result: AttemptResult) -> None:
         """Record the result in the health of the server."""
         if self.components.health.record_result(self.server.instance, result):
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/server_health.py
@@ -49,6 +49,9 @@
 silent. A busy engine produces tokens for some request every few milliseconds."""
 PEER_AVOID_MS = 300
 """Time for which a peer's finding is valid. Peers repeat it with each report."""
+UNNAMED_MEMORY_MS = 60_000
+"""Time for which a server that did not name the request in a response gets each request
+on a new connection, where the response can be to no other one."""
 RECENT_RESPONSE_MS = 500
 """A response that this router got within this time outweighs the finding of a peer."""
 
@@ -73,7 +76,8 @@
     ``waiting`` holds the attempts in flight, by number, that count towards silence.
     ``silent_since_ms`` is the time of the last received byte, or the time at which the
     first of these attempts was sent if that is later. A silent server may be probed
-    from ``next_probe_ms`` on.
+    from ``next_probe_ms`` on. Until ``unnamed_until_ms`` its responses are expected not
+    to name their requests.
     """
 
     pool: str = ""
@@ -87,6 +91,7 @@
     silent_since_ms: int = 0
     next_probe_ms: int = 0
     probe_interval_ms: int = MIN_AVOID_MS
+    unnamed_until_ms: int = 0
 
 
 class ServerHealth(Struct):
@@ -198,6 +203,16 @@
         health.avoid_until_ms = now_ms + health.avoid_ms
         return True
 
+    def record_unnamed(self, instance: str) -> None:
+        """Record that a server has sent a response that does not name its request."""
+        health = self.servers.setdefault(instance, InstanceHealth())
+        health.unnamed_until_ms = self.clock.now_ms() + UNNAMED_MEMORY_MS
+
+    def names_requests(self, instance: str) -> bool:
+        """Return whether a server is expected to name requests in its responses."""
+        health = self.servers.get(instance)
+        return health is None or self.clock.now_ms() >= health.unnamed_until_ms
+
     def reachable(self, instances: list[str], repeatable: bool = False) -> set[str]:
         """Return the servers of a pool that are neither unreachable nor silent.
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -279,7 +279,9 @@
         is_retry = bool(self.attempts_received)
         end = RetryEnd.MAY_ARRIVE
         try:
-            outcome = await attempt.start(metadata, self.attempt_timeout_ms())
+            outcome = await attempt.start(
+                metadata, self.attempt_timeout_ms(), self.silence_timeout_ms()
+            )
             self.any_silent |= outcome.kind is OutcomeKind.SILENT
             if not outcome.reached_server:
                 end = RetryEnd.NOT_SENT
@@ -313,13 +315,17 @@
         remaining_ms = max(self.remaining_ms(), 1)
         if not self.may_run_again():
             return remaining_ms
+        return min(remaining_ms, self.silence_timeout_ms())
+
+    def silence_timeout_ms(self) -> int:
+        """Return the time without data after which a response is taken for lost."""
         min_timeout_ms = MIN_RETRY_TIMEOUT_MS
         if self.route.kind is RouteKind.STREAM:
             min_timeout_ms = MIN_RESUME_TIMEOUT_MS
         timeout_ms = RETRY_TIMEOUT_FACTOR * max(
             self.route.objective_ms, self.route.gap_ms
         )
-        return min(remaining_ms, max(int(timeout_ms), min_timeout_ms))
+        return max(int(timeout_ms), min_timeout_ms)
 
     def record_failure(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
         """Count and log an attempt that ended without a response."""
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -132,9 +132,16 @@
         self.sent = []
         self.released = []
         self.refusing = set()
+        self.opened = []
+
+    async def open(self, server, limit):
+        self.opened.append(server.instance)
+        return self.connect(server, tuple(self.scripts[server.instance].pop(0)))
 
     async def acquire(self, server, limit):
-        script = self.scripts[server.instance].pop(0)
+        return self.connect(server, self.scripts[server.instance].pop(0))
+
+    def connect(self, server, script):
         if script is REFUSE:
             raise TransportError("refused", step="connect", peer=server.address)
         connect = kept_connection if isinstance(script, Kept) else scripted_connection
--- a/packages/medlarridge-direct/tests/direct/test_repeated_responses.py
+++ b/packages/medlarridge-direct/tests/direct/test_repeated_responses.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from medlarridge import TransportError
 from medlarridge_direct._internal.attempt import Attempt, OutcomeKind
+from medlarridge_direct._internal.coordination.server_health import UNNAMED_MEMORY_MS
 from medlarridge_direct._internal.protocol.configuration import RouteKind
 from medlarridge_direct._internal.protocol.requests import (
     ClientRequest,
@@ -15,7 +17,7 @@
 from medlarridge_direct._internal.send_permits import Permit
 
 from .samples import server
-from .scripted import kept, make_components
+from .scripted import kept, kept_connection, make_components
 from .test_request_run import END, OK, STREAM, handle_request, sent_to, stream_event
 
 pytestmark = pytest.mark.anyio
@@ -132,7 +134,98 @@
     with Attempt(
         components, permit.server, sent, "1", 7, 5, False, permit=permit
     ) as sending:
-        return await sending.start(ForwardingMetadata("a", 20, None), timeout_ms=20)
+        return await sending.start(ForwardingMetadata("a", 20, None), 20, 20)
+
+
+class TestServersWithoutIds:
+    """Responses that name no request and are to the one in flight."""
+
+    async def test_a_refusal_on_a_new_connection_is_about_the_request(self):
+        """Guards against giving up a request that did not run."""
+        response, components = await request("at most once", {"a": [(SHED + EMPTY,)]})
+        assert sent_to(components) == ["a", "b"]
+        assert response.status == 200
+
+    async def test_a_response_without_an_id_ends_its_connection(self):
+        """Guards against a connection on which the next response proves nothing."""
+        answer = OK.replace(b"Id: 1\r\n", b"")
+        response, components = await request("at most once", {"a": [(answer,)]})
+        assert (response.status, bytes(response.body)) == (200, b"ok")
+        assert components.connections.released == [("a", False)]
+
+    @pytest.mark.parametrize("repeated", REPEATED.values(), ids=REPEATED)
+    async def test_a_response_that_nothing_follows_may_be_to_the_request(
+        self, repeated
+    ):
+        """Guards against "not run" without proof, and against a wait until the
+        deadline, after which the status would be 504."""
+        response, components = await request(
+            "at most once", {"a": [kept(repeated)]}, objective_ms=1
+        )
+        assert sent_to(components) == ["a"]
+        assert response.status == 502
+
+    @pytest.mark.parametrize("route", ["idempotent", "resumable stream"])
+    async def test_a_request_that_may_run_again_goes_to_another_server(self, route):
+        """Guards against an error for a request that could be repeated."""
+        response, components = await request(
+            route, {"a": [kept(REPEATED["503"])]}, objective_ms=1, gap_ms=1
+        )
+        assert sent_to(components) == ["a", "b"]
+        assert (response.status, response.ended) == (200, True)
+
+    async def test_the_next_request_gets_a_new_connection(self):
+        """Guards against a server each of whose refusals costs a request its time."""
+        components = make_components({"a": [kept(REPEATED["503"]), kept(OK)]})
+        permit = Permit(server("a"), 2_000_000, None)
+        await attempt(components, permit)
+        outcome = await attempt(components, permit)
+        assert components.connections.opened == ["a"]
+        components.clock.advance(UNNAMED_MEMORY_MS)
+        assert components.health.names_requests("a")
+        assert outcome.kind is OutcomeKind.RESPONSE
+
+    async def test_a_server_that_names_requests_is_reused(self):
+        """Guards against a new connection for each request."""
+        _, components = await request("at most once", {"a": [kept(OK)]})
+        assert components.connections.opened == []
+        assert components.connections.released == [("a", True)]
+
+
+class TestAfterTheAnswer:
+    @pytest.mark.parametrize("route", ROUTES)
+    @pytest.mark.parametrize("repeated", REPEATED.values(), ids=REPEATED)
+    async def test_the_answer_is_delivered_and_the_connection_ends(
+        self, route, repeated
+    ):
+        """Guards against a repeated response that spoils the one before or after it."""
+        answer, body = answer_of(route)
+        response, components = await request(route, {"a": [kept(answer + repeated)]})
+        assert sent_to(components) == ["a"]
+        assert (response.status, bytes(response.body)) == (200, body)
+        assert components.connections.released == [("a", False)]
+
+    @pytest.mark.parametrize("repeated", REPEATED.values(), ids=REPEATED)
+    async def test_inside_chunks_it_breaks_the_response(self, repeated):
+        """Guards against a response with another one inside that looks whole."""
+        script = kept(STREAM + stream_event(1), repeated, stream_event(2) + END)
+        response, components = await request("stream", {"a": [script]})
+        assert sent_to(components) == ["a"]
+        assert EVENT_BYTES.startswith(bytes(response.body))
+        assert not response.ended
+
+
+class TestBetweenRequests:
+    @pytest.mark.parametrize("repeated", REPEATED.values(), ids=REPEATED)
+    async def test_a_response_while_nothing_is_asked_ends_the_connection(
+        self, repeated
+    ):
+        """Guards against a response that waits for the next request."""
+        connection = kept_connection()
+        connection.data_received(repeated)
+        assert connection.transport.aborted
+        with pytest.raises(TransportError):
+            connection.start(b"GET / HTTP/1.1\r\n\r\n")
 
 
 class TestObservability:
