--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -26,6 +26,7 @@
 from .send_permits import Permit
 from .server_crashes import record_server_down
 from .transport.http_connection import (
+    STATUSES_WITHOUT_BODY,
     Broken,
     ConnectionRefused,
     Data,
@@ -285,7 +286,10 @@
 
         A response without a media type has the type that the route promises.
         """
-        if head.status // 100 != SUCCESS_STATUS_CLASS:
+        if (
+            head.status // 100 != SUCCESS_STATUS_CLASS
+            or head.status in STATUSES_WITHOUT_BODY
+        ):
             return False
         if head.media_type is None:
             return self.expects_stream
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/received_body.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/received_body.py
@@ -38,6 +38,11 @@
         self.events += len(events)
         return BodyPart(data, events)
 
+    @property
+    def is_stream(self) -> bool:
+        """Return whether the body is an event stream."""
+        return self.splitter is not None
+
     @property
     def has_endless_event(self) -> bool:
         """Return whether the event that is being received is too long."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -348,10 +348,13 @@
             AttemptResult.FAILED if failed else AttemptResult.ANSWERED
         )
         successful = head.status // 100 == SUCCESS_STATUS_CLASS
-        # A stream that has begun can only continue with events, not with an error.
-        if (failed and self.may_retry()) or (self.response.started and not successful):
+        # A stream that has begun can only continue with events.
+        is_unfit = self.response.started and not attempt.received.is_stream
+        if (failed and self.may_retry()) or is_unfit:
             self.runs += 1
             detail = f"status {head.status}"
+            if successful:
+                detail += f", {head.media_type or 'no body'} inside a stream"
             self.log.attempt_ended(attempt.server, OutcomeKind.FAULTY, detail)
             return False
         if self.route.kind is RouteKind.STREAM and successful:
@@ -408,6 +411,8 @@
         """Relay a stream without a declared length, since it may still break off."""
         if not self.route.resumable:
             return await self.deliver_passthrough(attempt, head)
+        if not attempt.received.is_stream:
+            return await self.deliver_buffered(attempt, head)
         while True:
             try:
                 part = await self.next_part(attempt, self.attempt_timeout_ms())
@@ -478,7 +483,11 @@
         """
         self.runs += 1
         self.log.response_broken(attempt.server, detail, attempt.received)
-        resumable = self.route.kind is RouteKind.STREAM and self.route.resumable
+        resumable = (
+            self.route.kind is RouteKind.STREAM
+            and self.route.resumable
+            and attempt.received.is_stream
+        )
         if self.response.started and not resumable:
             self.log.response_truncated(detail)
             return True
--- a/packages/medlarridge-direct/tests/direct/test_errors_inside_streams.py
+++ b/packages/medlarridge-direct/tests/direct/test_errors_inside_streams.py
@@ -12,6 +12,7 @@
 from medlarridge_direct._internal.logs import Log
 from medlarridge_direct._internal.protocol.configuration import ClientLimits, RouteKind
 from medlarridge_direct._internal.request_handler import RequestHandler
+from medlarridge_direct._internal.request_run import MAX_BUFFERED_RESPONSE_BYTES
 from medlarridge_direct._internal.transport.client_connection import ClientConnection
 
 from .samples import configuration, listing, route, server
@@ -199,3 +200,19 @@
         )
         assert (response.status, response.ended) == (200, True)
         assert bytes(response.body) == ERROR_TEXT
+
+    async def test_a_large_one_that_breaks_off_is_not_continued(self):
+        """Guards against the rest of a stream after part of a response without events."""
+        head = b"HTTP/1.1 200 OK\r\nId: 1\r\n" + SIGNED + JSON
+        length = b"Content-Length: %d\r\n\r\n" % (3 * MAX_BUFFERED_RESPONSE_BYTES)
+        large = b"{" * (2 * MAX_BUFFERED_RESPONSE_BYTES)
+        scripts = {
+            "a": [(head + length, large, RESET)],
+            "b": [(STREAM + stream_event(1) + END,)],
+        }
+        response, components = await handle_request(
+            scripts, RouteKind.STREAM, components=components_of(scripts), resumable=True
+        )
+        assert sent_to(components) == ["a"]
+        assert not response.ended
+        assert large.startswith(bytes(response.body))
