--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/cache_inventory.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/cache_inventory.py
@@ -124,7 +124,8 @@
         ) or not self.components.notices.accepts(server.start):
             return None
         try:
-            connection = await self.components.connections.acquire(
+            # The list names no request, so nothing else may be answered before it.
+            connection = await self.components.connections.open(
                 server, CONNECTION_LIMIT
             )
             exchange = connection.start(
--- a/packages/medlarridge-direct/tests/direct/test_cache_inventory.py
+++ b/packages/medlarridge-direct/tests/direct/test_cache_inventory.py
@@ -37,3 +37,11 @@
         inventory.components.notices.record("a/0", notice, 0)
         assert await inventory.query_server(server("a")) is None
         assert not inventory.components.connections.sent
+
+
+class TestConnections:
+    async def test_a_server_is_asked_on_a_new_connection(self):
+        """Guards against a repeated response that is read as the list of parts."""
+        inventory = make_inventory({"a": [(INVENTORY,)]})
+        assert await inventory.query_server(server("a")) == []
+        assert inventory.components.connections.opened == ["a"]
