--- a/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_call.py
+++ b/packages/medlarridge-sidecar/src/medlarridge_sidecar/_internal/server_call.py
@@ -34,22 +34,16 @@
     def __init__(self, url: str) -> None:
         self.url = url.rstrip("/")
         timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_MS / MS_PER_S)
-        limits = httpx.Limits(max_connections=None, max_keepalive_connections=32)
+        # Responses do not name their calls, so on a reused connection an earlier one
+        # that the server repeats could not be told apart. A reused connection may also
+        # turn out to be closed only after the call was written.
+        limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
         # With trust_env, proxy variables of the environment would redirect the calls.
-        common_options = {"timeout": timeout, "trust_env": False}
-        self.pooled_client = httpx.AsyncClient(limits=limits, **common_options)
-        # A reused connection may turn out to be closed only after the call was written.
-        # It is then unknown whether the call ran, so calls that may not be repeated
-        # use a new connection each.
-        self.unpooled_client = httpx.AsyncClient(
-            limits=httpx.Limits(max_connections=None, max_keepalive_connections=0),
-            **common_options,
-        )
+        self.client = httpx.AsyncClient(timeout=timeout, limits=limits, trust_env=False)
 
     async def close(self) -> None:
         """Close all connections."""
-        await self.pooled_client.aclose()
-        await self.unpooled_client.aclose()
+        await self.client.aclose()
 
     async def call(self, live: LiveAttempt, deadline_ms: int) -> ServerResult:
         """Call the server, write its response to the stream and return the result."""
@@ -70,13 +64,12 @@
     async def exchange(self, live: LiveAttempt) -> None:
         """Send the call and copy its response to the stream of the attempt."""
         attempt = live.attempt
-        client = self.pooled_client if attempt.repeatable else self.unpooled_client
 
         async def on_trace_step(step: str, info: object) -> None:
             if step == FIRST_BYTE_TRACE_STEP and not live.try_mark_sent():
                 raise SendRefused
 
-        async with client.stream(
+        async with self.client.stream(
             attempt.method,
             self.url + attempt.path,
             content=attempt.body,
--- a/packages/medlarridge-standins/src/medlarridge_standins/local_fleet.py
+++ b/packages/medlarridge-standins/src/medlarridge_standins/local_fleet.py
@@ -100,7 +100,7 @@
         self.transport.applications[f"{name}-server:1"] = server
         instance = sidecar_instance(name, number)
         client = ServerClient(f"http://{name}-server:1")
-        client.pooled_client = client.unpooled_client = self.client
+        client.client = self.client
         sidecar = Sidecar(
             instance,
             pool,
@@ -149,7 +149,7 @@
             )
         )
         sidecar = self.add_server(name, pool, server, number, gates.in_order())
-        sidecar.server.pooled_client = sidecar.server.unpooled_client = client
+        sidecar.server.client = client
         sidecar.load_hint = gates.load
         self.transport.applications[address] = sidecar_endpoints(
             sidecar, SHARED_KEY, gates.transfer
--- a/packages/medlarridge/tests/unit/router/test_direct_connections.py
+++ b/packages/medlarridge/tests/unit/router/test_direct_connections.py
@@ -28,8 +28,7 @@
 
 CLIENTS = {
     "router": router_client,
-    "sidecar, repeatable": lambda: ServerClient("http://127.0.0.1:9").pooled_client,
-    "sidecar, once": lambda: ServerClient("http://127.0.0.1:9").unpooled_client,
+    "sidecar": lambda: ServerClient("http://127.0.0.1:9").client,
     "store": lambda: PlatformStore("http://127.0.0.1:9").client,
 }
 
