--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -26,10 +26,12 @@
 from .send_permits import Permit
 from .server_crashes import record_server_down
 from .transport.http_connection import (
+    STATUSES_WITHOUT_BODY,
     Broken,
     ConnectionRefused,
     Data,
     Exchange,
+    HttpConnection,
     RawResponseHead,
 )
 from .transport.server_connections import ConnectionLimitReached
@@ -75,6 +77,17 @@
         return self.reached_server and self.kind is not OutcomeKind.NOT_RUN
 
 
+class DiscardedResponse(Struct, frozen=True):
+    """A response that is not to this attempt's request.
+
+    ``request_id`` is what it names, None for nothing; ``earlier`` is the number of
+    responses that came before it on its connection.
+    """
+
+    request_id: str | None
+    earlier: int
+
+
 class Attempt:
     """Sends a request to a server and returns the events of its response.
 
@@ -111,6 +124,9 @@
         self.first_bytes_ms: int | None = None
         self.exchange: Exchange | None = None
         self.head: ResponseHead | None = None
+        self.discarded: list[DiscardedResponse] = []
+        self.head_timeout: asyncio.Timeout | None = None
+        self.unnamed_wait_ms = 0
         self.attempt_number = 0
         self.sent_ms = 0
         self.received = ReceivedBody()
@@ -135,13 +151,16 @@
             connection.abort()
 
     async def start(
-        self, metadata: ForwardingMetadata, timeout_ms: int
+        self, metadata: ForwardingMetadata, timeout_ms: int, unnamed_wait_ms: int
     ) -> AttemptOutcome:
-        """Send the request and wait for the response head."""
+        """Send the request and wait for the response head.
+
+        After a response that names no request and may be to an earlier one, wait for
+        ``unnamed_wait_ms`` at most.
+        """
+        self.unnamed_wait_ms = unnamed_wait_ms
         try:
-            connection = await self.components.connections.acquire(
-                self.server, self.connection_limit
-            )
+            connection = await self.connect()
         except ConnectionLimitReached as error:
             return AttemptOutcome(OutcomeKind.NO_CONNECTION, error.message)
         except TransportError as error:
@@ -169,6 +188,13 @@
         )
         return await self.read_head(timeout_ms)
 
+    async def connect(self) -> HttpConnection:
+        """Return a connection, a new one if the server does not name requests."""
+        connections = self.components.connections
+        if self.components.health.names_requests(self.server.instance):
+            return await connections.acquire(self.server, self.connection_limit)
+        return await connections.open(self.server, self.connection_limit)
+
     def may_send(self) -> bool:
         """Return whether the server takes this request now.
 
@@ -195,17 +221,40 @@
         return b"".join((head, headers, length, b"\r\n", request.body))
 
     def matches_request(self, headers: Headers) -> bool:
-        """Return whether a response is to this request and not to an earlier one."""
-        head = self.components.dialect.parse_response(0, b"", headers)
-        return head.request_id is None or head.request_id == self.request_id
+        """Return whether a response is to this request and not to an earlier one.
+
+        One that names no request is to the only one that its connection has carried.
+        """
+        assert self.exchange is not None
+        named = self.components.dialect.parse_response(0, b"", headers).request_id
+        earlier = self.exchange.connection.responses
+        if named == self.request_id or (named is None and not earlier):
+            return True
+        self.discarded.append(DiscardedResponse(named, earlier))
+        if named is None:
+            self.shorten_wait()
+        return False
+
+    def shorten_wait(self) -> None:
+        """Bound the wait for a response, as that of a server without IDs has passed."""
+        timeout = self.head_timeout
+        if timeout is None or timeout.expired():
+            return
+        end_s = asyncio.get_running_loop().time() + self.unnamed_wait_ms / MS_PER_S
+        timeout.reschedule(min(end_s, timeout.when() or end_s))
 
     async def read_head(self, timeout_ms: int) -> AttemptOutcome:
         """Wait for the response head and classify it."""
         assert self.exchange is not None
         try:
-            async with asyncio.timeout(timeout_ms / MS_PER_S):
+            async with asyncio.timeout(timeout_ms / MS_PER_S) as self.head_timeout:
                 event = await self.exchange.next_event()
         except TimeoutError:
+            if any(each.request_id is None for each in self.discarded):
+                self.record_unnamed()
+                return AttemptOutcome(
+                    OutcomeKind.SILENT, "no response after one that names no request"
+                )
             return AttemptOutcome(
                 OutcomeKind.SILENT, f"no response within {timeout_ms} ms"
             )
@@ -219,6 +268,9 @@
         self.head = self.components.dialect.parse_response(
             event.status, event.reason, event.headers
         )
+        if self.head.request_id is None:
+            self.exchange.connection.must_close = True
+            self.record_unnamed()
         self.received.framing = event.framing
         if self.permit is not None:
             self.permit.end(sent=True)
@@ -234,7 +286,10 @@
 
         A response without a media type has the type that the route promises.
         """
-        if head.status // 100 != SUCCESS_STATUS_CLASS:
+        if (
+            head.status // 100 != SUCCESS_STATUS_CLASS
+            or head.status in STATUSES_WITHOUT_BODY
+        ):
             return False
         if head.media_type is None:
             return self.expects_stream
@@ -315,6 +370,11 @@
         record_server_down(self.components, self.server.instance)
         return True
 
+    def record_unnamed(self) -> None:
+        """Record that the server does not name requests; keep no connection to it."""
+        self.components.health.record_unnamed(self.server.instance)
+        self.components.connections.close_idle(self.server.instance)
+
     def record_result(self, result: AttemptResult) -> None:
         """Record the result in the health of the server."""
         if self.components.health.record_result(self.server.instance, result):
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -297,7 +297,9 @@
         is_retry = bool(self.attempts_received)
         end = RetryEnd.MAY_ARRIVE
         try:
-            outcome = await attempt.start(metadata, self.attempt_timeout_ms())
+            outcome = await attempt.start(
+                metadata, self.attempt_timeout_ms(), self.silence_timeout_ms()
+            )
             self.any_silent |= outcome.kind is OutcomeKind.SILENT
             if not outcome.reached_server:
                 end = RetryEnd.NOT_SENT
@@ -305,6 +307,7 @@
                 end = RetryEnd.ARRIVED
             return outcome
         finally:
+            self.log.responses_discarded(attempt.server, attempt.discarded)
             if is_retry:
                 self.components.retry_budget.end_retry(self.accepted.pool.name, end)
 
@@ -330,13 +333,17 @@
         remaining_ms = max(self.remaining_ms(), 1)
         if not self.may_run_again():
             return remaining_ms
+        return min(remaining_ms, self.silence_timeout_ms())
+
+    def silence_timeout_ms(self) -> int:
+        """Return the time without data after which a response is taken for lost."""
         min_timeout_ms = MIN_RETRY_TIMEOUT_MS
         if self.route.kind is RouteKind.STREAM:
             min_timeout_ms = MIN_RESUME_TIMEOUT_MS
         timeout_ms = RETRY_TIMEOUT_FACTOR * max(
             self.route.objective_ms, self.route.gap_ms
         )
-        return min(remaining_ms, max(int(timeout_ms), min_timeout_ms))
+        return max(int(timeout_ms), min_timeout_ms)
 
     def record_failure(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
         """Count and log an attempt that ended without a response."""
@@ -359,10 +366,13 @@
             AttemptResult.FAILED if failed else AttemptResult.ANSWERED
         )
         successful = head.status // 100 == SUCCESS_STATUS_CLASS
-        # A stream that has begun can only continue with events, not with an error.
-        if (failed and self.may_retry()) or (self.response.started and not successful):
+        # A stream that has begun can only continue with events.
+        is_unfit = self.response.started and not attempt.received.is_stream
+        if (failed and self.may_retry()) or is_unfit:
             self.runs += 1
             detail = f"status {head.status}"
+            if successful:
+                detail += f", {head.media_type or 'no body'} inside a stream"
             self.log.attempt_ended(attempt.server, OutcomeKind.FAULTY, detail)
             return False
         if self.route.kind is RouteKind.STREAM and successful:
@@ -431,6 +441,8 @@
         """Relay a stream without a declared length, since it may still break off."""
         if not self.route.resumable:
             return await self.deliver_passthrough(attempt, head)
+        if not attempt.received.is_stream:
+            return await self.deliver_buffered(attempt, head)
         while True:
             try:
                 part = await self.next_part(attempt, self.attempt_timeout_ms())
@@ -504,7 +516,11 @@
         """
         self.runs += 1
         self.log.response_broken(attempt.server, detail, attempt.received)
-        resumable = self.route.kind is RouteKind.STREAM and self.route.resumable
+        resumable = (
+            self.route.kind is RouteKind.STREAM
+            and self.route.resumable
+            and attempt.received.is_stream
+        )
         if self.response.started and not resumable:
             self.log.response_truncated(detail)
             return True
