--- a/packages/medlarridge-direct/tests/direct/router_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/router_fleet.py
@@ -1,5 +1,6 @@
 """Routers that share limits, with a network and a store that can fail between them."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from msgspec.structs import replace
@@ -26,9 +27,10 @@
 
 @dataclass
 class Registry:
-    """The part of the store that has routers, refused prompt parts and leases.
+    """The part of the store that has routers, refused prompt parts, leases and streams.
 
-    ``copies`` are earlier states of the leases, from which a drill may go on. The
+    ``version_sets`` and ``stream_records`` hold values with their revisions by name; no
+    write of them is taken while the store is ``read_only``. ``copies`` are earlier states of the leases, from which a drill may go on. The
     answer to the next write of a node in ``losing_answers_to`` is lost.
     """
 
@@ -40,6 +42,26 @@
     last_number: int = 0
     copies: list[tuple[dict[str, StoredLease], int]] = field(default_factory=list)
     losing_answers_to: set[str] = field(default_factory=set)
+    version_sets: dict = field(default_factory=dict)
+    stream_records: dict = field(default_factory=dict)
+    read_only: bool = False
+    stream_calls: Counter = field(default_factory=Counter)
+
+    def keep_copy(self):
+        return dict(self.version_sets), dict(self.stream_records), self.last_number
+
+    def restore(self, copy):
+        """Go on from a kept copy of what concerns streams; return the new era."""
+        version_sets, stream_records, self.last_number = copy
+        self.version_sets, self.stream_records = (
+            dict(version_sets),
+            dict(stream_records),
+        )
+        self.era += 1
+        return self.era
+
+    def versions(self, pool):
+        return set(self.version_sets[pool].value.versions)
 
     def go_back(self, copy):
         """Go on from an earlier state, in a new era."""
--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/test_stream_restarts.py
@@ -0,0 +1,207 @@
+"""Streams that clients take up after all routers have restarted together.
+
+They go on at the version that began them as soon as the routers are back, and never at
+another one.
+"""
+
+import pytest
+
+from .scripted import ScriptedConnections
+from .test_request_run import sent_to
+from .test_stream_versions import (
+    FLEET_SIZE,
+    HANDOVER_MS,
+    StreamFleet,
+    prepare,
+    request,
+    stream,
+)
+
+pytestmark = pytest.mark.anyio
+
+OLD = {"a": "v1", "c": "v1"}
+BOTH = {"a": "v1", "b": "v2", "c": "v1"}
+NEW = {"b": "v2", "d": "v2"}
+BACK_MS = 1_000
+"""Time after which routers that are back must know what the store holds."""
+LIFE_OF_STREAM_MS = 10_000
+"""Timeout of the route, and the time after it for which a stream may be taken up."""
+
+
+class RestartingFleet(StreamFleet):
+    """Routers that all lose what they know at the same moment."""
+
+    era = 0
+
+    def list_servers(self, versions=None):
+        self.versions = versions or self.versions
+        self.revision += 1
+        for router in self.fleet.routers.values():
+            components = router.components
+            prepare(components, {}, self.versions, self.revision, era=self.era)
+
+    async def restart_all(self):
+        for number in range(FLEET_SIZE):
+            self.fleet.start(number)
+        self.list_servers()
+        await self.run(BACK_MS)
+
+    async def begin_unheard(self, instance):
+        """Begin a stream at a router that can tell neither its peers nor the store."""
+        self.fleet.cut(0)
+        self.fleet.registry.unreachable_for.add("front-0")
+        await self.begin(0, instance)
+        self.fleet.heal()
+
+    async def used(self, number):
+        """Return the servers at which a router lets new streams begin."""
+        components = self.fleet.routers[number].components
+        used = set()
+        for instance in self.versions:
+            components.connections = ScriptedConnections(
+                {each: [stream(1)] for each in self.versions}
+            )
+            others = [each for each in self.versions if each != instance]
+            for other in others:
+                components.load.begin_attempt(other)
+            await request(components, f"to-{instance}")
+            for other in others:
+                components.load.end_attempt(other)
+            used.update(sent_to(components))
+        return used
+
+    async def assert_goes_on(self, version):
+        """Check that each router lets only servers of this version go on."""
+        for number in range(FLEET_SIZE):
+            response, asked = await self.resume(number, busy=version)
+            assert [self.versions[each] for each in asked] == [version]
+            assert response.status == 200
+
+    async def assert_refused(self):
+        for number in range(FLEET_SIZE):
+            response, asked = await self.resume(number)
+            assert asked == []
+            assert response.status == 503
+
+
+class TestGoesOnAfterARestartOfAllRouters:
+    async def test_one_version_for_long(self):
+        """Guards against LOST after a restart of all routers, without a release."""
+        fleet = RestartingFleet(OLD)
+        await fleet.settle()
+        await fleet.begin(0, "a")
+        await fleet.run(HANDOVER_MS)
+        await fleet.restart_all()
+        await fleet.assert_goes_on("v1")
+
+    @pytest.mark.parametrize("began_at", ["a", "b"])
+    async def test_two_versions_side_by_side(self, began_at):
+        """Guards against LOST of a stream that began beside another version."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        await fleet.begin(0, began_at)
+        await fleet.run(HANDOVER_MS)
+        await fleet.restart_all()
+        await fleet.assert_goes_on(BOTH[began_at])
+
+    async def test_a_stream_from_before_the_second_version(self):
+        """Guards against LOST of the streams that are open when a release begins."""
+        fleet = RestartingFleet(OLD)
+        await fleet.settle()
+        await fleet.begin(0, "a")
+        await fleet.run(HANDOVER_MS)
+        fleet.list_servers(BOTH)
+        await fleet.run(HANDOVER_MS)
+        await fleet.restart_all()
+        await fleet.assert_goes_on("v1")
+
+    async def test_the_old_version_has_just_left(self):
+        """Guards against LOST of streams of the new version after a whole release."""
+        fleet = RestartingFleet(OLD)
+        await fleet.settle()
+        fleet.list_servers(BOTH)
+        await fleet.run(HANDOVER_MS)
+        fleet.list_servers(NEW)
+        await fleet.run(HANDOVER_MS)
+        await fleet.begin(0, "b")
+        await fleet.run(HANDOVER_MS)
+        await fleet.restart_all()
+        await fleet.assert_goes_on("v2")
+
+    async def test_a_second_restart_soon_after_the_first(self):
+        """Guards against records that only the process which wrote them can find."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        await fleet.begin(0, "b")
+        await fleet.run(HANDOVER_MS)
+        await fleet.restart_all()
+        await fleet.restart_all()
+        await fleet.assert_goes_on("v2")
+
+
+class TestNeverAtAnotherVersion:
+    async def test_an_unheard_stream_of_a_version_that_left(self):
+        """Guards against ORDER: the rest of a stream from the only version left."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        await fleet.begin_unheard("b")
+        fleet.list_servers(OLD)
+        await fleet.run(2_000)
+        await fleet.restart_all()
+        await fleet.assert_refused()
+
+    async def test_an_unheard_stream_beside_another_version(self):
+        """Guards against ORDER: a guess among the versions that serve."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        await fleet.begin_unheard("b")
+        await fleet.restart_all()
+        await fleet.assert_refused()
+
+    async def test_a_version_that_came_and_left(self):
+        """Guards against ORDER: a version of which no list tells any more."""
+        fleet = RestartingFleet(OLD)
+        await fleet.settle()
+        fleet.list_servers(BOTH)
+        await fleet.run(2_000)
+        await fleet.begin_unheard("b")
+        fleet.list_servers(OLD)
+        await fleet.run(LIFE_OF_STREAM_MS - 4_000)
+        await fleet.restart_all()
+        await fleet.assert_refused()
+
+    async def test_a_store_that_came_back_from_before_the_release(self):
+        """Guards against ORDER: an older copy of the store lacks a version."""
+        fleet = RestartingFleet(OLD)
+        await fleet.settle()
+        copy = fleet.fleet.registry.keep_copy()
+        fleet.list_servers(BOTH)
+        await fleet.run(2_000)
+        await fleet.begin_unheard("b")
+        fleet.list_servers(OLD)
+        fleet.era = fleet.fleet.registry.restore(copy)
+        await fleet.restart_all()
+        await fleet.assert_refused()
+
+    async def test_a_store_that_takes_no_writes_during_a_release(self):
+        """Guards against ORDER: a version that serves although it is not stored."""
+        fleet = RestartingFleet(OLD)
+        await fleet.settle()
+        fleet.fleet.registry.read_only = True
+        fleet.list_servers(NEW)
+        await fleet.run(3_000)
+        await fleet.begin_unheard("b")
+        fleet.fleet.registry.read_only = False
+        await fleet.restart_all()
+        await fleet.assert_refused()
+
+    async def test_a_router_that_restarts_alone(self):
+        """Guards against ORDER: a guess by the router that knows least."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        fleet.fleet.start(2)
+        fleet.list_servers()
+        await fleet.run(BACK_MS)
+        response, asked = await fleet.resume(2, resumes="unknown")
+        assert asked == []
+        assert response.status == 503
--- a/packages/medlarridge-direct/tests/direct/test_stream_versions.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_versions.py
@@ -53,7 +53,7 @@
     ]
 
 
-def prepare(components, scripts, versions, revision=1, **route_changes):
+def prepare(components, scripts, versions, revision=1, era=0, **route_changes):
     """Give a router its configuration, its servers and what these will send."""
     components.connections = ScriptedConnections(scripts)
     stream_route = route(RouteKind.STREAM, resumable=True, **route_changes)
@@ -61,7 +61,8 @@
         configuration(stream_route), components.clock.now_ms()
     )
     components.servers.update(
-        listing(*pool_of(versions), revision=revision), components.clock.now_ms()
+        listing(*pool_of(versions), revision=revision, era=era),
+        components.clock.now_ms(),
     )
 
 
