--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
@@ -18,6 +18,7 @@
 from .coordination.route_durations import RouteDurations
 from .coordination.server_health import ServerHealth
 from .coordination.stream_origins import StreamOrigins
+from .coordination.stream_records import StreamRecords
 from .metrics import Metrics
 from .protocol.platform_interface import Dialect
 from .send_permits import SendPermits
@@ -25,6 +26,7 @@
 from .state.configuration_holder import ConfigurationHolder
 from .state.server_notices import ServerNotices
 from .state.server_table import ServerTable
+from .state.version_sets import VersionSets
 from .transport.server_connections import ConnectionPools
 
 
@@ -56,6 +58,8 @@
     crash_detector: CrashDetector
     crash_probes: CrashProbes
     stream_origins: StreamOrigins
+    stream_records: StreamRecords
+    version_sets: VersionSets
     connections: ConnectionPools
     metrics: Metrics
     on_parts_cached: Callable[[list[tuple[str, str]]], None]
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_origins.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_origins.py
@@ -6,11 +6,14 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
 from msgspec import Struct, field
 
 from medlarridge._internal.clock import Clock
 
+from ..protocol.peer_messages import StreamGroup
+
 MAX_STREAMS = 50_000
 """Streams that a router remembers; the oldest ones are forgotten first."""
 
@@ -29,10 +32,14 @@
 
 
 class KnownStream(Struct, frozen=True):
-    """A stream's origin, and the time until which a client may take the stream up."""
+    """A stream's origin, and the time until which a client may take the stream up.
+
+    ``from_store`` tells that the origin was read from the store.
+    """
 
     origin: StreamOrigin
     expires_ms: int
+    from_store: bool = False
 
 
 class StreamOrigins(Struct):
@@ -42,11 +49,14 @@
     streams: OrderedDict[int, KnownStream] = field(default_factory=OrderedDict)
     next_expiry_ms: int = 0
 
-    def record(self, stream: int, origin: StreamOrigin, left_ms: int) -> None:
+    def record(
+        self, stream: int, origin: StreamOrigin, left_ms: int, from_store: bool = False
+    ) -> None:
         """Record where a stream began; what is known of it never changes."""
         if left_ms <= 0 or stream in self.streams:
             return
-        self.streams[stream] = KnownStream(origin, self.clock.now_ms() + left_ms)
+        expires_ms = self.clock.now_ms() + left_ms
+        self.streams[stream] = KnownStream(origin, expires_ms, from_store)
         while len(self.streams) > MAX_STREAMS:
             self.streams.popitem(last=False)
 
@@ -55,6 +65,24 @@
         known = self.streams.get(stream)
         return None if known is None else known.origin
 
+    def is_from_store(self, stream: int) -> bool:
+        """Return whether the origin of a stream is known from the store."""
+        known = self.streams.get(stream)
+        return known is not None and known.from_store
+
+    def group(self, streams: Iterable[int]) -> list[StreamGroup]:
+        """Return streams by their origin; forgotten ones are left out."""
+        by_origin: dict[StreamOrigin, list[tuple[int, int]]] = {}
+        for stream in streams:
+            origin = self.find(stream)
+            if origin is not None:
+                left_ms = self.left_ms(stream)
+                by_origin.setdefault(origin, []).append((stream, left_ms))
+        return [
+            StreamGroup(origin.pool, origin.software_version, members)
+            for origin, members in by_origin.items()
+        ]
+
     def left_ms(self, stream: int) -> int:
         """Return for how long a stream may still be taken up; 0 if it is not known."""
         known = self.streams.get(stream)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -23,6 +23,7 @@
 from .coordination.retry_budget import RetryBudget
 from .coordination.server_health import ServerHealth
 from .coordination.stream_origins import StreamOrigins
+from .coordination.stream_records import StreamRecords
 from .gauges import add_gauges
 from .logs import (
     CRASH_STRIKE,
@@ -60,6 +61,7 @@
 from .state.peer_table import PeerTable, new_router_id
 from .state.server_notices import ServerNotices
 from .state.server_table import ServerTable
+from .state.version_sets import VersionSets
 from .store_sync import StoreSync
 from .transport.accept_queue import LISTEN_BACKLOG, AcceptQueue
 from .transport.client_connection import ClientConnection, ResponseWriter
@@ -169,6 +171,8 @@
         crashing_parts = CrashingParts(clock)
         connections = ConnectionPools()
         fleet_size = FleetSize(clock)
+        servers = ServerTable(clock)
+        stream_origins = StreamOrigins(clock)
         notices = ServerNotices(
             clock,
             random,
@@ -182,7 +186,7 @@
             random=random,
             dialect=dialect,
             configuration=ConfigurationHolder(clock),
-            servers=ServerTable(clock),
+            servers=servers,
             notices=notices,
             permits=SendPermits(
                 clock,
@@ -208,7 +212,11 @@
             crashing_parts=crashing_parts,
             crash_detector=CrashDetector(clock, crash_guard, crashing_parts),
             crash_probes=CrashProbes(clock, connections, self.handle_server_ended),
-            stream_origins=StreamOrigins(clock),
+            stream_origins=stream_origins,
+            stream_records=StreamRecords(clock, stream_origins),
+            version_sets=VersionSets(
+                clock, servers, first_start=self.settings.first_start
+            ),
             connections=connections,
             metrics=Metrics(),
             on_parts_cached=self.announce_cached_parts,
@@ -353,6 +361,8 @@
                 self.store_sync.registry.run,
                 self.store_sync.refused_parts.run,
                 self.store_sync.permit_leases.run,
+                self.store_sync.version_sets.run,
+                self.store_sync.stream_records.run,
                 self.store_sync.sync_servers,
                 self.store_sync.watch_servers,
                 self.store_sync.sync_configuration,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -45,6 +45,13 @@
 PERMIT_REFUSED = register(6011, "INFO", "servers with a limit take no request now")
 STREAM_TAKEN_UP = register(6010, "INFO", "client takes up a stream")
 
+VERSION_SETS_READ = register(6170, "INFO", "versions of streams read from the store")
+VERSION_SET_STORED = register(6171, "INFO", "versions of a pool stored")
+VERSION_NOT_STORED = register(
+    6172, "WARNING", "new streams begin at a version that is not stored"
+)
+STREAM_RECORDS_READ = register(6173, "INFO", "stream records read from the store")
+
 STARTED = register(6100, "INFO", "router started")
 STOPPING = register(6101, "INFO", "router is stopping, waiting for requests in flight")
 STOPPED = register(6102, "INFO", "router stopped")
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
@@ -7,6 +7,7 @@
 from medlarridge._internal.errors import TransportError
 
 from .configuration import Configuration
+from .peer_messages import StreamGroup
 from .permit_leases import LeaseRecord, StoredLease
 from .requests import (
     ForwardingMetadata,
@@ -17,6 +18,7 @@
 )
 from .revision import Revision
 from .servers import ServerListing
+from .stored_streams import StoredVersionSets, StreamRecord, VersionSet
 
 
 class Dialect(Protocol):
@@ -111,6 +113,41 @@
         """
         ...
 
+    async def list_version_sets(self, stale: bool) -> StoredVersionSets:
+        """Return the stored sets of versions.
+
+        They are as of a time not before the call, or may be a few seconds old if
+        ``stale``.
+        """
+        ...
+
+    async def write_version_set(
+        self, pool: str, value: VersionSet, revision: int | None
+    ) -> Revision | None:
+        """Write the set of a pool in place of the one at ``revision``, None for none.
+
+        Return the new revision, or None if the store has another one.
+        """
+        ...
+
+    async def list_stream_records(self, stale: bool) -> list[StreamRecord]:
+        """Return the stored records of all routers.
+
+        They are as of a time not before the call, or may be a few seconds old if
+        ``stale``.
+        """
+        ...
+
+    async def save_stream_record(
+        self, name: str, groups: list[StreamGroup], exists: bool
+    ) -> None:
+        """Store a record; ``exists`` tells that there probably is one of this name."""
+        ...
+
+    async def delete_stream_record(self, name: str) -> None:
+        """Remove a record, if it is there."""
+        ...
+
     async def list_servers(self) -> ServerListing:
         """Return all servers as of a time not before the call."""
         ...
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -215,6 +215,7 @@
             self.tried_instances | self.without_permit,
             self.may_run_again(),
             self.continuity.software_version,
+            self.continuity.held_back_versions(self.accepted.pool),
         )
 
     async def acquire_permit(self, ranked: Sequence[BackendServer]) -> Permit | None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/server_selection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/server_selection.py
@@ -15,12 +15,14 @@
     tried: Set[str] = frozenset(),
     repeatable: bool = False,
     software_version: str | None = None,
+    held_back: Set[str] = frozenset(),
 ) -> list[BackendServer]:
     """Return the servers of a pool that may be tried, best first.
 
     A ``repeatable`` request may be used to probe a server that has been silent. A stream
-    that has begun goes on only at servers of its ``software_version``. Servers that want
-    no requests are left out; those that want none of a peer come after others.
+    that has begun goes on only at servers of its ``software_version``; one that begins
+    goes to servers of versions that are ``held_back`` only if there are no others. Servers
+    that want no requests are left out; those that want none of a peer come after others.
     """
     notices = components.notices
     ready_servers = [
@@ -39,6 +41,9 @@
     candidates = [
         server for server in untried if server.instance in reachable
     ] or untried
+    candidates = [
+        server for server in candidates if server.software_version not in held_back
+    ] or candidates
     failing = components.health.failing(instances) | {
         server.instance for server in candidates if notices.rests_for_peer(server.start)
     }
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -34,6 +34,8 @@
 from .server_crashes import record_server_down
 from .state.peer_table import PeerTable
 from .state.server_table import EraChange, ServerChange, ServerChangeKind
+from .stream_records_sync import StreamRecordsSync
+from .version_sets_sync import VersionSetsSync
 
 WATCH_TIMEOUT_MS = 900
 """Longest wait of one watch. A broken or silent watch is noticed early enough to apply
@@ -106,6 +108,8 @@
             self.set_store_reachable,
             first_start,
         )
+        self.version_sets = VersionSetsSync(components, store, peers, log)
+        self.stream_records = StreamRecordsSync(components, store, peers, log)
         components.servers.on_era_change = self.handle_era_change
 
     def handle_era_change(self, change: EraChange) -> None:
@@ -121,6 +125,7 @@
         )
         self.registry.lost.set()
         self.refused_parts.forget()
+        self.stream_records.forget()
 
     def count_call(self, call: str) -> None:
         """Count a call to the store in the metrics."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_announcements.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_announcements.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct, field
 
-from .coordination.stream_origins import StreamOrigin, StreamOrigins
+from .coordination.stream_origins import StreamOrigins
 from .protocol.peer_messages import StreamGroup
 from .state.peer_table import Address
 
@@ -36,7 +36,7 @@
         """Return the new streams for the next report to all peers."""
         streams = [stream for streams in self.pending for stream in streams]
         self.pending.append([])
-        return self.group(streams)
+        return self.origins.group(streams)
 
     def clear(self) -> None:
         """Forget the new streams; a peer that comes is told all known ones."""
@@ -52,17 +52,4 @@
         streams = self.handovers.pop(address, [])
         if len(streams) > MAX_STREAMS_PER_REPORT:
             self.handovers[address] = streams[MAX_STREAMS_PER_REPORT:]
-        return self.group(streams[:MAX_STREAMS_PER_REPORT])
-
-    def group(self, streams: list[int]) -> list[StreamGroup]:
-        """Return streams by their origin; forgotten ones are left out."""
-        by_origin: dict[StreamOrigin, list[tuple[int, int]]] = {}
-        for stream in streams:
-            origin = self.origins.find(stream)
-            if origin is not None:
-                left_ms = self.origins.left_ms(stream)
-                by_origin.setdefault(origin, []).append((stream, left_ms))
-        return [
-            StreamGroup(origin.pool, origin.software_version, members)
-            for origin, members in by_origin.items()
-        ]
+        return self.origins.group(streams[:MAX_STREAMS_PER_REPORT])
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
@@ -16,6 +16,9 @@
 """Time in which the report arrives that names a stream: its client may come back sooner.
 Reports of 25 routers are 200 ms apart."""
 
+READ_TIMEOUT_MS = 1_000
+"""Time that is waited for the records in the store, from which the stream may come."""
+
 LOOKUP_INTERVAL_MS = 20
 
 MAX_LIST_AGE_MS = 2_000
@@ -60,11 +63,11 @@
         Without a record, the stream began at the only version that ``pool`` had since.
         Return None if that is not known, or if the route leads elsewhere now.
         """
-        self.origin = await self.look_up()
-        source = "record"
+        self.origin = await self.look_up(pool)
+        source = self.record_source()
         if self.origin is None:
             self.origin = self.infer_from_only_version(pool)
-            source = "only-version" if self.origin is not None else "unknown"
+            source = self.inference_source()
         self.log.stream_taken_up(self.metadata, self.origin, source)
         configuration = self.components.configuration.current
         if self.origin is None or configuration is None:
@@ -74,17 +77,53 @@
             return None
         return configuration.find_pool(pool_name)
 
-    async def look_up(self) -> StreamOrigin | None:
-        """Return the recorded origin; wait a moment for the report that names it."""
+    async def look_up(self, pool: Pool) -> StreamOrigin | None:
+        """Return the recorded origin; wait a moment for the report that names it.
+
+        The records in the store are read if nothing else can tell the origin.
+        """
         if self.metadata.resumes is None:
             return None
         stream = stream_key(self.metadata.resumes)
-        for _ in range(LOOKUP_TIMEOUT_MS // LOOKUP_INTERVAL_MS):
-            origin = self.components.stream_origins.find(stream)
-            if origin is not None:
-                return origin
+        origins, records = (
+            self.components.stream_origins,
+            self.components.stream_records,
+        )
+        waited_ms = 0
+        while origins.find(stream) is None:
+            if self.infer_from_only_version(pool) is None:
+                records.on_unknown()
+            timeout_ms = READ_TIMEOUT_MS if records.reading else LOOKUP_TIMEOUT_MS
+            if waited_ms >= timeout_ms:
+                break
             await asyncio.sleep(LOOKUP_INTERVAL_MS / MS_PER_S)
-        return self.components.stream_origins.find(stream)
+            waited_ms += LOOKUP_INTERVAL_MS
+        return origins.find(stream)
+
+    def record_source(self) -> str:
+        """Return from where the origin of a recorded stream is known."""
+        stream = stream_key(self.metadata.resumes or "")
+        from_store = self.components.stream_origins.is_from_store(stream)
+        return "stored-record" if from_store else "record"
+
+    def inference_source(self) -> str:
+        """Return what an inferred origin rests on."""
+        if self.origin is None:
+            return "unknown"
+        versions = self.components.servers.versions
+        by_lists = versions.listed_throughout(self.span_ms)
+        return "only-version" if by_lists else "stored-versions"
+
+    @property
+    def span_ms(self) -> int:
+        """Return for how long a stream of the route may be taken up after its begin."""
+        return self.route.timeout_ms + RESUME_MARGIN_MS
+
+    def held_back_versions(self, pool: Pool) -> set[str]:
+        """Return the versions at which the stream should not begin if others serve."""
+        if self.origin is not None or not self.route.resumable:
+            return set()
+        return self.components.version_sets.held_back(pool.name)
 
     def infer_from_only_version(self, pool: Pool) -> StreamOrigin | None:
         """Return the origin if only one version can have begun the stream."""
@@ -92,8 +131,7 @@
         age_ms = servers.age_ms()
         if age_ms is None or age_ms > MAX_LIST_AGE_MS or len(self.route.pools) > 1:
             return None
-        span_ms = self.route.timeout_ms + RESUME_MARGIN_MS
-        version = servers.versions.only_version(pool.name, span_ms)
+        version = servers.versions.only_version(pool.name, self.span_ms)
         return None if version is None else StreamOrigin(pool.name, version)
 
     def record_first_event(self, server: BackendServer, remaining_ms: int) -> None:
@@ -105,4 +143,5 @@
         self.components.stream_origins.record(
             stream, self.origin, remaining_ms + RESUME_MARGIN_MS
         )
+        self.components.stream_records.begin(stream)
         self.components.on_stream_begun(stream)
--- a/packages/medlarridge-direct/src/medlarridge_direct/platform_api.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/platform_api.py
@@ -12,6 +12,7 @@
     Route,
     RouteKind,
 )
+from ._internal.protocol.peer_messages import StreamGroup
 from ._internal.protocol.permit_leases import LeaseRecord, StoredLease
 from ._internal.protocol.platform_interface import (
     ConfigurationSnapshot,
@@ -29,6 +30,12 @@
 from ._internal.protocol.revision import Revision
 from ._internal.protocol.server_notices import ServerNotice
 from ._internal.protocol.servers import BackendServer, ServerListing, ServerState
+from ._internal.protocol.stored_streams import (
+    StoredVersionSet,
+    StoredVersionSets,
+    StreamRecord,
+    VersionSet,
+)
 from ._internal.settings import DirectSettings, load_settings, split_endpoint
 from ._internal.transport.http_client import HttpClient, HttpResponse
 
@@ -60,8 +67,13 @@
     "ServerNotice",
     "ServerState",
     "StoredLease",
+    "StoredVersionSet",
+    "StoredVersionSets",
+    "StreamGroup",
+    "StreamRecord",
     "TransportError",
     "UserError",
+    "VersionSet",
     "load_settings",
     "split_endpoint",
 ]
--- a/packages/medlarridge-direct/tests/adapter/test_store.py
+++ b/packages/medlarridge-direct/tests/adapter/test_store.py
@@ -1,3 +1,5 @@
+from typing import ClassVar
+
 import msgspec
 import pytest
 
@@ -9,7 +11,11 @@
     RouteKind,
     ServerState,
     StoredLease,
+    StoredVersionSet,
+    StreamGroup,
+    StreamRecord,
     TransportError,
+    VersionSet,
 )
 from medlarridge_platform.store import ObjectStore, parse_server
 
@@ -401,3 +407,141 @@
         for _ in range(2):
             with pytest.raises(TransportError):
                 await store.write_permit_lease("p", self.RECORD, None)
+
+
+class TestVersionSets:
+    VALUE = VersionSet(("v1", "v2"), ("v0",), 20_000, 2)
+
+    async def test_a_set_is_read_as_it_was_written(self):
+        """Guards against a version that is lost between two routers."""
+        client = FakeClient(in_era(2, item("x", {}, revision=8)))
+        store = ObjectStore(client)
+        written = await store.write_version_set("models/a b", self.VALUE, None)
+        assert written == Revision(2, 8)
+        written_object = msgspec.json.decode(client.bodies[0])
+        written_object["metadata"]["revision"] = 8
+        reader = FakeClient(in_era(2, {"items": [written_object]}))
+        sets = await ObjectStore(reader).list_version_sets(stale=False)
+        assert sets.era == 2
+        assert sets.by_pool == {"models/a b": StoredVersionSet(self.VALUE, 8)}
+        assert reader.paths == [b"/v1/objects/stream-versions"]
+
+    async def test_a_set_replaces_the_one_at_its_revision_only(self):
+        """Guards against a router that removes what another has just added."""
+        client = FakeClient(409, 409, 404)
+        store = ObjectStore(client)
+        for revision in (None, 7, 7):
+            assert await store.write_version_set("p", self.VALUE, revision) is None
+        methods = [path.split(b" ")[0] for path in client.paths]
+        assert methods == [b"POST", b"PUT", b"PUT"]
+        assert msgspec.json.decode(client.bodies[1])["metadata"]["revision"] == 7
+
+    async def test_a_read_that_may_be_old_says_so_on_each_page(self):
+        """Guards against reads at the full price, and against a lost page."""
+        pages = [
+            in_era(2, {"items": [item("p", {"pool": "p"})], "hasMore": True}),
+            in_era(2, {"items": [item("q", {"pool": "q"})]}),
+        ]
+        client = FakeClient(*pages)
+        sets = await ObjectStore(client).list_version_sets(stale=True)
+        assert set(sets.by_pool) == {"p", "q"}
+        assert [path.partition(b"?")[2] for path in client.paths] == [
+            b"staleOk=1",
+            b"staleOk=1&afterRevision=p",
+        ]
+
+    async def test_pages_of_two_eras_are_no_list(self):
+        """Guards against a set from before a drill beside others from after it."""
+        client = FakeClient(
+            in_era(2, {"items": [item("p", {"pool": "p"})], "hasMore": True}),
+            in_era(3, {"items": []}),
+        )
+        with pytest.raises(HistoryGone):
+            await ObjectStore(client).list_version_sets(stale=False)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"versions": "v1"},
+            {"versions": [1]},
+            {"spanMs": "x"},
+            {"completeInEra": "2"},
+        ],
+    )
+    async def test_a_malformed_set_is_not_complete(self, change):
+        """Guards against a version inferred from a damaged object."""
+        spec = {
+            "pool": "p",
+            "versions": ["v1"],
+            "leaving": [],
+            "spanMs": 5,
+            "completeInEra": 2,
+        }
+        client = FakeClient(in_era(2, {"items": [item("p", spec | change)]}))
+        sets = await ObjectStore(client).list_version_sets(stale=False)
+        assert sets.by_pool == {"p": StoredVersionSet(VersionSet(), 3)}
+
+    @pytest.mark.parametrize("spec", [{}, {"pool": 1}, None, "text"])
+    async def test_an_entry_without_a_pool_is_skipped(self, spec):
+        """Guards against an entry of another writer that hides all the others."""
+        client = FakeClient(in_era(2, {"items": [item("p", spec)]}))
+        sets = await ObjectStore(client).list_version_sets(stale=False)
+        assert sets.by_pool == {}
+
+    async def test_failed_calls_raise(self):
+        """Guards against a version that counts as stored although it is not."""
+        store = ObjectStore(FakeClient(503, HttpResponse(201, [], b"{}")))
+        for _ in range(2):
+            with pytest.raises(TransportError):
+                await store.write_version_set("p", self.VALUE, None)
+
+
+class TestStreamRecords:
+    GROUPS: ClassVar = [
+        StreamGroup("models", "v1", [(2**64 - 1, 9_000), (7, 100)]),
+        StreamGroup("models", "v2", [(8, 5_000)]),
+    ]
+
+    async def test_a_record_is_read_as_it_was_written(self):
+        """Guards against keys of streams that lose digits on the way."""
+        client = FakeClient(201)
+        await ObjectStore(client).save_stream_record("1f-0", self.GROUPS, exists=False)
+        written = msgspec.json.decode(client.bodies[0])
+        written["metadata"]["revision"] = 8
+        reader = FakeClient({"items": [written]})
+        records = await ObjectStore(reader).list_stream_records(stale=False)
+        assert records == [StreamRecord("1f-0", 8, self.GROUPS)]
+
+    async def test_the_likely_call_is_made_first(self):
+        """Guards against two calls for each write."""
+        client = FakeClient(201, 409, 200, 200, 404, 201)
+        store = ObjectStore(client)
+        for exists in (False, False, True, True):
+            await store.save_stream_record("1f-0", self.GROUPS, exists)
+        methods = [path.split(b" ")[0] for path in client.paths]
+        assert methods == [b"POST", b"POST", b"PUT", b"PUT", b"PUT", b"POST"]
+
+    async def test_a_record_is_removed(self):
+        """Guards against records that fill the store."""
+        client = FakeClient(200, 404)
+        for _ in range(2):
+            await ObjectStore(client).delete_stream_record("1f-0")
+        assert client.paths == [b"DELETE /v1/objects/stream-records/1f-0"] * 2
+
+    @pytest.mark.parametrize(
+        "spec",
+        [
+            {},
+            None,
+            {"groups": [{"pool": "p"}]},
+            {"groups": [{"pool": "p", "version": 1, "streams": []}]},
+            {"groups": [{"pool": "p", "version": "v", "streams": [["x", 5]]}]},
+            {"groups": [{"pool": "p", "version": "v", "streams": [["f", "5"]]}]},
+        ],
+    )
+    async def test_a_malformed_record_is_skipped(self, spec):
+        """Guards against a damaged object that hides all the others."""
+        good = item("2", {"groups": []})
+        client = FakeClient({"items": [item("1", spec), good]})
+        records = await ObjectStore(client).list_stream_records(stale=False)
+        assert records == [StreamRecord("2", 3, [])]
--- a/packages/medlarridge-direct/tests/direct/router_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/router_fleet.py
@@ -1,16 +1,23 @@
 """Routers that share limits, with a network and a store that can fail between them."""
 
+import contextlib
 from collections import Counter
 from dataclasses import dataclass, field
 
 from msgspec.structs import replace
 
 from medlarridge import ManualClock, TransportError
+from medlarridge_direct._internal.coordination.stream_records import write_interval_ms
 from medlarridge_direct._internal.logs import Log
 from medlarridge_direct._internal.peer_reports import REPORT_INTERVAL_MS, PeerReports
 from medlarridge_direct._internal.peer_snapshots import PeerSnapshots
 from medlarridge_direct._internal.protocol.permit_leases import StoredLease
 from medlarridge_direct._internal.protocol.revision import Revision
+from medlarridge_direct._internal.protocol.stored_streams import (
+    StoredVersionSet,
+    StoredVersionSets,
+    StreamRecord,
+)
 from medlarridge_direct._internal.router_registry import (
     MAX_REGISTRY_INTERVAL_MS,
     MIN_REGISTRY_INTERVAL_MS,
@@ -104,6 +111,41 @@
         self.check()
         self.registry.refused_parts.pop(part, None)
 
+    async def list_version_sets(self, stale):
+        self.call("list-version-sets")
+        return StoredVersionSets(self.registry.era, dict(self.registry.version_sets))
+
+    async def write_version_set(self, pool, value, revision):
+        self.call("write-version-set", writes=True)
+        registry = self.registry
+        stored = registry.version_sets.get(pool, StoredVersionSet())
+        if stored.revision != revision:
+            return None
+        registry.last_number += 1
+        registry.version_sets[pool] = StoredVersionSet(value, registry.last_number)
+        return Revision(registry.era, registry.last_number)
+
+    async def list_stream_records(self, stale):
+        self.call("list-stream-records")
+        return list(self.registry.stream_records.values())
+
+    async def save_stream_record(self, name, groups, exists):
+        self.call("save-stream-record", writes=True)
+        registry = self.registry
+        registry.last_number += 1
+        registry.stream_records[name] = StreamRecord(name, registry.last_number, groups)
+
+    async def delete_stream_record(self, name):
+        self.call("delete-stream-record", writes=True)
+        self.registry.stream_records.pop(name, None)
+
+    def call(self, name, writes=False):
+        """Count a call that concerns streams; fail if the store does not take it."""
+        self.check()
+        self.registry.stream_calls[name] += 1
+        if writes and self.registry.read_only:
+            raise TransportError("no writes", step=name)
+
     async def read_permit_lease(self, pool):
         self.check()
         stored = self.registry.leases.get(pool)
@@ -158,6 +200,7 @@
             self.reports.announce_departures,
             first_start=incarnation == 1,
         )
+        self.next_record_ms = fleet.clock.now_ms()
         leases = self.sync.permit_leases
         self.reports.kept_permits = leases.kept
         self.reports.on_kept_permits = leases.observe_kept
@@ -180,6 +223,18 @@
         except TransportError:
             self.peers.store_reachable = False
 
+    async def sync_streams(self):
+        """Do what the tasks do that keep streams in the store."""
+        now_ms = self.fleet.clock.now_ms()
+        with contextlib.suppress(TransportError):
+            await self.sync.version_sets.sync()
+        if now_ms < self.next_record_ms:
+            return
+        self.next_record_ms = now_ms + write_interval_ms(len(self.fleet.routers))
+        with contextlib.suppress(TransportError):
+            await self.sync.stream_records.write()
+            await self.sync.stream_records.clean_if_due()
+
     def report(self):
         self.reports.send_report()
         self.reports.update_live_peers()
@@ -246,6 +301,7 @@
                 if router.paused:
                     continue
                 await router.sync_registry()
+                await router.sync_streams()
                 if (now_ms + router.number * STEP_MS) % REPORT_INTERVAL_MS == 0:
                     router.report()
                 if traffic:
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -23,6 +23,7 @@
 from medlarridge_direct._internal.coordination.retry_budget import RetryBudget
 from medlarridge_direct._internal.coordination.server_health import ServerHealth
 from medlarridge_direct._internal.coordination.stream_origins import StreamOrigins
+from medlarridge_direct._internal.coordination.stream_records import StreamRecords
 from medlarridge_direct._internal.metrics import Metrics
 from medlarridge_direct._internal.protocol.requests import RequestMetadata, ResponseHead
 from medlarridge_direct._internal.protocol.server_notices import ServerNotice
@@ -32,6 +33,7 @@
 from medlarridge_direct._internal.state.configuration_holder import ConfigurationHolder
 from medlarridge_direct._internal.state.server_notices import ServerNotices
 from medlarridge_direct._internal.state.server_table import ServerTable
+from medlarridge_direct._internal.state.version_sets import VersionSets
 from medlarridge_direct._internal.transport.http_connection import HttpConnection
 
 RESET = object()
@@ -224,12 +226,14 @@
     connections = ScriptedConnections(scripts or {})
     fleet_size = fleet_type(clock)
     notices = ServerNotices(clock)
+    servers = ServerTable(clock)
+    stream_origins = StreamOrigins(clock)
     return RouterComponents(
         clock=clock,
         random=Random(7),
         dialect=FakeDialect(),
         configuration=ConfigurationHolder(clock),
-        servers=ServerTable(clock),
+        servers=servers,
         notices=notices,
         permits=SendPermits(
             clock, Random(7), notices, lambda pool: None, lambda data, address: None
@@ -247,7 +251,9 @@
         crashing_parts=crashing_parts,
         crash_detector=CrashDetector(clock, crash_guard, crashing_parts),
         crash_probes=CrashProbes(clock, connections, lambda server: None),
-        stream_origins=StreamOrigins(clock),
+        stream_origins=stream_origins,
+        stream_records=StreamRecords(clock, stream_origins),
+        version_sets=VersionSets(clock, servers),
         connections=connections,
         metrics=Metrics(),
         on_parts_cached=lambda cached_parts: None,
