Play restarts of routers over the real adapter and a store with drills

The model of the store takes conditional writes of any kind of objects; its routers keep the sets of versions.

--- a/packages/medlarridge-direct/tests/adapter/store_model.py
+++ b/packages/medlarridge-direct/tests/adapter/store_model.py
@@ -70,6 +70,7 @@
     servers: dict[str, dict]
     version: int
     routers: dict[str, dict]
+    objects: dict[str, dict[str, dict]]
 
 
 class StoreModel:
@@ -83,6 +84,8 @@
         self.servers: dict[str, dict] = {}
         self.version = 0
         self.routers: dict[str, dict] = {}
+        self.objects: dict[str, dict[str, dict]] = {}
+        self.read_only_until_ms = 0
         self.events: list[tuple[int, str, dict, bool]] = []
         self.copies: list[Content] = []
         self.away_until_ms = 0
@@ -114,7 +117,7 @@
     def change(self, kind: str, name: str, spec: dict | None) -> None:
         """Write or remove an object, and keep a copy of the content."""
         self.revision += 1
-        objects = {"servers": self.servers, "routers": self.routers}.get(kind, {})
+        objects = self.items_of(kind)
         item = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
         if kind == "config":
             self.version = spec["version"]
@@ -133,6 +136,7 @@
                 dict(self.servers),
                 self.version,
                 dict(self.routers),
+                {kind: dict(items) for kind, items in self.objects.items()},
             )
         )
 
@@ -189,6 +193,7 @@
         self.servers = dict(copy.servers)
         self.version = copy.version
         self.routers = dict(copy.routers)
+        self.objects = {kind: dict(items) for kind, items in copy.objects.items()}
         self.events = [each for each in self.events if each[0] <= copy.revision]
         self.copies = [each for each in self.copies if each.revision <= copy.revision]
         self.away_until_ms = now_ms + away_ms
@@ -211,22 +216,36 @@
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         kind, _, name = url.path.removeprefix("/v1/objects/").partition("/")
         if method != b"GET":
-            item = json.loads(body)
-            name = item["metadata"]["name"]
-            if method == b"POST" and name in self.routers:
-                return self.response(409, self.routers[name])
-            self.change("routers", name, item["spec"])
-            return self.response(200, self.routers[name])
+            return self.write(method, kind, name, body)
         if "watch" in query:
             return self.watch(kind, int(query["watch"]))
-        items = list(
-            {"servers": self.servers, "routers": self.routers}.get(kind, {}).values()
-        )
+        items = list(self.items_of(kind).values())
         if kind == "config" and self.version:
             spec = configuration_spec(self.version)
             items = [{"metadata": {"name": "main", "revision": 1}, "spec": spec}]
         return self.response(200, {"items": items, "asOf": self.revision})
 
+    def items_of(self, kind: str) -> dict[str, dict]:
+        known = {"servers": self.servers, "routers": self.routers}
+        return known[kind] if kind in known else self.objects.setdefault(kind, {})
+
+    def write(self, method: bytes, kind: str, name: str, body: bytes) -> HttpResponse:
+        """Create, replace or remove an object if the call's condition holds."""
+        if self.clock.now_ms() < self.read_only_until_ms:
+            return self.response(429, {})
+        item = json.loads(body) if body else {"metadata": {"name": name}, "spec": None}
+        name = item["metadata"]["name"]
+        stored = self.items_of(kind).get(name)
+        if method == b"POST" and stored is not None:
+            return self.response(409, stored)
+        if method != b"POST" and stored is None:
+            return self.response(404, {})
+        wanted = item["metadata"].get("revision")
+        if wanted is not None and wanted != stored["metadata"]["revision"]:
+            return self.response(409, stored)
+        self.change(kind, name, item["spec"])
+        return self.response(200, self.items_of(kind).get(name, {}))
+
     def watch(self, kind: str, after: int) -> HttpResponse:
         if after > self.revision:
             return self.response(410, {})
@@ -247,7 +266,8 @@
         "name": "r-1",
         "host": "desk.example",
         "pathPrefix": "/plan/",
-        "kind": "safe",
+        "kind": "streaming",
+        "resumable": True,
         "timeoutMs": 5_000,
         "service": "models",
     }
@@ -334,7 +354,7 @@
 class Router:
     """A router's synchronization with the store and with its peers."""
 
-    def __init__(self, fleet: "Fleet", number: int) -> None:
+    def __init__(self, fleet: "Fleet", number: int, incarnation: int = 0) -> None:
         self.fleet = fleet
         self.number = number
         self.address = (f"10.0.0.{number + 1}", 7)
@@ -342,7 +362,9 @@
         self.history = RouterHistory()
         self.link = StoreLink(fleet)
         self.components = make_components(clock=fleet.clock)
-        self.peers = PeerTable(fleet.clock, self.address, number + 1)
+        self.peers = PeerTable(
+            fleet.clock, self.address, 100 * incarnation + number + 1
+        )
         log = Log(fleet.clock, f"node-{number}")
         self.snapshots = PeerSnapshots(self.components, self.peers, fleet.clock, log)
         self.reports = PeerReports(self.components, self.peers, log, lambda: False)
@@ -361,6 +383,7 @@
             Job(self.sync.read_servers_if_due),
             Job(self.sync.read_configuration_if_due),
             Job(self.register_when_lost),
+            Job(self.sync.version_sets.sync),
         ]
 
     @property
@@ -412,16 +435,31 @@
         self.datagrams: list[tuple[Router, tuple[str, int], bytes]] = []
         self.sleepers: list[tuple[int, asyncio.Future]] = []
         self.steps = 0
+        self.started = size
         self.routers = [Router(self, number) for number in range(size)]
+        self.connect()
+        self.store.keep_copy()
+        self.store.configure()
+        for _ in range(4):
+            self.store.add_server()
+
+    def connect(self) -> None:
+        """Let the routers know each other."""
         for router in self.routers:
             router.peers.register(each.address for each in self.routers)
             for peer in self.routers:
                 link = PeerLink(router, peer)
                 router.snapshots.clients[peer.address] = link
-        self.store.keep_copy()
-        self.store.configure()
-        for _ in range(4):
-            self.store.add_server()
+
+    def restart(self, *numbers: int) -> None:
+        """Replace routers by new processes that know nothing."""
+        for number in numbers:
+            for job in self.routers[number].jobs:
+                if job.task is not None:
+                    job.task.cancel()
+            self.started += 1
+            self.routers[number] = Router(self, number, self.started)
+        self.connect()
 
     async def sleep(self, delay_ms: int) -> None:
         future = asyncio.get_running_loop().create_future()
