Ask a store that is down only after a delay for records of streams

A take-up of an unknown stream asked a store that refuses connections again every 20 ms for as long as it waited: 50 calls for one request in the test, which fails on the commit before. Failed calls for records and for sets of versions are now repeated after 500 ms, and after 250 ms to 1 s.

--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
@@ -20,6 +20,9 @@
 CLEAN_INTERVAL_MS = 30_000
 """Interval at which records that nobody needs any more are looked for."""
 
+RETRY_DELAY_MS = 500
+"""Delay after a failed call, since even refused calls are a load on the store."""
+
 RETENTION_SPANS = 2
 """Records are removed when they have not changed for so many times the longest time
 that a stream can be taken up."""
@@ -47,7 +50,7 @@
         self.store = store
         self.peers = peers
         self.log = log
-        self.last_read_ms: int | None = None
+        self.next_read_ms = 0
         self.read_task: asyncio.Task | None = None
         self.next_clean_ms = components.clock.now_ms() + CLEAN_INTERVAL_MS
         self.seen_ms: dict[tuple[str, int], int] = {}
@@ -60,11 +63,13 @@
         """Write the new streams at once or after an interval, and remove old records."""
         while True:
             self.begun.clear()
-            # A write that failed is due again; other tasks log that the store is lost.
-            with contextlib.suppress(TransportError):
+            interval_ms = write_interval_ms(self.components.fleet_size.count)
+            try:
                 await self.write()
                 await self.clean_if_due()
-            interval_ms = write_interval_ms(self.components.fleet_size.count)
+            except TransportError:
+                # Other tasks log that the store is lost.
+                interval_ms = max(interval_ms, RETRY_DELAY_MS)
             await asyncio.sleep(interval_ms / MS_PER_S)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(CHECK_INTERVAL_MS / MS_PER_S):
@@ -89,17 +94,15 @@
     def forget(self) -> None:
         """Write and read all records again, since the store may have lost some."""
         self.records.forget_written()
-        self.last_read_ms = None
+        self.next_read_ms = 0
 
     def begin_read(self) -> None:
         """Begin to read the records of all routers, unless that was done lately."""
         now_ms = self.components.clock.now_ms()
-        interval_ms = reread_interval_ms(self.components.fleet_size.count)
-        if self.records.reading or (
-            self.last_read_ms is not None and now_ms - self.last_read_ms < interval_ms
-        ):
+        if self.records.reading or now_ms < self.next_read_ms:
             return
-        self.last_read_ms = now_ms
+        interval_ms = reread_interval_ms(self.components.fleet_size.count)
+        self.next_read_ms = now_ms + interval_ms
         self.records.reading = True
         self.read_task = asyncio.get_running_loop().create_task(self.read())
 
@@ -109,7 +112,7 @@
             self.count_call("list-stream-records")
             records = await self.store.list_stream_records(stale=False)
         except TransportError:
-            self.last_read_ms = None
+            self.next_read_ms = self.components.clock.now_ms() + RETRY_DELAY_MS
             return
         finally:
             self.records.reading = False
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/version_sets_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/version_sets_sync.py
@@ -17,6 +17,9 @@
 READ_INTERVAL_MS = 250
 """Shortest time between two reads of a router."""
 
+MAX_RETRY_DELAY_MS = 1_000
+"""Longest delay after failed calls; it doubles from ``READ_INTERVAL_MS``."""
+
 TAKE_OVER_MS = 500
 MAX_TAKE_OVER_RANK = 3
 """Time for each rank, up to this one, after which a router writes a new version in place
@@ -47,14 +50,16 @@
 
     async def run(self) -> None:
         """Keep the stored sets and the server lists in accordance."""
+        retry_ms = READ_INTERVAL_MS
         while True:
-            delay_ms = CHECK_INTERVAL_MS
             try:
                 await self.sync()
+                await asyncio.sleep(CHECK_INTERVAL_MS / MS_PER_S)
+                retry_ms = READ_INTERVAL_MS
             except TransportError as error:
                 self.log_if_late(error)
-                delay_ms = READ_INTERVAL_MS
-            await asyncio.sleep(delay_ms / MS_PER_S)
+                await asyncio.sleep(retry_ms / MS_PER_S)
+                retry_ms = min(2 * retry_ms, MAX_RETRY_DELAY_MS)
 
     def log_if_late(self, error: TransportError) -> None:
         """Log once that servers of a version get new streams although it is not stored."""
--- a/packages/medlarridge-direct/tests/direct/router_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/router_fleet.py
@@ -141,8 +141,8 @@
 
     def call(self, name, writes=False):
         """Count a call that concerns streams; fail if the store does not take it."""
-        self.check()
         self.registry.stream_calls[name] += 1
+        self.check()
         if writes and self.registry.read_only:
             raise TransportError("no writes", step=name)
 
--- a/packages/medlarridge-direct/tests/direct/test_stored_versions.py
+++ b/packages/medlarridge-direct/tests/direct/test_stored_versions.py
@@ -62,3 +62,14 @@
         writes = fleet.fleet.registry.stream_calls["write-version-set"] - before
         assert writes == 3
         assert fleet.fleet.registry.versions(POOL) == {"v2"}
+
+    async def test_a_store_that_is_down_is_not_asked_again_at_once(self):
+        """Guards against calls in quick succession for one stream that is unknown."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        fleet.fleet.registry.unreachable_for.add("front-0")
+        before = fleet.fleet.registry.stream_calls["list-stream-records"]
+        response, _ = await fleet.resume(0, resumes="unknown")
+        assert response.status == 503
+        calls = fleet.fleet.registry.stream_calls["list-stream-records"] - before
+        assert calls == 1
--- a/packages/medlarridge-direct/tests/direct/test_stream_origins_under_faults.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_origins_under_faults.py
@@ -147,7 +147,6 @@
             await fleet.run(STEP_MS)
             for router in fleet.fleet.routers.values():
                 if router.node not in fleet.fleet.registry.unreachable_for:
-                    router.sync.stream_records.last_read_ms = None
                     await router.sync.stream_records.read()
             known += fleet.check()
         assert known > 0
