--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -11,7 +11,7 @@
 from medlarridge._internal.clock import MS_PER_S, Clock
 from medlarridge._internal.events import Event, register
 
-from .attempt import DiscardedResponse
+from .attempt_outcome import DiscardedResponse
 from .components import RouterComponents
 from .coordination.stream_origins import StreamOrigin
 from .metrics import Metrics
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -9,7 +9,8 @@
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.protocol.server_sent_events import is_after
 
-from .attempt import SUCCESS_STATUS_CLASS, Attempt, AttemptOutcome, OutcomeKind
+from .attempt import SUCCESS_STATUS_CLASS, Attempt
+from .attempt_outcome import AttemptOutcome, OutcomeKind
 from .components import RouterComponents
 from .coordination.part_crashes import part_keys
 from .coordination.retry_budget import RetryEnd
--- a/packages/medlarridge-direct/tests/direct/test_repeated_responses.py
+++ b/packages/medlarridge-direct/tests/direct/test_repeated_responses.py
@@ -7,7 +7,8 @@
 import pytest
 
 from medlarridge import TransportError
-from medlarridge_direct._internal.attempt import Attempt, OutcomeKind
+from medlarridge_direct._internal.attempt import Attempt
+from medlarridge_direct._internal.attempt_outcome import OutcomeKind
 from medlarridge_direct._internal.coordination.server_health import UNNAMED_MEMORY_MS
 from medlarridge_direct._internal.protocol.configuration import RouteKind
 from medlarridge_direct._internal.protocol.requests import (
