--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
@@ -15,8 +15,8 @@
 from ..protocol.peer_messages import StreamGroup
 from .stream_origins import StreamOrigins
 
-MAX_SEGMENT_STREAMS = 250
-MAX_SEGMENTS = 80
+MAX_SEGMENT_STREAMS = 60
+MAX_SEGMENTS = 320
 """Limits of the streams that a router stores, about 30 bytes each."""
 
 WRITE_INTERVAL_MS = 100
