--- a/packages/medlarridge-direct/tests/direct/test_stream_restarts.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_restarts.py
@@ -138,6 +138,20 @@
         await fleet.restart_all()
         await fleet.assert_goes_on("v2")
 
+    @pytest.mark.parametrize("after_ms", [3_000, 15_000, 30_000])
+    async def test_a_store_that_came_back_from_an_older_copy_before(self, after_ms):
+        """Guards against LOST with one version while the stored set is not complete."""
+        fleet = RestartingFleet(OLD)
+        await fleet.settle()
+        registry = fleet.fleet.registry
+        fleet.era = registry.restore(registry.keep_copy())
+        fleet.list_servers()
+        await fleet.run(after_ms)
+        await fleet.begin(0, "a")
+        await fleet.run(HANDOVER_MS)
+        await fleet.restart_all()
+        await fleet.assert_goes_on("v1")
+
 
 class TestNeverAtAnotherVersion:
     async def test_an_unheard_stream_of_a_version_that_left(self):
