--- a/packages/medlarridge-direct/tests/direct/test_stream_restarts.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_restarts.py
@@ -6,6 +6,9 @@
 
 import pytest
 
+from medlarridge_direct._internal.store_sync import MIN_RETRY_DELAY_MS
+from medlarridge_direct._internal.stream_continuity import READ_TIMEOUT_MS
+
 from .scripted import ScriptedConnections
 from .test_request_run import sent_to
 from .test_stream_versions import (
@@ -219,3 +222,16 @@
         response, asked = await fleet.resume(2, resumes="unknown")
         assert asked == []
         assert response.status == 503
+
+
+class TestCalls:
+    async def test_a_store_that_refuses_calls_is_not_asked_again_at_once(self):
+        """Guards against calls without a pause while streams are taken up."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        await fleet.restart_all()
+        fleet.fleet.registry.unreachable_for.add("front-0")
+        await fleet.resume(0, resumes="unknown")
+        calls = fleet.fleet.routers[0].components.metrics.store_calls
+        most = 1 + READ_TIMEOUT_MS // MIN_RETRY_DELAY_MS
+        assert 1 <= calls["list-stream-records"] <= most
