--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
@@ -17,6 +17,9 @@
 """Time after which the streams are looked through although none has begun: since then a
 pool may have another version."""
 
+RETRY_INTERVAL_MS = 250
+"""Shortest time between two reads of a router while the store fails."""
+
 CLEAN_INTERVAL_MS = 30_000
 """Interval at which records that nobody needs any more are looked for."""
 
@@ -48,6 +51,7 @@
         self.peers = peers
         self.log = log
         self.last_read_ms: int | None = None
+        self.read_failed = False
         self.read_task: asyncio.Task | None = None
         self.next_clean_ms = components.clock.now_ms() + CLEAN_INTERVAL_MS
         self.seen_ms: dict[tuple[str, int], int] = {}
@@ -95,6 +99,8 @@
         """Begin to read the records of all routers, unless that was done lately."""
         now_ms = self.components.clock.now_ms()
         interval_ms = reread_interval_ms(self.components.fleet_size.count)
+        if self.read_failed:
+            interval_ms = RETRY_INTERVAL_MS
         if self.records.reading or (
             self.last_read_ms is not None and now_ms - self.last_read_ms < interval_ms
         ):
@@ -109,10 +115,11 @@
             self.count_call("list-stream-records")
             records = await self.store.list_stream_records(stale=False)
         except TransportError:
-            self.last_read_ms = None
+            self.read_failed = True
             return
         finally:
             self.records.reading = False
+        self.read_failed = False
         streams = 0
         for record in records:
             for group in record.groups:
