--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
@@ -5,7 +5,7 @@
 written again as it grows, so that writes depend on time and not on the number of streams.
 """
 
-from collections.abc import Callable, Set
+from collections.abc import Callable
 from math import ceil
 
 from msgspec import Struct, field
@@ -15,6 +15,9 @@
 from ..protocol.peer_messages import StreamGroup
 from .stream_origins import StreamOrigins
 
+Place = tuple[str, str]
+"""Host and path prefix of a route."""
+
 MAX_SEGMENT_STREAMS = 60
 MAX_SEGMENTS = 320
 """Limits of the streams that a router stores, about 30 bytes each."""
@@ -52,7 +55,7 @@
 
     clock: Clock
     origins: StreamOrigins
-    unstored: dict[int, None] = field(default_factory=dict)
+    unstored: dict[int, Place | None] = field(default_factory=dict)
     segments: list[Segment] = field(default_factory=list)
     current: int = 0
     dropped: int = 0
@@ -60,9 +63,9 @@
     on_unknown: Callable[[], None] = do_nothing
     on_begin: Callable[[], None] = do_nothing
 
-    def begin(self, stream: int) -> None:
-        """Record that this router has begun a stream."""
-        self.unstored[stream] = None
+    def begin(self, stream: int, place: Place | None = None) -> None:
+        """Record that this router has begun a stream of the route at a place."""
+        self.unstored[stream] = place
         self.on_begin()
 
     def expire(self) -> None:
@@ -73,14 +76,12 @@
                 return
             del self.unstored[stream]
 
-    def collect(self, pools: Set[str]) -> None:
-        """Put the streams of these pools into segments."""
+    def collect(self, needs_record: Callable[[str, Place | None], bool]) -> None:
+        """Put the streams into segments whose pool and place need a record."""
         self.expire()
-        if not pools:
-            return
-        for stream in list(self.unstored):
+        for stream, place in list(self.unstored.items()):
             origin = self.origins.find(stream)
-            if origin is not None and origin.pool not in pools:
+            if origin is not None and not needs_record(origin.pool, place):
                 continue
             del self.unstored[stream]
             if origin is not None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -61,6 +61,7 @@
 from .settings import DirectSettings, load_settings, split_endpoint
 from .state.configuration_holder import ConfigurationHolder
 from .state.peer_table import PeerTable, new_router_id
+from .state.route_pools import RoutePools
 from .state.server_notices import ServerNotices
 from .state.server_table import ServerTable
 from .state.version_sets import VersionSets
@@ -213,7 +214,10 @@
             stream_origins=stream_origins,
             stream_records=StreamRecords(clock, stream_origins),
             version_sets=VersionSets(
-                clock, servers, first_start=self.settings.first_start
+                clock,
+                servers,
+                RoutePools(clock),
+                first_start=self.settings.first_start,
             ),
             connections=connections,
             metrics=Metrics(),
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/stored_streams.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/stored_streams.py
@@ -11,12 +11,14 @@
     ``leaving`` versions are part of it until they are removed. ``span_ms`` is the longest
     time that a stream of the pool may have been taken up so far. ``complete_in_era`` is
     the era of the store in which no version is missing, None if that is not known.
+    ``routes`` are the keys of the routes that have led to this pool alone for that time.
     """
 
     versions: tuple[str, ...] = ()
     leaving: tuple[str, ...] = ()
     span_ms: int = 0
     complete_in_era: int | None = None
+    routes: tuple[int, ...] = ()
 
 
 class StoredVersionSet(Struct, frozen=True):
--- /dev/null
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/route_pools.py
@@ -0,0 +1,149 @@
+"""Which pool each route for streams leads to, and whether it led elsewhere lately.
+
+The version of a pool tells where a stream began only if its route led to no other pool
+while the stream could begin.
+"""
+
+from collections.abc import Set
+
+import xxhash
+from msgspec import Struct, field
+
+from medlarridge._internal.clock import Clock
+
+from ..protocol.configuration import Configuration, Route, RouteKind
+
+Place = tuple[str, str]
+"""Host and path prefix of a route."""
+
+RECHECK_MS = 1_000
+"""Interval at which the routes that have settled are looked for."""
+
+
+def place_of(route: Route) -> Place:
+    """Return where a route is reached."""
+    return route.host, route.path_prefix
+
+
+def route_key(place: Place, pool: str) -> int:
+    """Return the 64-bit key of a route that leads to one pool."""
+    return xxhash.xxh64_intdigest("\n".join((*place, pool)).encode())
+
+
+def covering_places(place: Place) -> list[Place]:
+    """Return the places whose routes serve the paths of this one if it has no route."""
+    host, prefix = place
+    return [
+        (host, prefix[: end + 1])
+        for end, character in enumerate(prefix)
+        if character == "/"
+    ]
+
+
+class RoutePools(Struct):
+    """The pools of the routes for streams in the configuration in force.
+
+    ``keys`` holds the pool and the key of each route, None for a route with several
+    pools. The first configuration came at ``since_ms``; ``changed_ms`` tells when routes
+    changed after it. ``stored`` are the settled keys that the store held, by pool.
+    """
+
+    clock: Clock
+    configuration: Configuration | None = None
+    keys: dict[Place, tuple[str, int] | None] = field(default_factory=dict)
+    since_ms: int | None = None
+    changed_ms: dict[Place, int] = field(default_factory=dict)
+    stored: dict[str, Set[int]] = field(default_factory=dict)
+    checked_ms: dict[str, int] = field(default_factory=dict)
+
+    def refresh(self, configuration: Configuration | None) -> None:
+        """Record which routes a new configuration has changed."""
+        if configuration is None or configuration is self.configuration:
+            return
+        keys: dict[Place, tuple[str, int] | None] = {}
+        for route in configuration.routes:
+            if route.kind is RouteKind.STREAM:
+                place, pools = place_of(route), {share.pool for share in route.pools}
+                pool = pools.pop()
+                keys[place] = None if pools else (pool, route_key(place, pool))
+        if self.configuration is None:
+            self.since_ms = self.clock.now_ms()
+        else:
+            self.record_changes(keys)
+        self.configuration, self.keys = configuration, keys
+        self.checked_ms.clear()
+
+    def record_changes(self, keys: dict[Place, tuple[str, int] | None]) -> None:
+        """Record the routes that have changed, and those that cover their paths."""
+        now_ms = self.clock.now_ms()
+        missing = object()
+        for place in self.keys.keys() | keys.keys():
+            if self.keys.get(place, missing) != keys.get(place, missing):
+                for covering in covering_places(place):
+                    self.changed_ms[covering] = now_ms
+        self.changed_ms = {
+            place: ms for place, ms in self.changed_ms.items() if place in keys
+        }
+
+    def is_unchanged(self, place: Place, span_ms: int) -> bool:
+        """Return whether no configuration has changed a route for so long."""
+        changed_ms = self.changed_ms.get(place)
+        return changed_ms is None or changed_ms <= self.clock.now_ms() - span_ms
+
+    def knows(self, span_ms: int) -> bool:
+        """Return whether this router has had a configuration for so long."""
+        return (
+            self.since_ms is not None and self.since_ms <= self.clock.now_ms() - span_ms
+        )
+
+    def is_settled(self, place: Place, pool: str, span_ms: int) -> bool:
+        """Return whether a route has led to this pool alone for so long."""
+        key = self.keys.get(place)
+        return (
+            key is not None
+            and key[0] == pool
+            and self.is_unchanged(place, span_ms)
+            and (self.knows(span_ms) or key[1] in self.stored.get(pool, ()))
+        )
+
+    def settled_keys(
+        self, pool: str, span_ms: int, stored: tuple[int, ...], is_first: bool
+    ) -> tuple[int, ...]:
+        """Return the keys of the settled routes of a pool that the store should hold.
+
+        Before ``is_first``, the first configuration of the system, no stream began.
+        """
+        now_ms = self.clock.now_ms()
+        checked_ms = self.checked_ms.get(pool)
+        if checked_ms is not None and now_ms < checked_ms + RECHECK_MS:
+            return stored
+        self.checked_ms[pool] = now_ms
+        known, earlier = is_first or self.knows(span_ms), set(stored)
+        return tuple(
+            sorted(
+                key[1]
+                for place, key in self.keys.items()
+                if key is not None
+                and key[0] == pool
+                and (is_first or self.is_unchanged(place, span_ms))
+                and (known or key[1] in earlier)
+            )
+        )
+
+    def is_among(self, place: Place, pool: str, span_ms: int, keys: Set[int]) -> bool:
+        """Return whether a route is one of these, and has not changed for so long."""
+        key = self.keys.get(place)
+        return (
+            key is not None
+            and key[0] == pool
+            and key[1] in keys
+            and self.is_unchanged(place, span_ms)
+        )
+
+    def has_others(self, pool: str, keys: Set[int]) -> bool:
+        """Return whether a route that leads to a pool alone is none of these."""
+        return any(
+            key[0] == pool and key[1] not in keys
+            for key in self.keys.values()
+            if key is not None
+        )
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/version_sets.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/version_sets.py
@@ -16,6 +16,7 @@
     StoredVersionSets,
     VersionSet,
 )
+from .route_pools import Place, RoutePools
 from .server_table import ServerTable
 
 STORE_WAIT_MS = 2_000
@@ -52,7 +53,8 @@
 class VersionSets(Struct):
     """The stored sets, as far as this router knows them.
 
-    ``stored`` are the sets of its last read or write, None before the first one.
+    ``stored`` are the sets of its last read or write, None before the first one, and
+    ``seen`` the same with those of reads that may be old.
     ``confirmed`` are listed versions that are stored, ``unconfirmed_since_ms`` tells
     since when the others are listed, and ``leaving_since_ms`` since when this router
     knows that a version is being removed. ``first_basis`` is set while this router knows
@@ -62,7 +64,9 @@
 
     clock: Clock
     servers: ServerTable
+    routes: RoutePools
     stored: dict[str, StoredVersionSet] | None = None
+    seen: dict[str, VersionSet] = field(default_factory=dict)
     confirmed: set[tuple[str, str]] = field(default_factory=set)
     unconfirmed_since_ms: dict[tuple[str, str], int] = field(default_factory=dict)
     leaving_since_ms: dict[tuple[str, str], int] = field(default_factory=dict)
@@ -77,6 +81,7 @@
         if configuration is not self.spans_of:
             self.spans_ms = resumable_spans_ms(configuration)
             self.spans_of = configuration
+            self.routes.refresh(configuration)
         versions = self.servers.versions
         if versions.since_ms is None:
             return
@@ -86,6 +91,8 @@
                 self.first_basis = basis
             self.basis = basis
             self.stored = None
+            self.seen.clear()
+            self.routes.stored.clear()
             self.confirmed.clear()
             self.unconfirmed_since_ms.clear()
             self.leaving_since_ms.clear()
@@ -141,10 +148,12 @@
             return
         for pool, stored in sets.by_pool.items():
             self.confirm(pool, stored.value)
+            self.seen[pool] = stored.value
             if not stale and stored.value.complete_in_era == sets.era:
                 self.servers.versions.record_stored(
                     pool, (*stored.value.versions, *stored.value.leaving), read_ms
                 )
+                self.routes.stored[pool] = set(stored.value.routes)
         if not stale:
             self.stored = dict(sets.by_pool)
 
@@ -155,6 +164,7 @@
         if basis != self.basis or era != basis.era or self.stored is None:
             return
         self.stored[pool] = StoredVersionSet(value, revision)
+        self.seen[pool] = value
         self.confirm(pool, value)
 
     def confirm(self, pool: str, value: VersionSet) -> None:
@@ -182,7 +192,11 @@
         is_first = stored.revision is None and self.basis == self.first_basis
         complete = self.basis.era if knows_all or is_first else value.complete_in_era
         changed = VersionSet(
-            tuple(sorted(active)), tuple(sorted(leaving)), span_ms, complete
+            tuple(sorted(active)),
+            tuple(sorted(leaving)),
+            span_ms,
+            complete,
+            self.routes.settled_keys(pool, whole_ms, value.routes, is_first),
         )
         return None if changed == value or not (active or leaving) else changed
 
@@ -214,13 +228,35 @@
             if now_ms - each_ms >= REMOVAL_DELAY_MS
         }
 
-    def mixed_pools(self) -> set[str]:
-        """Return the pools in which streams of several versions may be taken up."""
-        return {
-            pool
-            for pool, span_ms in self.spans_ms.items()
-            if self.may_be_mixed(pool, span_ms)
-        }
+    def needs_record(self, pool: str, place: Place | None) -> bool:
+        """Return whether a router that starts could not infer where a stream began.
+
+        ``place`` is that of the stream's route.
+        """
+        span_ms = self.spans_ms.get(pool)
+        if span_ms is None:
+            return False
+        value = self.seen.get(pool)
+        return (
+            place is None
+            or value is None
+            or not self.is_complete(value)
+            or self.may_be_mixed(pool, span_ms)
+            or not self.routes.is_among(place, pool, span_ms, value.routes)
+        )
+
+    def is_complete(self, value: VersionSet) -> bool:
+        """Return whether a set lacks no version in the present era of the store."""
+        return self.basis is not None and value.complete_in_era == self.basis.era
+
+    def wants_news(self) -> bool:
+        """Return whether another router may complete what is stored."""
+        return any(
+            value is None
+            or not self.is_complete(value)
+            or self.routes.has_others(pool, value.routes)
+            for pool, value in ((each, self.seen.get(each)) for each in self.spans_ms)
+        )
 
     def may_be_mixed(self, pool: str, span_ms: int) -> bool:
         """Return whether streams of several versions may be taken up in a pool."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
@@ -11,6 +11,7 @@
 from .protocol.configuration import Pool, Route, RouteKind
 from .protocol.requests import RequestMetadata
 from .protocol.servers import BackendServer
+from .state.route_pools import place_of
 
 LOOKUP_TIMEOUT_MS = 300
 """Time in which the report arrives that names a stream: its client may come back sooner.
@@ -129,7 +130,14 @@
         """Return the origin if only one version can have begun the stream."""
         servers = self.components.servers
         age_ms = servers.age_ms()
-        if age_ms is None or age_ms > MAX_LIST_AGE_MS or len(self.route.pools) > 1:
+        routes = self.components.version_sets.routes
+        routes.refresh(self.components.configuration.current)
+        place = place_of(self.route)
+        if (
+            age_ms is None
+            or age_ms > MAX_LIST_AGE_MS
+            or not routes.is_settled(place, pool.name, self.span_ms)
+        ):
             return None
         version = servers.versions.only_version(pool.name, self.span_ms)
         return None if version is None else StreamOrigin(pool.name, version)
@@ -143,5 +151,5 @@
         self.components.stream_origins.record(
             stream, self.origin, remaining_ms + RESUME_MARGIN_MS
         )
-        self.components.stream_records.begin(stream)
+        self.components.stream_records.begin(stream, place_of(self.route))
         self.components.on_stream_begun(stream)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
@@ -77,9 +77,8 @@
 
     async def write(self) -> None:
         """Write the streams that the store lacks."""
-        pools = self.components.version_sets.mixed_pools()
-        self.may_exist |= bool(pools)
-        self.records.collect(pools)
+        self.records.collect(self.components.version_sets.needs_record)
+        self.may_exist |= bool(self.records.segments)
         for number in self.records.unwritten():
             segment = self.records.segments[number]
             count = len(segment.streams)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/version_sets_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/version_sets_sync.py
@@ -20,6 +20,10 @@
 MAX_RETRY_DELAY_MS = 1_000
 """Longest delay after failed calls; it doubles from ``READ_INTERVAL_MS``."""
 
+NEWS_INTERVAL_MS = 5_000
+"""Interval at which a router that does not rank first looks, by reads that may be old,
+whether a set is complete and has the new routes, so that fewer streams need a record."""
+
 TAKE_OVER_MS = 500
 MAX_TAKE_OVER_RANK = 3
 """Time for each rank, up to this one, after which a router writes a new version in place
@@ -46,6 +50,7 @@
         self.peers = peers
         self.log = log
         self.next_read_ms = 0
+        self.next_news_ms = 0
         self.logged_late = False
 
     async def run(self) -> None:
@@ -85,7 +90,7 @@
         unconfirmed_ms = self.sets.unconfirmed_ms()
         take_over_ms = min(rank, MAX_TAKE_OVER_RANK) * TAKE_OVER_MS
         if rank > 0 and (unconfirmed_ms is None or unconfirmed_ms < take_over_ms):
-            if unconfirmed_ms is not None:
+            if unconfirmed_ms is not None or self.is_news_due():
                 await self.read_if_due(stale=True)
             return
         if self.sets.needs_read():
@@ -93,6 +98,14 @@
         for pool, span_ms in self.sets.spans_ms.items():
             await self.write_if_changed(pool, span_ms, may_remove=rank == 0)
 
+    def is_news_due(self) -> bool:
+        """Return whether to look for what the first router has stored since."""
+        now_ms = self.components.clock.now_ms()
+        if now_ms < self.next_news_ms:
+            return False
+        self.next_news_ms = now_ms + NEWS_INTERVAL_MS
+        return self.sets.wants_news()
+
     async def read_if_due(self, stale: bool) -> None:
         """Read all sets unless that was done a moment ago."""
         now_ms = self.components.clock.now_ms()
--- a/packages/medlarridge-direct/tests/adapter/test_store.py
+++ b/packages/medlarridge-direct/tests/adapter/test_store.py
@@ -410,7 +410,7 @@
 
 
 class TestVersionSets:
-    VALUE = VersionSet(("v1", "v2"), ("v0",), 20_000, 2)
+    VALUE = VersionSet(("v1", "v2"), ("v0",), 20_000, 2, (7, 2**64 - 1))
 
     async def test_a_set_is_read_as_it_was_written(self):
         """Guards against a version that is lost between two routers."""
--- a/packages/medlarridge-direct/tests/direct/coordination/test_stream_records.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_stream_records.py
@@ -20,6 +20,11 @@
 """A half of the writes that the smallest deployment may make."""
 
 
+def of(*pools):
+    """Return that the streams of these pools need a record."""
+    return lambda pool, place: pool in pools
+
+
 class RecordedStreams(StreamRecords):
     """Records that begin streams of a pool for tests."""
 
@@ -51,28 +56,28 @@
         """Guards against writes for streams whose version can be inferred."""
         records.begin_some(3, pool="calm")
         records.begin_some(2, pool="models")
-        records.collect({"models"})
+        records.collect(of("models"))
         assert [group.pool for group in records.content(0)] == ["models"]
-        records.collect({"models", "calm"})
+        records.collect(of("models", "calm"))
         assert sum(len(each.streams) for each in records.content(0)) == 5
 
     def test_only_segments_that_have_grown_are_written(self, records):
         """Guards against writes of all streams again and again."""
         records.begin_some(MAX_SEGMENT_STREAMS + 1)
-        records.collect({"models"})
+        records.collect(of("models"))
         assert records.write() == [0, 1]
         assert records.write() == []
         records.begin_some(1)
-        records.collect({"models"})
+        records.collect(of("models"))
         assert records.write() == [1]
 
     def test_a_stream_that_begins_during_a_write_is_written_by_the_next(self, records):
         """Guards against a stream that counts as stored although it is not."""
         records.begin_some(1)
-        records.collect({"models"})
+        records.collect(of("models"))
         count = len(records.segments[0].streams)
         records.begin_some(1)
-        records.collect({"models"})
+        records.collect(of("models"))
         records.record_written(0, count)
         assert records.unwritten() == [0]
 
@@ -80,7 +85,7 @@
         """Guards against objects in the store that grow in number with time."""
         for _ in range(20):
             records.begin_some(MAX_SEGMENT_STREAMS)
-            records.collect({"models"})
+            records.collect(of("models"))
             records.write()
             records.clock.advance(6_000)
             records.origins.expire()
@@ -90,7 +95,7 @@
         """Guards against memory and writes that grow with a flood of streams."""
         most = MAX_SEGMENTS * MAX_SEGMENT_STREAMS
         records.begin_some(most + 10)
-        records.collect({"models"})
+        records.collect(of("models"))
         assert len(records.segments) == MAX_SEGMENTS
         assert records.dropped == 10
 
@@ -99,13 +104,13 @@
         records.begin_some(100)
         records.clock.advance(11_000)
         records.origins.expire()
-        records.collect(set())
+        records.collect(of())
         assert not records.unstored
 
     def test_all_are_written_again_when_the_store_has_lost_some(self, records):
         """Guards against records that are missing after a drill."""
         records.begin_some(MAX_SEGMENT_STREAMS + 1)
-        records.collect({"models"})
+        records.collect(of("models"))
         records.write()
         records.forget_written()
         assert records.unwritten() == [0, 1]
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -32,6 +32,7 @@
 from medlarridge_direct._internal.server_crashes import CrashProbes
 from medlarridge_direct._internal.settings import RetrySettings
 from medlarridge_direct._internal.state.configuration_holder import ConfigurationHolder
+from medlarridge_direct._internal.state.route_pools import RoutePools
 from medlarridge_direct._internal.state.server_notices import ServerNotices
 from medlarridge_direct._internal.state.server_table import ServerTable
 from medlarridge_direct._internal.state.version_sets import VersionSets
@@ -284,7 +285,7 @@
         crash_probes=CrashProbes(clock, connections, lambda server: None),
         stream_origins=stream_origins,
         stream_records=StreamRecords(clock, stream_origins),
-        version_sets=VersionSets(clock, servers),
+        version_sets=VersionSets(clock, servers, RoutePools(clock)),
         connections=connections,
         metrics=Metrics(),
         on_parts_cached=lambda cached_parts: None,
--- a/packages/medlarridge-direct/tests/direct/state/test_version_sets.py
+++ b/packages/medlarridge-direct/tests/direct/state/test_version_sets.py
@@ -9,6 +9,7 @@
     StoredVersionSets,
     VersionSet,
 )
+from medlarridge_direct._internal.state.route_pools import RoutePools, route_key
 from medlarridge_direct._internal.state.server_table import ServerTable
 from medlarridge_direct._internal.state.version_sets import (
     LEAVE_MARGIN_MS,
@@ -22,6 +23,8 @@
 """Timeout of the route, and the time after it for which a stream may be taken up."""
 WHOLE_MS = SPAN_MS + LEAVE_MARGIN_MS
 LIST_INTERVAL_MS = 1_000
+ROUTES = (route_key(("desk.example", "/plan/"), "models"),)
+"""The key of the only route, which leads to the pool alone."""
 
 
 class Node:
@@ -30,7 +33,7 @@
     def __init__(self, *versions):
         self.clock = ManualClock(1_000_000)
         self.servers = ServerTable(self.clock)
-        self.sets = VersionSets(self.clock, self.servers)
+        self.sets = VersionSets(self.clock, self.servers, RoutePools(self.clock))
         self.configuration = configuration(route(RouteKind.STREAM, resumable=True))
         self.era = 1
         self.revision = 0
@@ -119,11 +122,11 @@
         node.run(WHOLE_MS - LIST_INTERVAL_MS)
         assert node.write().versions == ("v1", "v2")
         node.run(2 * LIST_INTERVAL_MS)
-        assert node.write() == VersionSet(("v2",), ("v1",), SPAN_MS, 1)
+        assert node.write() == VersionSet(("v2",), ("v1",), SPAN_MS, 1, ROUTES)
         node.run(REMOVAL_DELAY_MS - LIST_INTERVAL_MS)
         assert node.write().leaving == ("v1",)
         node.run(LIST_INTERVAL_MS)
-        assert node.write() == VersionSet(("v2",), (), SPAN_MS, 1)
+        assert node.write() == VersionSet(("v2",), (), SPAN_MS, 1, ROUTES)
 
     def test_ends_when_the_version_returns(self):
         """Guards against a version that is removed although it serves again."""
@@ -134,7 +137,7 @@
         node.run(WHOLE_MS + LIST_INTERVAL_MS)
         assert node.write().leaving == ("v1",)
         node.list("v1", "v2")
-        assert node.write() == VersionSet(("v1", "v2"), (), SPAN_MS, 1)
+        assert node.write() == VersionSet(("v1", "v2"), (), SPAN_MS, 1, ROUTES)
 
     @pytest.mark.parametrize("cause", ["start", "gap", "other rank"])
     def test_needs_a_first_router_that_knows_all_versions(self, cause):
