--- a/packages/medlarridge-direct/tests/direct/test_stream_restarts.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_restarts.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from medlarridge import TransportError
 from medlarridge_direct._internal.store_sync import MIN_RETRY_DELAY_MS
 from medlarridge_direct._internal.stream_continuity import READ_TIMEOUT_MS
 
@@ -87,6 +88,26 @@
             assert response.status == 503
 
 
+class LateStore:
+    """A store that does not answer the first write of a record, and does it later."""
+
+    def __init__(self, store):
+        self.store = store
+        self.late = None
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    async def save_stream_record(self, *record):
+        if self.late is None:
+            self.late = record
+            raise TransportError("no response", step="write")
+        return await self.store.save_stream_record(*record)
+
+    async def write_late(self):
+        await self.store.save_stream_record(*self.late)
+
+
 class TestGoesOnAfterARestartOfAllRouters:
     async def test_one_version_for_long(self):
         """Guards against LOST after a restart of all routers, without a release."""
@@ -155,6 +176,23 @@
         await fleet.restart_all()
         await fleet.assert_goes_on("v1")
 
+    async def test_a_record_that_the_store_writes_seconds_late(self):
+        """Guards against LOST: a late write in place of a newer record."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        store = LateStore(fleet.fleet.routers[0].sync.stream_records.store)
+        fleet.fleet.routers[0].sync.stream_records.store = store
+        await fleet.begin(0, "b")
+        await fleet.run(HANDOVER_MS)
+        await fleet.begin(0, "b", request_id="3")
+        await fleet.run(HANDOVER_MS)
+        await store.write_late()
+        await fleet.run(HANDOVER_MS)
+        await fleet.restart_all()
+        response, asked = await fleet.resume(0, resumes="3", request_id="4")
+        assert asked == ["b"]
+        assert response.status == 200
+
 
 class TestNeverAtAnotherVersion:
     async def test_an_unheard_stream_of_a_version_that_left(self):
