--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
@@ -34,8 +34,9 @@
 
 
 class Segment(Struct):
-    """Streams in one object of the store, which is ``stored`` in its present state."""
+    """Streams in the object ``name`` of the store, ``stored`` in its present state."""
 
+    name: int = 0
     streams: list[int] = field(default_factory=list)
     stored: bool = False
     written_before: bool = False
@@ -58,6 +59,7 @@
     unstored: dict[int, Place | None] = field(default_factory=dict)
     segments: list[Segment] = field(default_factory=list)
     current: int = 0
+    last_name: int = 0
     dropped: int = 0
     reading: bool = False
     on_unknown: Callable[[], None] = do_nothing
@@ -90,7 +92,7 @@
     def add(self, stream: int) -> None:
         """Add a stream to a segment that has room."""
         if not self.segments:
-            self.segments.append(Segment())
+            self.segments.append(Segment(self.next_name()))
         segment = self.segments[self.current]
         if len(segment.streams) >= MAX_SEGMENT_STREAMS:
             free = self.find_free()
@@ -108,7 +110,7 @@
                 segment.streams.clear()
                 return number
         if len(self.segments) < MAX_SEGMENTS:
-            self.segments.append(Segment())
+            self.segments.append(Segment(self.next_name()))
             return len(self.segments) - 1
         return None
 
@@ -130,6 +132,17 @@
         segment.written_before = True
         segment.stored = len(segment.streams) == count
 
+    def record_unanswered(self, number: int) -> None:
+        """Give a segment another name, since the store may do its last write later."""
+        segment = self.segments[number]
+        segment.name = self.next_name()
+        segment.written_before = False
+
+    def next_name(self) -> int:
+        """Return a name that no segment of this process has had."""
+        self.last_name += 1
+        return self.last_name
+
     def forget_written(self) -> None:
         """Write all segments again, since the store may have lost them."""
         for segment in self.segments:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
@@ -83,11 +83,15 @@
             segment = self.records.segments[number]
             count = len(segment.streams)
             self.count_call("save-stream-record")
-            await self.store.save_stream_record(
-                f"{self.peers.own_router_id:x}-{number}",
-                self.records.content(number),
-                segment.written_before,
-            )
+            try:
+                await self.store.save_stream_record(
+                    f"{self.peers.own_router_id:x}-{segment.name}",
+                    self.records.content(number),
+                    segment.written_before,
+                )
+            except TransportError:
+                self.records.record_unanswered(number)
+                raise
             self.records.record_written(number, count)
 
     def forget(self) -> None:
