--- a/packages/medlarridge-direct/tests/soak/checks.py
+++ b/packages/medlarridge-direct/tests/soak/checks.py
@@ -2,10 +2,10 @@
 
 from bisect import bisect_left, bisect_right
 from collections import defaultdict
-from dataclasses import dataclass, field
 
-from .clients import NOT_RUN_STATUSES, SentRequest
-from .server_process import MIN_EVENT_S, has_crashing_part
+from .content import MIN_EVENT_S, has_crashing_part
+from .observations import Observations
+from .request_records import NOT_RUN_STATUSES, SentRequest
 
 MAX_ATTEMPTS = 2
 """``maxAttempts`` of the routes whose requests are repeatable."""
@@ -33,48 +33,6 @@
 """Share of the requests after the faults that must be served."""
 
 
-@dataclass(slots=True)
-class Observations:
-    """What clients and servers observed in one soak run."""
-
-    requests: list[SentRequest] = field(default_factory=list)
-    records: list[dict] = field(default_factory=list)
-    """Events reported by servers; ``server`` is the instance of the server."""
-    violations: list[str] = field(default_factory=list)
-    """Violations that were detected during the run."""
-    faults_end_s: float = float("inf")
-    """Time after which no fault has an effect; planned work continues."""
-    disturbances: list[tuple[float, float]] = field(default_factory=list)
-    """Begin and end of the faults that keep routers from knowing what they should."""
-    timed: bool = True
-    """Whether timing guarantees are checked; load on the host can break them."""
-
-    def summary(self) -> str:
-        """Return one line with the numbers of requests and runs."""
-        served = sum(request.served for request in self.requests)
-        after_faults = len(self.after_faults())
-        taken_up = [request for request in self.requests if request.first is not None]
-        went_on = sum(request.status == 200 for request in taken_up)
-        refused = sum(request.status == 503 for request in self.requests)
-        lost = sum(bool(request.lost) for request in self.requests)
-        return (
-            f"{len(self.requests)} requests, {after_faults} of them after the faults; "
-            f"{served} served, {refused} refused, {lost} lost; {len(self.runs())} runs; "
-            f"{went_on} of {len(taken_up)} streams that were taken up went on"
-        )
-
-    def runs(self) -> list[dict]:
-        """Return the executions of requests at servers, ordered by time."""
-        runs = [record for record in self.records if record["event"] == "run"]
-        return sorted(runs, key=lambda run: run["at"])
-
-    def after_faults(self) -> list[SentRequest]:
-        """Return the requests that were sent after the faults."""
-        return [
-            request for request in self.requests if request.sent_s >= self.faults_end_s
-        ]
-
-
 def check_all(observations: Observations) -> list[str]:
     """Return all violated guarantees."""
     violations = list(observations.violations)
--- a/packages/medlarridge-direct/tests/soak/clients.py
+++ b/packages/medlarridge-direct/tests/soak/clients.py
@@ -1,134 +1,43 @@
 """Clients of the soak, which keep connections open and check each response."""
 
 import asyncio
-import hashlib
 import re
-from dataclasses import dataclass, field, replace
+from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
 import h11
 
 from medlarridge_platform import names
 
-from .http_connection import NO_CONTENT, ConnectionClosed, HttpConnection
-from .processes import monotonic_s
-from .server_process import (
+from .content import (
     CRASHING_PART,
     response_body,
     stream_event,
     stream_event_count,
 )
+from .http_connection import ConnectionClosed, HttpConnection
+from .processes import monotonic_s
+from .request_records import RequestKind, SentRequest
 
 CONNECT_TIMEOUT_S = 1.0
-NOT_RUN_STATUSES = (408, 421, 429, 503)
-"""Statuses that guarantee that the request was not and will not be executed."""
-
-
-@dataclass(frozen=True, slots=True)
-class RequestKind:
-    """Route and properties of a kind of request."""
-
-    prefix: str
-    method: bytes
-    deadline_ms: int
-    stream: bool
-    """Whether the response is a stream of server-sent events."""
-    repeatable: bool
-    """Whether the request may be executed more than once."""
-    success_status: int = 200
-
-    @property
-    def has_body(self) -> bool:
-        """Whether a successful response has a body."""
-        return self.method != b"HEAD" and self.success_status != NO_CONTENT
-
-
-REQUEST_KINDS = (
-    RequestKind("/talk/", b"POST", 6_000, stream=True, repeatable=True),
-    RequestKind("/story/", b"POST", 6_000, stream=True, repeatable=False),
-    RequestKind("/order/", b"POST", 1_500, stream=False, repeatable=False),
-    RequestKind("/peek/", b"HEAD", 1_500, stream=False, repeatable=True),
-    RequestKind(
-        "/note/",
-        b"POST",
-        1_500,
-        stream=False,
-        repeatable=False,
-        success_status=NO_CONTENT,
-    ),
-    RequestKind("/read/", b"GET", 1_500, stream=False, repeatable=True),
-)
-
-
-@dataclass(slots=True)
-class SentRequest:
-    """One request and what its client observed of the response."""
-
-    request_id: str
-    router: int
-    kind: RequestKind
-    method: bytes
-    target: str
-    body: bytes
-    account: str
-    prompt: str
-    sent_s: float
-    kept: bool
-    """Whether the connection of the previous request was reused."""
-    ended_s: float = 0.0
-    status: int = 0
-    complete: bool = False
-    """Whether the whole response was received."""
-    left: bool = False
-    """Whether the client disconnected before the response was complete."""
-    owed: bool = True
-    """Whether the request counts towards recovery; configuration probes do not."""
-    first: "SentRequest | None" = None
-    """Request that began the stream of which this one asks for the rest."""
-    after: int = 0
-    """Number of the last event that the client had when it sent the request."""
-    last_event: int = 0
-    """Number of the last whole event that the client has."""
-    version: str = ""
-    """Software version that wrote the first event of the stream."""
-    lost: str = ""
-    """Reason for the loss of the response; empty if it was not lost."""
-    violations: list[str] = field(default_factory=list)
-
-    @property
-    def stream_id(self) -> str:
-        """ID of the request that began the stream."""
-        return self.request_id if self.first is None else self.first.request_id
-
-    @property
-    def served(self) -> bool:
-        """Whether the client got a complete successful response."""
-        return self.status == self.kind.success_status and self.complete
-
-    @property
-    def can_be_taken_up(self) -> bool:
-        """Whether the client may ask for the rest of a stream that broke off."""
-        return (
-            self.kind.stream
-            and self.kind.repeatable
-            and self.status == 200
-            and self.last_event > 0
-            and not (self.complete or self.left)
-        )
-
-    @property
-    def body_digest(self) -> str:
-        """SHA-256 digest of the body, as servers report it."""
-        return hashlib.sha256(self.body).hexdigest()
 
 
 class Client:
     """Sends requests over one connection, which it reuses as long as possible."""
 
-    def __init__(self, name: str, random: Random, history: list[SentRequest]) -> None:
+    def __init__(
+        self,
+        name: str,
+        random: Random,
+        history: list[SentRequest],
+        start_number: Callable[[int], int] = lambda router: 0,
+    ) -> None:
         self.name = name
         self.random = random
         self.history = history
+        self.start_number = start_number
+        self.process = 0
         self.connection: HttpConnection | None = None
         self.router = -1
         self.count = 0
@@ -143,10 +52,12 @@
         disconnect_after_s: float | None = None,
         prefix: str | None = None,
         crashes: bool = False,
+        idle_s: float = 0.0,
     ) -> SentRequest:
         """Send a request, over the open connection if it leads to the same router.
 
         The prompt of a request that ``crashes`` has a part under which servers crash.
+        A new connection is idle for ``idle_s`` first.
         """
         self.count += 1
         request_id = f"{self.name}-{self.count:04d}"
@@ -169,7 +80,7 @@
             owed=not crashes,
         )
         self.history.append(request)
-        await self.run_exchange(request, address, key, disconnect_after_s)
+        await self.run_exchange(request, address, key, disconnect_after_s, idle_s)
         return request
 
     async def run_exchange(
@@ -178,11 +89,12 @@
         address: tuple[str, int],
         key: str,
         disconnect_after_s: float | None,
+        idle_s: float = 0.0,
     ) -> None:
         """Send a request and record how its exchange ended."""
         try:
             async with asyncio.timeout(request.kind.deadline_ms / 1000 + 2):
-                await self.exchange(request, address, key, disconnect_after_s)
+                await self.exchange(request, address, key, disconnect_after_s, idle_s)
         except TimeoutError:
             request.lost = "no complete response within the deadline"
         except (ConnectionClosed, OSError) as error:
@@ -209,8 +121,10 @@
             request_id=f"{self.name}-{self.count:04d}",
             router=router,
             sent_s=monotonic_s(),
+            written_s=float("inf"),
             kept=False,
             status=0,
+            complete=False,
             first=broken.first or broken,
             after=broken.last_event,
             owed=False,
@@ -233,6 +147,7 @@
         address: tuple[str, int],
         key: str,
         disconnect_after_s: float | None,
+        idle_s: float = 0.0,
     ) -> None:
         """Send the request and read its response."""
         if not request.kept:
@@ -243,6 +158,10 @@
                 HttpConnection(reader, writer, h11.CLIENT),
                 request.router,
             )
+            self.process = self.start_number(request.router)
+            if idle_s:
+                await asyncio.sleep(idle_s)
+        request.process = self.process
         connection = self.connection
         assert connection is not None
         if connection.protocol.trailing_data[0]:
@@ -258,6 +177,7 @@
             h11.Data(request.body),
             h11.EndOfMessage(),
         )
+        request.written_s = monotonic_s()
         try:
             async with asyncio.timeout(disconnect_after_s):
                 await self.read_response(connection, request)
--- a/packages/medlarridge-direct/tests/soak/fleet.py
+++ b/packages/medlarridge-direct/tests/soak/fleet.py
@@ -8,8 +8,10 @@
 
 import h11
 
-from .checks import RETRY_SLACK, Observations
+from .checks import RETRY_SLACK
+from .configuration import API_KEYS, GRACE_S, INITIAL_ROUTES, SETTINGS
 from .http_connection import ConnectionClosed, HttpConnection
+from .observations import Observations, ReadySpan
 from .processes import EXIT_TIMEOUT_S, Process, monotonic_s
 from .proxy import Proxy
 
@@ -18,9 +20,6 @@
 """Versions that serve side by side; a new server has the other one in turn."""
 POOLS = ("talk", "talk", "talk", "desk", "desk")
 """Pool of each server, by server number."""
-API_KEYS = {"key-a": "account-a", "key-b": "account-b"}
-GRACE_S = 6
-"""Grace period of a router's stop, as set in its settings file."""
 START_TIMEOUT_S = 60.0
 """Time limit for the start of a process; starts are slow on a busy host."""
 STORE_RETRY_S = 0.1
@@ -36,52 +35,6 @@
 MAX_PROBE_FAILURES = 2
 """Consecutive failed probes after which a router leaves the rotation."""
 
-SETTINGS = """\
-node = "router-{number}"
-role = "router"
-ip = "{ip}"
-data_centre = "zone-a"
-first_start = {first}
-[listen]
-clients = "{ip}:8227"
-readiness = "{ip}:8220"
-peer_port = 7340
-metrics_port = 9464
-[store]
-address = "{store}:8223"
-[stop]
-grace_s = {grace}
-[retries]
-slack = {slack}
-"""
-
-
-def route(prefix: str, pool: str, kind: str, **fields: object) -> dict:
-    """Return a route in the form of the operator's configuration."""
-    return {
-        "name": prefix.strip("/"),
-        "host": "soak.example",
-        "pathPrefix": prefix,
-        "kind": kind,
-        "service": pool,
-        "timeoutMs": 6_000 if kind == "streaming" else 1_500,
-        "targetLatencyMs": 400,
-        "maxAttempts": 1,
-        **fields,
-    }
-
-
-INITIAL_ROUTES = [
-    route("/talk/", "talk", "streaming", sticky=True, resumable=True, maxAttempts=2),
-    # A second attempt is allowed only if the first was not executed.
-    route("/story/", "talk", "streaming", sticky=True, maxAttempts=2),
-    route("/order/", "desk", "unsafe", maxAttempts=2),
-    route("/read/", "desk", "safe", maxAttempts=2),
-    route("/peek/", "desk", "safe", maxAttempts=2),
-    route("/note/", "desk", "unsafe", maxAttempts=2),
-    route("/extra/", "desk", "safe", maxAttempts=2),
-]
-
 
 def reserve_subnet() -> tuple[int, socket.socket]:
     """Reserve an unused loopback subnet; the socket holds the reservation."""
@@ -99,7 +52,13 @@
 class Fleet:
     """All processes and proxies of a run; reports go to ``observations``."""
 
-    def __init__(self, directory: Path, observations: Observations) -> None:
+    def __init__(
+        self,
+        directory: Path,
+        observations: Observations,
+        pools: tuple[str, ...] = POOLS,
+    ) -> None:
+        self.pools = pools
         self.directory = directory
         self.observations = observations
         self.subnet, self.reservation = reserve_subnet()
@@ -128,7 +87,7 @@
         ]
         self.servers = [
             Process(f"server-{number}", [], self.on_server_line)
-            for number in range(len(POOLS))
+            for number in range(len(self.pools))
         ]
         self.store_links = [
             Proxy((self.ip(5, number), 8223), (store, 8223))
@@ -136,7 +95,7 @@
         ]
         self.server_links = [
             Proxy((self.ip(3, number), 8080), (self.ip(2, number), 8080))
-            for number in range(len(POOLS))
+            for number in range(len(self.pools))
         ]
         self.client_links = [
             Proxy((self.ip(6, number), 8227), (self.ip(1, number), 8227))
@@ -161,7 +120,7 @@
         number = int(name.rpartition("-")[2])
         instance = self.instances.get(name, name)
         self.observations.records.append(
-            {**line, "server": instance, "pool": POOLS[number]}
+            {**line, "server": instance, "pool": self.pools[number]}
         )
         if line["event"] == "crashed":
             self.restarts.append(asyncio.create_task(self.restart_server(number)))
@@ -184,9 +143,11 @@
             lambda: self.store.line_count > 0, "store did not start in time"
         )
         await self.write_configuration()
-        await asyncio.gather(*(self.start_server(each) for each in range(len(POOLS))))
+        await asyncio.gather(
+            *(self.start_server(each) for each in range(len(self.pools)))
+        )
         await self.wait_until(
-            lambda: len(self.observations.records) >= len(POOLS),
+            lambda: len(self.observations.records) >= len(self.pools),
             "servers did not register in time",
         )
         await asyncio.gather(*(self.start_router(each) for each in range(ROUTER_COUNT)))
@@ -216,23 +177,45 @@
                 )
                 return
             await asyncio.sleep(0.1)
+        self.observations.ready_spans.append(
+            ReadySpan(number, self.start_number(number), monotonic_s())
+        )
 
-    async def start_server(self, number: int, same_instance: bool = False) -> None:
-        """Start a server, as a new instance unless ``same_instance`` is set."""
+    def start_number(self, number: int) -> int:
+        """Return the number of a router's latest start."""
+        return self.routers[number].start_count
+
+    def end_ready_span(self, number: int) -> bool:
+        """Note that a router is told to stop; return whether it was ready before."""
+        process = self.start_number(number)
+        was_ready = False
+        for span in self.observations.ready_spans:
+            if (span.router, span.process) == (number, process):
+                span.ended_s = min(span.ended_s, monotonic_s())
+                was_ready = True
+        return was_ready
+
+    async def start_server(
+        self, number: int, same_instance: bool = False, version: str | None = None
+    ) -> None:
+        """Start a server, as a new instance unless ``same_instance`` is set.
+
+        Without a ``version``, its software version is the next one in turn.
+        """
         process = self.servers[number]
         if process.running:
             return
         if not same_instance or process.name not in self.instances:
             self.start_count += 1
             self.instances[process.name] = f"i-{number}-{self.start_count}"
-            version = SOFTWARE_VERSIONS[self.start_count % len(SOFTWARE_VERSIONS)]
-            self.software_versions[process.name] = version
+            next_version = SOFTWARE_VERSIONS[self.start_count % len(SOFTWARE_VERSIONS)]
+            self.software_versions[process.name] = version or next_version
         process.arguments = [
             "-m",
             "soak.server_process",
             self.instances[process.name],
             self.software_versions[process.name],
-            POOLS[number],
+            self.pools[number],
             f"{self.ip(2, number)}:8080",
             f"{self.ip(3, number)}:8080",
             f"{self.store_address}:8224",
--- a/packages/medlarridge-direct/tests/soak/processes.py
+++ b/packages/medlarridge-direct/tests/soak/processes.py
@@ -47,6 +47,7 @@
         self.exit_expected = False
         self.paused = False
         self.line_count = 0
+        self.start_count = 0
         self.unparsed_lines: list[str] = []
 
     async def start(self, **variables: str) -> None:
@@ -57,6 +58,7 @@
 
     async def spawn(self, variables: dict[str, str]) -> None:
         """Start the process and the task that reads its output."""
+        self.start_count += 1
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             *self.arguments,
--- a/packages/medlarridge-direct/tests/soak/server_process.py
+++ b/packages/medlarridge-direct/tests/soak/server_process.py
@@ -12,13 +12,20 @@
 import signal
 import sys
 import time
-import zlib
 from random import Random
 
 import h11
 
 from medlarridge_platform import names
 
+from .content import (
+    MAX_EVENT_S,
+    MIN_EVENT_S,
+    has_crashing_part,
+    response_body,
+    stream_event,
+    stream_event_count,
+)
 from .http_connection import (
     NO_CONTENT,
     ConnectionClosed,
@@ -45,37 +52,9 @@
 """Share of the cut streams whose last chunk follows part of an event."""
 MAX_REST_S = 1.0
 """Longest rest that a server asks for."""
-CRASHING_PART = b"cc"
-"""Part of a prompt under which a server crashes, unless it is the last one."""
 CRASH_EXIT_CODE = 70
 NO_CONTENT_PREFIX = b"/note/"
 """Prefix of the requests whose responses have status 204."""
-MIN_EVENT_S = 0.01
-MAX_EVENT_S = 0.03
-"""Bounds of the interval between the events of a stream."""
-
-
-def response_body(request_id: str) -> bytes:
-    """Return the body of the response to a request that is not streamed."""
-    seed = hashlib.sha256(request_id.encode()).hexdigest().encode()
-    return seed * (1 + zlib.crc32(seed) % 40)
-
-
-def stream_event_count(request_id: str) -> int:
-    """Return the number of events of a request's stream."""
-    return 3 + zlib.crc32(request_id.encode()) % 40
-
-
-def stream_event(stream_id: str, number: int, version: str) -> bytes:
-    """Return one event of a stream, which differs between software versions."""
-    data = f"{stream_id}-{number}@{version}"
-    return b"id: %d\ndata: %b\n\n" % (number, data.encode())
-
-
-def has_crashing_part(prompt: bytes) -> bool:
-    """Return whether servers crash under a prompt."""
-    parts = [entry.partition(b":")[0] for entry in prompt.split(b",")]
-    return CRASHING_PART in parts[:-1]
 
 
 def report(event: str, **fields: object) -> None:
--- a/packages/medlarridge-direct/tests/soak/test_soak.py
+++ b/packages/medlarridge-direct/tests/soak/test_soak.py
@@ -4,11 +4,13 @@
 
 import pytest
 
-from .checks import Observations, check_all, check_limits
-from .clients import REQUEST_KINDS, Client, SentRequest
+from .checks import check_all, check_limits
+from .clients import Client
+from .fault_actions import FAULT_ACTIONS
+from .observations import Observations
 from .plan import make_plan
 from .processes import ROOT, child_environment
-from .run import FAULT_ACTIONS
+from .request_records import REQUEST_KINDS, SentRequest
 
 LENGTH_S = 4.0
 TALK, STORY, ORDER, PEEK, NOTE, READ = REQUEST_KINDS
