Let the soak stop routers beside waves of refusals, limits and long streams

A new kind of run, stops: planned stops of routers one after the other, overlapping and at once, with a second SIGTERM, SIGHUP beside it and a SIGTERM right after the start.

--- a/packages/medlarridge-direct/tests/soak/checks.py
+++ b/packages/medlarridge-direct/tests/soak/checks.py
@@ -6,6 +6,7 @@
 from .content import MIN_EVENT_S, has_crashing_part
 from .observations import Observations
 from .request_records import NOT_RUN_STATUSES, SentRequest
+from .stop_checks import check_stops
 
 MAX_ATTEMPTS = 2
 """``maxAttempts`` of the routes whose requests are repeatable."""
@@ -43,6 +44,7 @@
     violations += check_runs(observations)
     violations += check_retries(observations)
     violations += check_recovery(observations)
+    violations += check_stops(observations)
     if observations.timed:
         violations += check_drains(observations)
         violations += check_disconnects(observations)
--- a/packages/medlarridge-direct/tests/soak/configuration.py
+++ b/packages/medlarridge-direct/tests/soak/configuration.py
@@ -41,6 +41,16 @@
 
 INITIAL_ROUTES = [
     route("/talk/", "talk", "streaming", sticky=True, resumable=True, maxAttempts=2),
+    route(
+        "/long/",
+        "talk",
+        "streaming",
+        sticky=True,
+        resumable=True,
+        maxAttempts=2,
+        timeoutMs=15_000,
+    ),
+    route("/tale/", "talk", "streaming", sticky=True, maxAttempts=2, timeoutMs=15_000),
     # A second attempt is allowed only if the first was not executed.
     route("/story/", "talk", "streaming", sticky=True, maxAttempts=2),
     route("/order/", "desk", "unsafe", maxAttempts=2),
--- a/packages/medlarridge-direct/tests/soak/content.py
+++ b/packages/medlarridge-direct/tests/soak/content.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import zlib
+from random import Random
 
 CRASHING_PART = b"cc"
 """Part of a prompt under which a server crashes, unless it is the last one."""
@@ -10,6 +11,19 @@
 """Bounds of the interval between the events of a stream."""
 
 
+LONG_PREFIXES = (b"/long/", b"/tale/")
+"""Prefixes of the requests whose streams last for up to twice a router's grace."""
+MIN_LONG_EVENT_S = 0.2
+MAX_LONG_EVENT_S = 0.35
+
+
+def event_interval_s(target: bytes, random: Random) -> float:
+    """Return the time to the next event of a request's stream."""
+    if target.startswith(LONG_PREFIXES):
+        return random.uniform(MIN_LONG_EVENT_S, MAX_LONG_EVENT_S)
+    return random.uniform(MIN_EVENT_S, MAX_EVENT_S)
+
+
 def response_body(request_id: str) -> bytes:
     """Return the body of the response to a request that is not streamed."""
     seed = hashlib.sha256(request_id.encode()).hexdigest().encode()
--- a/packages/medlarridge-direct/tests/soak/http_connection.py
+++ b/packages/medlarridge-direct/tests/soak/http_connection.py
@@ -41,6 +41,7 @@
         self.protocol = h11.Connection(role)
         self.eof_received = False
         self.is_head_request = False
+        self.request_count = 0
 
     @property
     def closed(self) -> bool:
@@ -113,6 +114,7 @@
     connection = HttpConnection(reader, writer, h11.SERVER)
     try:
         while (request := await connection.read_request()) is not None:
+            connection.request_count += 1
             connection.is_head_request = request.method == b"HEAD"
             await handle(connection, request)
             if connection.protocol.our_state is not h11.DONE:
--- a/packages/medlarridge-direct/tests/soak/request_records.py
+++ b/packages/medlarridge-direct/tests/soak/request_records.py
@@ -44,6 +44,12 @@
     RequestKind("/read/", b"GET", 1_500, stream=False, repeatable=True),
 )
 
+LONG_REQUEST_KINDS = (
+    RequestKind("/long/", b"POST", 15_000, stream=True, repeatable=True),
+    RequestKind("/tale/", b"POST", 15_000, stream=True, repeatable=False),
+)
+"""Requests whose streams last for up to twice the grace of a router's stop."""
+
 
 @dataclass(slots=True)
 class SentRequest:
--- /dev/null
+++ b/packages/medlarridge-direct/tests/soak/server_entry.py
@@ -0,0 +1,101 @@
+"""Entry of a stand-in server in the platform's store."""
+
+import asyncio
+import json
+import time
+
+import h11
+
+from .http_connection import ConnectionClosed, HttpConnection
+
+HEARTBEAT_S = 1.2
+DRAIN_PERIOD_S = 2.6
+"""Time a draining server keeps serving; routers stop using it within 2 s."""
+SLOT_COUNT = 12
+
+
+def report(event: str, **fields: object) -> None:
+    """Write an event to standard output as a JSON line."""
+    line = {"event": event, "at": time.monotonic(), **fields}
+    print(json.dumps(line), flush=True)
+
+
+class ServerEntry:
+    """Writes the entry of one instance and its state."""
+
+    def __init__(
+        self,
+        instance: str,
+        version: str,
+        pool: str,
+        advertised_address: str,
+        store_address: str,
+    ) -> None:
+        self.instance = instance
+        self.version = version
+        self.pool = pool
+        self.advertised_address = advertised_address
+        self.store_address = store_address
+        self.state = "ready"
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.state_changed = asyncio.Event()
+
+    async def send_heartbeats(self) -> None:
+        """Write the server's entry at each heartbeat and each change of state."""
+        while True:
+            self.state_changed.clear()
+            self.sequence += 1
+            spec = {
+                "service": self.pool,
+                "address": self.advertised_address,
+                "zone": "zone-a",
+                "version": self.version,
+                "slots": SLOT_COUNT,
+                "state": self.state,
+                "coldRemainingMs": 0,
+                "sequence": self.sequence,
+                "born": self.born,
+            }
+            try:
+                async with asyncio.timeout(1):
+                    await self.call_store(b"PUT", {"spec": spec})
+                report("acked", state=self.state, version=self.version)
+            except (ConnectionClosed, OSError, TimeoutError) as error:
+                report("unregistered", error=repr(error))
+            try:
+                async with asyncio.timeout(HEARTBEAT_S):
+                    await self.state_changed.wait()
+            except TimeoutError:
+                continue
+
+    async def call_store(self, method: bytes, body: dict) -> None:
+        """Make one call to the store."""
+        host, _, port = self.store_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        connection = HttpConnection(reader, writer, h11.CLIENT)
+        try:
+            data = json.dumps(body).encode()
+            await connection.send(
+                h11.Request(
+                    method=method,
+                    target=b"/v1/objects/servers/" + self.instance.encode(),
+                    headers=[
+                        (b"Host", b"store"),
+                        (b"Content-Length", b"%d" % len(data)),
+                    ],
+                ),
+                h11.Data(data),
+                h11.EndOfMessage(),
+            )
+            await connection.next_event()
+        finally:
+            writer.close()
+
+    async def drain(self, drained: asyncio.Event) -> None:
+        """Announce the drain, keep serving for a while, then remove the entry."""
+        self.state = "draining"
+        self.state_changed.set()
+        await asyncio.sleep(DRAIN_PERIOD_S)
+        await self.call_store(b"DELETE", {})
+        drained.set()
--- a/packages/medlarridge-direct/tests/soak/server_process.py
+++ b/packages/medlarridge-direct/tests/soak/server_process.py
@@ -11,7 +11,6 @@
 import os
 import signal
 import sys
-import time
 from random import Random
 
 import h11
@@ -19,8 +18,7 @@
 from medlarridge_platform import names
 
 from .content import (
-    MAX_EVENT_S,
-    MIN_EVENT_S,
+    event_interval_s,
     has_crashing_part,
     response_body,
     stream_event,
@@ -28,16 +26,12 @@
 )
 from .http_connection import (
     NO_CONTENT,
-    ConnectionClosed,
     HttpConnection,
     ReceivedRequest,
     serve_connection,
 )
+from .server_entry import SLOT_COUNT, ServerEntry, report
 
-HEARTBEAT_S = 1.2
-DRAIN_PERIOD_S = 2.6
-"""Time a draining server keeps serving; routers stop using it within 2 s."""
-SLOT_COUNT = 12
 MAX_QUEUED = 24
 """Requests that may wait for a slot; further ones are rejected as not executed."""
 RESPONSE_TIME_S = 0.02
@@ -57,103 +51,34 @@
 """Prefix of the requests whose responses have status 204."""
 
 
-def report(event: str, **fields: object) -> None:
-    """Write an event to standard output as a JSON line."""
-    line = {"event": event, "at": time.monotonic(), **fields}
-    print(json.dumps(line), flush=True)
+def repeated_refusal(random: Random) -> bytes:
+    """Return an earlier refusal, which does not name its request."""
+    status = random.choice([b"503 Service Unavailable", b"429 Too Many Requests"])
+    return b"HTTP/1.1 %b\r\nContent-Length: 0\r\n%b: 1\r\nRetry-After: 0.2\r\n\r\n" % (
+        status,
+        names.NOT_EXECUTED,
+    )
 
 
 class Server:
     """One instance of a backend server."""
 
-    def __init__(
-        self,
-        instance: str,
-        version: str,
-        pool: str,
-        advertised_address: str,
-        store_address: str,
-    ) -> None:
-        self.instance = instance
-        self.version = version
-        self.pool = pool
-        self.advertised_address = advertised_address
-        self.store_address = store_address
-        self.state = "ready"
-        self.sequence = 0
-        self.born = int(time.time() * 1000)
+    def __init__(self, entry: ServerEntry) -> None:
+        self.entry = entry
+        self.instance = entry.instance
+        self.version = entry.version
+        self.pool = entry.pool
         self.slots = asyncio.Semaphore(SLOT_COUNT)
         self.request_count = 0
         self.faults: dict[str, float] = {}
-        self.random = Random(instance)
-        self.state_changed = asyncio.Event()
-
-    # Entry in the platform's store
-
-    async def send_heartbeats(self) -> None:
-        """Write the server's entry at each heartbeat and each change of state."""
-        while True:
-            self.state_changed.clear()
-            self.sequence += 1
-            spec = {
-                "service": self.pool,
-                "address": self.advertised_address,
-                "zone": "zone-a",
-                "version": self.version,
-                "slots": SLOT_COUNT,
-                "state": self.state,
-                "coldRemainingMs": 0,
-                "sequence": self.sequence,
-                "born": self.born,
-            }
-            try:
-                async with asyncio.timeout(1):
-                    await self.call_store(b"PUT", {"spec": spec})
-                report("acked", state=self.state)
-            except (ConnectionClosed, OSError, TimeoutError) as error:
-                report("unregistered", error=repr(error))
-            try:
-                async with asyncio.timeout(HEARTBEAT_S):
-                    await self.state_changed.wait()
-            except TimeoutError:
-                continue
-
-    async def call_store(self, method: bytes, body: dict) -> None:
-        """Make one call to the store."""
-        host, _, port = self.store_address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        connection = HttpConnection(reader, writer, h11.CLIENT)
-        try:
-            data = json.dumps(body).encode()
-            await connection.send(
-                h11.Request(
-                    method=method,
-                    target=b"/v1/objects/servers/" + self.instance.encode(),
-                    headers=[
-                        (b"Host", b"store"),
-                        (b"Content-Length", b"%d" % len(data)),
-                    ],
-                ),
-                h11.Data(data),
-                h11.EndOfMessage(),
-            )
-            await connection.next_event()
-        finally:
-            writer.close()
-
-    async def drain(self, drained: asyncio.Event) -> None:
-        """Announce the drain, keep serving for a while, then remove the entry."""
-        self.state = "draining"
-        self.state_changed.set()
-        await asyncio.sleep(DRAIN_PERIOD_S)
-        await self.call_store(b"DELETE", {})
-        drained.set()
+        self.random = Random(entry.instance)
 
     # Requests
 
     def fault_occurs(self, kind: str) -> bool:
         """Decide at random whether a fault occurs now."""
-        return self.random.random() < self.faults.get(kind, 0)
+        rate = self.faults.get(kind, 0)
+        return rate > 0 and self.random.random() < rate
 
     async def handle(
         self, connection: HttpConnection, request: ReceivedRequest
@@ -184,6 +109,10 @@
             not_run.append((names.RETRY_AFTER, b"%.2f" % rest_s))
             await connection.respond(503, not_run, b"")
             return
+        if self.fault_occurs("busy"):
+            report("rejected", id=request_id, status=429)
+            await connection.respond(429, not_run, b"")
+            return
         if self.request_count >= SLOT_COUNT + MAX_QUEUED:
             report("rejected", id=request_id, status=503)
             await connection.respond(503, not_run, b"")
@@ -207,7 +136,7 @@
         headers = []
         if "limit" in self.faults:
             headers.append((names.SERVER_LIMIT, b"%.1f" % self.faults["limit"]))
-        if self.state == "draining":
+        if self.entry.state == "draining":
             headers.append((names.SERVER_LEAVING, b"1"))
         return headers
 
@@ -235,6 +164,9 @@
         headers: list,
     ) -> str:
         """Process a request; return its outcome."""
+        if connection.request_count > 1 and self.fault_occurs("repeat"):
+            report("repeated", id=request_id)
+            await connection.send_bytes(repeated_refusal(self.random))
         if self.pool == "desk":
             await asyncio.sleep(RESPONSE_TIME_S * (0.5 + self.random.random()))
         elif has_crashing_part(request.headers.get(names.PROMPT_PARTS, b"")):
@@ -287,7 +219,9 @@
         # A stream has the events of the request that began it.
         stream_id = request.headers.get(names.RESUMES, request_id.encode()).decode()
         if self.random.random() < UNFRAMED_SHARE:
-            return await self.stream_unframed(connection, stream_id, headers, after)
+            return await self.stream_unframed(
+                connection, request.target, stream_id, headers, after
+            )
         if self.random.random() < INTERIM_SHARE:
             await connection.send(
                 h11.InformationalResponse(status_code=103, headers=[])
@@ -320,12 +254,17 @@
                 return "cut"
             event = stream_event(stream_id, number, self.version)
             await connection.send(h11.Data(event))
-            await asyncio.sleep(self.random.uniform(MIN_EVENT_S, MAX_EVENT_S))
+            await asyncio.sleep(event_interval_s(request.target, self.random))
         await connection.send(h11.EndOfMessage())
         return "done"
 
     async def stream_unframed(
-        self, connection: HttpConnection, stream_id: str, headers: list, after: int
+        self,
+        connection: HttpConnection,
+        target: bytes,
+        stream_id: str,
+        headers: list,
+        after: int,
     ) -> str:
         """Send a stream that ends with its connection; return its outcome.
 
@@ -346,7 +285,7 @@
                 await connection.send_bytes(event[: len(event) // 2])
                 return "cut"
             await connection.send_bytes(event)
-            await asyncio.sleep(self.random.uniform(MIN_EVENT_S, MAX_EVENT_S))
+            await asyncio.sleep(event_interval_s(target, self.random))
         return "unframed"
 
     async def read_commands(self) -> None:
@@ -368,14 +307,15 @@
     store_address: str,
 ) -> None:
     """Serve until drained or until standard input ends."""
-    server = Server(instance, version, pool, advertised_address, store_address)
+    entry = ServerEntry(instance, version, pool, advertised_address, store_address)
+    server = Server(entry)
     host, _, port = listen.rpartition(":")
     drained = asyncio.Event()
     loop = asyncio.get_running_loop()
     tasks = []
 
     def begin_drain() -> None:
-        tasks.append(loop.create_task(server.drain(drained)))
+        tasks.append(loop.create_task(entry.drain(drained)))
 
     loop.add_signal_handler(signal.SIGTERM, begin_drain)
     await asyncio.start_server(
@@ -383,7 +323,7 @@
         host,
         int(port),
     )
-    tasks.append(loop.create_task(server.send_heartbeats()))
+    tasks.append(loop.create_task(entry.send_heartbeats()))
     command_task = loop.create_task(server.read_commands())
     drained_task = loop.create_task(drained.wait())
     await asyncio.wait(
--- /dev/null
+++ b/packages/medlarridge-direct/tests/soak/stop_run.py
@@ -0,0 +1,182 @@
+"""A run in which routers are told to stop, in series and overlapping."""
+
+import asyncio
+import signal
+from dataclasses import dataclass
+from random import Random
+
+from .checks import RETRY_SLACK
+from .configuration import GRACE_S
+from .fault_actions import STOP_MARGIN_S
+from .fleet import ROUTER_COUNT
+from .observations import RouterStop
+from .processes import EXIT_TIMEOUT_S, monotonic_s
+from .request_records import LONG_REQUEST_KINDS, REQUEST_KINDS, SentRequest
+from .run import SoakRun, scenario
+
+ROUND_S = 4.5
+"""Length of the fault period of other runs for which one round is played."""
+WAVE_PAUSE_S = 0.05
+"""Pause of a client after a refusal: clients come back at once during a wave."""
+IDLE_CONNECT_SHARE = 0.2
+MAX_IDLE_CONNECT_S = 0.4
+"""Longest time that a new connection is idle before its first request."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopRound:
+    """Planned stops of all or some routers."""
+
+    warm_up_s: float
+    """Time in which clients begin streams."""
+    limit: float | None
+    """Limit that the servers of streams name, in requests a second."""
+    wave: str | None
+    """Way in which all servers refuse or fail requests just before the stop."""
+    wave_s: float
+    wave_tail_s: float
+    """Time for which that continues after the first SIGTERM."""
+    routers: tuple[int, ...]
+    gap_s: float
+    """Time between the stops of two routers; with 0 all stop at once."""
+    again_s: float | None
+    """Time after which SIGTERM is sent a second time."""
+    hang_up_s: float | None
+    """Time from SIGHUP to SIGTERM; negative if SIGHUP comes later."""
+    early_stop_s: float | None
+    """Time after its new start at which the first router is told to stop again."""
+
+
+def make_rounds(seed: int, length_s: float) -> list[StopRound]:
+    """Return the rounds of a seed."""
+    random = Random(f"{seed}-stops")
+    return [make_round(random) for _ in range(max(1, round(length_s / ROUND_S)))]
+
+
+def make_round(random: Random) -> StopRound:
+    """Return one round."""
+    order = list(range(ROUTER_COUNT))
+    random.shuffle(order)
+    count = random.choice([1, 2, 3, 3, 3])
+    return StopRound(
+        warm_up_s=round(random.uniform(1, 4), 2),
+        limit=random.choice([None, None, round(random.uniform(0.4, 3), 1)]),
+        wave=random.choice([None, "error", "busy", "rest"]),
+        wave_s=round(random.uniform(0.8, 2.5), 2),
+        wave_tail_s=round(random.uniform(0, 1), 2),
+        routers=tuple(order[:count]),
+        gap_s=random.choice([0, 0.3, 1, 2, GRACE_S + 1]),
+        again_s=random.choice([None, None, round(random.uniform(0.1, 5), 2)]),
+        hang_up_s=random.choice([None, None, round(random.uniform(-0.3, 0.3), 2)]),
+        early_stop_s=random.choice([None, None, round(random.uniform(0, 1), 2)]),
+    )
+
+
+@scenario("stops")
+class StopRun(SoakRun):
+    """Stops routers beside traffic; clients use open connections to the end."""
+
+    client_count = 30
+    disconnect_share = 0.02
+    request_kinds = (*LONG_REQUEST_KINDS, *LONG_REQUEST_KINDS, *REQUEST_KINDS[2:])
+    ingress_group = 1
+
+    def make_plan(self) -> list[StopRound]:
+        """Return the rounds of the seed."""
+        return make_rounds(self.seed, self.length_s)
+
+    def pause_s(self, request: SentRequest, random: Random) -> float:
+        """Return a short pause, also after a refusal."""
+        return WAVE_PAUSE_S + random.uniform(0, 0.1)
+
+    def connect_idle_s(self, random: Random) -> float:
+        """Return for how long a new connection is idle before its first request."""
+        if random.random() > IDLE_CONNECT_SHARE:
+            return 0.0
+        return random.uniform(0, MAX_IDLE_CONNECT_S)
+
+    async def play(self) -> None:
+        """Play the rounds one after the other."""
+        for each in self.make_plan():
+            await self.play_round(each)
+        await asyncio.sleep(1)
+
+    async def play_round(self, planned: StopRound) -> None:
+        """Stop routers after a wave of refusals; wait until they are back."""
+        behaviour = {} if planned.limit is None else {"limit": planned.limit}
+        self.command_servers(behaviour)
+        await asyncio.sleep(planned.warm_up_s)
+        if planned.wave is not None:
+            self.command_servers(behaviour | {planned.wave: 1.0})
+            await asyncio.sleep(planned.wave_s)
+        stops = [
+            asyncio.create_task(self.restart_router(planned, position))
+            for position in range(len(planned.routers))
+        ]
+        await asyncio.sleep(planned.wave_tail_s)
+        self.command_servers(behaviour)
+        await asyncio.gather(*stops)
+        self.command_servers({})
+
+    def command_servers(self, behaviour: dict[str, float]) -> None:
+        """Set how all servers treat requests; only those of streams name a limit."""
+        for pool, server in zip(self.pools, self.fleet.servers, strict=True):
+            skipped = () if pool == "talk" else ("limit",)
+            server.send_command(
+                {
+                    name: value
+                    for name, value in behaviour.items()
+                    if name not in skipped
+                }
+            )
+
+    async def restart_router(self, planned: StopRound, position: int) -> None:
+        """Stop a router and start it again, the first one perhaps twice."""
+        await asyncio.sleep(position * planned.gap_s)
+        number = planned.routers[position]
+        hang_up_s = planned.hang_up_s
+        signals = [(0.0, signal.SIGTERM)]
+        if planned.again_s is not None:
+            signals.append((planned.again_s, signal.SIGTERM))
+        if hang_up_s is not None:
+            self.fleet.write_settings(number, RETRY_SLACK - 1)
+            signals.append((-hang_up_s, signal.SIGHUP))
+        await self.stop_router(number, sorted(signals))
+        await self.fleet.start_router(number)
+        if planned.early_stop_s is not None and position == 0:
+            await asyncio.sleep(planned.early_stop_s)
+            await self.stop_router(number, [(0.0, signal.SIGTERM)])
+            await self.fleet.start_router(number)
+        await self.fleet.wait_until_ready(number)
+
+    async def stop_router(
+        self, number: int, signals: list[tuple[float, signal.Signals]]
+    ) -> None:
+        """Send signals at their times from SIGTERM; kill the router after its grace."""
+        process = self.fleet.routers[number]
+        at_s, stop = signals[0][0], None
+        for time_s, signal_number in signals:
+            await asyncio.sleep(time_s - at_s)
+            at_s = time_s
+            if signal_number is signal.SIGTERM and stop is None:
+                stop = RouterStop(
+                    number,
+                    self.fleet.start_number(number),
+                    monotonic_s(),
+                    GRACE_S,
+                    self.fleet.end_ready_span(number),
+                )
+                self.observations.stops.append(stop)
+            process.signal(signal_number)
+        assert stop is not None
+        kill_s = stop.sigterm_s + GRACE_S
+        if not self.observations.timed:
+            kill_s += STOP_MARGIN_S
+        if not await process.wait(kill_s - monotonic_s()):
+            stop.killed = True
+            process.signal(signal.SIGKILL)
+            await process.wait(EXIT_TIMEOUT_S)
+            self.observations.violations.append(
+                f"FAULT: {process.name} did not exit within its grace period"
+            )
+        stop.exited_s = monotonic_s()
