--- a/packages/medlarridge-direct/tests/soak/checks.py
+++ b/packages/medlarridge-direct/tests/soak/checks.py
@@ -7,6 +7,7 @@
 from .observations import Observations
 from .request_records import NOT_RUN_STATUSES, SentRequest
 from .stop_checks import check_stops
+from .take_up_checks import check_take_ups
 
 MAX_ATTEMPTS = 2
 """``maxAttempts`` of the routes whose requests are repeatable."""
@@ -45,6 +46,7 @@
     violations += check_retries(observations)
     violations += check_recovery(observations)
     violations += check_stops(observations)
+    violations += check_take_ups(observations)
     if observations.timed:
         violations += check_drains(observations)
         violations += check_disconnects(observations)
--- a/packages/medlarridge-direct/tests/soak/clients.py
+++ b/packages/medlarridge-direct/tests/soak/clients.py
@@ -95,6 +95,9 @@
         try:
             async with asyncio.timeout(request.kind.deadline_ms / 1000 + 2):
                 await self.exchange(request, address, key, disconnect_after_s, idle_s)
+        except asyncio.CancelledError:
+            request.left = True
+            raise
         except TimeoutError:
             request.lost = "no complete response within the deadline"
         except (ConnectionClosed, OSError) as error:
@@ -102,9 +105,10 @@
         except h11.RemoteProtocolError as error:
             request.lost = f"invalid response: {error}"
             request.violations.append(f"MIXED: invalid HTTP response: {error}")
-        request.ended_s = monotonic_s()
-        if not request.complete or request.left:
-            self.close()
+        finally:
+            request.ended_s = monotonic_s()
+            if not request.complete or request.left:
+                self.close()
 
     async def take_up(
         self,
--- a/packages/medlarridge-direct/tests/soak/fault_actions.py
+++ b/packages/medlarridge-direct/tests/soak/fault_actions.py
@@ -145,11 +145,7 @@
 async def drain_server(run: "FaultRun", fault: Fault) -> None:
     """Drain a server and start a new instance."""
     number = fault.target % len(POOLS)
-    process = run.fleet.servers[number]
-    process.signal(signal.SIGTERM)
-    if not await process.wait(6):
-        process.signal(signal.SIGKILL)
-        await process.wait(5)
+    await run.fleet.drain_server(number)
     await run.fleet.start_server(number)
 
 
--- a/packages/medlarridge-direct/tests/soak/fault_run.py
+++ b/packages/medlarridge-direct/tests/soak/fault_run.py
@@ -12,11 +12,8 @@
 from .processes import monotonic_s
 from .proxy import Impairment
 from .request_records import REQUEST_KINDS, RequestKind
-from .run import SoakRun, scenario
+from .run import SETTLE_TIME_S, SoakRun, scenario
 
-SETTLE_TIME_S = 4.5
-"""Fault-free wait before recovery is checked: routers have a complete list of servers
-2 s after the store is back, and use an avoided server again after at most 4 s."""
 APPLY_TIMEOUT_S = 2.0
 """All routers apply a configuration within this time of its acknowledgement."""
 APPLY_TIMEOUT_UNTIMED_S = 20.0
--- a/packages/medlarridge-direct/tests/soak/fleet.py
+++ b/packages/medlarridge-direct/tests/soak/fleet.py
@@ -22,6 +22,8 @@
 """Pool of each server, by server number."""
 START_TIMEOUT_S = 60.0
 """Time limit for the start of a process; starts are slow on a busy host."""
+DRAIN_TIMEOUT_S = 6.0
+"""Time in which a server that drains has ended."""
 STORE_RETRY_S = 0.1
 """Pause of the operator after a write that the store did not acknowledge."""
 PROBE_INTERVAL_S = 0.25
@@ -222,6 +224,16 @@
         ]
         await process.start()
 
+    async def drain_server(self, number: int) -> None:
+        """Let a server drain and end; kill it if it does not end in time."""
+        process = self.servers[number]
+        record = {"event": "told-to-stop", "at": monotonic_s()}
+        self.on_server_line(process.name, record)
+        process.signal(signal.SIGTERM)
+        if not await process.wait(DRAIN_TIMEOUT_S):
+            process.signal(signal.SIGKILL)
+            await process.wait(EXIT_TIMEOUT_S)
+
     async def restart_server(self, number: int) -> None:
         """Start a new instance of a server that has crashed."""
         await asyncio.sleep(SERVER_RESTART_S)
--- a/packages/medlarridge-direct/tests/soak/run.py
+++ b/packages/medlarridge-direct/tests/soak/run.py
@@ -15,6 +15,9 @@
 
 REFUSAL_DELAY_S = 0.4
 """Pause of a client after a 503 or a request that got no response."""
+SETTLE_TIME_S = 4.5
+"""Fault-free wait before recovery is checked: routers have a complete list of servers
+2 s after the store is back, and use an avoided server again after at most 4 s."""
 MAX_TAKE_UPS = 2
 """Times that a client asks for the rest of a stream that broke off."""
 
@@ -41,6 +44,8 @@
     request_kinds: tuple[RequestKind, ...] = REQUEST_KINDS
     pools: tuple[str, ...] = POOLS
     """Pool of each server."""
+    clients_leave = False
+    """Whether clients break off their requests at the end of the run."""
     ingress_group = 6
     """Group of the addresses to which clients connect: proxies, or 1 for routers."""
 
@@ -74,7 +79,10 @@
             ]
             await self.play()
             self.stopping = True
-            await asyncio.gather(*clients)
+            if self.clients_leave:
+                for client in clients:
+                    client.cancel()
+            await asyncio.gather(*clients, return_exceptions=self.clients_leave)
             probe_task.cancel()
             self.fleet.check_unexpected_exits()
         finally:
@@ -93,6 +101,7 @@
             f"c{number}", random, self.observations.requests, self.fleet.start_number
         )
         while not self.stopping:
+            await self.wait_for_turn(number)
             router = client.router
             if client.connection is None or random.random() < 0.05:
                 router = random.choice(self.fleet.rotation())
@@ -117,6 +126,9 @@
             await asyncio.sleep(self.pause_s(client.history[-1], random))
         client.close()
 
+    async def wait_for_turn(self, number: int) -> None:
+        """Wait until a client may send its next request."""
+
     def ingress(self, router: int) -> tuple[str, int]:
         """Return the address at which clients reach a router."""
         return self.fleet.ip(self.ingress_group, router), 8227
--- a/packages/medlarridge-direct/tests/soak/stop_run.py
+++ b/packages/medlarridge-direct/tests/soak/stop_run.py
@@ -16,8 +16,10 @@
 
 ROUND_S = 4.5
 """Length of the fault period of other runs for which one round is played."""
-WAVE_PAUSE_S = 0.05
-"""Pause of a client after a refusal: clients come back at once during a wave."""
+STEADY_CLIENTS = 30
+"""Clients that always send requests; the others come with a wave of refusals."""
+WAVE_PAUSE_S = 0.01
+"""Shortest pause of a client between two requests; refused ones come back at once."""
 IDLE_CONNECT_SHARE = 0.2
 MAX_IDLE_CONNECT_S = 0.4
 """Longest time that a new connection is idle before its first request."""
@@ -63,9 +65,9 @@
         limit=random.choice([None, None, round(random.uniform(0.4, 3), 1)]),
         wave=random.choice([None, "error", "busy", "rest"]),
         wave_s=round(random.uniform(0.8, 2.5), 2),
-        wave_tail_s=round(random.uniform(0, 1), 2),
+        wave_tail_s=round(random.uniform(0, 5), 2),
         routers=tuple(order[:count]),
-        gap_s=random.choice([0, 0.3, 1, 2, GRACE_S + 1]),
+        gap_s=random.choice([0, 0.3, 0.6, 1, 2, GRACE_S + 1]),
         again_s=random.choice([None, None, round(random.uniform(0.1, 5), 2)]),
         hang_up_s=random.choice([None, None, round(random.uniform(-0.3, 0.3), 2)]),
         early_stop_s=random.choice([None, None, round(random.uniform(0, 1), 2)]),
@@ -76,18 +78,28 @@
 class StopRun(SoakRun):
     """Stops routers beside traffic; clients use open connections to the end."""
 
-    client_count = 30
-    disconnect_share = 0.02
+    client_count = 50
+    disconnect_share = 0.1
+    clients_leave = True
     request_kinds = (*LONG_REQUEST_KINDS, *LONG_REQUEST_KINDS, *REQUEST_KINDS[2:])
     ingress_group = 1
 
+    def __init__(self, *arguments: object) -> None:
+        super().__init__(*arguments)
+        self.wave = asyncio.Event()
+
     def make_plan(self) -> list[StopRound]:
         """Return the rounds of the seed."""
         return make_rounds(self.seed, self.length_s)
 
     def pause_s(self, request: SentRequest, random: Random) -> float:
         """Return a short pause, also after a refusal."""
-        return WAVE_PAUSE_S + random.uniform(0, 0.1)
+        return WAVE_PAUSE_S + random.uniform(0, 0.04)
+
+    async def wait_for_turn(self, number: int) -> None:
+        """Wait for a wave, unless the client is a steady one."""
+        if number >= STEADY_CLIENTS:
+            await self.wave.wait()
 
     def connect_idle_s(self, random: Random) -> float:
         """Return for how long a new connection is idle before its first request."""
@@ -107,6 +119,7 @@
         self.command_servers(behaviour)
         await asyncio.sleep(planned.warm_up_s)
         if planned.wave is not None:
+            self.wave.set()
             self.command_servers(behaviour | {planned.wave: 1.0})
             await asyncio.sleep(planned.wave_s)
         stops = [
@@ -116,6 +129,7 @@
         await asyncio.sleep(planned.wave_tail_s)
         self.command_servers(behaviour)
         await asyncio.gather(*stops)
+        self.wave.clear()
         self.command_servers({})
 
     def command_servers(self, behaviour: dict[str, float]) -> None:
