--- a/packages/medlarridge-direct/tests/soak/http_connection.py
+++ b/packages/medlarridge-direct/tests/soak/http_connection.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -11,6 +13,7 @@
 
 READ_BYTES = 65_536
 NO_CONTENT = 204
+NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class ConnectionClosed(Exception):
@@ -101,9 +104,21 @@
         await self.send(head, h11.Data(sent_body), h11.EndOfMessage())
 
     def abort(self) -> None:
-        """Reset the connection."""
+        """Drop the connection at once."""
         self.writer.transport.abort()
 
+    def reset(self) -> None:
+        """Reset the connection."""
+        reset(self.writer)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; without the option, dropping it may look like a close."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    writer.transport.abort()
+
 
 async def serve_connection(
     reader: asyncio.StreamReader,
--- a/packages/medlarridge-direct/tests/soak/proxy.py
+++ b/packages/medlarridge-direct/tests/soak/proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 from enum import StrEnum
 
+from .http_connection import reset
+
 READ_BYTES = 65_536
 DELAY_S = 0.15
 
@@ -74,7 +76,7 @@
                 endpoint.close()
         except* OSError:
             for endpoint in endpoints:
-                endpoint.transport.abort()
+                reset(endpoint)
         except* asyncio.CancelledError:
             # Cancelled at the end of the run; asyncio streams would log the error.
             pass
--- a/packages/medlarridge-direct/tests/soak/run.py
+++ b/packages/medlarridge-direct/tests/soak/run.py
@@ -106,11 +106,7 @@
             if client.connection is None or random.random() < 0.05:
                 router = random.choice(self.fleet.rotation())
             key = random.choice(sorted(self.fleet.api_keys))
-            disconnect_after_s = (
-                random.uniform(0, 0.4)
-                if random.random() < self.disconnect_share
-                else None
-            )
+            disconnect_after_s = self.disconnect_after_s(number, random)
             kind = random.choice(self.request_kinds)
             request = await client.send_request(
                 router,
@@ -133,6 +129,12 @@
         """Return the address at which clients reach a router."""
         return self.fleet.ip(self.ingress_group, router), 8227
 
+    def disconnect_after_s(self, number: int, random: Random) -> float | None:
+        """Return when a client disconnects from its next request, None if it stays."""
+        if random.random() < self.disconnect_share:
+            return random.uniform(0, 0.4)
+        return None
+
     def prompt_crashes(self, kind: RequestKind, random: Random) -> bool:
         """Decide whether the prompt of the next request crashes servers."""
         return False
--- a/packages/medlarridge-direct/tests/soak/server_process.py
+++ b/packages/medlarridge-direct/tests/soak/server_process.py
@@ -11,6 +11,7 @@
 import os
 import signal
 import sys
+import time
 from random import Random
 
 import h11
@@ -46,6 +47,9 @@
 """Share of the cut streams whose last chunk follows part of an event."""
 MAX_REST_S = 1.0
 """Longest rest that a server asks for."""
+MAX_END_S = 2.0
+"""Time for which a server that has drained waits for its requests."""
+END_INTERVAL_S = 0.05
 CRASH_EXIT_CODE = 70
 NO_CONTENT_PREFIX = b"/note/"
 """Prefix of the requests whose responses have status 204."""
@@ -70,6 +74,7 @@
         self.pool = entry.pool
         self.slots = asyncio.Semaphore(SLOT_COUNT)
         self.request_count = 0
+        self.running: set[HttpConnection] = set()
         self.faults: dict[str, float] = {}
         self.random = Random(entry.instance)
 
@@ -124,9 +129,11 @@
                     return
                 self.report_run(request_id, request)
                 outcome = "dropped"
+                self.running.add(connection)
                 try:
                     outcome = await self.run(connection, request, request_id, headers)
                 finally:
+                    self.running.discard(connection)
                     report("ended", id=request_id, how=outcome)
         finally:
             self.request_count -= 1
@@ -288,6 +295,17 @@
             await asyncio.sleep(event_interval_s(target, self.random))
         return "unframed"
 
+    async def end_requests(self) -> None:
+        """Wait for the running requests, then reset the connections of the rest.
+
+        A close would make a stream without length and chunks look complete.
+        """
+        end_s = time.monotonic() + MAX_END_S
+        while self.running and time.monotonic() < end_s:
+            await asyncio.sleep(END_INTERVAL_S)
+        for connection in self.running:
+            connection.reset()
+
     async def read_commands(self) -> None:
         """Apply the faults read from standard input until it ends."""
         reader = asyncio.StreamReader()
@@ -329,6 +347,8 @@
     await asyncio.wait(
         (command_task, drained_task), return_when=asyncio.FIRST_COMPLETED
     )
+    if drained.is_set():
+        await server.end_requests()
     for task in (*tasks, command_task, drained_task):
         task.cancel()
 
--- a/packages/medlarridge-direct/tests/soak/take_up_run.py
+++ b/packages/medlarridge-direct/tests/soak/take_up_run.py
@@ -15,6 +15,8 @@
 """Length of the fault period of other runs for which two losses are played."""
 AFTER_LOSS_S = 7.5
 """Time for which clients go on after the routers are ready again."""
+PATIENT_CLIENTS = 36
+"""Clients that stay until their streams end; the others only begin streams."""
 RETURN_S = 0.8
 """Mean time after which a client asks again for the rest of a stream."""
 MIN_LEFT_S = 0.5
@@ -51,8 +53,7 @@
 class TakeUpRun(SoakRun):
     """Kills all routers while servers of one or two software versions serve."""
 
-    client_count = 40
-    disconnect_share = 0.0
+    client_count = 46
     clients_leave = True
     request_kinds = LONG_REQUEST_KINDS[:1]
     pools = ("talk", "talk", "talk", "talk", "desk")
@@ -62,6 +63,10 @@
         """Return the losses of the seed."""
         return make_losses(self.seed, self.length_s)
 
+    def disconnect_after_s(self, number: int, random: Random) -> float | None:
+        """Return None for clients that take up streams; others leave to begin new ones."""
+        return None if number < PATIENT_CLIENTS else random.uniform(0.5, 2)
+
     async def take_up_stream(
         self, client: Client, request: SentRequest, key: str, random: Random
     ) -> None:
--- a/packages/medlarridge-direct/tests/soak/test_soak.py
+++ b/packages/medlarridge-direct/tests/soak/test_soak.py
@@ -4,25 +4,41 @@
 
 import pytest
 
-from .checks import check_all, check_limits
+from medlarridge_platform import names
+
+from .checks import check_limits
 from .clients import Client
+from .configuration import GRACE_S
 from .fault_actions import FAULT_ACTIONS
 from .observations import Observations
 from .plan import make_plan
 from .processes import ROOT, child_environment
-from .request_records import REQUEST_KINDS, SentRequest
+from .refusal_run import make_rates
+from .samples import (
+    NOTE,
+    ORDER,
+    PEEK,
+    READ,
+    STORY,
+    TALK,
+    make_request,
+    make_run,
+    violated_rules,
+)
+from .server_process import repeated_refusal
+from .stop_run import make_rounds
+from .take_up_run import make_losses
 
 LENGTH_S = 4.0
-TALK, STORY, ORDER, PEEK, NOTE, READ = REQUEST_KINDS
 
 
 class TestShortRun:
-    @pytest.mark.parametrize("seed", [7, 11])
-    def test_real_processes_keep_their_guarantees(self, seed, tmp_path):
-        """Guards against guarantees that hold only within a single process."""
+    def play(self, seed, directory, scenario):
+        """Play a short run without the promises about times."""
         arguments = ["--seed", str(seed), "--length", str(LENGTH_S), "--untimed"]
+        arguments += ["--scenario", scenario, "--keep", str(directory)]
         completed = subprocess.run(
-            [sys.executable, "-m", "soak", *arguments, "--keep", str(tmp_path)],
+            [sys.executable, "-m", "soak", *arguments],
             cwd=ROOT,
             env=child_environment(),
             capture_output=True,
@@ -31,8 +47,42 @@
         )
         assert completed.returncode == 0, completed.stdout + completed.stderr
 
+    @pytest.mark.parametrize("seed", [7, 11])
+    def test_real_processes_keep_their_guarantees(self, seed, tmp_path):
+        """Guards against guarantees that hold only within a single process."""
+        self.play(seed, tmp_path, "faults")
+
+    def test_stops_after_a_wave_of_refusals_lose_no_request(self, tmp_path):
+        """Guards against requests taken long after SIGTERM and given up."""
+        self.play(142, tmp_path, "stops")
+
+    def test_streams_go_on_after_the_loss_of_all_routers(self, tmp_path):
+        """Guards against routers that know no stream after a restart of all."""
+        self.play(1, tmp_path, "take-ups")
+
+    def test_repeated_refusals_refuse_no_request(self, tmp_path):
+        """Guards against a refusal of nobody that is taken for a request's answer."""
+        self.play(2, tmp_path, "refusals")
+
 
 class TestPlan:
+    def test_each_scenario_gives_the_same_plan_again(self):
+        """Guards against a kind of run that cannot be reproduced from its seed."""
+        for make in (make_rounds, make_losses, make_rates):
+            assert make(5, 9.0) == make(5, 9.0)
+            assert make(5, 9.0) != make(6, 9.0)
+
+    def test_stops_come_in_all_arrangements(self):
+        """Guards against a kind of stop that no seed plans."""
+        rounds = [each for seed in range(200) for each in make_rounds(seed, 9.0)]
+        assert {each.wave for each in rounds} == {None, "error", "busy", "rest"}
+        assert {len(each.routers) for each in rounds} == {1, 2, 3}
+        assert {0, GRACE_S + 1} < {each.gap_s for each in rounds}
+        for name in ("limit", "again_s", "hang_up_s", "early_stop_s"):
+            values = [getattr(each, name) for each in rounds]
+            assert None in values
+            assert any(values)
+
     def test_a_seed_gives_the_same_plan_again(self):
         """Guards against failures that cannot be reproduced from their seed."""
         assert make_plan(5, 9.0) == make_plan(5, 9.0)
@@ -44,51 +94,6 @@
         assert planned == set(FAULT_ACTIONS)
 
 
-def make_request(kind=ORDER, **changes):
-    fields = {
-        "request_id": "c-1",
-        "router": 0,
-        "kind": kind,
-        "method": kind.method,
-        "target": "/a",
-        "body": b"",
-        "account": "account-a",
-        "prompt": "",
-        "sent_s": 10.0,
-        "kept": True,
-        "ended_s": 10.1,
-        "status": 200,
-        "complete": True,
-    }
-    return SentRequest(**(fields | changes))
-
-
-def make_run(request, at=10.05, **changes):
-    fields = {
-        "event": "run",
-        "at": at,
-        "server": "i-1",
-        "pool": "desk",
-        "id": request.request_id,
-        "method": request.method.decode(),
-        "target": request.target,
-        "body": request.body_digest,
-        "account": request.account,
-        "key": False,
-        "prompt": request.prompt,
-        "deadline_ms": 1_000,
-        "after": 0,
-    }
-    return fields | changes
-
-
-def violated_rules(*requests, records=(), **changes):
-    observations = Observations(
-        requests=list(requests), records=list(records), **changes
-    )
-    return sorted({line.split(":")[0] for line in check_all(observations)})
-
-
 class TestStreamClient:
     @pytest.mark.parametrize(
         ("body", "violations"),
@@ -138,6 +143,28 @@
         request = make_request(status=503)
         assert violated_rules(request, records=[make_run(request)]) == ["REFUSED"]
 
+    def test_a_refusal_of_a_stream_that_ran_is_found(self):
+        for status in (408, 421, 429, 503):
+            request = make_request(STORY, status=status)
+            assert violated_rules(request, records=[make_run(request)]) == ["REFUSED"]
+
+    def test_a_request_run_again_after_a_repeated_refusal_is_found(self):
+        request = make_request()
+        repeated = {"event": "repeated", "at": 10.05, "server": "i-1"}
+        records = [
+            make_run(request),
+            repeated | {"id": request.request_id},
+            make_run(request, at=10.06, server="i-2"),
+        ]
+        assert violated_rules(request, records=records) == ["TWICE"]
+
+    def test_a_repeated_refusal_names_no_request(self):
+        head = repeated_refusal(Random(1)).lower()
+        assert head.startswith(b"http/1.1 ")
+        assert head.endswith(b"\r\n\r\n")
+        assert names.NOT_EXECUTED in head
+        assert names.REQUEST_ID not in head
+
     @pytest.mark.parametrize(
         "change",
         [
