--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -1,6 +1,7 @@
 """One attempt to get a response to a request from one server."""
 
 import asyncio
+from collections.abc import Callable
 
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.errors import TransportError
@@ -86,6 +87,7 @@
         self.unnamed_wait_ms = 0
         self.attempt_number = 0
         self.sent_ms = 0
+        self.was_silent = False
         self.received = ReceivedBody()
 
     def __enter__(self) -> "Attempt":
@@ -108,10 +110,15 @@
             connection.abort()
 
     async def start(
-        self, metadata: ForwardingMetadata, timeout_ms: int, unnamed_wait_ms: int
+        self,
+        metadata: ForwardingMetadata,
+        timeout_ms: int,
+        unnamed_wait_ms: int,
+        longer_wait_ms: Callable[[], int],
     ) -> AttemptOutcome:
         """Send the request and wait for the response head.
 
+        ``longer_wait_ms`` returns how long to wait on after ``timeout_ms``, 0 to end.
         After a response that names no request and may be to an earlier one, wait for
         ``unnamed_wait_ms`` at most.
         """
@@ -143,7 +150,7 @@
         self.attempt_number = self.components.health.record_sent(
             self.server.instance, self.server.pool
         )
-        return await self.read_head(timeout_ms)
+        return await self.read_head(timeout_ms, longer_wait_ms)
 
     async def connect(self) -> HttpConnection:
         """Return a connection, a new one if the server does not name requests."""
@@ -200,21 +207,29 @@
         end_s = asyncio.get_running_loop().time() + self.unnamed_wait_ms / MS_PER_S
         timeout.reschedule(min(end_s, timeout.when() or end_s))
 
-    async def read_head(self, timeout_ms: int) -> AttemptOutcome:
+    async def read_head(
+        self, timeout_ms: int, longer_wait_ms: Callable[[], int]
+    ) -> AttemptOutcome:
         """Wait for the response head and classify it."""
         assert self.exchange is not None
-        try:
-            async with asyncio.timeout(timeout_ms / MS_PER_S) as self.head_timeout:
-                event = await self.exchange.next_event()
-        except TimeoutError:
-            if any(each.request_id is None for each in self.discarded):
-                self.record_unnamed()
-                return AttemptOutcome(
-                    OutcomeKind.SILENT, "no response after one that names no request"
-                )
-            return AttemptOutcome(
-                OutcomeKind.SILENT, f"no response within {timeout_ms} ms"
-            )
+        event, waited_ms = None, 0
+        while event is None:
+            try:
+                async with asyncio.timeout(timeout_ms / MS_PER_S) as self.head_timeout:
+                    event = await self.exchange.next_event()
+            except TimeoutError:
+                if any(each.request_id is None for each in self.discarded):
+                    self.record_unnamed()
+                    return AttemptOutcome(
+                        OutcomeKind.SILENT,
+                        "no response after one that names no request",
+                    )
+                waited_ms += timeout_ms
+                timeout_ms = longer_wait_ms()
+                if not timeout_ms:
+                    return AttemptOutcome(
+                        OutcomeKind.SILENT, f"no response within {waited_ms} ms"
+                    )
         if isinstance(event, Broken):
             self.record_broken(event.ended_by_server)
             return AttemptOutcome(OutcomeKind.BROKEN, event.detail)
@@ -337,6 +352,12 @@
         if self.components.health.record_result(self.server.instance, result):
             self.components.on_server_avoided(self.server.instance, result)
 
+    def record_silence(self) -> None:
+        """Record, once for the attempt, that the server was silent for too long."""
+        if not self.was_silent:
+            self.was_silent = True
+            self.record_result(AttemptResult.FAILED)
+
     def record_broken(self, ended_by_server: bool) -> None:
         """Record that the connection was lost while the request may have run."""
         self.record_result(AttemptResult.BROKEN)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/crashing_parts.py
@@ -315,6 +315,10 @@
                 found.append(part)
         return found
 
+    def holds_any(self, parts: Iterable[str]) -> bool:
+        """Return whether a part is refused or on probation, see ``find_held``."""
+        return any(part in self.refused or part in self.probation for part in parts)
+
     def begin_trial(self, held: list[str], rank: int) -> bool:
         """Return whether a request may try the parts for which it is held.
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -25,7 +25,7 @@
 from .refusals import send_refusal
 from .request_stage import RequestStage
 from .send_permits import Permit
-from .server_selection import rank_servers
+from .server_selection import has_reachable_server, rank_servers
 from .stream_continuity import StreamContinuity
 from .transport.client_connection import ResponseWriter
 from .transport.http_connection import Broken
@@ -300,7 +300,10 @@
         end = RetryEnd.MAY_ARRIVE
         try:
             outcome = await attempt.start(
-                metadata, self.attempt_timeout_ms(), self.silence_timeout_ms()
+                metadata,
+                self.attempt_timeout_ms(),
+                self.silence_timeout_ms(),
+                lambda: self.longer_wait_ms(attempt),
             )
             self.any_silent |= outcome.kind is OutcomeKind.SILENT
             if not outcome.reached_server:
@@ -337,6 +340,32 @@
             return remaining_ms
         return min(remaining_ms, self.silence_timeout_ms())
 
+    def longer_wait_ms(self, attempt: Attempt) -> int:
+        """Return how long to wait on for a silent server, 0 to leave it.
+
+        It is left before the deadline only if the request can go on elsewhere now.
+        """
+        attempt.record_silence()
+        remaining_ms = self.remaining_ms()
+        if remaining_ms <= 0 or not self.may_run_again() or self.can_go_elsewhere():
+            return 0
+        return min(remaining_ms, self.silence_timeout_ms())
+
+    def can_go_elsewhere(self) -> bool:
+        """Return whether another server can take over from the present one now."""
+        return (
+            self.may_retry()
+            and self.attempts_not_run < MAX_ATTEMPTS_NOT_RUN
+            and not self.components.crash_guard.should_refuse(self.accepted.fingerprint)
+            and not self.components.crashing_parts.holds_any(self.shared_parts)
+            and has_reachable_server(
+                self.components,
+                self.accepted.pool,
+                self.tried_instances | self.without_permit,
+                self.continuity.software_version,
+            )
+        )
+
     def silence_timeout_ms(self) -> int:
         """Return the time without data after which a response is taken for lost."""
         min_timeout_ms = MIN_RETRY_TIMEOUT_MS
@@ -353,7 +382,9 @@
             self.runs += 1
         else:
             self.attempts_not_run += 1
-        if outcome.kind in (OutcomeKind.SILENT, OutcomeKind.FAULTY):
+        if outcome.kind is OutcomeKind.SILENT:
+            attempt.record_silence()
+        elif outcome.kind is OutcomeKind.FAULTY:
             attempt.record_result(AttemptResult.FAILED)
         self.log.attempt_ended(attempt.server, outcome.kind, outcome.detail)
 
@@ -449,7 +480,8 @@
             try:
                 part = await self.next_part(attempt, self.attempt_timeout_ms())
             except TimeoutError:
-                attempt.record_result(AttemptResult.FAILED)
+                if self.longer_wait_ms(attempt):
+                    continue
                 part = Broken("stream sent no data before the timeout")
             if isinstance(part, Broken):
                 return self.handle_broken_response(attempt, part.detail)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/server_selection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/server_selection.py
@@ -25,19 +25,10 @@
     that want no requests are left out; those that want none of a peer come after others.
     """
     notices = components.notices
-    ready_servers = [
-        server
-        for server in components.servers.ready(pool.name)
-        if notices.accepts(server.start)
-    ]
+    ready_servers = servers_that_accept(components, pool)
     instances = [server.instance for server in ready_servers]
     reachable = components.health.reachable(instances, repeatable)
-    untried = [
-        server
-        for server in ready_servers
-        if server.instance not in tried
-        and software_version in (None, server.software_version)
-    ]
+    untried = select_untried(ready_servers, tried, software_version)
     candidates = [
         server for server in untried if server.instance in reachable
     ] or untried
@@ -56,6 +47,48 @@
     return components.placement.rank(candidates, prompt, failing, load_limit, limited)
 
 
+def has_reachable_server(
+    components: RouterComponents,
+    pool: Pool,
+    tried: Set[str],
+    software_version: str | None,
+) -> bool:
+    """Return whether a repeatable request can go to another server that is reachable.
+
+    A server with a limit counts, although it may turn out to have no permit left.
+    """
+    ready_servers = servers_that_accept(components, pool)
+    instances = [server.instance for server in ready_servers]
+    reachable = components.health.reachable(instances, repeatable=True)
+    return any(
+        server.instance in reachable
+        for server in select_untried(ready_servers, tried, software_version)
+    )
+
+
+def servers_that_accept(
+    components: RouterComponents, pool: Pool
+) -> list[BackendServer]:
+    """Return the ready servers of a pool that want requests."""
+    return [
+        server
+        for server in components.servers.ready(pool.name)
+        if components.notices.accepts(server.start)
+    ]
+
+
+def select_untried(
+    servers: Sequence[BackendServer], tried: Set[str], software_version: str | None
+) -> list[BackendServer]:
+    """Return the servers that were not tried, of one software version if it is given."""
+    return [
+        server
+        for server in servers
+        if server.instance not in tried
+        and software_version in (None, server.software_version)
+    ]
+
+
 def servers_in_load_mean(
     components: RouterComponents, pool: Pool
 ) -> Sequence[BackendServer]:
