--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/graceful_stop.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/graceful_stop.py
@@ -23,6 +23,9 @@
 POLL_MS = 5
 """Interval at which the end of requests and connections is looked for."""
 
+STALL_MS = 50
+"""Length of a poll beyond which the event loop has stalled."""
+
 
 class GracefulStop:
     """Ends the work of a router.
@@ -67,13 +70,13 @@
         # What the event loop has accepted is listed only in one of its next turns.
         may_accept = True
         while not self.schedule.has_ended() and (self.connections or may_accept):
-            is_needed = (
-                bool(self.connections)
-                and not self.stops_first
-                and not self.peers.any_serves()
-            )
+            is_needed = self.needs_listener()
             if client_listener.is_serving() and not is_needed:
-                client_listener.close()
+                # Closing resets the connections that wait to be accepted.
+                await self.accept_waiting()
+                is_needed = self.needs_listener()
+                if not is_needed:
+                    client_listener.close()
             elif is_needed and not client_listener.is_serving():
                 # The address may be in use; it is tried again in the next turn.
                 with contextlib.suppress(OSError):
@@ -84,6 +87,22 @@
             await asyncio.sleep(min(left_ms, DRAIN_INTERVAL_MS) / MS_PER_S)
         return client_listener
 
+    def needs_listener(self) -> bool:
+        """Return whether the load balancer has no other router for its connections."""
+        return (
+            bool(self.connections)
+            and not self.stops_first
+            and not self.peers.any_serves()
+        )
+
+    async def accept_waiting(self) -> None:
+        """Let the event loop accept what waits, also what came while it stalled."""
+        stalled = True
+        while stalled and not self.schedule.has_ended():
+            began_ms = self.clock.now_ms()
+            await asyncio.sleep(POLL_MS / MS_PER_S)
+            stalled = self.clock.now_ms() - began_ms > STALL_MS
+
     async def end_work(self) -> None:
         """Answer what has no response and cut what has begun; take nothing more."""
         self.schedule.end()
--- a/packages/medlarridge-direct/tests/direct/test_end_of_work.py
+++ b/packages/medlarridge-direct/tests/direct/test_end_of_work.py
@@ -1,6 +1,7 @@
 """Requests that are in flight when a stopping router has to end its work."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -196,6 +197,23 @@
     idle_since_ms = 0
 
 
+class StallingClock:
+    """A clock during whose call number ``stalls_at`` the process does nothing else."""
+
+    def __init__(self, clock, stalls_at, meanwhile):
+        self.clock = clock
+        self.calls = 0
+        self.stalls_at = stalls_at
+        self.meanwhile = meanwhile
+
+    def now_ms(self):
+        self.calls += 1
+        if self.calls == self.stalls_at:
+            self.clock.advance(300)
+            self.meanwhile()
+        return self.clock.now_ms()
+
+
 class TestDrain:
     def make_stop(self, serving=True, listen=None):
         components = make_components()
@@ -245,3 +263,30 @@
         ends_ms = stop.schedule.work_ends_ms
         stop.begin(60_000)
         assert stop.schedule.work_ends_ms == ends_ms
+
+    @pytest.mark.parametrize(
+        "stalls_at", [1, 3], ids=["before the listener closes", "in the last poll"]
+    )
+    async def test_a_connection_that_waits_after_a_stall_is_accepted(self, stalls_at):
+        """Guards against LOST: a listener closes and resets what waits in its queue."""
+        stop = self.make_stop()
+        accepted = []
+
+        class Protocol(asyncio.Protocol):
+            def connection_made(self, transport):
+                accepted.append(transport)
+
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(Protocol, "127.0.0.1", 0)
+        address = listener.sockets[0].getsockname()
+        clients = []
+        stop.clock = StallingClock(
+            stop.clock,
+            stalls_at,
+            lambda: clients.append(socket.create_connection(address)),
+        )
+        await asyncio.wait_for(stop.drain(listener), 5)
+        assert len(clients) == len(accepted) == 1
+        assert not listener.is_serving()
+        for each in (*clients, *accepted):
+            each.close()
