--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -114,7 +114,7 @@
         metadata: ForwardingMetadata,
         timeout_ms: int,
         unnamed_wait_ms: int,
-        longer_wait_ms: Callable[[], int],
+        longer_wait_ms: Callable[[], int] = lambda: 0,
     ) -> AttemptOutcome:
         """Send the request and wait for the response head.
 
