--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
@@ -12,12 +12,10 @@
 
 from medlarridge._internal.clock import Clock
 
+from ..protocol.configuration import Place
 from ..protocol.peer_messages import StreamGroup
 from .stream_origins import StreamOrigins
 
-Place = tuple[str, str]
-"""Host and path prefix of a route."""
-
 MAX_SEGMENT_STREAMS = 60
 MAX_SEGMENTS = 320
 """Limits of the streams that a router stores, about 30 bytes each."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
@@ -8,6 +8,9 @@
 
 from msgspec import Struct, field
 
+Place = tuple[str, str]
+"""Host and path prefix of a route."""
+
 
 class RouteKind(StrEnum):
     """Kind of a route, on which it depends whether its requests may be repeated."""
@@ -48,6 +51,11 @@
     resumable: bool = False
     gap_ms: int = 0
 
+    @property
+    def place(self) -> Place:
+        """Return where the route is reached."""
+        return self.host, self.path_prefix
+
     @property
     def repeatable(self) -> bool:
         """Return whether a request that may already have run may be run again."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/route_pools.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/route_pools.py
@@ -11,20 +11,12 @@
 
 from medlarridge._internal.clock import Clock
 
-from ..protocol.configuration import Configuration, Route, RouteKind
-
-Place = tuple[str, str]
-"""Host and path prefix of a route."""
+from ..protocol.configuration import Configuration, Place, RouteKind
 
 RECHECK_MS = 1_000
 """Interval at which the routes that have settled are looked for."""
 
 
-def place_of(route: Route) -> Place:
-    """Return where a route is reached."""
-    return route.host, route.path_prefix
-
-
 def route_key(place: Place, pool: str) -> int:
     """Return the 64-bit key of a route that leads to one pool."""
     return xxhash.xxh64_intdigest("\n".join((*place, pool)).encode())
@@ -63,9 +55,11 @@
         keys: dict[Place, tuple[str, int] | None] = {}
         for route in configuration.routes:
             if route.kind is RouteKind.STREAM:
-                place, pools = place_of(route), {share.pool for share in route.pools}
+                pools = {share.pool for share in route.pools}
                 pool = pools.pop()
-                keys[place] = None if pools else (pool, route_key(place, pool))
+                keys[route.place] = (
+                    None if pools else (pool, route_key(route.place, pool))
+                )
         if self.configuration is None:
             self.since_ms = self.clock.now_ms()
         else:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/version_sets.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/version_sets.py
@@ -10,13 +10,13 @@
 from medlarridge._internal.clock import Clock
 
 from ..coordination.stream_origins import RESUME_MARGIN_MS
-from ..protocol.configuration import Configuration
+from ..protocol.configuration import Configuration, Place
 from ..protocol.stored_streams import (
     StoredVersionSet,
     StoredVersionSets,
     VersionSet,
 )
-from .route_pools import Place, RoutePools
+from .route_pools import RoutePools
 from .server_table import ServerTable
 
 STORE_WAIT_MS = 2_000
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
@@ -11,7 +11,6 @@
 from .protocol.configuration import Pool, Route, RouteKind
 from .protocol.requests import RequestMetadata
 from .protocol.servers import BackendServer
-from .state.route_pools import place_of
 
 LOOKUP_TIMEOUT_MS = 300
 """Time in which the report arrives that names a stream: its client may come back sooner.
@@ -132,7 +131,7 @@
         age_ms = servers.age_ms()
         routes = self.components.version_sets.routes
         routes.refresh(self.components.configuration.current)
-        place = place_of(self.route)
+        place = self.route.place
         if (
             age_ms is None
             or age_ms > MAX_LIST_AGE_MS
@@ -151,5 +150,5 @@
         self.components.stream_origins.record(
             stream, self.origin, remaining_ms + RESUME_MARGIN_MS
         )
-        self.components.stream_records.begin(stream, place_of(self.route))
+        self.components.stream_records.begin(stream, self.route.place)
         self.components.on_stream_begun(stream)
