--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/route_pools.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/route_pools.py
@@ -4,7 +4,7 @@
 while the stream could begin.
 """
 
-from collections.abc import Set
+from collections.abc import Iterable, Set
 
 import xxhash
 from msgspec import Struct, field
@@ -17,19 +17,41 @@
 """Interval at which the routes that have settled are looked for."""
 
 
-def route_key(place: Place, pool: str) -> int:
-    """Return the 64-bit key of a route that leads to one pool."""
-    return xxhash.xxh64_intdigest("\n".join((*place, pool)).encode())
+def route_key(place: Place, pool: str, others: Iterable[Place] = ()) -> int:
+    """Return the 64-bit key of a route that leads to one pool.
+
+    ``others`` are the places below it whose routes lead elsewhere: if one is removed, this
+    route serves paths whose streams began in another pool.
+    """
+    texts = (*place, pool, *(prefix for _, prefix in sorted(others)))
+    return xxhash.xxh64_intdigest("\n".join(texts).encode())
 
 
 def covering_places(place: Place) -> list[Place]:
-    """Return the places whose routes serve the paths of this one if it has no route."""
+    """Return the places above this one whose routes may cover its paths."""
     host, prefix = place
-    return [
-        (host, prefix[: end + 1])
-        for end, character in enumerate(prefix)
-        if character == "/"
-    ]
+    ends = [end for end, character in enumerate(prefix) if character == "/"]
+    return [(host, prefix[: end + 1]) for end in ends[:-1]]
+
+
+def route_keys(configuration: Configuration) -> dict[Place, tuple[str, int] | None]:
+    """Return the pool and the key of each route for streams, None with several pools."""
+    pools: dict[Place, str | None] = {}
+    for route in configuration.routes:
+        if route.kind is RouteKind.STREAM:
+            names = {share.pool for share in route.pools}
+            pools[route.place] = names.pop() if len(names) == 1 else None
+    others: dict[Place, list[Place]] = {}
+    for place, pool in pools.items():
+        for covering in covering_places(place):
+            if covering in pools and pools[covering] != pool:
+                others.setdefault(covering, []).append(place)
+    return {
+        place: None
+        if pool is None
+        else (pool, route_key(place, pool, others.get(place, ())))
+        for place, pool in pools.items()
+    }
 
 
 class RoutePools(Struct):
@@ -52,14 +74,7 @@
         """Record which routes a new configuration has changed."""
         if configuration is None or configuration is self.configuration:
             return
-        keys: dict[Place, tuple[str, int] | None] = {}
-        for route in configuration.routes:
-            if route.kind is RouteKind.STREAM:
-                pools = {share.pool for share in route.pools}
-                pool = pools.pop()
-                keys[route.place] = (
-                    None if pools else (pool, route_key(route.place, pool))
-                )
+        keys = route_keys(configuration)
         if self.configuration is None:
             self.since_ms = self.clock.now_ms()
         else:
@@ -68,16 +83,13 @@
         self.checked_ms.clear()
 
     def record_changes(self, keys: dict[Place, tuple[str, int] | None]) -> None:
-        """Record the routes that have changed, and those that cover their paths."""
+        """Record the routes that are new, or do not lead where they led before."""
         now_ms = self.clock.now_ms()
-        missing = object()
-        for place in self.keys.keys() | keys.keys():
-            if self.keys.get(place, missing) != keys.get(place, missing):
-                for covering in covering_places(place):
-                    self.changed_ms[covering] = now_ms
-        self.changed_ms = {
-            place: ms for place, ms in self.changed_ms.items() if place in keys
-        }
+        for place, key in keys.items():
+            if place not in self.keys or key != self.keys[place]:
+                self.changed_ms[place] = now_ms
+        for place in self.changed_ms.keys() - keys.keys():
+            del self.changed_ms[place]
 
     def is_unchanged(self, place: Place, span_ms: int) -> bool:
         """Return whether no configuration has changed a route for so long."""
--- a/packages/medlarridge-direct/tests/direct/state/test_route_pools.py
+++ b/packages/medlarridge-direct/tests/direct/state/test_route_pools.py
@@ -79,6 +79,24 @@
         routes.clock.advance(SPAN_MS)
         assert routes.settled()
 
+    def test_a_narrower_route_to_the_same_pool_does_not_matter(self):
+        """Guards against LOST: records for routes whose streams begin in one pool."""
+        routes = make_routes(leads(PLACE, "models"))
+        routes.clock.advance(SPAN_MS)
+        routes.apply(leads(PLACE, "models"), leads(NARROWER, "models"))
+        assert routes.settled()
+        assert not routes.settled(NARROWER)
+        routes.apply(leads(PLACE, "models"))
+        assert routes.settled()
+
+    def test_a_narrower_route_that_moved_and_left_matters(self):
+        """Guards against ORDER: streams of the pool from which it moved before."""
+        routes = make_routes(leads(PLACE, "models"), leads(NARROWER, "spare"))
+        routes.clock.advance(SPAN_MS)
+        routes.apply(leads(PLACE, "models"), leads(NARROWER, "models"))
+        routes.apply(leads(PLACE, "models"))
+        assert not routes.settled()
+
     def test_other_changes_do_not_matter(self):
         """Guards against LOST after changes of time-outs, weights or other routes."""
         routes = make_routes(leads(PLACE, "models"))
@@ -106,6 +124,13 @@
         routes.apply(leads(PLACE, "models"))
         assert not routes.settled()
 
+    def test_a_stored_route_is_not_if_a_narrower_one_was_removed_meanwhile(self):
+        """Guards against ORDER: a route that is removed while all routers restart."""
+        before = make_routes(leads(PLACE, "models"), leads(NARROWER, "spare"))
+        routes = make_routes(leads(PLACE, "models"))
+        routes.stored["models"] = set(before.stored_keys(is_first=True))
+        assert not routes.settled()
+
     def test_new_routes_are_stored_when_they_have_settled(self):
         """Guards against ORDER: a new route that the store calls settled."""
         routes = make_routes(leads(PLACE, "models"))
