--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -156,6 +156,8 @@
 
 async def main():
     runner = Runner()
+    # The time, on the monotonic clock, from which the runner is back after a crash.
+    await asyncio.sleep(max(float(os.environ.get("LISTEN_AT", "0")) - time.monotonic(), 0))
     await asyncio.start_server(runner.serve, HOST, int(PORT))
     report("up")
     await runner.beat()
