--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
@@ -96,8 +96,10 @@
     """One version of the configuration.
 
     ``version`` is the operator's and orders the configurations, also when the store
-    shows an older one again. ``accounts`` maps API keys to accounts. ``by_host`` holds
-    the routes of each host, the longest prefix first.
+    shows an older one again. ``accounts`` maps API keys to accounts. ``requires_key``
+    tells whether routes that are not public require the key of an account; it holds
+    also when no account has a key. ``by_host`` holds the routes of each host, the
+    longest prefix first.
     """
 
     version: int
@@ -105,9 +107,12 @@
     pools: dict[str, Pool] = field(default_factory=dict)
     accounts: dict[str, Account] = field(default_factory=dict)
     limits: ClientLimits = ClientLimits()
+    requires_key: bool = False
     by_host: dict[str, list[Route]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
+        # A router of an earlier version sends the keys alone.
+        self.requires_key = self.requires_key or bool(self.accounts)
         self.by_host = {}
         for route in self.routes:
             self.by_host.setdefault(route.host, []).append(route)
@@ -125,11 +130,6 @@
         """Return a pool of a route; one that is not configured has no connections."""
         return self.pools.get(name) or Pool(name, max_connections=0)
 
-    @property
-    def requires_key(self) -> bool:
-        """Return whether routes that are not public require the key of an account."""
-        return bool(self.accounts)
-
 
 def effective_priority(route: Route, account: Account | None) -> int:
     """Return the priority of a request; 0 is the most urgent."""
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -359,6 +359,7 @@
                 revision=str(holder.watched_revision),
                 routes=len(holder.current.routes),
                 accounts=len(holder.current.accounts),
+                requires_key=holder.current.requires_key,
             )
 
     def set_store_reachable(
--- a/packages/medlarridge-direct/tests/adapter/test_store.py
+++ b/packages/medlarridge-direct/tests/adapter/test_store.py
@@ -243,6 +243,31 @@
         with pytest.raises(TransportError):
             await ObjectStore(client).read_configuration()
 
+    @pytest.mark.parametrize(
+        "tenants",
+        [
+            [{"name": "hule930", "apiKeys": []}],
+            [{"name": "hule930"}],
+            [{"name": "hule930", "apiKeys": None}, {"name": "b", "apiKeys": []}],
+            [],
+        ],
+    )
+    async def test_accounts_without_keys_leave_no_route_open(self, tenants):
+        """Guards against serving everybody once the last key is taken away."""
+        spec = SPEC | {"tenants": tenants}
+        client = FakeClient({"items": [item("main", spec)], "asOf": 40})
+        snapshot = await ObjectStore(client).read_configuration()
+        assert snapshot.configuration.accounts == {}
+        assert snapshot.configuration.requires_key
+
+    @pytest.mark.parametrize("change", [{}, {"tenants": None}])
+    async def test_a_configuration_without_accounts_requires_no_key(self, change):
+        """Guards against refusing all requests where no accounts are configured."""
+        spec = {name: value for name, value in SPEC.items() if name != "tenants"}
+        client = FakeClient({"items": [item("main", spec | change)], "asOf": 40})
+        snapshot = await ObjectStore(client).read_configuration()
+        assert not snapshot.configuration.requires_key
+
     async def test_a_watch_returns_the_revision_that_it_reached(self):
         """Guards against watching from a revision that the store has discarded."""
         changed = {"deleted": False, "object": item("main", SPEC, 46)}
--- a/packages/medlarridge-direct/tests/direct/test_request_run.py
+++ b/packages/medlarridge-direct/tests/direct/test_request_run.py
@@ -7,7 +7,12 @@
 )
 from medlarridge_direct._internal.coordination.server_health import SILENCE_TIMEOUT_MS
 from medlarridge_direct._internal.logs import Log
-from medlarridge_direct._internal.protocol.configuration import Pool, RouteKind
+from medlarridge_direct._internal.peer_snapshots import decode_content, encode_content
+from medlarridge_direct._internal.protocol.configuration import (
+    Configuration,
+    Pool,
+    RouteKind,
+)
 from medlarridge_direct._internal.protocol.requests import ClientRequest
 from medlarridge_direct._internal.protocol.servers import ServerState
 from medlarridge_direct._internal.request_handler import (
@@ -539,6 +544,18 @@
         assert response.status == 401
         assert components.connections.sent == []
 
+    @pytest.mark.parametrize("from_peer", [False, True])
+    async def test_no_key_is_valid_once_all_are_taken_away(self, from_peer):
+        """Guards against serving everybody where accounts are left without keys."""
+        current = configuration(keys=(), requires_key=True)
+        if from_peer:
+            current = decode_content(encode_content(current), Configuration)
+        components = make_components({"a": [(OK,)]})
+        components.configuration.apply_if_newer(current, 1_000_000)
+        response, _ = await handle_request({"a": 0}, components=components)
+        assert response.status == 401
+        assert components.connections.sent == []
+
     async def test_request_that_crashed_servers_is_refused(self):
         """Guards against one more server that crashes under the same request."""
         components = make_components({"a": [(OK,)]})
