--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -1,7 +1,6 @@
 """One attempt to get a response to a request from one server."""
 
 import asyncio
-from collections.abc import Callable
 
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.errors import TransportError
@@ -52,8 +51,9 @@
     ``shared_parts`` are the keys of the prompt's parts that other requests may share.
     ``asks_reports`` tells that the server is one of models, which report their state.
     ``permit`` is needed if the server names a limit.
-    As a context manager, it counts as load of the server while it is open and releases
-    or closes its connection on exit.
+    An attempt counts as load of the server while it is open; its end, also as a context
+    manager, releases or closes its connection. ``refused`` tells that the server has not run the request, and
+    ``lost_response`` that its response came to a connection where it names no request.
     """
 
     def __init__(
@@ -88,13 +88,47 @@
         self.attempt_number = 0
         self.sent_ms = 0
         self.was_silent = False
+        self.is_open = False
+        self.refused = False
+        self.lost_response = False
         self.received = ReceivedBody()
 
+    @property
+    def was_sent(self) -> bool:
+        """Return whether the request was sent to the server."""
+        return self.exchange is not None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the server may have run the request."""
+        return self.was_sent and not self.refused
+
+    @property
+    def is_broken(self) -> bool:
+        """Return whether the connection has failed and this is the next event."""
+        return (
+            self.exchange is not None
+            and bool(self.exchange.events)
+            and isinstance(self.exchange.events[0], Broken)
+        )
+
     def __enter__(self) -> "Attempt":
-        self.components.load.begin_attempt(self.server.instance)
+        self.open()
         return self
 
     def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def open(self) -> None:
+        """Begin to count as load of the server."""
+        self.is_open = True
+        self.components.load.begin_attempt(self.server.instance)
+
+    def close(self) -> None:
+        """End the attempt, unless that was done before."""
+        if not self.is_open:
+            return
+        self.is_open = False
         self.components.load.end_attempt(self.server.instance)
         if self.exchange is None:
             if self.permit is not None:
@@ -114,11 +148,9 @@
         metadata: ForwardingMetadata,
         timeout_ms: int,
         unnamed_wait_ms: int,
-        longer_wait_ms: Callable[[], int] = lambda: 0,
     ) -> AttemptOutcome:
         """Send the request and wait for the response head.
 
-        ``longer_wait_ms`` returns how long to wait on after ``timeout_ms``, 0 to end.
         After a response that names no request and may be to an earlier one, wait for
         ``unnamed_wait_ms`` at most.
         """
@@ -150,7 +182,7 @@
         self.attempt_number = self.components.health.record_sent(
             self.server.instance, self.server.pool
         )
-        return await self.read_head(timeout_ms, longer_wait_ms)
+        return await self.read_head(timeout_ms)
 
     async def connect(self) -> HttpConnection:
         """Return a connection, a new one if the server does not name requests."""
@@ -207,29 +239,27 @@
         end_s = asyncio.get_running_loop().time() + self.unnamed_wait_ms / MS_PER_S
         timeout.reschedule(min(end_s, timeout.when() or end_s))
 
-    async def read_head(
-        self, timeout_ms: int, longer_wait_ms: Callable[[], int]
-    ) -> AttemptOutcome:
-        """Wait for the response head and classify it."""
+    async def read_head(self, timeout_ms: int) -> AttemptOutcome:
+        """Wait for the response head and classify it.
+
+        After a time-out, the head may still be waited for by another call, unless the
+        response is lost.
+        """
         assert self.exchange is not None
-        event, waited_ms = None, 0
-        while event is None:
-            try:
-                async with asyncio.timeout(timeout_ms / MS_PER_S) as self.head_timeout:
-                    event = await self.exchange.next_event()
-            except TimeoutError:
-                if any(each.request_id is None for each in self.discarded):
-                    self.record_unnamed()
-                    return AttemptOutcome(
-                        OutcomeKind.SILENT,
-                        "no response after one that names no request",
-                    )
-                waited_ms += timeout_ms
-                timeout_ms = longer_wait_ms()
-                if not timeout_ms:
-                    return AttemptOutcome(
-                        OutcomeKind.SILENT, f"no response within {waited_ms} ms"
-                    )
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S) as self.head_timeout:
+                event = await self.exchange.next_event()
+        except TimeoutError:
+            if any(each.request_id is None for each in self.discarded):
+                self.lost_response = True
+                self.record_unnamed()
+                return AttemptOutcome(
+                    OutcomeKind.SILENT, "no response after one that names no request"
+                )
+            waited_ms = self.components.clock.now_ms() - self.sent_ms
+            return AttemptOutcome(
+                OutcomeKind.SILENT, f"no response within {waited_ms} ms"
+            )
         if isinstance(event, Broken):
             self.record_broken(event.ended_by_server)
             return AttemptOutcome(OutcomeKind.BROKEN, event.detail)
@@ -253,6 +283,11 @@
             self.received.splitter = EventSplitter()
         return self.classify_head(self.head)
 
+    async def wait_for_news(self) -> None:
+        """Wait until there is more of the response, or its connection has failed."""
+        assert self.exchange is not None
+        await self.exchange.wait()
+
     def is_event_stream(self, head: ResponseHead) -> bool:
         """Return whether the body is a stream of events.
 
@@ -273,6 +308,7 @@
             self.record_result(AttemptResult.REPLACED)
             record_server_down(self.components, self.server.instance)
         if head.not_executed or head.status == MISDIRECTED_REQUEST:
+            self.refused = True
             return AttemptOutcome(OutcomeKind.NOT_RUN, f"status {head.status}", head)
         if head.encoded:
             return AttemptOutcome(OutcomeKind.FAULTY, "content-encoded body", head)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt_outcome.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt_outcome.py
@@ -31,11 +31,6 @@
         """Return whether the server received the request, whether it ran it or not."""
         return self.kind not in (OutcomeKind.NOT_SENT, OutcomeKind.NO_CONNECTION)
 
-    @property
-    def may_have_run(self) -> bool:
-        """Return whether the server may have run the request."""
-        return self.reached_server and self.kind is not OutcomeKind.NOT_RUN
-
 
 class DiscardedResponse(Struct, frozen=True):
     """A response that is not to this attempt's request.
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/explanation.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/explanation.py
@@ -4,11 +4,11 @@
 
 from .coordination.placement import Placement
 from .coordination.prompt_cache_index import affinity_key
+from .protocol.accepted_request import AcceptedRequest
 from .protocol.configuration import Configuration
 from .protocol.requests import ClientRequest, PromptPart, RequestMetadata
 from .protocol.servers import BackendServer
 from .request_handler import Rejection, RequestHandler
-from .request_run import AcceptedRequest
 from .server_selection import rank_servers, servers_in_load_mean
 
 EXPLAIN_PATH = b"/explain"
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -48,6 +48,9 @@
 RESPONSE_DISCARDED = register(
     6014, "WARNING", "server sent a response that is not to the request in flight"
 )
+SILENT_SERVER_KEPT = register(
+    6015, "INFO", "silent server is waited for, as no other takes over"
+)
 PERMIT_REFUSED = register(6011, "INFO", "servers with a limit take no request now")
 STREAM_TAKEN_UP = register(6010, "INFO", "client takes up a stream")
 
@@ -308,6 +311,10 @@
             parts=self.shared_parts,
         )
 
+    def silent_server_kept(self, server: BackendServer, reason: str) -> None:
+        """Log why no other server takes over from a silent one."""
+        self.write(SILENT_SERVER_KEPT, server=server.instance, reason=reason)
+
     def response_broken(
         self, server: BackendServer, detail: str, received: ReceivedBody
     ) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/http_connection.py
@@ -83,14 +83,18 @@
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
 
-    async def next_event(self) -> ExchangeEvent:
-        """Wait for the next event and return it."""
+    async def wait(self) -> None:
+        """Wait until there is an event."""
         while not self.events:
             self.waiter = asyncio.get_running_loop().create_future()
             try:
                 await self.waiter
             finally:
                 self.waiter = None
+
+    async def next_event(self) -> ExchangeEvent:
+        """Wait for the next event and return it."""
+        await self.wait()
         event = self.events.popleft()
         if isinstance(event, Data):
             self.buffered_bytes -= len(event.data)
--- a/packages/medlarridge-direct/tests/direct/test_silent_streams.py
+++ b/packages/medlarridge-direct/tests/direct/test_silent_streams.py
@@ -4,13 +4,21 @@
 
 import pytest
 
-from medlarridge_direct._internal import request_run
+from medlarridge_direct._internal import request_attempts
 from medlarridge_direct._internal.coordination.server_health import EWMA_WEIGHT
 from medlarridge_direct._internal.protocol.configuration import RouteKind
 from medlarridge_direct._internal.settings import RetrySettings
 
-from .scripted import ScriptedConnections, make_components
-from .test_request_run import END, OK, STREAM, handle_request, stream_event
+from .scripted import REFUSE, RESET, ScriptedConnections, make_components
+from .test_request_run import (
+    END,
+    ERROR,
+    NOT_EXECUTED_503,
+    OK,
+    STREAM,
+    handle_request,
+    stream_event,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -22,11 +30,17 @@
     """Scripted connections that receive the last step of a script after a pause."""
 
     def connect(self, server, script):
+        if script is REFUSE:
+            return super().connect(server, script)
         *steps, last = script
         connection = super().connect(server, steps)
 
         def receive_last():
-            if not connection.closed:
+            if connection.closed:
+                return
+            if last is RESET:
+                connection.connection_lost(ConnectionResetError("reset"))
+            elif last:
                 connection.data_received(last)
 
         asyncio.get_running_loop().call_later(PAUSE_S, receive_last)
@@ -36,9 +50,9 @@
 @pytest.fixture
 def short_silence(monkeypatch):
     """Make servers count as silent soon."""
-    monkeypatch.setattr(request_run, "MIN_RETRY_TIMEOUT_MS", SILENCE_MS)
-    monkeypatch.setattr(request_run, "MIN_RESUME_TIMEOUT_MS", SILENCE_MS)
-    monkeypatch.setattr(request_run, "RETRY_TIMEOUT_FACTOR", 0)
+    monkeypatch.setattr(request_attempts, "MIN_RETRY_TIMEOUT_MS", SILENCE_MS)
+    monkeypatch.setattr(request_attempts, "MIN_RESUME_TIMEOUT_MS", SILENCE_MS)
+    monkeypatch.setattr(request_attempts, "RETRY_TIMEOUT_FACTOR", 0)
 
 
 PAUSING_STREAM = (STREAM + stream_event(1), stream_event(2) + END)
@@ -129,3 +143,87 @@
             {"a": []}, RouteKind.STREAM, components=components, resumable=True
         )
         assert components.health.servers["a"].failed_share == EWMA_WEIGHT
+
+
+NOTHING = b""
+SECOND_SERVERS = {
+    "refuses the connection": REFUSE,
+    "does not run it": (NOT_EXECUTED_503, NOTHING),
+    "resets": (RESET, NOTHING),
+    "fails": (ERROR, NOTHING),
+    "has it in a queue": (NOTHING,),
+}
+
+
+def in_order(*scripts):
+    """Return components whose servers "a" and "b" get these scripts in turn."""
+    components = pausing_components({})
+    remaining = list(scripts)
+    components.connections.scripts = {"a": remaining, "b": remaining}
+    return components
+
+
+async def handle_stream(components):
+    response, _ = await handle_request(
+        {"a": [], "b": []}, RouteKind.STREAM, components=components, resumable=True
+    )
+    return response
+
+
+class TestServerThatGoesOnAfterASilence:
+    """A sound server may be silent for a second or so and go on."""
+
+    @pytest.mark.parametrize("second", SECOND_SERVERS)
+    async def test_a_stream_is_whole_if_the_next_server_does_not_take_over(
+        self, short_silence, second
+    ):
+        """Guards against LOST: a sound server is left for one that cannot go on."""
+        components = in_order(PAUSING_STREAM, SECOND_SERVERS[second])
+        response = await handle_stream(components)
+        assert bytes(response.body) == b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+        assert response.ended
+
+    @pytest.mark.parametrize("second", SECOND_SERVERS)
+    async def test_a_late_first_response_is_delivered(self, short_silence, second):
+        """Guards against 502 although the first server answers after all."""
+        components = in_order((OK,), SECOND_SERVERS[second])
+        response, _ = await handle_request({"a": [], "b": []}, components=components)
+        assert (response.status, bytes(response.body)) == (200, b"ok")
+
+    async def test_it_is_left_once_the_next_server_responds(self, short_silence):
+        """Guards against TWICE: two servers work on one stream."""
+        components = in_order((STREAM + stream_event(1), NOTHING), PAUSING_STREAM)
+        response = await handle_stream(components)
+        (_, first), (_, second) = components.connections.sent
+        assert response.ended
+        assert first.aborted
+        assert b"resume: 1" in second.written
+
+    async def test_the_next_server_is_left_once_it_goes_on(self, short_silence):
+        """Guards against a second run that goes on beside the first one."""
+        components = in_order(PAUSING_STREAM, SECOND_SERVERS["has it in a queue"])
+        await handle_stream(components)
+        (_, first), (_, second) = components.connections.sent
+        assert second.aborted
+        assert not first.aborted
+
+    async def test_its_crash_does_not_end_the_search(self, short_silence):
+        """Guards against leaving the next server when the silent one ends."""
+        components = in_order(
+            (STREAM + stream_event(1), RESET), (STREAM + stream_event(2) + END,)
+        )
+        response = await handle_stream(components)
+        assert response.ended
+        assert len(sent_to(components)) == 2
+
+    async def test_a_client_that_leaves_ends_both_attempts(self, short_silence):
+        """Guards against GONE: a server goes on for a client that has left."""
+        components = in_order((STREAM + stream_event(1), NOTHING), (NOTHING,))
+        task = asyncio.ensure_future(handle_stream(components))
+        await asyncio.sleep(2 * SILENCE_MS / 1000)
+        assert len(sent_to(components)) == 2
+        task.cancel()
+        await asyncio.wait((task,))
+        assert all(transport.aborted for _, transport in components.connections.sent)
+        assert components.load.in_flight("a") == components.load.in_flight("b") == 0
+        assert components.retry_budget.open_retries() == 0
--- a/packages/medlarridge-direct/tests/soak/server_process.py
+++ b/packages/medlarridge-direct/tests/soak/server_process.py
@@ -76,6 +76,7 @@
         self.request_count = 0
         self.running: set[HttpConnection] = set()
         self.faults: dict[str, float] = {}
+        self.silent_until_s = 0.0
         self.random = Random(entry.instance)
 
     # Requests
@@ -174,6 +175,7 @@
         if connection.request_count > 1 and self.fault_occurs("repeat"):
             report("repeated", id=request_id)
             await connection.send_bytes(repeated_refusal(self.random))
+        await self.wait_while_silent()
         if self.pool == "desk":
             await asyncio.sleep(RESPONSE_TIME_S * (0.5 + self.random.random()))
         elif has_crashing_part(request.headers.get(names.PROMPT_PARTS, b"")):
@@ -260,6 +262,7 @@
                     connection.abort()
                 return "cut"
             event = stream_event(stream_id, number, self.version)
+            await self.wait_while_silent()
             await connection.send(h11.Data(event))
             await asyncio.sleep(event_interval_s(request.target, self.random))
         await connection.send(h11.EndOfMessage())
@@ -291,10 +294,16 @@
             if number == cut_at:
                 await connection.send_bytes(event[: len(event) // 2])
                 return "cut"
+            await self.wait_while_silent()
             await connection.send_bytes(event)
             await asyncio.sleep(event_interval_s(target, self.random))
         return "unframed"
 
+    async def wait_while_silent(self) -> None:
+        """Wait until this sound server, which has fallen silent, goes on."""
+        while (left_s := self.silent_until_s - time.monotonic()) > 0:
+            await asyncio.sleep(left_s)
+
     async def end_requests(self) -> None:
         """Wait for the running requests, then reset the connections of the rest.
 
@@ -314,6 +323,8 @@
         )
         while line := await reader.readline():
             self.faults = json.loads(line)
+            silent_s = self.faults.pop("silent", 0)
+            self.silent_until_s = max(self.silent_until_s, time.monotonic() + silent_s)
 
 
 async def main(
--- a/packages/medlarridge-direct/tests/soak/stop_run.py
+++ b/packages/medlarridge-direct/tests/soak/stop_run.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import signal
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from .checks import RETRY_SLACK
 from .configuration import GRACE_S
 from .fault_actions import STOP_MARGIN_S
-from .fleet import ROUTER_COUNT
+from .fleet import POOLS, ROUTER_COUNT
 from .observations import RouterStop
 from .processes import EXIT_TIMEOUT_S, monotonic_s
 from .request_records import LONG_REQUEST_KINDS, REQUEST_KINDS, SentRequest
@@ -23,6 +23,9 @@
 IDLE_CONNECT_SHARE = 0.2
 MAX_IDLE_CONNECT_S = 0.4
 """Longest time that a new connection is idle before its first request."""
+SILENCE_S = (0.6, 1.6)
+"""Bounds of the time for which a sound server sends nothing."""
+STREAM_SERVERS = POOLS.count("talk")
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,12 +50,38 @@
     """Time from SIGHUP to SIGTERM; negative if SIGHUP comes later."""
     early_stop_s: float | None
     """Time after its new start at which the first router is told to stop again."""
+    silences: tuple["Silence", ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Silence:
+    """A time in which a sound server of streams sends nothing; then it goes on."""
+
+    at_s: float
+    """Time after the first SIGTERM."""
+    for_s: float
+    server: int
 
 
 def make_rounds(seed: int, length_s: float) -> list[StopRound]:
     """Return the rounds of a seed."""
     random = Random(f"{seed}-stops")
-    return [make_round(random) for _ in range(max(1, round(length_s / ROUND_S)))]
+    rounds = [make_round(random) for _ in range(max(1, round(length_s / ROUND_S)))]
+    # These change nothing else of a seed.
+    silent = Random(f"{seed}-silences")
+    return [replace(each, silences=make_silences(silent)) for each in rounds]
+
+
+def make_silences(random: Random) -> tuple[Silence, ...]:
+    """Return the silences of a round, which overlap or follow each other."""
+    return tuple(
+        Silence(
+            at_s=round(random.uniform(0, 5), 2),
+            for_s=round(random.uniform(*SILENCE_S), 2),
+            server=random.randrange(STREAM_SERVERS),
+        )
+        for _ in range(random.choice([0, 0, 1, 2, 4]))
+    )
 
 
 def make_round(random: Random) -> StopRound:
@@ -87,6 +116,7 @@
     def __init__(self, *arguments: object) -> None:
         super().__init__(*arguments)
         self.wave = asyncio.Event()
+        self.behaviour: dict[str, float] = {}
 
     def make_plan(self) -> list[StopRound]:
         """Return the rounds of the seed."""
@@ -126,14 +156,25 @@
             asyncio.create_task(self.restart_router(planned, position))
             for position in range(len(planned.routers))
         ]
+        silences = [
+            asyncio.create_task(self.silence_server(each)) for each in planned.silences
+        ]
         await asyncio.sleep(planned.wave_tail_s)
         self.command_servers(behaviour)
-        await asyncio.gather(*stops)
+        await asyncio.gather(*stops, *silences)
         self.wave.clear()
         self.command_servers({})
 
+    async def silence_server(self, silence: Silence) -> None:
+        """Let one server send nothing for a time."""
+        await asyncio.sleep(silence.at_s)
+        self.fleet.servers[silence.server].send_command(
+            {**self.behaviour, "silent": silence.for_s}
+        )
+
     def command_servers(self, behaviour: dict[str, float]) -> None:
         """Set how all servers treat requests; only those of streams name a limit."""
+        self.behaviour = behaviour
         for pool, server in zip(self.pools, self.fleet.servers, strict=True):
             skipped = () if pool == "talk" else ("limit",)
             server.send_command(
