--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
@@ -1,6 +1,6 @@
 """The components of a router that request handling uses."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 
 from msgspec import Struct, field
@@ -37,7 +37,9 @@
     ``on_parts_cached``, ``on_crash_evidence``, ``on_stream_begun`` and, after a trial
     or a success of a suspected prompt part, ``on_parts_changed`` report to the others;
     ``router_rank`` returns the position of this router among all;
-    ``on_server_avoided`` takes a server and the result for which it is avoided.
+    ``on_server_avoided`` takes a server and the result for which it is avoided;
+    ``confirm_versions`` reads what the store says just now of the versions of streams and
+    returns whether that succeeded.
     """
 
     clock: Clock
@@ -67,5 +69,6 @@
     on_parts_changed: Callable[[], None]
     router_rank: Callable[[], int]
     on_stream_begun: Callable[[int], None]
+    confirm_versions: Callable[[], Awaitable[bool]]
     stop_schedule: StopSchedule
     durations: RouteDurations = field(default_factory=RouteDurations)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -66,6 +66,7 @@
 from .state.server_table import ServerTable
 from .state.version_sets import VersionSets
 from .store_sync import StoreSync
+from .stream_evidence import StreamEvidence
 from .transport.accept_queue import LISTEN_BACKLOG, AcceptQueue
 from .transport.client_connection import ClientConnection, ResponseWriter
 from .transport.server_connections import ConnectionPools
@@ -159,6 +160,7 @@
             self.peer_reports.announce_departures,
             settings.first_start,
         )
+        self.stream_evidence = StreamEvidence(self.components, self.store_sync)
         self.peer_reports.kept_permits = self.store_sync.permit_leases.kept
         self.peer_reports.on_kept_permits = self.store_sync.permit_leases.observe_kept
 
@@ -227,6 +229,7 @@
             on_parts_changed=self.announce_changed_parts,
             router_rank=lambda: self.peers.live_rank(),
             on_stream_begun=self.announce_stream,
+            confirm_versions=lambda: self.stream_evidence.confirm(),
             stop_schedule=self.stop_schedule,
         )
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -203,6 +203,23 @@
             read_ms = self.components.clock.now_ms()
         self.apply_own_listing(listing, read_ms)
 
+    async def confirm_servers(self) -> None:
+        """Read what has changed in the list up to now."""
+        servers = self.components.servers
+        requested_ms = self.components.clock.now_ms()
+        if servers.listing is not None and not servers.outdated:
+            try:
+                self.count_call("watch-servers")
+                listing = await self.store.watch_servers(
+                    servers.listing, SHORT_WATCH_MS
+                )
+                self.apply_own_listing(listing, requested_ms)
+                return
+            except HistoryGone:
+                requested_ms = self.components.clock.now_ms()
+        self.count_call("list-servers")
+        self.apply_own_listing(await self.store.list_servers(), requested_ms)
+
     def end_of_watch_ms(self, requested_ms: int, wait_ms: int) -> int:
         """Return up to when a watch without a result shows that nothing changed.
 
@@ -305,8 +322,20 @@
         is_first = self.peers.store_reader_rank() == 0
         max_age_ms = 0 if is_first else CONFIGURATION_MAX_AGE_MS
         wait_ms = WATCH_TIMEOUT_MS if is_first else SHORT_WATCH_MS
-        if not self.is_due(holder.age_ms(), max_age_ms, CONFIGURATION_RANK_DELAY_MS):
-            return
+        if self.is_due(holder.age_ms(), max_age_ms, CONFIGURATION_RANK_DELAY_MS):
+            await self.watch_configuration(wait_ms)
+
+    async def confirm_configuration(self) -> None:
+        """Read whether there is a newer configuration now."""
+        holder = self.components.configuration
+        if not holder.outdated and holder.is_known:
+            await self.watch_configuration(SHORT_WATCH_MS)
+        if holder.outdated or not holder.is_known:
+            await self.read_own_configuration()
+
+    async def watch_configuration(self, wait_ms: int) -> None:
+        """Wait once for a newer configuration; it is outdated if that fails."""
+        holder = self.components.configuration
         requested_ms = self.components.clock.now_ms()
         try:
             self.count_call("watch-configuration")
@@ -334,6 +363,10 @@
                 if holder.apply_if_newer(*snapshot):
                     self.log_configuration()
                 return
+        await self.read_own_configuration()
+
+    async def read_own_configuration(self) -> None:
+        """Read the configuration from the store."""
         requested_ms = self.components.clock.now_ms()
         self.count_call("read-configuration")
         result = await self.store.read_configuration()
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
@@ -21,9 +21,6 @@
 
 LOOKUP_INTERVAL_MS = 20
 
-MAX_LIST_AGE_MS = 2_000
-"""Age of the server list up to which a version that it lacks has begun no stream."""
-
 
 class StreamContinuity:
     """Origin of the stream of one request; None until the first event was delivered.
@@ -60,14 +57,19 @@
     async def find_pool(self, pool: Pool) -> Pool | None:
         """Find where the stream began; return the pool in which it goes on.
 
-        Without a record, the stream began at the only version that ``pool`` had since.
-        Return None if that is not known, or if the route leads elsewhere now.
+        Without a record, the stream began at the only version that ``pool`` had since,
+        by what the store holds after the request has come. Return None if that is not
+        known, or if the route leads elsewhere now.
         """
         self.origin = await self.look_up(pool)
         source = self.record_source()
-        if self.origin is None:
+        if self.origin is None and await self.components.confirm_versions():
             self.origin = self.infer_from_only_version(pool)
             source = self.inference_source()
+            if self.origin is None:
+                # Another version has come to light, so there may be a record.
+                self.origin = await self.look_up(pool)
+                source = self.record_source()
         self.log.stream_taken_up(self.metadata, self.origin, source)
         configuration = self.components.configuration.current
         if self.origin is None or configuration is None:
@@ -126,17 +128,15 @@
         return self.components.version_sets.held_back(pool.name)
 
     def infer_from_only_version(self, pool: Pool) -> StreamOrigin | None:
-        """Return the origin if only one version can have begun the stream."""
+        """Return the origin if only one version can have begun the stream.
+
+        That rests on the newest list, configuration and stored versions of this router.
+        """
         servers = self.components.servers
-        age_ms = servers.age_ms()
         routes = self.components.version_sets.routes
         routes.refresh(self.components.configuration.current)
         place = self.route.place
-        if (
-            age_ms is None
-            or age_ms > MAX_LIST_AGE_MS
-            or not routes.is_settled(place, pool.name, self.span_ms)
-        ):
+        if not routes.is_settled(place, pool.name, self.span_ms):
             return None
         version = servers.versions.only_version(pool.name, self.span_ms)
         return None if version is None else StreamOrigin(pool.name, version)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/version_sets_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/version_sets_sync.py
@@ -109,10 +109,22 @@
     async def read_if_due(self, stale: bool) -> None:
         """Read all sets unless that was done a moment ago."""
         now_ms = self.components.clock.now_ms()
-        basis = self.sets.basis
-        if now_ms < self.next_read_ms or basis is None:
+        if now_ms < self.next_read_ms or self.sets.basis is None:
             return
         self.next_read_ms = now_ms + READ_INTERVAL_MS
+        await self.read(stale)
+
+    async def confirm(self) -> None:
+        """Read what is stored now, if a stream may be taken up at all."""
+        self.sets.refresh(self.components.configuration.current)
+        if self.sets.spans_ms and self.sets.basis is not None:
+            await self.read(stale=False)
+
+    async def read(self, stale: bool) -> None:
+        """Read all sets."""
+        basis = self.sets.basis
+        assert basis is not None
+        now_ms = self.components.clock.now_ms()
         call = "list-version-sets-stale" if stale else "list-version-sets"
         self.components.metrics.store_calls[call] += 1
         sets = await self.store.list_version_sets(stale)
--- a/packages/medlarridge-direct/tests/adapter/test_store_eras.py
+++ b/packages/medlarridge-direct/tests/adapter/test_store_eras.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from medlarridge_direct._internal.protocol.revision import Revision
-from medlarridge_direct._internal.stream_continuity import MAX_LIST_AGE_MS
+from medlarridge_direct._internal.state.pool_versions import MAX_GAP_MS
 
 from .store_model import EXPIRY_MS, STEP_MS, Fleet
 
@@ -151,7 +151,7 @@
         servers = router.components.servers
         age_ms = servers.age_ms()
         only = servers.versions.only_version("models", VERSION_SPAN_MS)
-        if only is None or age_ms is None or age_ms > MAX_LIST_AGE_MS:
+        if only is None or age_ms is None or age_ms > MAX_GAP_MS:
             return
         earliest_ms, latest_ms = self.now_ms - VERSION_SPAN_MS, self.now_ms - age_ms
         for version, times_ms in self.served_ms.items():
--- a/packages/medlarridge-direct/tests/direct/router_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/router_fleet.py
@@ -12,7 +12,11 @@
 from medlarridge_direct._internal.peer_reports import REPORT_INTERVAL_MS, PeerReports
 from medlarridge_direct._internal.peer_snapshots import PeerSnapshots
 from medlarridge_direct._internal.protocol.permit_leases import StoredLease
+from medlarridge_direct._internal.protocol.platform_interface import (
+    ConfigurationSnapshot,
+)
 from medlarridge_direct._internal.protocol.revision import Revision
+from medlarridge_direct._internal.protocol.servers import ServerListing
 from medlarridge_direct._internal.protocol.stored_streams import (
     StoredVersionSet,
     StoredVersionSets,
@@ -25,6 +29,7 @@
 from medlarridge_direct._internal.settings import RetrySettings
 from medlarridge_direct._internal.state.peer_table import PeerTable
 from medlarridge_direct._internal.store_sync import StoreSync
+from medlarridge_direct._internal.stream_evidence import StreamEvidence
 
 from .scripted import make_starting_components
 
@@ -36,7 +41,7 @@
 class Registry:
     """The part of the store that has routers, refused prompt parts, leases and streams.
 
-    ``version_sets`` and ``stream_records`` hold values with their revisions by name; no
+    ``listing`` is the server list of fleets whose routers read it. ``version_sets`` and ``stream_records`` hold values with their revisions by name; no
     write of them is taken while the store is ``read_only``. ``copies`` are earlier states of the leases, from which a drill may go on. The
     answer to the next write of a node in ``losing_answers_to`` is lost.
     """
@@ -49,6 +54,7 @@
     last_number: int = 0
     copies: list[tuple[dict[str, StoredLease], int]] = field(default_factory=list)
     losing_answers_to: set[str] = field(default_factory=set)
+    listing: ServerListing | None = None
     version_sets: dict = field(default_factory=dict)
     stream_records: dict = field(default_factory=dict)
     read_only: bool = False
@@ -111,6 +117,17 @@
         self.check()
         self.registry.refused_parts.pop(part, None)
 
+    async def list_servers(self):
+        self.check()
+        return self.registry.listing
+
+    async def watch_servers(self, listing, wait_ms):
+        return await self.list_servers()
+
+    async def watch_configuration(self, watched_revision, wait_ms):
+        self.check()
+        return ConfigurationSnapshot(None, watched_revision)
+
     async def list_version_sets(self, stale):
         self.call("list-version-sets")
         return StoredVersionSets(self.registry.era, dict(self.registry.version_sets))
@@ -171,6 +188,13 @@
         return written
 
 
+class PromptEvidence(StreamEvidence):
+    """Evidence without a pause between reads, which would be one of the real clock."""
+
+    def interval_ms(self):
+        return 0
+
+
 class FleetRouter:
     """One incarnation of a router; it takes every retry that its budget allows."""
 
@@ -201,6 +225,9 @@
             first_start=incarnation == 1,
         )
         self.next_record_ms = fleet.clock.now_ms()
+        self.components.confirm_versions = PromptEvidence(
+            self.components, self.sync
+        ).confirm
         leases = self.sync.permit_leases
         self.reports.kept_permits = leases.kept
         self.reports.on_kept_permits = leases.observe_kept
--- a/packages/medlarridge-direct/tests/direct/scripted.py
+++ b/packages/medlarridge-direct/tests/direct/scripted.py
@@ -240,6 +240,11 @@
         return True
 
 
+async def confirm_at_once():
+    """Confirm that what a router without a store knows is the newest."""
+    return True
+
+
 def make_components(scripts=None, clock=None, load_factor=2.0):
     """Return the components of a router that has been running for long."""
     clock = clock or ManualClock(1_000_000)
@@ -294,5 +299,6 @@
         on_parts_changed=lambda: None,
         router_rank=lambda: 0,
         on_stream_begun=lambda stream: None,
+        confirm_versions=confirm_at_once,
         stop_schedule=StopSchedule(clock),
     )
--- a/packages/medlarridge-direct/tests/direct/test_moved_routes.py
+++ b/packages/medlarridge-direct/tests/direct/test_moved_routes.py
@@ -48,6 +48,7 @@
                 name: Pool(name, 300, runs_models=True) for name in ("models", "spare")
             },
         )
+        self.fleet.registry.listing = listed
         for router in self.fleet.routers.values():
             components = router.components
             now_ms = components.clock.now_ms()
--- a/packages/medlarridge-direct/tests/direct/test_stream_origins_under_faults.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_origins_under_faults.py
@@ -51,10 +51,13 @@
             self.list_servers(self.versions | {f"{version}-{self.revision}": version})
 
     def restart(self):
-        self.fleet.start(self.random.randrange(FLEET_SIZE))
+        number = self.random.randrange(FLEET_SIZE)
+        self.fleet.start(number)
+        self.out_of_step.discard(number)
         self.list_servers()
 
     def restart_together(self):
+        self.out_of_step.clear()
         for number in range(FLEET_SIZE):
             self.fleet.start(number)
         self.list_servers()
@@ -74,7 +77,12 @@
     def cut(self):
         self.fleet.cut(self.random.randrange(FLEET_SIZE))
 
+    def fall_out_of_step(self):
+        """Let a router learn nothing more of servers from now on."""
+        self.out_of_step.add(self.random.randrange(FLEET_SIZE))
+
     def heal(self):
+        self.out_of_step.clear()
         self.fleet.heal()
         self.fleet.registry.unreachable_for.clear()
         self.fleet.registry.read_only = False
@@ -97,7 +105,7 @@
             components.on_stream_begun(stream)
             self.streams[stream] = version, self.fleet.clock.now_ms() + left_ms
 
-    def check(self):
+    async def check(self):
         """Check what every router believes of every stream; return what it knows."""
         now_ms = self.fleet.clock.now_ms()
         self.streams = {
@@ -111,7 +119,9 @@
             route = components.configuration.current.routes[0]
             continuity = StreamContinuity(components, route, None, None)
             pool = configuration().find_pool(POOL)
-            inferred = continuity.infer_from_only_version(pool)
+            inferred = None
+            if await components.confirm_versions():
+                inferred = continuity.infer_from_only_version(pool)
             for stream, (version, _) in self.streams.items():
                 origin = components.stream_origins.find(stream) or inferred
                 known += origin is not None
@@ -132,6 +142,7 @@
             fleet.toggle_writes,
             fleet.toggle_store,
             fleet.cut,
+            fleet.fall_out_of_step,
             fleet.heal,
         ]
         known = 0
@@ -143,10 +154,10 @@
                 fleet.copies.append(fleet.fleet.registry.keep_copy())
                 del fleet.copies[:-COPIES]
             fleet.begin()
-            known += fleet.check()
+            known += await fleet.check()
             await fleet.run(STEP_MS)
             for router in fleet.fleet.routers.values():
                 if router.node not in fleet.fleet.registry.unreachable_for:
                     await router.sync.stream_records.read()
-            known += fleet.check()
+            known += await fleet.check()
         assert known > 0
--- a/packages/medlarridge-direct/tests/direct/test_stream_restarts.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_restarts.py
@@ -16,7 +16,6 @@
     FLEET_SIZE,
     HANDOVER_MS,
     StreamFleet,
-    prepare,
     request,
     stream,
 )
@@ -35,15 +34,6 @@
 class RestartingFleet(StreamFleet):
     """Routers that all lose what they know at the same moment."""
 
-    era = 0
-
-    def list_servers(self, versions=None):
-        self.versions = versions or self.versions
-        self.revision += 1
-        for router in self.fleet.routers.values():
-            components = router.components
-            prepare(components, {}, self.versions, self.revision, era=self.era)
-
     async def restart_all(self):
         for number in range(FLEET_SIZE):
             self.fleet.start(number)
--- a/packages/medlarridge-direct/tests/direct/test_stream_versions.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_versions.py
@@ -4,6 +4,8 @@
 started; but they do go on where a server of that version is left.
 """
 
+import asyncio
+
 import pytest
 
 from medlarridge import ManualClock
@@ -140,14 +142,23 @@
         self.versions = versions or {"a": "v1", "b": "v2", "c": "v1"}
         self.fleet = RouterFleet(FLEET_SIZE)
         self.revision = 0
+        self.era = 0
+        self.out_of_step = set()
         self.list_servers()
 
     def list_servers(self, versions=None):
-        """Let all routers read the server list, with other servers if given."""
+        """Let the routers read the server list, with other servers if given.
+
+        Those that are ``out_of_step`` do not learn what is in the store.
+        """
         self.versions = versions or self.versions
         self.revision += 1
-        for router in self.fleet.routers.values():
-            prepare(router.components, {}, self.versions, self.revision)
+        self.fleet.registry.listing = listing(
+            *pool_of(self.versions), revision=self.revision, era=self.era
+        )
+        for number, router in self.fleet.routers.items():
+            if number not in self.out_of_step:
+                prepare(router.components, {}, self.versions, self.revision, self.era)
 
     async def run(self, duration_ms):
         """Let time pass; the routers read the server list once a second."""
@@ -183,7 +194,10 @@
             if version == busy:
                 components.load.begin_attempt(instance)
         components.connections = ScriptedConnections(
-            {instance: [stream(2)] for instance in self.versions}
+            {
+                instance: [stream(2)]
+                for instance in {*self.versions, *components.servers.by_instance}
+            }
         )
         response = await request(components, request_id, resume="1", resumes=resumes)
         return response, sent_to(components)
@@ -262,6 +276,55 @@
         assert len(asked) == 1
         assert response.status == 200
 
+    @pytest.mark.parametrize("versions_after", [{"b": "v2"}, {"a": "v1", "b": "v2"}])
+    @pytest.mark.parametrize("reaches_store", [True, False])
+    async def test_a_router_out_of_step_does_not_guess_the_version(
+        self, versions_after, reaches_store
+    ):
+        """Guards against ORDER: a version that came while a router stood still."""
+        fleet = StreamFleet({"a": "v1", "c": "v1"})
+        await fleet.settle()
+        fleet.out_of_step = {3}
+        fleet.fleet.cut(3)
+        fleet.list_servers(versions_after)
+        await fleet.run(HANDOVER_MS)
+        await fleet.begin(0, "b")
+        if not reaches_store:
+            fleet.fleet.registry.unreachable_for.add("front-3")
+        response, asked = await fleet.resume(3)
+        assert asked == (["b"] if response.status == 200 else [])
+        assert response.status in (200, 503)
+
+    async def test_what_a_router_out_of_step_confirms_is_from_after_the_request(self):
+        """Guards against ORDER: a read that began before the stream did."""
+        fleet = StreamFleet({"a": "v1", "c": "v1"})
+        await fleet.settle()
+        fleet.out_of_step = {3}
+        fleet.fleet.cut(3)
+        components = fleet.fleet.routers[3].components
+        first = asyncio.ensure_future(components.confirm_versions())
+        await asyncio.sleep(0)
+        fleet.list_servers({"a": "v1", "b": "v2"})
+        await fleet.run(HANDOVER_MS)
+        await fleet.begin(0, "b")
+        response, asked = await fleet.resume(3)
+        assert await first
+        assert asked == (["b"] if response.status == 200 else [])
+
+    async def test_a_delayed_report_confirms_no_old_list(self):
+        """Guards against ORDER: a report from before the release makes a list new."""
+        fleet = StreamFleet({"a": "v1", "c": "v1"})
+        await fleet.settle()
+        fleet.out_of_step = {3}
+        fleet.fleet.cut(3)
+        fleet.list_servers({"a": "v1", "b": "v2"})
+        await fleet.run(HANDOVER_MS)
+        await fleet.begin(0, "b")
+        servers = fleet.fleet.routers[3].components.servers
+        servers.confirm(fleet.fleet.clock.now_ms())
+        response, asked = await fleet.resume(3)
+        assert asked == (["b"] if response.status == 200 else [])
+
     async def test_an_unknown_stream_does_not_go_on_after_a_release(self):
         """Guards against a version that has left a moment ago."""
         fleet = StreamFleet({"a": "v1", "c": "v1"})
