--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_snapshots.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/peer_snapshots.py
@@ -103,7 +103,12 @@
             return decode_content(
                 snapshot.content, as_type
             ), requested_ms - snapshot.age_ms
-        except (TransportError, msgspec.DecodeError, zlib.error) as error:
+        except (
+            TransportError,
+            msgspec.DecodeError,
+            RecursionError,
+            zlib.error,
+        ) as error:
             # The caller asks the next peer or the store instead.
             self.log.event(
                 SNAPSHOT_FAILED, peer=client.host, path=path.decode(), error=str(error)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/configuration.py
@@ -98,8 +98,9 @@
     ``version`` is the operator's and orders the configurations, also when the store
     shows an older one again. ``accounts`` maps API keys to accounts. ``requires_key``
     tells whether routes that are not public require the key of an account; it holds
-    also when no account has a key. ``by_host`` holds the routes of each host, the
-    longest prefix first.
+    also when no account has a key. ``malformed`` is the number of routes, pools and
+    accounts that were left out. ``by_host`` holds the routes of each host, the longest
+    prefix first.
     """
 
     version: int
@@ -108,6 +109,7 @@
     accounts: dict[str, Account] = field(default_factory=dict)
     limits: ClientLimits = ClientLimits()
     requires_key: bool = False
+    malformed: int = 0
     by_host: dict[str, list[Route]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/peer_messages.py
@@ -146,5 +146,5 @@
     """Decode a report; raise ``CodecError`` if the data is malformed."""
     try:
         return DECODER.decode(data)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise CodecError(str(error), step="decode report") from error
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/permit_messages.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/permit_messages.py
@@ -66,5 +66,5 @@
     """Decode a message; raise ``CodecError`` if the data is malformed."""
     try:
         return DECODER.decode(data[len(PREFIX) :])
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise CodecError(str(error), step="decode permit message") from error
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -393,6 +393,7 @@
                 routes=len(holder.current.routes),
                 accounts=len(holder.current.accounts),
                 requires_key=holder.current.requires_key,
+                malformed=holder.current.malformed,
             )
 
     def set_store_reachable(
--- a/packages/medlarridge-direct/src/medlarridge_direct/platform_api.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/platform_api.py
@@ -12,6 +12,7 @@
     Route,
     RouteKind,
 )
+from ._internal.protocol.lenient_json import bounded_int, decode_json
 from ._internal.protocol.peer_messages import StreamGroup
 from ._internal.protocol.permit_leases import LeaseRecord, StoredLease
 from ._internal.protocol.platform_interface import (
@@ -74,6 +75,8 @@
     "TransportError",
     "UserError",
     "VersionSet",
+    "bounded_int",
+    "decode_json",
     "load_settings",
     "split_endpoint",
 ]
