--- a/packages/medlarridge-direct/tests/direct/transport/test_server_connections.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_server_connections.py
@@ -70,6 +70,10 @@
         listener.close()
 
 
+SILENCE_S = 1.2
+"""Time for which a sound server may be silent."""
+
+
 def answering(response):
     """Return a server's handler that sends a response and holds the connection."""
 
@@ -107,6 +111,22 @@
         connection.abort()
         listener.close()
 
+    async def test_a_server_that_is_silent_for_a_second_is_serving(self):
+        """Guards against a whole body that counts as cut for a silence after it."""
+
+        async def answer_late(reader, writer):
+            await asyncio.sleep(SILENCE_S)
+            await answering(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")(
+                reader, writer
+            )
+
+        listener, entry = await listen(answer_late)
+        pools = ConnectionPools()
+        assert await pools.is_serving(entry, 5, b"/report")
+        connection = await pools.acquire(entry, 5)
+        connection.abort()
+        listener.close()
+
     async def test_a_proxy_whose_server_has_ended_is_not_serving(self):
         """Guards against a crash that a proxy in front of the server hides for a while
         (fault soak, seeds 320194 and 304)."""
