--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_attempts.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_attempts.py
@@ -64,8 +64,9 @@
     Servers are tried one after the other. One that is silent keeps its attempt until
     another server responds, as it may go on.
 
-    ``made`` are all attempts, in order. ``without_permit`` are servers with a limit that
-    had no permit for this request. ``tries_part`` marks a request that tries a prompt
+    ``made`` are all attempts, in order; ``any_silent`` tells that one of them may still be
+    on its way. ``without_permit`` are servers with a limit that had no permit for this
+    request. ``tries_part`` marks a request that tries a prompt
     part which is refused otherwise. ``last_event_id`` is that of the last event of a
     stream that the client got.
     """
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_evidence.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_evidence.py
@@ -35,6 +35,8 @@
         Calls that come while a read is under way share the next one, as the present one
         may miss what happened before the call.
         """
+        if not self.store_sync.peers.store_reachable:
+            return False
         if self.next is None:
             self.next = asyncio.create_task(self.read_after(self.current))
         return await asyncio.shield(self.next)
