--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/attempt.py
@@ -52,8 +52,9 @@
     ``asks_reports`` tells that the server is one of models, which report their state.
     ``permit`` is needed if the server names a limit.
     An attempt counts as load of the server while it is open; its end, also as a context
-    manager, releases or closes its connection. ``refused`` tells that the server has not run the request, and
-    ``lost_response`` that its response came to a connection where it names no request.
+    manager, releases or closes its connection. ``refused`` tells that the server has not
+    run the request, and ``lost_response`` that what came names no request and may belong
+    to an earlier one.
     """
 
     def __init__(
--- a/packages/medlarridge-direct/tests/adapter/test_odd_entries.py
+++ b/packages/medlarridge-direct/tests/adapter/test_odd_entries.py
@@ -161,7 +161,18 @@
             await ObjectStore(client).list_servers()
 
     @pytest.mark.parametrize(
-        "body", [b"", b"[]", b"{", b'{"items":[}', b"null", b"\xff"]
+        "body",
+        [
+            b"",
+            b"[]",
+            b"{",
+            b'{"items":[}',
+            b"null",
+            b"\xff",
+            b'{"items":null,"asOf":5}',
+            b'{"items":{},"asOf":5}',
+            b'{"items":[1]x,"asOf":5}',
+        ],
     )
     async def test_a_broken_page_is_an_error(self, body):
         """Guards against a broken response that counts as an empty list."""
@@ -263,6 +274,26 @@
         assert configuration.accounts["k2"].name == "hule930"
         decode_content(encode_content(configuration), type(configuration))
 
+    @pytest.mark.parametrize("odd", [None, "5", -1, 1e300, [], True])
+    async def test_an_odd_limit_has_its_default(self, odd):
+        """Guards against a configuration that is never in force for one odd limit."""
+        limits = {"maxBodyBytes": odd, "idleTimeoutMs": 9_000}
+        client = FakeClient(
+            {"items": [item("main", SPEC | {"limits": limits})], "asOf": 40}
+        )
+        configuration = (await ObjectStore(client).read_configuration()).configuration
+        assert configuration.limits.max_body_bytes == 4_194_304
+        assert configuration.limits.idle_timeout_ms == 9_000
+
+    async def test_a_split_without_weights_costs_its_route(self):
+        """Guards against a division by zero for each request of a route."""
+        split = [{"service": "huvo11a", "weight": 0}]
+        odd = SPEC["routes"][0] | {"trafficSplit": split, "pathPrefix": "/odd/"}
+        spec = SPEC | {"routes": [odd, *SPEC["routes"]]}
+        client = FakeClient({"items": [item("main", spec)], "asOf": 40})
+        configuration = (await ObjectStore(client).read_configuration()).configuration
+        assert [route.path_prefix for route in configuration.routes] == ["/lohu/"]
+
     @pytest.mark.parametrize("name", ["timeoutMs", "targetLatencyMs", "maxAttempts"])
     @pytest.mark.parametrize("value", ["5", 10**400, -5, 1e300])
     async def test_an_odd_number_costs_its_route(self, name, value):
