--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/lenient_json.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/lenient_json.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from functools import cache
 from typing import Any
 
 import msgspec
@@ -15,10 +16,15 @@
 READ_ERRORS = (msgspec.DecodeError, RecursionError, OverflowError)
 """What decoding raises for a value that cannot be read."""
 
-TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{},]', re.DOTALL)
 OPENING, CLOSING = (b"[", b"{"), (b"]", b"}")
 
 
+@cache
+def token_pattern() -> re.Pattern[bytes]:
+    """Return the pattern of strings, brackets and commas, compiled when it is needed."""
+    return re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{},]', re.DOTALL)
+
+
 def decode_json(data: bytes, depth: int) -> Any:
     """Decode JSON; a value that cannot be read becomes None.
 
@@ -57,7 +63,7 @@
         raise msgspec.DecodeError("neither an array nor an object")
     members: list[bytes] = []
     nesting, start = 0, 1
-    for token in TOKEN.finditer(data):
+    for token in token_pattern().finditer(data):
         text = token[0]
         if text in OPENING:
             nesting += 1
@@ -75,7 +81,7 @@
 
 def partition_member(member: bytes) -> tuple[bytes, bytes, bytes]:
     """Return key, colon and value of a member of an object."""
-    key = TOKEN.match(member.strip())
+    key = token_pattern().match(member.strip())
     if key is None:
         raise msgspec.DecodeError("object with a member that has no key")
     key_text = key[0]
