--- a/packages/medlarridge-direct/tests/soak/test_soak.py
+++ b/packages/medlarridge-direct/tests/soak/test_soak.py
@@ -56,6 +56,10 @@
         """Guards against requests taken long after SIGTERM and given up."""
         self.play(142, tmp_path, "stops")
 
+    def test_stops_beside_silent_servers_lose_no_stream(self, tmp_path):
+        """Guards against streams that leave a sound server for one that refuses them."""
+        self.play(5004, tmp_path, "stops")
+
     def test_streams_go_on_after_the_loss_of_all_routers(self, tmp_path):
         """Guards against routers that know no stream after a restart of all."""
         self.play(1, tmp_path, "take-ups")
@@ -76,6 +80,7 @@
         """Guards against a kind of stop that no seed plans."""
         rounds = [each for seed in range(200) for each in make_rounds(seed, 9.0)]
         assert {each.wave for each in rounds} == {None, "error", "busy", "rest"}
+        assert {len(each.silences) for each in rounds} == {0, 1, 2, 4}
         assert {len(each.routers) for each in rounds} == {1, 2, 3}
         assert {0, GRACE_S + 1} < {each.gap_s for each in rounds}
         for name in ("limit", "again_s", "hang_up_s", "early_stop_s"):
