--- a/packages/medlarridge-direct/tests/adapter/test_odd_entries.py
+++ b/packages/medlarridge-direct/tests/adapter/test_odd_entries.py
@@ -1,5 +1,7 @@
 """Objects of other writers that cannot be read: each costs itself alone."""
 
+import json
+
 import msgspec
 import pytest
 
@@ -211,16 +213,17 @@
         record = entry(
             b"r", b'{"groups":[{"pool":"p","version":"v1","streams":[["ff",5]]}]}'
         )
-        for number in range(2):
-            both = lambda sound: page(*((odd, sound), (sound, odd))[number])  # noqa: B023, E731
-            client = FakeClient(both(router), both(part), both(versions), both(record))
-            store = ObjectStore(client)
+        for odd_first in (True, False):
+            pages = [
+                page(odd, sound) if odd_first else page(sound, odd)
+                for sound in (router, part, versions, record)
+            ]
+            store = ObjectStore(FakeClient(*pages))
             assert (await store.list_routers())["n-1"] == ("10.0.0.1", 7000)
             assert (await store.list_refused_parts())["p"] == 3
             assert set((await store.list_version_sets(False)).by_pool) == {"p"}
-            assert [each.name for each in await store.list_stream_records(False)] == [
-                "r"
-            ]
+            records = await store.list_stream_records(False)
+            assert [each.name for each in records] == ["r"]
 
     @pytest.mark.parametrize(
         "value", [*UNREADABLE_VALUES.values(), *OUT_OF_RANGE.values()]
@@ -299,17 +302,8 @@
     async def test_an_odd_number_costs_its_route(self, name, value):
         """Guards against a number that no other router can be told."""
         odd = SPEC["routes"][0] | {"name": "odd", "pathPrefix": "/odd/", name: value}
-        body = msgspec.json.encode({"items": [], "asOf": 40})
-        text = (
-            repr(odd)
-            .replace("'", '"')
-            .replace("True", "true")
-            .replace("False", "false")
-        )
-        spec = msgspec.json.encode(SPEC).replace(
-            b'"routes":[', b'"routes":[' + text.encode() + b","
-        )
-        body = b'{"items":[%b],"asOf":40}' % entry(b"main", spec)
+        spec = SPEC | {"routes": [odd, *SPEC["routes"]]}
+        body = json.dumps({"items": [item("main", spec)], "asOf": 40}).encode()
         snapshot = await ObjectStore(FakeClient(response(body))).read_configuration()
         configuration = snapshot.configuration
         assert [route.name for route in configuration.routes] == ["r-1"]
