--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/server_connections.py
@@ -34,9 +34,9 @@
 RESET_WAIT_MS = 10
 """Time in which a proxy in front of a server that has ended resets a connection."""
 
-PROBE_TIMEOUT_MS = 2_000
-"""Time in which a server that is running answers a request that needs no slot, also if
-it falls silent for a second or so meanwhile."""
+PROBE_TIMEOUT_MS = 400
+"""Time in which a server that is running answers a request that needs no slot. In a longer
+time a server that has ended may start again, and its answer would prove nothing."""
 
 
 class ConnectionLimitReached(TransportError):
--- a/packages/medlarridge-direct/tests/direct/transport/test_server_connections.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_server_connections.py
@@ -1,4 +1,5 @@
 import asyncio
+import gc
 
 import pytest
 
@@ -13,9 +14,38 @@
 pytestmark = pytest.mark.anyio
 
 
+CLOSING_S = 0.01
+
+handlers = []
+"""Tasks of the servers' handlers."""
+
+
+@pytest.fixture(autouse=True)
+async def no_open_handlers():
+    """End the handlers before the event loop is closed, which their streams need."""
+    yield
+    for handler in handlers:
+        handler.cancel()
+    await asyncio.gather(*handlers, return_exceptions=True)
+    handlers.clear()
+    # The event loop tells the streams that their connections are lost.
+    await asyncio.sleep(CLOSING_S)
+    gc.collect()
+
+
 async def listen(handle):
     """Start a server on the loopback; return it and its entry in the list."""
-    listener = await asyncio.start_server(handle, "127.0.0.1", 0)
+
+    async def run(reader, writer):
+        handlers.append(asyncio.current_task())
+        try:
+            handling = handle(reader, writer)
+            if handling is not None:
+                await handling
+        finally:
+            writer.transport.abort()
+
+    listener = await asyncio.start_server(run, "127.0.0.1", 0)
     port = listener.sockets[0].getsockname()[1]
     return listener, server(host="127.0.0.1", port=port)
 
