--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
@@ -104,6 +104,8 @@
 
     def record_source(self) -> str:
         """Return from where the origin of a recorded stream is known."""
+        if self.origin is None:
+            return "unknown"
         stream = stream_key(self.metadata.resumes or "")
         from_store = self.components.stream_origins.is_from_store(stream)
         return "stored-record" if from_store else "record"
--- a/packages/medlarridge-direct/tests/direct/test_stream_versions.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_versions.py
@@ -257,6 +257,14 @@
         assert response.status == 503
         assert b"retry-after-ms" in response.headers
 
+    async def test_a_stream_that_no_router_knows_is_logged_as_unknown(self):
+        """Guards against logs that take a refused stream for one with a record."""
+        fleet = StreamFleet()
+        await fleet.settle()
+        await fleet.resume(0, resumes="unknown")
+        resumptions = fleet.fleet.routers[0].components.metrics.resumptions
+        assert dict(resumptions) == {"unknown": 1}
+
     async def test_a_stream_without_a_server_of_its_version_does_not_go_on(self):
         """Guards against another version where the stream's one has left."""
         fleet = StreamFleet()
