--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/components.py
@@ -31,6 +31,11 @@
 from .transport.server_connections import ConnectionPools
 
 
+async def confirm_nothing(stream: int) -> bool:
+    """Confirm a stream of a router that keeps nothing in a store."""
+    return True
+
+
 class RouterComponents(Struct):
     """State, decision logic and connections of one router.
 
@@ -39,7 +44,8 @@
     ``router_rank`` returns the position of this router among all;
     ``on_server_avoided`` takes a server and the result for which it is avoided;
     ``confirm_versions`` reads what the store says just now of the versions of streams and
-    returns whether that succeeded.
+    returns whether that succeeded. ``confirm_stored`` waits until the store holds what a
+    router that starts must know of a stream, and returns whether it does.
     """
 
     clock: Clock
@@ -71,4 +77,5 @@
     on_stream_begun: Callable[[int], None]
     confirm_versions: Callable[[], Awaitable[bool]]
     stop_schedule: StopSchedule
+    confirm_stored: Callable[[int], Awaitable[bool]] = confirm_nothing
     durations: RouteDurations = field(default_factory=RouteDurations)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -159,6 +159,7 @@
             settings.node,
             self.peer_reports.announce_departures,
             settings.first_start,
+            settings.store.writes_per_s,
         )
         self.stream_evidence = StreamEvidence(self.components, self.store_sync)
         self.peer_reports.kept_permits = self.store_sync.permit_leases.kept
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/gauges.py
@@ -113,6 +113,21 @@
         "Streams whose origin is known, of all routers.",
         lambda: len(components.stream_origins.streams),
     )
+    add(
+        "streams_awaiting_record",
+        "Streams of this router that need a record which is not stored.",
+        lambda: len(components.stream_records.awaited),
+    )
+    add(
+        "streams_not_stored",
+        "Streams whose first event was sent before their record was stored.",
+        lambda: components.metrics.streams_not_stored,
+    )
+    add(
+        "streams_without_room",
+        "Streams that need a record for which this router has no room.",
+        lambda: components.stream_records.dropped,
+    )
     add(
         "routers",
         "Routers that share the limits of the fleet.",
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -60,6 +60,10 @@
     6172, "WARNING", "new streams begin at a version that is not stored"
 )
 STREAM_RECORDS_READ = register(6173, "INFO", "stream records read from the store")
+STREAMS_NOT_STORED = register(
+    6174, "WARNING", "streams begin before the store holds their records"
+)
+STREAMS_STORED = register(6175, "INFO", "streams wait for their records again")
 
 STARTED = register(6100, "INFO", "router started")
 STOPPING = register(6101, "INFO", "router is stopping, waiting for requests in flight")
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/metrics.py
@@ -55,6 +55,7 @@
     control_bytes: Counter = field(default_factory=Counter)
     store_calls: Counter = field(default_factory=Counter)
     store_rewrites: Counter = field(default_factory=Counter)
+    streams_not_stored: int = 0
     first_bytes: dict[str, LatencyHistogram] = field(default_factory=dict)
     gauges: dict[str, tuple[str, Gauge]] = field(default_factory=dict)
 
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_run.py
@@ -165,7 +165,7 @@
                     new_events += event.data
                     attempts.last_event_id = event.event_id or attempts.last_event_id
             if new_events:
-                attempts.continuity.record_first_event(
+                await attempts.continuity.record_first_event(
                     attempt.server, attempts.remaining_ms()
                 )
                 self.begin_response(head, None)
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/settings.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/settings.py
@@ -14,6 +14,8 @@
 Endpoint = Annotated[str, msgspec.Meta(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
 Text = Annotated[str, msgspec.Meta(min_length=1)]
 
+DEFAULT_WRITES_PER_S = 400.0
+
 
 class Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Base of the sections; unknown keys are errors."""
@@ -29,9 +31,10 @@
 
 
 class StoreSettings(Section):
-    """Address of the platform's store."""
+    """Address of the platform's store, and the writes that it takes from all routers."""
 
     address: Endpoint
+    writes_per_s: Positive = DEFAULT_WRITES_PER_S
 
 
 class StopSettings(Section):
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/store_sync.py
@@ -32,6 +32,7 @@
 from .refused_parts_sync import RefusedPartsSync
 from .router_registry import RouterRegistry
 from .server_crashes import record_server_down
+from .settings import DEFAULT_WRITES_PER_S
 from .state.peer_table import PeerTable
 from .state.server_table import EraChange, ServerChange, ServerChangeKind
 from .stream_records_sync import StreamRecordsSync
@@ -85,6 +86,7 @@
         node: str,
         on_departures: Callable[[list[Departure]], None],
         first_start: bool = False,
+        writes_per_s: float = DEFAULT_WRITES_PER_S,
     ) -> None:
         self.components = components
         self.store = store
@@ -109,7 +111,9 @@
             first_start,
         )
         self.version_sets = VersionSetsSync(components, store, peers, log)
-        self.stream_records = StreamRecordsSync(components, store, peers, log)
+        self.stream_records = StreamRecordsSync(
+            components, store, peers, log, writes_per_s
+        )
         components.servers.on_era_change = self.handle_era_change
 
     def handle_era_change(self, change: EraChange) -> None:
@@ -277,6 +281,8 @@
 
     def apply_server_changes(self, changes: list[ServerChange]) -> None:
         """Update the components for servers that joined, left or restarted."""
+        if changes:
+            self.stream_records.collect_soon()
         for change in changes:
             server = change.server
             self.log.event(
@@ -384,6 +390,7 @@
 
     def log_configuration(self) -> None:
         """Log the configuration that was just applied."""
+        self.stream_records.collect_soon()
         holder = self.components.configuration
         if holder.current is not None:
             self.log.event(
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
@@ -143,8 +143,14 @@
         version = servers.versions.only_version(pool.name, self.span_ms)
         return None if version is None else StreamOrigin(pool.name, version)
 
-    def record_first_event(self, server: BackendServer, remaining_ms: int) -> None:
-        """Hold the stream to the server's version before its first event is sent."""
+    async def record_first_event(
+        self, server: BackendServer, remaining_ms: int
+    ) -> None:
+        """Hold the stream to the server's version before its first event is sent.
+
+        Wait until a loss of all routers would leave the origin known, unless the store
+        takes no record now.
+        """
         if self.origin is not None:
             return
         self.origin = StreamOrigin(server.pool, server.software_version)
@@ -154,3 +160,5 @@
         )
         self.components.stream_records.begin(stream, self.route.place)
         self.components.on_stream_begun(stream)
+        if not await self.components.confirm_stored(stream):
+            self.components.metrics.streams_not_stored += 1
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections import deque
 
 from medlarridge._internal.clock import MS_PER_S
 from medlarridge._internal.errors import TransportError
@@ -9,13 +10,18 @@
 from .components import RouterComponents
 from .coordination.stream_origins import StreamOrigin
 from .coordination.stream_records import reread_interval_ms, write_interval_ms
-from .logs import STREAM_RECORDS_READ, Log
+from .logs import STREAM_RECORDS_READ, STREAMS_NOT_STORED, STREAMS_STORED, Log
 from .protocol.platform_interface import PlatformStore
+from .settings import DEFAULT_WRITES_PER_S
 from .state.peer_table import PeerTable
 
 CHECK_INTERVAL_MS = 300
-"""Time after which the streams are looked through although none has begun: since then a
-pool may have another version."""
+"""Interval at which the streams are looked through that needed no record so far: what is
+known of the stored sets may have changed."""
+
+STORE_WAIT_MS = 250
+"""Time for which the first event of a stream waits for its record, and after which the
+store counts as late. Then serving goes first until a write has been answered."""
 
 CLEAN_INTERVAL_MS = 30_000
 """Interval at which records that nobody needs any more are looked for."""
@@ -34,8 +40,9 @@
 class StreamRecordsSync:
     """Writes the streams of this router, and reads those of all routers when needed.
 
-    ``seen_ms`` holds the records that may be removed, by name and revision, with the time
-    at which they were first seen so.
+    ``waiters`` are the first events that wait for their records, ``late`` tells that the
+    store did not take a record in time. ``seen_ms`` holds the records that may be removed,
+    by name and revision, with the time at which they were first seen so.
     """
 
     def __init__(
@@ -44,58 +51,140 @@
         store: PlatformStore,
         peers: PeerTable,
         log: Log,
+        writes_per_s: float = DEFAULT_WRITES_PER_S,
     ) -> None:
         self.components = components
         self.records = components.stream_records
         self.store = store
         self.peers = peers
         self.log = log
+        self.writes_per_s = writes_per_s
         self.next_read_ms = 0
         self.read_task: asyncio.Task | None = None
         self.next_clean_ms = components.clock.now_ms() + CLEAN_INTERVAL_MS
         self.seen_ms: dict[tuple[str, int], int] = {}
         self.may_exist = True
         self.begun = asyncio.Event()
+        self.waiters: deque[asyncio.Future[None]] = deque()
+        self.late = False
+        self.times_forgotten = 0
+        self.next_collect_ms = 0
+        self.records.needs_record = components.version_sets.needs_record
         self.records.on_unknown = self.begin_read
         self.records.on_begin = self.begun.set
+        components.confirm_stored = self.confirm_stored
 
     async def run(self) -> None:
         """Write the new streams at once or after an interval, and remove old records."""
         while True:
             self.begun.clear()
-            interval_ms = write_interval_ms(self.components.fleet_size.count)
+            began_ms = self.components.clock.now_ms()
+            interval_ms = self.interval_ms()
             try:
                 await self.write()
                 await self.clean_if_due()
             except TransportError:
                 # Other tasks log that the store is lost.
                 interval_ms = max(interval_ms, RETRY_DELAY_MS)
-            await asyncio.sleep(interval_ms / MS_PER_S)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(CHECK_INTERVAL_MS / MS_PER_S):
-                    await self.begun.wait()
+            spent_ms = self.components.clock.now_ms() - began_ms
+            await asyncio.sleep(max(interval_ms - spent_ms, 0) / MS_PER_S)
+            if not self.records.unwritten():
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(CHECK_INTERVAL_MS / MS_PER_S):
+                        await self.begun.wait()
+
+    def interval_ms(self) -> int:
+        """Return the shortest time between the begins of two writes."""
+        return write_interval_ms(self.components.fleet_size.count, self.writes_per_s)
 
     async def write(self) -> None:
-        """Write the streams that the store lacks."""
-        self.records.collect(self.components.version_sets.needs_record)
+        """Write the first segment with streams that the store lacks."""
+        self.collect_if_due()
         self.may_exist |= bool(self.records.segments)
-        for number in self.records.unwritten():
-            segment = self.records.segments[number]
-            count = len(segment.streams)
-            self.count_call("save-stream-record")
-            try:
-                await self.store.save_stream_record(
-                    f"{self.peers.own_router_id:x}-{segment.name}",
-                    self.records.content(number),
-                    segment.written_before,
-                )
-            except TransportError:
-                self.records.record_unanswered(number)
-                raise
+        unwritten = self.records.unwritten()
+        if not unwritten:
+            return
+        number = unwritten[0]
+        segment = self.records.segments[number]
+        count = len(segment.streams)
+        times_forgotten = self.times_forgotten
+        self.count_call("save-stream-record")
+        self.records.writing = number
+        try:
+            await self.store.save_stream_record(
+                f"{self.peers.own_router_id:x}-{segment.name}",
+                self.records.content(number),
+                segment.written_before,
+            )
+        except TransportError as error:
+            self.records.record_unanswered(number)
+            self.record_late(str(error))
+            raise
+        finally:
+            self.records.writing = None
+        if times_forgotten == self.times_forgotten:
             self.records.record_written(number, count)
+            self.record_in_time()
+
+    def collect_soon(self) -> None:
+        """Look through all streams, as servers or routes have changed."""
+        self.next_collect_ms = 0
+        self.begun.set()
+
+    def collect_if_due(self) -> None:
+        """Look through the streams that needed no record so far."""
+        now_ms = self.components.clock.now_ms()
+        if now_ms >= self.next_collect_ms:
+            self.next_collect_ms = now_ms + CHECK_INTERVAL_MS
+            self.components.version_sets.refresh(self.components.configuration.current)
+            self.records.collect()
+
+    async def confirm_stored(self, stream: int) -> bool:
+        """Wait until the store holds the record of a stream if it needs one.
+
+        Return whether a loss of all routers leaves its origin known. While the store is
+        late or unreachable, nothing is waited for.
+        """
+        if not self.records.is_awaited(stream):
+            return True
+        if not self.peers.store_reachable:
+            self.record_late("store unreachable")
+        try:
+            async with asyncio.timeout(STORE_WAIT_MS / MS_PER_S):
+                while not self.late and self.records.is_awaited(stream):
+                    written = asyncio.get_running_loop().create_future()
+                    self.waiters.append(written)
+                    await written
+        except TimeoutError:
+            self.record_late("no answer in time")
+        return not self.records.is_awaited(stream)
+
+    def record_late(self, error: str) -> None:
+        """Let first events go before their records, as the store takes none."""
+        if not self.late:
+            self.late = True
+            self.log.event(
+                STREAMS_NOT_STORED, streams=len(self.records.awaited), error=error
+            )
+        self.wake_waiters()
+
+    def record_in_time(self) -> None:
+        """Let the first events go whose records are stored, and later ones wait again."""
+        if self.late:
+            self.late = False
+            self.log.event(STREAMS_STORED, awaited=len(self.records.awaited))
+        self.wake_waiters()
+
+    def wake_waiters(self) -> None:
+        """Let the waiting first events look again whether they may go."""
+        while self.waiters:
+            waiter = self.waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
 
     def forget(self) -> None:
         """Write and read all records again, since the store may have lost some."""
+        self.times_forgotten += 1
         self.records.forget_written()
         self.next_read_ms = 0
 
--- a/packages/medlarridge-direct/tests/direct/router_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/router_fleet.py
@@ -7,7 +7,6 @@
 from msgspec.structs import replace
 
 from medlarridge import ManualClock, TransportError
-from medlarridge_direct._internal.coordination.stream_records import write_interval_ms
 from medlarridge_direct._internal.logs import Log
 from medlarridge_direct._internal.peer_reports import REPORT_INTERVAL_MS, PeerReports
 from medlarridge_direct._internal.peer_snapshots import PeerSnapshots
@@ -225,6 +224,7 @@
             first_start=incarnation == 1,
         )
         self.next_record_ms = fleet.clock.now_ms()
+        self.components.confirm_stored = self.confirm_stored
         self.components.confirm_versions = PromptEvidence(
             self.components, self.sync
         ).confirm
@@ -257,11 +257,17 @@
             await self.sync.version_sets.sync()
         if now_ms < self.next_record_ms:
             return
-        self.next_record_ms = now_ms + write_interval_ms(len(self.fleet.routers))
+        self.next_record_ms = now_ms + self.sync.stream_records.interval_ms()
         with contextlib.suppress(TransportError):
             await self.sync.stream_records.write()
             await self.sync.stream_records.clean_if_due()
 
+    async def confirm_stored(self, stream):
+        """Let the task that writes records run, then wait for the record."""
+        with contextlib.suppress(TransportError):
+            await self.sync.stream_records.write()
+        return await self.sync.stream_records.confirm_stored(stream)
+
     def report(self):
         self.reports.send_report()
         self.reports.update_live_peers()
--- a/packages/medlarridge-direct/tests/direct/test_stream_restarts.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_restarts.py
@@ -4,6 +4,8 @@
 another one.
 """
 
+import asyncio
+
 import pytest
 
 from medlarridge import TransportError
@@ -11,7 +13,7 @@
 from medlarridge_direct._internal.stream_continuity import READ_TIMEOUT_MS
 
 from .scripted import ScriptedConnections
-from .test_request_run import sent_to
+from .test_request_run import RecordedResponse, sent_to
 from .test_stream_versions import (
     FLEET_SIZE,
     HANDOVER_MS,
@@ -78,6 +80,23 @@
             assert response.status == 503
 
 
+class SlowStore:
+    """A store that answers the write of a record only when it is told to."""
+
+    def __init__(self, store):
+        self.store = store
+        self.asked = asyncio.Event()
+        self.may_answer = asyncio.Event()
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    async def save_stream_record(self, *record):
+        self.asked.set()
+        await self.may_answer.wait()
+        await self.store.save_stream_record(*record)
+
+
 class LateStore:
     """A store that does not answer the first write of a record, and does it later."""
 
@@ -184,6 +203,62 @@
         assert response.status == 200
 
 
+class TestStoredBeforeTheFirstEvent:
+    @pytest.mark.parametrize("began_at", ["a", "b"])
+    async def test_all_routers_are_lost_right_after_the_first_event(self, began_at):
+        """Guards against LOST: an event that its client has before the record is stored."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        await fleet.begin(0, began_at)
+        await fleet.restart_all()
+        await fleet.assert_goes_on(BOTH[began_at])
+
+    async def test_the_first_event_waits_for_the_answer_of_the_store(self):
+        """Guards against LOST: a first event that is sent while its record is written."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        router = fleet.fleet.routers[0]
+        store = SlowStore(router.sync.stream_records.store)
+        router.sync.stream_records.store = store
+        components = router.components
+        components.connections = ScriptedConnections({"b": [stream(1)]})
+        components.load.begin_attempt("a")
+        components.load.begin_attempt("c")
+        response = RecordedResponse()
+        task = asyncio.ensure_future(request(components, response=response))
+        await asyncio.wait_for(store.asked.wait(), 5)
+        assert sent_to(components) == ["b"]
+        assert not response.started
+        store.may_answer.set()
+        await task
+        assert response.status == 200
+
+    async def test_a_store_that_takes_no_writes_holds_one_wait_at_most(self):
+        """Guards against streams that all wait for a store that is down or late."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        fleet.fleet.registry.read_only = True
+        await fleet.begin(0, "a", request_id="1")
+        records = fleet.fleet.routers[0].sync.stream_records
+        assert records.late
+        await fleet.begin(0, "a", request_id="3")
+        assert fleet.fleet.routers[0].components.metrics.streams_not_stored == 2
+        fleet.fleet.registry.read_only = False
+        await fleet.run(BACK_MS)
+        assert not records.late
+        await fleet.restart_all()
+        for resumes in ("1", "3"):
+            response, _ = await fleet.resume(0, resumes, request_id="4", busy="v1")
+            assert response.status == 200
+
+    async def test_one_version_costs_no_write(self):
+        """Guards against writes while the origin of each stream can be inferred."""
+        fleet = RestartingFleet(OLD)
+        await fleet.settle()
+        await fleet.begin(0, "a")
+        assert fleet.fleet.registry.stream_calls["save-stream-record"] == 0
+
+
 class TestNeverAtAnotherVersion:
     async def test_an_unheard_stream_of_a_version_that_left(self):
         """Guards against ORDER: the rest of a stream from the only version left."""
