--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
@@ -40,6 +40,13 @@
         self.metadata = metadata
         self.log = log
         self.origin: StreamOrigin | None = None
+        self.recorded = False
+
+    @property
+    def stream(self) -> int:
+        """Return the key of the request that brought the stream's first event."""
+        first_request = self.metadata.resumes if self.takes_up_stream else None
+        return stream_key(first_request or self.metadata.request_id)
 
     @property
     def takes_up_stream(self) -> bool:
@@ -151,14 +158,17 @@
         Wait until a loss of all routers would leave the origin known, unless the store
         takes no record now.
         """
-        if self.origin is not None:
+        if self.recorded:
             return
-        self.origin = StreamOrigin(server.pool, server.software_version)
-        stream = stream_key(self.metadata.request_id)
+        self.recorded = True
+        stream = self.stream
+        if self.origin is None:
+            self.origin = StreamOrigin(server.pool, server.software_version)
+            self.components.on_stream_begun(stream)
         self.components.stream_origins.record(
             stream, self.origin, remaining_ms + RESUME_MARGIN_MS
         )
-        self.components.stream_records.begin(stream, self.route.place)
-        self.components.on_stream_begun(stream)
-        if not await self.components.confirm_stored(stream):
-            self.components.metrics.streams_not_stored += 1
+        if not self.components.stream_origins.is_from_store(stream):
+            self.components.stream_records.begin(stream, self.route.place)
+            if not await self.components.confirm_stored(stream):
+                self.components.metrics.streams_not_stored += 1
--- a/packages/medlarridge-direct/tests/direct/test_stream_restarts.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_restarts.py
@@ -251,6 +251,32 @@
             response, _ = await fleet.resume(0, resumes, request_id="4", busy="v1")
             assert response.status == 200
 
+    async def test_a_stream_of_a_router_that_restarted_alone(self):
+        """Guards against LOST of a stream that only its first router would record."""
+        fleet = RestartingFleet(OLD)
+        await fleet.settle()
+        await fleet.begin(0, "a")
+        await fleet.run(HANDOVER_MS)
+        fleet.fleet.start(0)
+        fleet.list_servers()
+        await fleet.run(BACK_MS)
+        response, _ = await fleet.resume(1, busy="v1")
+        assert response.status == 200
+        fleet.list_servers(BOTH)
+        await fleet.run(HANDOVER_MS)
+        await fleet.restart_all()
+        await fleet.assert_goes_on("v1")
+
+    async def test_a_stream_taken_up_is_not_stored_twice(self):
+        """Guards against writes for a stream that the store holds."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        await fleet.begin(0, "b")
+        await fleet.restart_all()
+        before = fleet.fleet.registry.stream_calls["save-stream-record"]
+        await fleet.assert_goes_on("v2")
+        assert fleet.fleet.registry.stream_calls["save-stream-record"] == before
+
     async def test_one_version_costs_no_write(self):
         """Guards against writes while the origin of each stream can be inferred."""
         fleet = RestartingFleet(OLD)
