--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
@@ -63,7 +63,7 @@
 
     ``unstored`` are streams that need no record so far, ``held`` those in segments, and
     ``awaited`` those of them that the store does not hold yet. ``writing`` is the segment
-    that is being written, and ``dropped`` counts the streams that found no room.
+    that is being written, ``last_written`` the one before, and ``dropped`` counts the streams that found no room.
     ``needs_record`` tells by a stream's pool and the place of its route whether a router
     that starts could not infer its origin. ``on_begin`` is called for a stream that needs
     a record, and ``on_unknown`` for one that is taken up and not known, to read the
@@ -79,6 +79,7 @@
     segments: list[Segment] = field(default_factory=list)
     current: int | None = None
     writing: int | None = None
+    last_written: int | None = None
     last_name: int = 0
     dropped: int = 0
     reading: bool = False
@@ -162,16 +163,24 @@
         return None
 
     def unwritten(self) -> list[int]:
-        """Return the numbers of the segments that must be written, the current one first.
+        """Return the numbers of the segments that must be written, the next one first.
 
-        Clients wait for the first events of its streams.
+        That is the current one, as first events of its streams wait, but never the same
+        twice while another one is left.
         """
         numbers = [
             number
             for number, segment in enumerate(self.segments)
             if segment.streams and not segment.stored
         ]
-        return sorted(numbers, key=lambda number: number != self.current)
+        return sorted(
+            numbers,
+            key=lambda number: (number == self.last_written, number != self.current),
+        )
+
+    def next_segment(self) -> int | None:
+        """Return the number of the segment to be written next, None if all are stored."""
+        return next(iter(self.unwritten()), None)
 
     def content(self, number: int) -> list[StreamGroup]:
         """Return what the store should hold of a segment."""
@@ -180,6 +189,7 @@
     def record_written(self, number: int, count: int) -> None:
         """Record that a segment was written when it had ``count`` streams."""
         segment = self.segments[number]
+        self.last_written = number
         segment.written_before = True
         segment.stored = len(segment.streams) == count
         self.awaited.difference_update(segment.streams[:count])
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
@@ -101,10 +101,9 @@
         """Write the first segment with streams that the store lacks."""
         self.collect_if_due()
         self.may_exist |= bool(self.records.segments)
-        unwritten = self.records.unwritten()
-        if not unwritten:
+        number = self.records.next_segment()
+        if number is None:
             return
-        number = unwritten[0]
         segment = self.records.segments[number]
         count = len(segment.streams)
         times_forgotten = self.times_forgotten
--- a/packages/medlarridge-direct/tests/direct/coordination/test_stream_records.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_stream_records.py
@@ -137,6 +137,16 @@
         records.begin_some(1)
         assert records.unwritten()[0] == records.current
 
+    def test_earlier_streams_are_written_beside_new_ones(self, records):
+        """Guards against LOST: a steady flow of new streams keeps earlier ones back."""
+        records.begin_some(MAX_BATCH_STREAMS)
+        records.need("models")
+        for _ in range(4):
+            records.begin_some(1)
+            number = records.next_segment()
+            records.record_written(number, len(records.segments[number].streams))
+        assert not records.is_awaited(1)
+
     def test_a_stream_is_held_once(self, records):
         """Guards against a second record of a stream that is taken up here."""
         records.need("models")
