--- a/packages/medlarridge-direct/tests/adapter/test_store.py
+++ b/packages/medlarridge-direct/tests/adapter/test_store.py
@@ -547,11 +547,12 @@
         assert methods == [b"POST", b"POST", b"PUT", b"PUT", b"PUT", b"POST"]
 
     async def test_a_record_is_removed(self):
-        """Guards against records that fill the store."""
-        client = FakeClient(200, 404)
-        for _ in range(2):
-            await ObjectStore(client).delete_stream_record("1f-0")
-        assert client.paths == [b"DELETE /v1/objects/stream-records/1f-0"] * 2
+        """Guards against records that fill the store, and a newer one that is removed."""
+        client = FakeClient(200, 404, 409)
+        for _ in range(3):
+            await ObjectStore(client).delete_stream_record("1f-0", 7)
+        path = b"DELETE /v1/objects/stream-records/1f-0?revision=7"
+        assert client.paths == [path] * 3
 
     @pytest.mark.parametrize(
         "spec",
--- a/packages/medlarridge-direct/tests/direct/test_stored_first_events.py
+++ b/packages/medlarridge-direct/tests/direct/test_stored_first_events.py
@@ -7,6 +7,7 @@
 
 from medlarridge import TransportError
 from medlarridge_direct._internal.coordination.stream_origins import StreamOrigin
+from medlarridge_direct._internal.stream_records_sync import CLEAN_INTERVAL_MS
 
 from .router_fleet import POOL, RouterFleet
 
@@ -147,3 +148,32 @@
             router.store.answer()
             assert await router.store.next_call() == [1]
             assert router.records.is_awaited(1)
+
+
+class TestRemoval:
+    async def test_a_record_that_is_written_again_is_not_removed(self):
+        """Guards against LOST: a read that is old removes a record that is new."""
+        fleet = RouterFleet(1)
+        sync, registry = fleet.routers[0].sync.stream_records, fleet.registry
+        await sync.store.save_stream_record("1-1", [], False)
+        old = list(registry.stream_records.values())
+        await sync.store.save_stream_record("1-1", [], True)
+
+        async def list_old_records(stale):
+            return old
+
+        sync.store.list_stream_records = list_old_records
+        for _ in range(4):
+            fleet.clock.advance(CLEAN_INTERVAL_MS)
+            await sync.clean_if_due()
+        assert list(registry.stream_records) == ["1-1"]
+
+    async def test_a_record_that_does_not_change_is_removed(self):
+        """Guards against records that fill the store."""
+        fleet = RouterFleet(1)
+        sync = fleet.routers[0].sync.stream_records
+        await sync.store.save_stream_record("1-1", [], False)
+        for _ in range(4):
+            fleet.clock.advance(CLEAN_INTERVAL_MS)
+            await sync.clean_if_due()
+        assert fleet.registry.stream_records == {}
--- a/packages/medlarridge-direct/tests/soak/store_process.py
+++ b/packages/medlarridge-direct/tests/soak/store_process.py
@@ -164,6 +164,12 @@
         if request.method == b"GET":
             return (200, objects[name]) if name in objects else (404, {})
         if request.method == b"DELETE":
+            wanted = query.get("revision")
+            if name in objects and wanted not in (
+                None,
+                str(objects[name]["metadata"]["revision"]),
+            ):
+                return 409, objects[name]
             self.remove(kind, name)
             return 200, {}
         item = json.loads(request.body)
