--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
@@ -24,7 +24,9 @@
 store counts as late. Then serving goes first until a write has been answered."""
 
 CLEAN_INTERVAL_MS = 30_000
-"""Interval at which records that nobody needs any more are looked for."""
+CLEAN_CHECK_MS = 5_000
+"""Interval at which records that nobody needs any more are looked for, and at which the
+time for that is checked."""
 
 RETRY_DELAY_MS = 500
 """Delay after a failed call, since even refused calls are a load on the store."""
@@ -75,14 +77,13 @@
         components.confirm_stored = self.confirm_stored
 
     async def run(self) -> None:
-        """Write the new streams at once or after an interval, and remove old records."""
+        """Write the new streams at once or after an interval."""
         while True:
             self.begun.clear()
             began_ms = self.components.clock.now_ms()
             interval_ms = self.interval_ms()
             try:
                 await self.write()
-                await self.clean_if_due()
             except TransportError:
                 # Other tasks log that the store is lost.
                 interval_ms = max(interval_ms, RETRY_DELAY_MS)
@@ -218,6 +219,13 @@
                 streams += len(group.streams)
         self.log.event(STREAM_RECORDS_READ, records=len(records), streams=streams)
 
+    async def run_cleaning(self) -> None:
+        """Remove old records now and then."""
+        while True:
+            await asyncio.sleep(CLEAN_CHECK_MS / MS_PER_S)
+            with contextlib.suppress(TransportError):
+                await self.clean_if_due()
+
     async def clean_if_due(self) -> None:
         """Remove records that have not changed for long, if this router is first."""
         now_ms = self.components.clock.now_ms()
