--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/version_sets.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/state/version_sets.py
@@ -250,19 +250,28 @@
         return self.basis is not None and value.complete_in_era == self.basis.era
 
     def wants_news(self) -> bool:
-        """Return whether another router may complete what is stored."""
+        """Return whether another router may complete what is stored, or remove some."""
         return any(
             value is None
             or not self.is_complete(value)
             or self.routes.has_others(pool, value.routes)
+            or self.possible_versions(pool, self.spans_ms[pool])
+            != self.servers.versions.listed.get(pool, set())
             for pool, value in ((each, self.seen.get(each)) for each in self.spans_ms)
         )
 
     def may_be_mixed(self, pool: str, span_ms: int) -> bool:
         """Return whether streams of several versions may be taken up in a pool."""
-        value = (self.stored or {}).get(pool, StoredVersionSet()).value
+        return len(self.possible_versions(pool, span_ms)) > 1
+
+    def possible_versions(self, pool: str, span_ms: int) -> set[str]:
+        """Return the versions that a stream may have, also to a router that starts.
+
+        That one takes all for possible that the store names.
+        """
+        value = self.seen.get(pool, VersionSet())
         recent = self.servers.versions.recent(pool, span_ms)
-        return len(recent | set(value.versions) | set(value.leaving)) > 1
+        return recent | set(value.versions) | set(value.leaving)
 
     def longest_span_ms(self) -> int:
         """Return the longest time that a stream may be taken up, 0 if none may."""
--- /dev/null
+++ b/packages/medlarridge-direct/tests/direct/test_stream_losses.py
@@ -0,0 +1,44 @@
+"""Streams that a loss of all routers meets while servers or routes change."""
+
+import pytest
+
+from .test_stream_restarts import (
+    BOTH,
+    HANDOVER_MS,
+    LIFE_OF_STREAM_MS,
+    OLD,
+    RestartingFleet,
+)
+from .test_stream_versions import FLEET_SIZE
+
+pytestmark = pytest.mark.anyio
+
+
+class TestAfterARelease:
+    @pytest.mark.parametrize("number", range(FLEET_SIZE))
+    @pytest.mark.parametrize("after_ms", [0, 3_000, 8_000, 14_000])
+    async def test_a_version_that_the_store_still_names(self, number, after_ms):
+        """Guards against LOST: a version counts longer in the store than at a router."""
+        fleet = RestartingFleet(OLD)
+        await fleet.settle()
+        fleet.list_servers(BOTH)
+        await fleet.run(HANDOVER_MS)
+        fleet.list_servers(OLD)
+        await fleet.run(LIFE_OF_STREAM_MS + after_ms)
+        await fleet.begin(number, "a")
+        await fleet.restart_all()
+        await fleet.assert_goes_on("v1")
+
+    async def test_no_router_writes_records_once_the_version_is_removed(self):
+        """Guards against records for good at routers that others write the set for."""
+        fleet = RestartingFleet(OLD)
+        await fleet.settle()
+        fleet.list_servers(BOTH)
+        await fleet.run(HANDOVER_MS)
+        fleet.list_servers(OLD)
+        await fleet.settle()
+        assert fleet.fleet.registry.versions("models") == {"v1"}
+        before = fleet.fleet.registry.stream_calls["save-stream-record"]
+        for number in range(FLEET_SIZE):
+            await fleet.begin(number, "a", request_id=f"late-{number}")
+        assert fleet.fleet.registry.stream_calls["save-stream-record"] == before
