--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_continuity.py
@@ -169,6 +169,8 @@
             stream, self.origin, remaining_ms + RESUME_MARGIN_MS
         )
         if not self.components.stream_origins.is_from_store(stream):
+            configuration = self.components.configuration.current
+            self.components.version_sets.refresh(configuration)
             self.components.stream_records.begin(stream, self.route.place)
             if not await self.components.confirm_stored(stream):
                 self.components.metrics.streams_not_stored += 1
--- a/packages/medlarridge-direct/tests/direct/test_stream_losses.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_losses.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from .test_moved_routes import IN_MODELS, MODELS, SPLIT, MovingFleet
 from .test_stream_restarts import (
     BOTH,
     HANDOVER_MS,
@@ -42,3 +43,16 @@
         for number in range(FLEET_SIZE):
             await fleet.begin(number, "a", request_id=f"late-{number}")
         assert fleet.fleet.registry.stream_calls["save-stream-record"] == before
+
+
+class TestChangedRoutes:
+    async def test_a_stream_that_begins_as_its_route_is_split(self):
+        """Guards against LOST: a record judged by the configuration before."""
+        fleet = MovingFleet(MODELS)
+        await fleet.settle()
+        fleet.move(SPLIT)
+        await fleet.begin(0, "a", request_id=IN_MODELS)
+        await fleet.restart_all()
+        response, asked = await fleet.resume(1, IN_MODELS, "another")
+        assert asked == ["a"]
+        assert response.status == 200
