--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
@@ -143,12 +143,10 @@
         """Wait until the store holds the record of a stream if it needs one.
 
         Return whether a loss of all routers leaves its origin known. While the store is
-        late or unreachable, nothing is waited for.
+        late with a record, nothing is waited for.
         """
         if not self.records.is_awaited(stream):
             return True
-        if not self.peers.store_reachable:
-            self.record_late("store unreachable")
         try:
             async with asyncio.timeout(STORE_WAIT_MS / MS_PER_S):
                 while not self.late and self.records.is_awaited(stream):
--- a/packages/medlarridge-direct/tests/direct/test_stream_losses.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_losses.py
@@ -1,16 +1,24 @@
 """Streams that a loss of all routers meets while servers or routes change."""
 
+import asyncio
+import contextlib
+
 import pytest
 
+from medlarridge import TransportError
+
+from .scripted import ScriptedConnections
 from .test_moved_routes import IN_MODELS, MODELS, SPLIT, MovingFleet
+from .test_request_run import RecordedResponse
 from .test_stream_restarts import (
     BOTH,
     HANDOVER_MS,
     LIFE_OF_STREAM_MS,
     OLD,
     RestartingFleet,
+    SlowStore,
 )
-from .test_stream_versions import FLEET_SIZE
+from .test_stream_versions import FLEET_SIZE, request, stream
 
 pytestmark = pytest.mark.anyio
 
@@ -56,3 +64,44 @@
         response, asked = await fleet.resume(1, IN_MODELS, "another")
         assert asked == ["a"]
         assert response.status == 200
+
+
+@contextlib.asynccontextmanager
+async def writing(router):
+    """Let a router write records by its own task, as in a process."""
+    records = router.sync.stream_records
+    router.components.confirm_stored = records.confirm_stored
+    task = asyncio.create_task(records.run())
+    await asyncio.sleep(0)
+    try:
+        yield records
+    finally:
+        task.cancel()
+
+
+class TestWriteTask:
+    @pytest.mark.parametrize("other_calls", ["answered", "failed"])
+    async def test_the_first_event_waits_for_the_task_that_writes(self, other_calls):
+        """Guards against LOST: a wait that is left out, or is when another call fails."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        router = fleet.fleet.routers[0]
+        if other_calls == "failed":
+            error = TransportError("status 429", step="registry")
+            router.sync.set_store_reachable(False, error)
+        async with writing(router) as records:
+            records.store = store = SlowStore(records.store)
+            components = router.components
+            components.connections = ScriptedConnections({"b": [stream(1)]})
+            components.load.begin_attempt("a")
+            components.load.begin_attempt("c")
+            response = RecordedResponse()
+            task = asyncio.ensure_future(request(components, response=response))
+            await asyncio.wait_for(store.asked.wait(), 5)
+            for _ in range(10):
+                await asyncio.sleep(0)
+            assert not response.started
+            store.may_answer.set()
+            await task
+        assert response.status == 200
+        assert components.metrics.streams_not_stored == 0
