--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/daemon.py
@@ -369,6 +369,7 @@
                 self.store_sync.permit_leases.run,
                 self.store_sync.version_sets.run,
                 self.store_sync.stream_records.run,
+                self.store_sync.stream_records.clean,
                 self.store_sync.sync_servers,
                 self.store_sync.watch_servers,
                 self.store_sync.sync_configuration,
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
@@ -75,14 +75,13 @@
         components.confirm_stored = self.confirm_stored
 
     async def run(self) -> None:
-        """Write the new streams at once or after an interval, and remove old records."""
+        """Write the new streams, at once or after an interval."""
         while True:
             self.begun.clear()
             began_ms = self.components.clock.now_ms()
             interval_ms = self.interval_ms()
             try:
                 await self.write()
-                await self.clean_if_due()
             except TransportError:
                 # Other tasks log that the store is lost.
                 interval_ms = max(interval_ms, RETRY_DELAY_MS)
@@ -93,6 +92,13 @@
                     async with asyncio.timeout(CHECK_INTERVAL_MS / MS_PER_S):
                         await self.begun.wait()
 
+    async def clean(self) -> None:
+        """Remove old records now and then, while new ones are written."""
+        while True:
+            with contextlib.suppress(TransportError):
+                await self.clean_if_due()
+            await asyncio.sleep(CHECK_INTERVAL_MS / MS_PER_S)
+
     def interval_ms(self) -> int:
         """Return the shortest time between the begins of two writes."""
         return write_interval_ms(self.components.fleet_size.count, self.writes_per_s)
--- a/packages/medlarridge-direct/tests/direct/test_stream_losses.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_losses.py
@@ -71,12 +71,28 @@
     """Let a router write records by its own task, as in a process."""
     records = router.sync.stream_records
     router.components.confirm_stored = records.confirm_stored
-    task = asyncio.create_task(records.run())
+    tasks = [asyncio.create_task(job()) for job in (records.run, records.clean)]
     await asyncio.sleep(0)
     try:
         yield records
     finally:
-        task.cancel()
+        for task in tasks:
+            task.cancel()
+
+
+class StuckList:
+    """A store that takes records and does not answer when it is asked for them."""
+
+    def __init__(self, store):
+        self.store = store
+        self.asked = asyncio.Event()
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    async def list_stream_records(self, stale):
+        self.asked.set()
+        await asyncio.Event().wait()
 
 
 class TestWriteTask:
@@ -105,3 +121,18 @@
             await task
         assert response.status == 200
         assert components.metrics.streams_not_stored == 0
+
+    async def test_records_are_written_while_old_ones_are_looked_for(self):
+        """Guards against LOST: first events that go while old records are removed."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        first = min(
+            fleet.fleet.routers.values(), key=lambda each: each.peers.own_router_id
+        )
+        records = first.sync.stream_records
+        records.store = store = StuckList(records.store)
+        records.may_exist, records.next_clean_ms = True, 0
+        async with writing(first):
+            await asyncio.wait_for(store.asked.wait(), 5)
+            await fleet.begin(first.number, "b")
+        assert first.components.metrics.streams_not_stored == 0
