--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
@@ -75,16 +75,17 @@
         components.confirm_stored = self.confirm_stored
 
     async def run(self) -> None:
-        """Write the new streams, at once or after an interval."""
+        """Write the new streams, at once or an interval after the last write."""
         while True:
             self.begun.clear()
             began_ms = self.components.clock.now_ms()
-            interval_ms = self.interval_ms()
+            interval_ms = 0
             try:
-                await self.write()
+                if await self.write():
+                    interval_ms = self.interval_ms()
             except TransportError:
                 # Other tasks log that the store is lost.
-                interval_ms = max(interval_ms, RETRY_DELAY_MS)
+                interval_ms = max(self.interval_ms(), RETRY_DELAY_MS)
             spent_ms = self.components.clock.now_ms() - began_ms
             await asyncio.sleep(max(interval_ms - spent_ms, 0) / MS_PER_S)
             if not self.records.unwritten():
@@ -103,13 +104,13 @@
         """Return the shortest time between the begins of two writes."""
         return write_interval_ms(self.components.fleet_size.count, self.writes_per_s)
 
-    async def write(self) -> None:
-        """Write the first segment with streams that the store lacks."""
+    async def write(self) -> bool:
+        """Write the first segment with streams that the store lacks, if there is one."""
         self.collect_if_due()
         self.may_exist |= bool(self.records.segments)
         unwritten = self.records.unwritten()
         if not unwritten:
-            return
+            return False
         number = unwritten[0]
         segment = self.records.segments[number]
         count = len(segment.streams)
@@ -131,6 +132,7 @@
         if times_forgotten == self.times_forgotten:
             self.records.record_written(number, count)
             self.record_in_time()
+        return True
 
     def collect_soon(self) -> None:
         """Look through all streams, as servers or routes have changed."""
--- a/packages/medlarridge-direct/tests/direct/test_stream_losses.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_losses.py
@@ -122,6 +122,16 @@
         assert response.status == 200
         assert components.metrics.streams_not_stored == 0
 
+    async def test_the_first_write_waits_for_no_interval(self):
+        """Guards against first events that wait although nothing was written lately."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        router = fleet.fleet.routers[0]
+        router.sync.stream_records.writes_per_s = 0.001
+        async with writing(router):
+            await fleet.begin(0, "b")
+        assert router.components.metrics.streams_not_stored == 0
+
     async def test_records_are_written_while_old_ones_are_looked_for(self):
         """Guards against LOST: first events that go while old records are removed."""
         fleet = RestartingFleet(BOTH)
