--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
@@ -63,7 +63,7 @@
 
     ``unstored`` are streams that need no record so far, ``held`` those in segments, and
     ``awaited`` those of them that the store does not hold yet. ``writing`` is the segment
-    that is being written, and ``dropped`` counts the streams that found no room.
+    that is being written, ``written_last`` the one before, and ``dropped`` counts the streams that found no room.
     ``needs_record`` tells by a stream's pool and the place of its route whether a router
     that starts could not infer its origin. ``on_begin`` is called for a stream that needs
     a record, and ``on_unknown`` for one that is taken up and not known, to read the
@@ -79,6 +79,7 @@
     segments: list[Segment] = field(default_factory=list)
     current: int | None = None
     writing: int | None = None
+    written_last: int | None = None
     last_name: int = 0
     dropped: int = 0
     reading: bool = False
@@ -162,16 +163,25 @@
         return None
 
     def unwritten(self) -> list[int]:
-        """Return the numbers of the segments that must be written, the current one first.
+        """Return the numbers of the segments that must be written, in this order.
 
-        Clients wait for the first events of its streams.
+        Clients wait for the first events of the streams in the current one, and in small
+        ones that were current. The one that was written last comes last, as it may grow
+        all the time.
         """
         numbers = [
             number
             for number, segment in enumerate(self.segments)
             if segment.streams and not segment.stored
         ]
-        return sorted(numbers, key=lambda number: number != self.current)
+        return sorted(
+            numbers,
+            key=lambda number: (
+                number == self.written_last,
+                number != self.current,
+                len(self.segments[number].streams),
+            ),
+        )
 
     def content(self, number: int) -> list[StreamGroup]:
         """Return what the store should hold of a segment."""
@@ -179,6 +189,7 @@
 
     def record_written(self, number: int, count: int) -> None:
         """Record that a segment was written when it had ``count`` streams."""
+        self.written_last = number
         segment = self.segments[number]
         segment.written_before = True
         segment.stored = len(segment.streams) == count
--- a/packages/medlarridge-direct/tests/direct/coordination/test_stream_records.py
+++ b/packages/medlarridge-direct/tests/direct/coordination/test_stream_records.py
@@ -137,6 +137,29 @@
         records.begin_some(1)
         assert records.unwritten()[0] == records.current
 
+    def written_in_turn(self, records, count, begun_between):
+        """Write one segment at a time while streams begin; return the numbers."""
+        numbers = []
+        for _ in range(count):
+            number = records.unwritten()[0]
+            records.record_written(number, len(records.segments[number].streams))
+            numbers.append(number)
+            records.begin_some(begun_between)
+        return numbers
+
+    def test_a_full_segment_is_written_although_streams_begin(self, records):
+        """Guards against first events that wait until no other stream begins."""
+        records.need("models")
+        records.begin_some(MAX_SEGMENT_STREAMS + 1)
+        assert set(self.written_in_turn(records, 2, begun_between=1)) == {0, 1}
+
+    def test_earlier_streams_are_written_although_streams_begin(self, records):
+        """Guards against LOST: a release during which streams begin all the time."""
+        records.begin_some(MAX_BATCH_STREAMS)
+        records.need("models")
+        records.begin_some(1)
+        assert 0 in self.written_in_turn(records, 2, begun_between=1)
+
     def test_a_stream_is_held_once(self, records):
         """Guards against a second record of a stream that is taken up here."""
         records.need("models")
