--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
@@ -77,16 +77,17 @@
         components.confirm_stored = self.confirm_stored
 
     async def run(self) -> None:
-        """Write the new streams at once or after an interval."""
+        """Write the new streams, at once or an interval after the last write."""
         while True:
             self.begun.clear()
             began_ms = self.components.clock.now_ms()
-            interval_ms = self.interval_ms()
+            interval_ms = 0
             try:
-                await self.write()
+                if await self.write():
+                    interval_ms = self.interval_ms()
             except TransportError:
                 # Other tasks log that the store is lost.
-                interval_ms = max(interval_ms, RETRY_DELAY_MS)
+                interval_ms = max(self.interval_ms(), RETRY_DELAY_MS)
             spent_ms = self.components.clock.now_ms() - began_ms
             await asyncio.sleep(max(interval_ms - spent_ms, 0) / MS_PER_S)
             if not self.records.unwritten():
@@ -94,17 +95,25 @@
                     async with asyncio.timeout(CHECK_INTERVAL_MS / MS_PER_S):
                         await self.begun.wait()
 
+    async def clean(self) -> None:
+        """Remove old records now and then, while new ones are written."""
+        while True:
+            with contextlib.suppress(TransportError):
+                await self.clean_if_due()
+            await asyncio.sleep(CLEAN_CHECK_MS / MS_PER_S)
+
     def interval_ms(self) -> int:
         """Return the shortest time between the begins of two writes."""
         return write_interval_ms(self.components.fleet_size.count, self.writes_per_s)
 
-    async def write(self) -> None:
-        """Write the first segment with streams that the store lacks."""
+    async def write(self) -> bool:
+        """Write the first segment with streams that the store lacks, if there is one."""
         self.collect_if_due()
         self.may_exist |= bool(self.records.segments)
-        number = self.records.next_segment()
-        if number is None:
-            return
+        unwritten = self.records.unwritten()
+        if not unwritten:
+            return False
+        number = unwritten[0]
         segment = self.records.segments[number]
         count = len(segment.streams)
         times_forgotten = self.times_forgotten
@@ -125,6 +134,7 @@
         if times_forgotten == self.times_forgotten:
             self.records.record_written(number, count)
             self.record_in_time()
+        return True
 
     def collect_soon(self) -> None:
         """Look through all streams, as servers or routes have changed."""
@@ -143,12 +153,10 @@
         """Wait until the store holds the record of a stream if it needs one.
 
         Return whether a loss of all routers leaves its origin known. While the store is
-        late or unreachable, nothing is waited for.
+        late with a record, nothing is waited for.
         """
         if not self.records.is_awaited(stream):
             return True
-        if not self.peers.store_reachable:
-            self.record_late("store unreachable")
         try:
             async with asyncio.timeout(STORE_WAIT_MS / MS_PER_S):
                 while not self.late and self.records.is_awaited(stream):
@@ -219,13 +227,6 @@
                 streams += len(group.streams)
         self.log.event(STREAM_RECORDS_READ, records=len(records), streams=streams)
 
-    async def run_cleaning(self) -> None:
-        """Remove old records now and then."""
-        while True:
-            await asyncio.sleep(CLEAN_CHECK_MS / MS_PER_S)
-            with contextlib.suppress(TransportError):
-                await self.clean_if_due()
-
     async def clean_if_due(self) -> None:
         """Remove records that have not changed for long, if this router is first."""
         now_ms = self.components.clock.now_ms()
