--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
@@ -63,8 +63,8 @@
 
     ``unstored`` are streams that need no record so far, ``held`` those in segments, and
     ``awaited`` those of them that the store does not hold yet. ``writing`` is the segment
-    that is being written, ``written_last`` the one before, and ``dropped`` counts the streams that found no room.
-    ``needs_record`` tells by a stream's pool and the place of its route whether a router
+    that is being written, ``written_last`` the one before, and ``dropped`` counts the
+    streams that found no room. ``needs_record`` tells by a stream's pool and the place of its route whether a router
     that starts could not infer its origin. ``on_begin`` is called for a stream that needs
     a record, and ``on_unknown`` for one that is taken up and not known, to read the
     records of all routers.
@@ -101,6 +101,12 @@
         """Return whether a stream needs a record that the store does not hold yet."""
         return stream in self.awaited
 
+    def is_safe(self, stream: int) -> bool:
+        """Return whether the store holds the record of a stream or needs none."""
+        return stream in self.unstored or (
+            stream in self.held and stream not in self.awaited
+        )
+
     def expire(self) -> None:
         """Forget the oldest streams that cannot be taken up any more."""
         while self.unstored:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
@@ -153,8 +153,6 @@
         Return whether a loss of all routers leaves its origin known. While the store is
         late with a record, nothing is waited for.
         """
-        if not self.records.is_awaited(stream):
-            return True
         try:
             async with asyncio.timeout(STORE_WAIT_MS / MS_PER_S):
                 while not self.late and self.records.is_awaited(stream):
@@ -163,7 +161,7 @@
                     await written
         except TimeoutError:
             self.record_late("no answer in time")
-        return not self.records.is_awaited(stream)
+        return self.records.is_safe(stream)
 
     def record_late(self, error: str) -> None:
         """Let first events go before their records, as the store takes none."""
--- a/packages/medlarridge-direct/tests/direct/test_stream_losses.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_losses.py
@@ -6,6 +6,7 @@
 import pytest
 
 from medlarridge import TransportError
+from medlarridge_direct._internal.coordination import stream_records
 
 from .scripted import ScriptedConnections
 from .test_moved_routes import IN_MODELS, MODELS, SPLIT, MovingFleet
@@ -146,3 +147,11 @@
             await asyncio.wait_for(store.asked.wait(), 5)
             await fleet.begin(first.number, "b")
         assert first.components.metrics.streams_not_stored == 0
+
+    async def test_a_stream_without_room_counts_as_not_stored(self, monkeypatch):
+        """Guards against streams that are lost and counted as stored."""
+        monkeypatch.setattr(stream_records, "MAX_STREAMS", 0)
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        await fleet.begin(0, "b")
+        assert fleet.fleet.routers[0].components.metrics.streams_not_stored == 1
