--- a/packages/medlarridge-direct/tests/direct/test_stream_losses.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_losses.py
@@ -54,6 +54,17 @@
         assert fleet.fleet.registry.stream_calls["save-stream-record"] == before
 
 
+class TestBeforeARelease:
+    async def test_a_second_version_right_after_the_first_event(self):
+        """Guards against LOST: streams from before a version that no router has seen."""
+        fleet = RestartingFleet(OLD)
+        await fleet.settle()
+        await fleet.begin(0, "a")
+        fleet.list_servers(BOTH)
+        await fleet.restart_all()
+        await fleet.assert_goes_on("v1")
+
+
 class TestChangedRoutes:
     async def test_a_stream_that_begins_as_its_route_is_split(self):
         """Guards against LOST: a record judged by the configuration before."""
@@ -66,6 +77,34 @@
         assert asked == ["a"]
         assert response.status == 200
 
+    async def test_a_split_right_after_the_first_event(self):
+        """Guards against LOST: streams from before a split that no router has seen."""
+        fleet = MovingFleet(MODELS)
+        await fleet.settle()
+        await fleet.begin(0, "a", request_id=IN_MODELS)
+        fleet.move(SPLIT)
+        await fleet.restart_all()
+        response, asked = await fleet.resume(1, IN_MODELS, "another")
+        assert asked == ["a"]
+        assert response.status == 200
+
+
+class TestOlderCopy:
+    async def test_a_drill_after_the_records_were_read(self):
+        """Guards against LOST: records that only those who wrote them write again."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        copy = fleet.fleet.registry.keep_copy()
+        await fleet.begin(0, "a")
+        await fleet.restart_all()
+        response, _ = await fleet.resume(1, busy="v1")
+        assert response.status == 200
+        fleet.era = fleet.fleet.registry.restore(copy)
+        fleet.list_servers()
+        await fleet.run(HANDOVER_MS)
+        await fleet.restart_all()
+        await fleet.assert_goes_on("v1")
+
 
 @contextlib.asynccontextmanager
 async def writing(router):
@@ -155,3 +194,16 @@
         await fleet.settle()
         await fleet.begin(0, "b")
         assert fleet.fleet.routers[0].components.metrics.streams_not_stored == 1
+
+    async def test_an_interval_that_is_longer_than_the_wait(self):
+        """Guards against LOST: first events that never wait long enough in a fleet."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        router = fleet.fleet.routers[0]
+        records = router.sync.stream_records
+        records.writes_per_s = FLEET_SIZE * 400 / 68
+        assert records.interval_ms() == 340
+        async with writing(router):
+            for number in range(2):
+                await fleet.begin(0, "b", request_id=f"stream-{number}")
+        assert router.components.metrics.streams_not_stored == 0
