--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
@@ -64,10 +64,10 @@
     ``unstored`` are streams that need no record so far, ``held`` those in segments, and
     ``awaited`` those of them that the store does not hold yet. ``writing`` is the segment
     that is being written, ``written_last`` the one before, and ``dropped`` counts the
-    streams that found no room. ``needs_record`` tells by a stream's pool and the place of its route whether a router
-    that starts could not infer its origin. ``on_begin`` is called for a stream that needs
-    a record, and ``on_unknown`` for one that is taken up and not known, to read the
-    records of all routers.
+    streams that found no room. ``needs_record`` tells by a stream's pool and the place of
+    its route whether a router that starts could not infer its origin. ``on_begin`` is
+    called for a stream that needs a record, and ``on_unknown`` for one that is taken up
+    and not known, to read the records of all routers.
     """
 
     clock: Clock
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
@@ -144,8 +144,8 @@
         """Store a record; ``exists`` tells that there probably is one of this name."""
         ...
 
-    async def delete_stream_record(self, name: str) -> None:
-        """Remove a record, if it is there."""
+    async def delete_stream_record(self, name: str, revision: int) -> None:
+        """Remove a record, if it is there and has this revision."""
         ...
 
     async def list_servers(self) -> ServerListing:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
@@ -243,12 +243,10 @@
         }
         span_ms = self.components.version_sets.longest_span_ms()
         oldest_ms = now_ms - RETENTION_SPANS * max(span_ms, CLEAN_INTERVAL_MS)
-        old = [
-            name for (name, _), seen_ms in self.seen_ms.items() if seen_ms < oldest_ms
-        ]
-        for name in old[:MAX_REMOVALS]:
+        old = [each for each, seen_ms in self.seen_ms.items() if seen_ms < oldest_ms]
+        for name, revision in old[:MAX_REMOVALS]:
             self.count_call("delete-stream-record")
-            await self.store.delete_stream_record(name)
+            await self.store.delete_stream_record(name, revision)
 
     def count_call(self, call: str) -> None:
         """Count a call to the store in the metrics."""
--- a/packages/medlarridge-direct/tests/adapter/test_store.py
+++ b/packages/medlarridge-direct/tests/adapter/test_store.py
@@ -550,8 +550,15 @@
         """Guards against records that fill the store."""
         client = FakeClient(200, 404)
         for _ in range(2):
-            await ObjectStore(client).delete_stream_record("1f-0")
-        assert client.paths == [b"DELETE /v1/objects/stream-records/1f-0"] * 2
+            await ObjectStore(client).delete_stream_record("1f-0", 8)
+        path = b"DELETE /v1/objects/stream-records/1f-0?revision=8"
+        assert client.paths == [path] * 2
+
+    async def test_a_record_that_has_changed_is_left(self):
+        """Guards against a removal that fails as the record was written again."""
+        client = FakeClient(409)
+        await ObjectStore(client).delete_stream_record("1f-0", 8)
+        assert len(client.paths) == 1
 
     @pytest.mark.parametrize(
         "spec",
--- a/packages/medlarridge-direct/tests/direct/router_fleet.py
+++ b/packages/medlarridge-direct/tests/direct/router_fleet.py
@@ -151,9 +151,11 @@
         registry.last_number += 1
         registry.stream_records[name] = StreamRecord(name, registry.last_number, groups)
 
-    async def delete_stream_record(self, name):
+    async def delete_stream_record(self, name, revision):
         self.call("delete-stream-record", writes=True)
-        self.registry.stream_records.pop(name, None)
+        record = self.registry.stream_records.get(name)
+        if record is not None and record.revision == revision:
+            del self.registry.stream_records[name]
 
     def call(self, name, writes=False):
         """Count a call that concerns streams; fail if the store does not take it."""
--- a/packages/medlarridge-direct/tests/direct/test_stream_losses.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_losses.py
@@ -89,6 +89,39 @@
         assert response.status == 200
 
 
+class RewritingStore:
+    """A store in which a record is written again after it was listed as an old one."""
+
+    def __init__(self, store):
+        self.store = store
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    async def list_stream_records(self, stale):
+        records = await self.store.list_stream_records(stale)
+        for record in records:
+            await self.store.save_stream_record(record.name, record.groups, True)
+        return records
+
+
+class TestRemoval:
+    async def test_a_record_that_is_written_again_stays(self):
+        """Guards against LOST: a record is removed that was old when it was listed."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        await fleet.begin(0, "b")
+        registry = fleet.fleet.registry
+        (record,) = registry.stream_records.values()
+        sync = fleet.fleet.routers[0].sync.stream_records
+        sync.store = RewritingStore(sync.store)
+        sync.next_clean_ms = 0
+        sync.seen_ms = {(record.name, record.revision): 0}
+        await sync.clean_if_due()
+        assert registry.stream_calls["delete-stream-record"] == 1
+        assert list(registry.stream_records) == [record.name]
+
+
 class TestOlderCopy:
     async def test_a_drill_after_the_records_were_read(self):
         """Guards against LOST: records that only those who wrote them write again."""
--- a/packages/medlarridge-direct/tests/soak/store_process.py
+++ b/packages/medlarridge-direct/tests/soak/store_process.py
@@ -164,6 +164,11 @@
         if request.method == b"GET":
             return (200, objects[name]) if name in objects else (404, {})
         if request.method == b"DELETE":
+            present = objects.get(name, {}).get("metadata", {}).get("revision")
+            if present is not None and query.get("revision", str(present)) != str(
+                present
+            ):
+                return 409, objects[name]
             self.remove(kind, name)
             return 200, {}
         item = json.loads(request.body)
