--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/protocol/platform_interface.py
@@ -145,7 +145,7 @@
         ...
 
     async def delete_stream_record(self, name: str, revision: int) -> None:
-        """Remove a record, if it is there and still at a revision."""
+        """Remove a record, if it is there and has this revision."""
         ...
 
     async def list_servers(self) -> ServerListing:
--- a/packages/medlarridge-direct/tests/direct/test_stream_losses.py
+++ b/packages/medlarridge-direct/tests/direct/test_stream_losses.py
@@ -6,6 +6,7 @@
 import pytest
 
 from medlarridge import TransportError
+from medlarridge_direct._internal.coordination import stream_records
 
 from .scripted import ScriptedConnections
 from .test_moved_routes import IN_MODELS, MODELS, SPLIT, MovingFleet
@@ -53,6 +54,17 @@
         assert fleet.fleet.registry.stream_calls["save-stream-record"] == before
 
 
+class TestBeforeARelease:
+    async def test_a_second_version_right_after_the_first_event(self):
+        """Guards against LOST: streams from before a version that no router has seen."""
+        fleet = RestartingFleet(OLD)
+        await fleet.settle()
+        await fleet.begin(0, "a")
+        fleet.list_servers(BOTH)
+        await fleet.restart_all()
+        await fleet.assert_goes_on("v1")
+
+
 class TestChangedRoutes:
     async def test_a_stream_that_begins_as_its_route_is_split(self):
         """Guards against LOST: a record judged by the configuration before."""
@@ -65,6 +77,67 @@
         assert asked == ["a"]
         assert response.status == 200
 
+    async def test_a_split_right_after_the_first_event(self):
+        """Guards against LOST: streams from before a split that no router has seen."""
+        fleet = MovingFleet(MODELS)
+        await fleet.settle()
+        await fleet.begin(0, "a", request_id=IN_MODELS)
+        fleet.move(SPLIT)
+        await fleet.restart_all()
+        response, asked = await fleet.resume(1, IN_MODELS, "another")
+        assert asked == ["a"]
+        assert response.status == 200
+
+
+class RewritingStore:
+    """A store in which a record is written again after it was listed as an old one."""
+
+    def __init__(self, store):
+        self.store = store
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    async def list_stream_records(self, stale):
+        records = await self.store.list_stream_records(stale)
+        for record in records:
+            await self.store.save_stream_record(record.name, record.groups, True)
+        return records
+
+
+class TestRemoval:
+    async def test_a_record_that_is_written_again_stays(self):
+        """Guards against LOST: a record is removed that was old when it was listed."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        await fleet.begin(0, "b")
+        registry = fleet.fleet.registry
+        (record,) = registry.stream_records.values()
+        sync = fleet.fleet.routers[0].sync.stream_records
+        sync.store = RewritingStore(sync.store)
+        sync.next_clean_ms = 0
+        sync.seen_ms = {(record.name, record.revision): 0}
+        await sync.clean_if_due()
+        assert registry.stream_calls["delete-stream-record"] == 1
+        assert list(registry.stream_records) == [record.name]
+
+
+class TestOlderCopy:
+    async def test_a_drill_after_the_records_were_read(self):
+        """Guards against LOST: records that only those who wrote them write again."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        copy = fleet.fleet.registry.keep_copy()
+        await fleet.begin(0, "a")
+        await fleet.restart_all()
+        response, _ = await fleet.resume(1, busy="v1")
+        assert response.status == 200
+        fleet.era = fleet.fleet.registry.restore(copy)
+        fleet.list_servers()
+        await fleet.run(HANDOVER_MS)
+        await fleet.restart_all()
+        await fleet.assert_goes_on("v1")
+
 
 @contextlib.asynccontextmanager
 async def writing(router):
@@ -146,3 +219,24 @@
             await asyncio.wait_for(store.asked.wait(), 5)
             await fleet.begin(first.number, "b")
         assert first.components.metrics.streams_not_stored == 0
+
+    async def test_a_stream_without_room_counts_as_not_stored(self, monkeypatch):
+        """Guards against streams that are lost and counted as stored."""
+        monkeypatch.setattr(stream_records, "MAX_STREAMS", 0)
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        await fleet.begin(0, "b")
+        assert fleet.fleet.routers[0].components.metrics.streams_not_stored == 1
+
+    async def test_an_interval_that_is_longer_than_the_wait(self):
+        """Guards against LOST: first events that never wait long enough in a fleet."""
+        fleet = RestartingFleet(BOTH)
+        await fleet.settle()
+        router = fleet.fleet.routers[0]
+        records = router.sync.stream_records
+        records.writes_per_s = FLEET_SIZE * 400 / 68
+        assert records.interval_ms() == 340
+        async with writing(router):
+            for number in range(2):
+                await fleet.begin(0, "b", request_id=f"stream-{number}")
+        assert router.components.metrics.streams_not_stored == 0
