--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
@@ -20,8 +20,10 @@
 known of the stored sets may have changed."""
 
 STORE_WAIT_MS = 250
-"""Time for which the first event of a stream waits for its record, and after which the
-store counts as late. Then serving goes first until a write has been answered."""
+MAX_TURN_WAIT_MS = 1_000
+"""Time for which the first event of a stream waits for the store's answer, and longest
+time for which it waits for its turn to be written before that. After both, serving goes
+first until a write has been answered."""
 
 CLEAN_INTERVAL_MS = 30_000
 CLEAN_CHECK_MS = 5_000
@@ -155,8 +157,9 @@
         Return whether a loss of all routers leaves its origin known. While the store is
         late with a record, nothing is waited for.
         """
+        turn_wait_ms = min(2 * self.interval_ms(), MAX_TURN_WAIT_MS)
         try:
-            async with asyncio.timeout(STORE_WAIT_MS / MS_PER_S):
+            async with asyncio.timeout((turn_wait_ms + STORE_WAIT_MS) / MS_PER_S):
                 while not self.late and self.records.is_awaited(stream):
                     written = asyncio.get_running_loop().create_future()
                     self.waiters.append(written)
