--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_origins.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_origins.py
@@ -70,6 +70,10 @@
         known = self.streams.get(stream)
         return known is not None and known.from_store
 
+    def read_from_store(self) -> list[int]:
+        """Return the streams whose origin is known from the store."""
+        return [stream for stream, known in self.streams.items() if known.from_store]
+
     def group(self, streams: Iterable[int]) -> list[StreamGroup]:
         """Return streams by their origin; forgotten ones are left out."""
         by_origin: dict[StreamOrigin, list[tuple[int, int]]] = {}
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
@@ -97,6 +97,11 @@
         else:
             self.unstored[stream] = place
 
+    def adopt(self, stream: int) -> None:
+        """Record a stream that another router began, as nobody else may do so."""
+        if stream not in self.held:
+            self.unstored.setdefault(stream, None)
+
     def is_awaited(self, stream: int) -> bool:
         """Return whether a stream needs a record that the store does not hold yet."""
         return stream in self.awaited
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/stream_records_sync.py
@@ -192,8 +192,14 @@
                 waiter.set_result(None)
 
     def forget(self) -> None:
-        """Write and read all records again, since the store may have lost some."""
+        """Write and read all records again, since the store may have lost some.
+
+        Those that this router has read may be of routers that are gone.
+        """
         self.times_forgotten += 1
+        for stream in self.components.stream_origins.read_from_store():
+            self.records.adopt(stream)
+        self.collect_soon()
         self.records.forget_written()
         self.next_read_ms = 0
 
