--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/client_connection.py
@@ -49,6 +49,10 @@
 Handler = Callable[[ClientRequest, "ResponseWriter"], Awaitable[None]]
 
 
+BODY_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+NO_CONTENT = (b"content-length", b"0")
+
+
 class ResponseWriter:
     """Writes the response to one request."""
 
@@ -284,16 +288,27 @@
             return
         self.received_bytes += len(data)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserCallbackError:
-            self.reject_message(400)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.parse(data)
+        except httptools.HttpParserError:
             self.reject_message(400)
         if self.exceeds_limits():
             self.reject_message(431)
         if len(self.pending) >= MAX_PIPELINED_REQUESTS and self.transport is not None:
             self.transport.pause_reading()
 
+    def parse(self, data: bytes) -> None:
+        """Parse requests; an offer to change the protocol is not taken.
+
+        What follows it is the next request.
+        """
+        while data:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                data = data[offer.args[0] :]
+                self.parser = httptools.HttpRequestParser(self)
+
     def exceeds_limits(self) -> bool:
         """Return whether too much was read since the last request beside its body.
 
@@ -329,9 +344,17 @@
 
     def on_headers_complete(self) -> None:
         self.head_complete = True
+        # The parser leaves out the body of a request that offers another protocol.
+        omits_body = self.parser.should_upgrade()
         for name, value in self.headers:
             lowered = name.lower()
-            if lowered == b"content-length":
+            if (
+                omits_body
+                and (lowered, value) != NO_CONTENT
+                and lowered in BODY_HEADERS
+            ):
+                self.reject_message(400)
+            elif lowered == b"content-length":
                 if value.isdigit() and int(value) > self.limits().max_body_bytes:
                     self.reject_message(413)
             elif lowered == b"expect" and value.lower() == b"100-continue":
--- a/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
+++ b/packages/medlarridge-direct/tests/direct/transport/test_client_connection.py
@@ -12,6 +12,7 @@
 pytestmark = pytest.mark.anyio
 
 GET = b"GET /a HTTP/1.1\r\nHost: desk.example\r\n\r\n"
+OFFER = b"POST /up HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n"
 LIMITS = ClientLimits(max_header_bytes=400, max_body_bytes=100)
 
 
@@ -116,6 +117,34 @@
         assert [request.target for request in client.handled] == [b"/a", b"/b"]
         assert client.status_lines == [b"200", b"200"]
 
+    @pytest.mark.parametrize("framing", [b"", b"Content-Length: 0\r\n"])
+    @pytest.mark.parametrize("size", [1, 1_000])
+    async def test_an_offer_to_change_the_protocol_is_not_taken(self, framing, size):
+        """Guards against a second answer to one request, or a request that is lost."""
+        client = Client()
+        raw = OFFER + framing + b"\r\n" + GET
+        for start in range(0, len(raw), size):
+            await client.send(raw[start : start + size])
+        assert [each.target for each in client.handled] == [b"/up", b"/a"]
+        assert client.status_lines == [b"200", b"200"]
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"Content-Length: 5\r\n\r\nhello",
+            b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        ],
+    )
+    @pytest.mark.parametrize("size", [1, 1_000])
+    async def test_an_offer_with_a_body_is_rejected(self, body, size):
+        """Guards against a request that runs without its body."""
+        client = Client()
+        raw = OFFER + body + GET
+        for start in range(0, len(raw), size):
+            await client.send(raw[start : start + size])
+        assert client.handled == []
+        assert client.status_lines == [b"400"]
+
     @pytest.mark.parametrize(
         "headers",
         [
