--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/omitted_tls.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/transport/omitted_tls.py
@@ -3,10 +3,13 @@
 uvloop imports ``ssl``, which loads OpenSSL: 4 MB of memory and a tenth of the processor
 time of a start. The platform's links carry plain HTTP, and the router opens no TLS
 connection. The stand-in has the names that uvloop and asyncio look up when they are
-imported; each other use of the module is an ``AttributeError``.
+imported; each other use of it is an ``AttributeError``. What is imported later, such as
+prometheus_client for the first page of metrics, finds the real module.
 """
 
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from types import ModuleType
 
 ERROR_NAMES = (
@@ -26,8 +29,24 @@
 }
 
 
-def omit_tls() -> None:
-    """Let imports of ``ssl`` find the stand-in, unless the module is loaded already."""
+@contextmanager
+def omit_tls() -> Iterator[None]:
+    """Let imports of ``ssl`` inside the block find the stand-in.
+
+    A module that is loaded already stays.
+    """
+    if "ssl" in sys.modules:
+        yield
+        return
+    sys.modules["ssl"] = create_stand_in()
+    try:
+        yield
+    finally:
+        del sys.modules["ssl"]
+
+
+def create_stand_in() -> ModuleType:
+    """Return a module that has the names which the importing libraries look up."""
     module = ModuleType("ssl", "Stand-in for a module that this process does not use.")
     for name in ERROR_NAMES:
         setattr(module, name, type(name, (OSError,), {}))
@@ -35,4 +54,4 @@
         setattr(module, name, type(name, (), {}))
     for name, number in ERROR_NUMBERS.items():
         setattr(module, name, number)
-    sys.modules.setdefault("ssl", module)
+    return module
--- a/packages/medlarridge-direct/tests/adapter/test_serve.py
+++ b/packages/medlarridge-direct/tests/adapter/test_serve.py
@@ -92,3 +92,9 @@
             " for value in vars(module).values())]"
         )
         assert found == []
+
+    def test_the_metrics_page_can_be_rendered(self):
+        """Guards against a library that needs a module which the start leaves out."""
+        metrics = "__import__('medlarridge_direct._internal.metrics', fromlist=['*'])"
+        found = print_after_import(f"{metrics}.Metrics().render().decode().split()")
+        assert "medlarridge_requests_total" in found
