--- a/packages/medlarridge-direct/tests/adapter/test_settings_template.py
+++ b/packages/medlarridge-direct/tests/adapter/test_settings_template.py
@@ -1,6 +1,4 @@
-import re
 import tomllib
-from pathlib import Path
 
 import msgspec
 import pytest
@@ -8,35 +6,7 @@
 from medlarridge import UserError
 from medlarridge_direct._internal.settings import DirectSettings, load_settings
 
-TEMPLATE = Path(__file__).parents[4] / "platform" / "router.toml.template"
-VALUES = {
-    "nodeName": "front-1",
-    "role": "router",
-    "ip": "10.1.0.40",
-    "zone": "zone-anfa",
-    "bootstrap|json": "true",
-    "limits.linkMbps": "100.0",
-    "listen.front": "10.1.0.40:8227",
-    "listen.readinessAddress": "10.1.0.40:8220",
-    "internalPortRange.0": "7340",
-    "platform.address": "10.200.1.7:8223",
-    "bounds.graceS": "8",
-    "bounds.retryBudgetRatio": "0.2",
-    "bounds.budgetSlack": "56",
-    "bounds.budgetWindowS": "10",
-    "bounds.capFactor": "2",
-}
-
-
-def render(values):
-    text = re.sub(
-        r"\{\{#(.*?)\}\}(.*?)\{\{/\1\}\}",
-        lambda match: (
-            match[2].replace("{{.}}", values[match[1]]) if match[1] in values else ""
-        ),
-        TEMPLATE.read_text(),
-    )
-    return re.sub(r"\{\{(.*?)\}\}", lambda match: values[match[1]], text)
+from .settings_template import VALUES, render
 
 
 class TestTemplate:
--- a/packages/medlarridge-direct/tests/soak/processes.py
+++ b/packages/medlarridge-direct/tests/soak/processes.py
@@ -32,9 +32,13 @@
 class Process:
     """One child process, which can be started again after it has ended.
 
-    Signals are sent only to the process id that the start returned.
+    Signals are sent only to the process id that the start returned. ``program`` is the
+    path of the interpreter and ``directory`` the working directory.
     """
 
+    program = sys.executable
+    directory = ROOT
+
     def __init__(
         self, name: str, arguments: list[str], on_line: Callable[[str, dict], None]
     ) -> None:
@@ -60,18 +64,22 @@
         """Start the process and the task that reads its output."""
         self.start_count += 1
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
+            self.program,
             *self.arguments,
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
-            env=child_environment(**variables),
-            cwd=ROOT,
+            env=self.environment(variables),
+            cwd=self.directory,
             limit=MAX_LINE_BYTES,
         )
         self.exit_expected = False
         self.reader_task = asyncio.create_task(self.read_lines(self.process))
 
+    def environment(self, variables: dict[str, str]) -> dict[str, str]:
+        """Return the environment of the process."""
+        return child_environment(**variables)
+
     async def read_lines(self, process: asyncio.subprocess.Process) -> None:
         """Pass JSON lines of the process to ``on_line``; keep other lines."""
         assert process.stdout is not None
@@ -79,7 +87,7 @@
             self.line_count += 1
             try:
                 self.on_line(self.name, json.loads(line))
-            except json.JSONDecodeError:
+            except ValueError:
                 self.unparsed_lines.append(line.decode(errors="replace").rstrip())
 
     @property
