--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -112,6 +112,8 @@
 TASK_FAILED = register(6141, "ERROR", "background task failed and is restarted")
 READINESS_CHANGED = register(6140, "INFO", "readiness changed")
 PROCESS_STALLED = register(6142, "WARNING", "process stalled")
+UNEXPECTED_ERROR = register(6143, "ERROR", "unexpected error")
+LIBRARY_WARNING = register(6144, "WARNING", "a library or the interpreter warns")
 
 
 class LogWriter:
--- a/packages/medlarridge-direct/src/medlarridge_direct/platform_api.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/platform_api.py
@@ -3,6 +3,8 @@
 from medlarridge._internal.errors import TransportError, UserError
 
 from ._internal.daemon import DirectRouter
+from ._internal.error_reports import ErrorReports
+from ._internal.logs import Log
 from ._internal.protocol.configuration import (
     Account,
     ClientLimits,
@@ -49,12 +51,14 @@
     "Dialect",
     "DirectRouter",
     "DirectSettings",
+    "ErrorReports",
     "ForwardingMetadata",
     "Headers",
     "HistoryGone",
     "HttpClient",
     "HttpResponse",
     "LeaseRecord",
+    "Log",
     "PlatformStore",
     "Pool",
     "PoolShare",
--- a/packages/medlarridge-direct/tests/built/deployment.py
+++ b/packages/medlarridge-direct/tests/built/deployment.py
@@ -167,10 +167,10 @@
         )
         assert status == 200
 
-    async def start_router(self) -> None:
+    async def start_router(self, **variables: str) -> None:
         """Start the router."""
-        variables = {SETTINGS_VARIABLE: str(self.settings_path)}
-        await self.router.start(**variables)
+        settings = {SETTINGS_VARIABLE: str(self.settings_path)}
+        await self.router.start(**settings | variables)
 
     async def wait_until_serving(self) -> None:
         """Wait until the router is ready and lists the servers."""
