--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/error_reports.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/error_reports.py
@@ -11,7 +11,9 @@
 from asyncio import AbstractEventLoop
 from types import TracebackType
 
-from .logs import LIBRARY_WARNING, UNEXPECTED_ERROR, Log
+from medlarridge._internal.errors import UserError
+
+from .logs import LIBRARY_WARNING, START_FAILED, UNEXPECTED_ERROR, Log
 
 MAX_FRAMES = 12
 """Innermost frames of a traceback that are logged."""
@@ -42,6 +44,16 @@
         self.log.request_event(UNEXPECTED_ERROR, **describe(message, error))
         self.log.flush()
 
+    def report_start_failure(self, error: UserError) -> None:
+        """Log an error that the user can mend."""
+        self.log.event(
+            START_FAILED,
+            error=printable(error),
+            cause=printable(error.cause),
+            hint=printable(error.hint),
+        )
+        self.log.flush()
+
     def report_uncaught(
         self,
         error_type: type[BaseException],
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -66,6 +66,7 @@
 STOPPED = register(6102, "INFO", "router stopped")
 SETTINGS_RELOADED = register(6103, "INFO", "settings reloaded")
 SETTINGS_RELOAD_FAILED = register(6104, "ERROR", "settings could not be reloaded")
+START_FAILED = register(6105, "ERROR", "router could not start")
 STORE_ERA_BEGAN = register(6123, "WARNING", "store came back from an older copy")
 CONFIGURATION_APPLIED = register(6110, "INFO", "configuration applied")
 SERVER_CHANGED = register(6111, "INFO", "server list changed")
--- a/packages/medlarridge-direct/tests/built/test_errors.py
+++ b/packages/medlarridge-direct/tests/built/test_errors.py
@@ -3,12 +3,48 @@
 
 import pytest
 
+from medlarridge_platform.names import SETTINGS_VARIABLE
+
 from .deployment import READ
 
 pytestmark = pytest.mark.anyio
 
 
 class TestStartFailures:
+    @pytest.mark.parametrize(
+        ("changes", "cause"),
+        [
+            ({"bounds.capFactor": "0"}, "load.factor"),
+            ({"platform.address": "somewhere"}, "store.address"),
+            ({"nodeName": 'a"b'}, "line 1"),
+        ],
+    )
+    async def test_wrong_settings_end_the_router(self, deployment, changes, cause):
+        """Guards against an error that does not say what to mend, or is no log line."""
+        deployment.write_settings(**changes)
+        await deployment.start_router()
+        assert await deployment.wait_for_exit() == 1
+        (line,) = deployment.lines
+        assert line["code"] == "MR6105"
+        assert str(deployment.settings_path) in line["error"]
+        assert cause in line["cause"]
+
+    async def test_a_missing_file_ends_the_router(self, deployment):
+        """Guards against a router that starts without limits, or a traceback."""
+        await deployment.start_router()
+        assert await deployment.wait_for_exit() == 1
+        (line,) = deployment.lines
+        assert line["code"] == "MR6105"
+        assert str(deployment.settings_path) in line["error"]
+
+    async def test_a_missing_variable_ends_the_router(self, deployment):
+        """Guards against an error about a directory in place of the variable."""
+        await deployment.start_router(**{SETTINGS_VARIABLE: ""})
+        assert await deployment.wait_for_exit() == 1
+        (line,) = deployment.lines
+        assert line["code"] == "MR6105"
+        assert SETTINGS_VARIABLE in line["error"]
+
     async def test_an_address_in_use_ends_the_router(self, deployment):
         """Guards against a traceback that is no log line when a port is taken."""
         deployment.write_settings()
