--- a/packages/medlarridge-direct/tests/built/deployment.py
+++ b/packages/medlarridge-direct/tests/built/deployment.py
@@ -180,9 +180,15 @@
             await asyncio.sleep(POLL_S)
 
     async def lists_servers(self) -> bool:
-        """Return whether the router has read all servers."""
+        """Return whether the router has read all servers.
+
+        Its address for operators is opened after that for readiness.
+        """
         for path in ("/talk/1", "/order/1"):
-            explanation = await self.explain(path)
+            try:
+                explanation = await self.explain(path)
+            except ConnectionRefusedError:
+                return False
             if not explanation["candidates"]:
                 return False
         return True
