--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/logs.py
@@ -70,6 +70,7 @@
 STOPPED = register(6102, "INFO", "router stopped")
 SETTINGS_RELOADED = register(6103, "INFO", "settings reloaded")
 SETTINGS_RELOAD_FAILED = register(6104, "ERROR", "settings could not be reloaded")
+START_FAILED = register(6105, "ERROR", "router could not start")
 STORE_ERA_BEGAN = register(6123, "WARNING", "store came back from an older copy")
 CONFIGURATION_APPLIED = register(6110, "INFO", "configuration applied")
 SERVER_CHANGED = register(6111, "INFO", "server list changed")
@@ -116,6 +117,8 @@
 TASK_FAILED = register(6141, "ERROR", "background task failed and is restarted")
 READINESS_CHANGED = register(6140, "INFO", "readiness changed")
 PROCESS_STALLED = register(6142, "WARNING", "process stalled")
+UNEXPECTED_ERROR = register(6143, "ERROR", "unexpected error")
+LIBRARY_WARNING = register(6144, "WARNING", "a library or the interpreter warns")
 
 
 class LogWriter:
