--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stop_schedule.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stop_schedule.py
@@ -91,20 +91,21 @@
         return not self.has_begun or time_ms < self.removed_ms()
 
     def find_misfit(
-        self, deadline_at_ms: int, is_stream: bool, estimate_ms: int | None
+        self, deadline_at_ms: int, must_be_bounded: bool, estimate_ms: int | None
     ) -> Misfit | None:
         """Return why a request may not be taken now, None if it may.
 
-        A stream is complete only at its end, so it must have ended by its deadline. A
-        buffered response can always be replaced by an error when the work ends; whether
-        taking the request is useful is told by the estimate, if there is one.
+        One that ``must_be_bounded`` has no true answer but its server's once it was
+        sent, so it must have ended by its deadline. For others the estimate tells
+        whether taking them is useful, if there is one: an error can replace their
+        response when the work ends, and they may be repeated.
         """
         if self.takes_all():
             return None
         assert self.work_ends_ms is not None
         now_ms = self.clock.now_ms()
         needs_ms = deadline_at_ms + LATE_DELIVERY_MS - now_ms
-        if not is_stream and estimate_ms is not None:
+        if not must_be_bounded and estimate_ms is not None:
             needs_ms = min(needs_ms, estimate_ms)
         left_ms = self.work_ends_ms - now_ms
         if left_ms > 0 and needs_ms <= left_ms:
--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/request_handler.py
@@ -145,7 +145,7 @@
         """Reject a request that would not end before this router stops."""
         misfit = self.components.stop_schedule.find_misfit(
             deadline_at_ms,
-            route.kind is RouteKind.STREAM,
+            route.kind is not RouteKind.IDEMPOTENT,
             self.components.durations.estimate_ms(route.name),
         )
         if misfit is not None:
