--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/graceful_stop.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/graceful_stop.py
@@ -97,15 +97,27 @@
 
     async def accept_waiting(self) -> None:
         """Let the event loop accept what waits, also what came while it stalled."""
-        stalled = True
-        while stalled and not self.schedule.has_ended():
-            began_ms = self.clock.now_ms()
-            await asyncio.sleep(POLL_MS / MS_PER_S)
-            stalled = self.clock.now_ms() - began_ms > STALL_MS
+        while not self.schedule.has_ended() and await self.stalls():
+            continue
+
+    async def read_waiting(self) -> None:
+        """Let the event loop read what waits, also what came while it stalled."""
+        assert self.schedule.exits_ms is not None
+        last_ms = self.schedule.exits_ms - ANSWER_MS
+        while await self.stalls() and self.clock.now_ms() < last_ms:
+            continue
+
+    async def stalls(self) -> bool:
+        """Let the event loop go on for one interval; return whether it stalled."""
+        began_ms = self.clock.now_ms()
+        await asyncio.sleep(POLL_MS / MS_PER_S)
+        return self.clock.now_ms() - began_ms > STALL_MS
 
     async def end_work(self) -> None:
         """Answer what has no response and cut what has begun; take nothing more."""
         self.schedule.end()
+        # After a stall, timers may run before the answers that have come are read.
+        await self.read_waiting()
         self.handler.end_all()
         end_ms = self.clock.now_ms() + ANSWER_MS
         while self.handler.in_flight and self.clock.now_ms() < end_ms:
--- a/packages/medlarridge-direct/tests/direct/test_late_requests.py
+++ b/packages/medlarridge-direct/tests/direct/test_late_requests.py
@@ -6,10 +6,18 @@
 
 import pytest
 
+from medlarridge._internal.clock import MS_PER_S
+from medlarridge_direct._internal.coordination.hashing import stream_key
 from medlarridge_direct._internal.coordination.route_durations import MIN_SAMPLES
 from medlarridge_direct._internal.coordination.stop_schedule import BALANCER_REMOVAL_MS
+from medlarridge_direct._internal.coordination.stream_origins import StreamOrigin
+from medlarridge_direct._internal.graceful_stop import DRAIN_INTERVAL_MS
 from medlarridge_direct._internal.protocol.configuration import RouteKind
+from medlarridge_direct._internal.transport.server_connections import (
+    ConnectionPools,
+)
 
+from .samples import listing, server
 from .stopping_router import WORK_MS, StoppingRouter, read_all
 from .test_request_run import END, EVENT, OK, STREAM, chunk
 
@@ -90,16 +98,25 @@
         self.fleet.clock.offset_ms += schedule.began_ms + since_ms - now_ms
 
     async def stall_until(self, since_ms, meanwhile):
-        """Let the event loop stand still up to a time after SIGTERM."""
+        """Let the event loop stand still up to a time after SIGTERM.
+
+        It does so after it has looked for bytes, so timers that are due run first.
+        """
 
         def stall():
+            loop.remove_reader(waking)
             result.append(meanwhile())
             time.sleep(STALL_S)
             self.shift_to(since_ms)
 
         result = []
-        asyncio.get_running_loop().call_soon(stall)
+        loop = asyncio.get_running_loop()
+        waking, other = socket.socketpair()
+        loop.add_reader(waking, stall)
+        other.send(b"x")
         await asyncio.sleep(0.03)
+        waking.close()
+        other.close()
         return result[0]
 
     async def read(self, client):
@@ -124,9 +141,11 @@
         )
 
 
-async def start_clients(tmp_path, monkeypatch, kind, scripts, estimate_ms=100):
+async def start_clients(
+    tmp_path, monkeypatch, kind, scripts, estimate_ms=100, **changes
+):
     """Return clients of a router with these scripts that has got SIGTERM."""
-    fleet = StoppingRouter(tmp_path, monkeypatch, (), kind)
+    fleet = StoppingRouter(tmp_path, monkeypatch, (), kind, **changes)
     fleet.router.components.connections.scripts["a"] = list(scripts)
     for _ in range(MIN_SAMPLES):
         fleet.router.components.durations.record("r-1", estimate_ms)
@@ -303,3 +322,175 @@
         await clients.fleet.end()
         assert parse_answers(await reading) == [504]
         assert clients.runs_of(LATE) == 1
+
+
+class TestLateConnections:
+    async def test_a_connection_that_is_opened_late_is_not_accepted(
+        self, tmp_path, monkeypatch
+    ):
+        """Guards against new requests for a router that its balancer has removed."""
+        clients = await start_clients(
+            tmp_path, monkeypatch, RouteKind.IDEMPOTENT, [(OK,)] * 9
+        )
+        await stop_router(clients)
+        await clients.move_to(BALANCER_REMOVAL_MS + 300)
+        await asyncio.sleep(2 * DRAIN_INTERVAL_MS / MS_PER_S)
+        with pytest.raises(ConnectionRefusedError):
+            clients.connect()
+        await clients.fleet.end()
+
+
+class TestResumptions:
+    RESUMES = (b"resume: 1", b"resumes: 7")
+    NEXT_EVENT = STREAM + chunk(b"id: 2\ndata: x\n\n") + END
+
+    @pytest.mark.parametrize("entry", ENTRIES)
+    @pytest.mark.parametrize("headers", [(), (SHORT_DEADLINE,)], ids=["long", "short"])
+    async def test_a_late_resumption_is_served_or_refused_as_not_run(
+        self, tmp_path, monkeypatch, entry, headers
+    ):
+        """Guards against LOST: streams that are taken up late in the grace and cut."""
+        scripts = [(self.NEXT_EVENT,)] * 9
+        if entry.startswith("pipelined"):
+            scripts[0] = ()
+        clients = await start_clients(
+            tmp_path, monkeypatch, RouteKind.STREAM, scripts, resumable=True
+        )
+        clients.fleet.router.components.stream_origins.record(
+            stream_key("7"), StreamOrigin("models", "v1"), 60_000
+        )
+        data = request_bytes(LATE, *self.RESUMES, *headers, body=b"body")
+        client = await ENTRIES[entry](clients, data)
+        reading = asyncio.create_task(clients.read(client))
+        await asyncio.sleep(0.2)
+        await clients.fleet.end()
+        received = await reading
+        fits = SHORT_DEADLINE in headers
+        if entry in MAY_BE_UNREAD and received in (b"", b"RESET"):
+            assert clients.runs_of(LATE) == 0
+            return
+        assert parse_answers(received)[-1] == (200 if fits else 503)
+        assert clients.runs_of(LATE) == fits
+
+
+class StandInServer:
+    """A server on a loopback socket, whose bytes wait there while the loop is still."""
+
+    def __init__(self, clients):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+        self.requests = []
+        components = clients.fleet.router.components
+        components.connections = ConnectionPools()
+        listed = server(
+            "a", host="127.0.0.1", port=self.listener.getsockname()[1], slots=64
+        )
+        components.servers.update(listing(listed, revision=2), 0)
+        self.task = asyncio.create_task(self.accept())
+
+    async def accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            connection, _ = await loop.sock_accept(self.listener)
+            self.requests.append((connection, await loop.sock_recv(connection, 65_536)))
+
+    async def close(self):
+        self.task.cancel()
+        await asyncio.wait([self.task])
+        for connection, _ in self.requests:
+            connection.close()
+        self.listener.close()
+
+
+class TestStalls:
+    async def send(self, clients, sent_at_ms, *headers):
+        """Send a request whose last byte comes at a time after SIGTERM."""
+        stand_in = StandInServer(clients)
+        client = clients.connect()
+        data = request_bytes(LATE, *headers, body=b"body")
+        client.sendall(data[:-1])
+        await asyncio.sleep(0.02)
+        await stop_router(clients)
+        await clients.move_to(sent_at_ms)
+        client.sendall(data[-1:])
+        reading = asyncio.create_task(clients.read(client))
+        await asyncio.sleep(0.05)
+        assert len(stand_in.requests) == 1
+        return stand_in, reading
+
+    async def answer_in_stall(self, clients, stand_in, kind, parts, stall_ms):
+        """Let the server answer, or end its answer, while the router stands still."""
+        answer = ANSWERS[kind]
+        connection, _ = stand_in.requests[0]
+        if parts == 2:
+            connection.sendall(answer[:-8])
+            answer = answer[-8:]
+            await asyncio.sleep(0.05)
+        clients.shift_to(stall_ms[0])
+        await clients.stall_until(stall_ms[1], lambda: connection.sendall(answer))
+
+    async def end(self, clients, stand_in):
+        await asyncio.sleep(0.05)
+        await clients.fleet.end()
+        await stand_in.close()
+        assert len(stand_in.requests) == 1
+
+    @pytest.mark.parametrize("kind", RouteKind)
+    @pytest.mark.parametrize("parts", [1, 2])
+    @pytest.mark.parametrize(
+        ("sent_at_ms", "stall_ms", "ends_at_ms"),
+        [
+            (1_900, (BALANCER_REMOVAL_MS - 500, BALANCER_REMOVAL_MS + 500), 6_000),
+            (5_500, (WORK_MS - 1_900, WORK_MS - 900), WORK_MS - 500),
+            (5_900, (WORK_MS - 1_500, WORK_MS - 500), WORK_MS - 700),
+        ],
+        ids=["removal", "in time", "beyond the deadline"],
+    )
+    async def test_an_answer_that_came_in_a_stall_within_the_grace_is_delivered(
+        self, tmp_path, monkeypatch, kind, parts, sent_at_ms, stall_ms, ends_at_ms
+    ):
+        """Guards against answers that are cut because the router stood still."""
+        clients = await start_clients(tmp_path, monkeypatch, kind, [])
+        deadline = b"deadline: %d" % ends_at_ms
+        stand_in, reading = await self.send(clients, sent_at_ms, deadline)
+        await self.answer_in_stall(clients, stand_in, kind, parts, stall_ms)
+        await self.end(clients, stand_in)
+        assert parse_answers(await reading) == [200]
+
+    @pytest.mark.parametrize("parts", [1, 2])
+    @pytest.mark.parametrize(
+        ("kind", "sent_at_ms"),
+        [
+            *((kind, BALANCER_REMOVAL_MS - 300) for kind in RouteKind),
+            (RouteKind.IDEMPOTENT, WORK_MS - 1_000),
+        ],
+    )
+    async def test_an_answer_that_came_in_a_stall_at_the_end_is_delivered(
+        self, tmp_path, monkeypatch, kind, sent_at_ms, parts
+    ):
+        """Guards against whole answers that wait unread when the work ends."""
+        clients = await start_clients(tmp_path, monkeypatch, kind, [])
+        stand_in, reading = await self.send(clients, sent_at_ms)
+        stall_ms = (WORK_MS - 700, WORK_MS + 300)
+        await self.answer_in_stall(clients, stand_in, kind, parts, stall_ms)
+        await self.end(clients, stand_in)
+        assert parse_answers(await reading) == [200]
+
+    @pytest.mark.parametrize("kind", RouteKind)
+    @pytest.mark.parametrize("headers", [(), (b"deadline: 100",)])
+    async def test_a_request_that_came_in_a_stall_at_the_end_is_not_passed_on(
+        self, tmp_path, monkeypatch, kind, headers
+    ):
+        """Guards against requests that are taken after the end of the work and cut."""
+        clients = await start_clients(tmp_path, monkeypatch, kind, [(OK,)] * 9)
+        client = clients.connect()
+        data = request_bytes(LATE, *headers, body=b"body")
+        client.sendall(data[:-1])
+        await stop_router(clients)
+        await clients.move_to(WORK_MS - 700)
+        reading_from = asyncio.create_task(clients.read(client))
+        await clients.stall_until(WORK_MS + 300, lambda: client.send(data[-1:]))
+        await clients.fleet.end()
+        received = await reading_from
+        assert clients.runs_of(LATE) == 0
+        assert received in (b"", b"RESET") or parse_answers(received) == [503]
