--- a/packages/medlarridge-direct/tests/direct/test_late_requests.py
+++ b/packages/medlarridge-direct/tests/direct/test_late_requests.py
@@ -241,7 +241,6 @@
 ENTRIES = {
     name: entry for name, entry in vars(Entries).items() if not name.startswith("_")
 }
-MAY_BE_UNREAD = {"unread_after_a_stall", "unaccepted_after_a_stall"}
 
 
 class TestLateRequests:
@@ -262,9 +261,6 @@
         await asyncio.sleep(0.2)
         await clients.fleet.end()
         received = await reading
-        if entry in MAY_BE_UNREAD and received in (b"", b"RESET"):
-            assert clients.runs_of(LATE) == 0
-            return
         fits = SHORT_DEADLINE in headers or kind is RouteKind.IDEMPOTENT
         assert parse_answers(received)[-1] == (200 if fits else 503)
         assert clients.runs_of(LATE) == fits
@@ -366,9 +362,6 @@
         await clients.fleet.end()
         received = await reading
         fits = SHORT_DEADLINE in headers
-        if entry in MAY_BE_UNREAD and received in (b"", b"RESET"):
-            assert clients.runs_of(LATE) == 0
-            return
         assert parse_answers(received)[-1] == (200 if fits else 503)
         assert clients.runs_of(LATE) == fits
 
