--- a/packages/medlarridge-direct/tests/adapter/settings_template.py
+++ b/packages/medlarridge-direct/tests/adapter/settings_template.py
@@ -15,6 +15,7 @@
     "listen.readinessAddress": "10.1.0.40:8220",
     "internalPortRange.0": "7340",
     "platform.address": "10.200.1.7:8223",
+    "platform.writesPerS": "3200",
     "bounds.graceS": "8",
     "bounds.retryBudgetRatio": "0.2",
     "bounds.budgetSlack": "56",
--- a/packages/medlarridge-direct/tests/adapter/test_settings_template.py
+++ b/packages/medlarridge-direct/tests/adapter/test_settings_template.py
@@ -17,12 +17,19 @@
         assert settings.first_start
         assert settings.grace_ms == 8_000
         assert settings.retries.slack == 56
+        assert settings.store.writes_per_s == 3_200
 
     def test_missing_bounds_have_defaults(self):
         """Guards against a failed start on a platform that lacks some of the bounds."""
-        values = {name: value for name, value in VALUES.items() if "bounds" not in name}
+        optional = ("bounds", "writesPerS")
+        values = {
+            name: value
+            for name, value in VALUES.items()
+            if not any(each in name for each in optional)
+        }
         settings = msgspec.convert(tomllib.loads(render(values)), DirectSettings)
         assert settings.retries.window_s == 10
+        assert settings.store.writes_per_s == 400
 
 
 class TestLoadSettings:
