--- a/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
+++ b/packages/medlarridge-direct/src/medlarridge_direct/_internal/coordination/stream_records.py
@@ -26,7 +26,7 @@
 """Streams of a segment that is written once: those that need a record only later than
 they began, for instance since another version has come."""
 
-MIN_WRITE_INTERVAL_MS = 20
+MIN_WRITE_INTERVAL_MS = 50
 """Shortest time between two writes of a router; streams that begin meanwhile share the
 next one."""
 
