--- a/packages/medlarridge-direct/tests/direct/stopping_router.py
+++ b/packages/medlarridge-direct/tests/direct/stopping_router.py
@@ -1,9 +1,11 @@
 """A router process on loopback sockets whose stop takes little real time."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import socket
+from random import Random
 
 from medlarridge import SystemClock, TransportError
 from medlarridge_direct._internal import daemon
@@ -37,6 +39,10 @@
 """
 
 
+LISTENING_PORTS = range(20_000, 32_000)
+"""Ports below those that the operating system gives to outgoing connections."""
+
+
 class ShiftedClock(SystemClock):
     """The clock of the system, moved on by a test."""
 
@@ -66,10 +72,14 @@
 
 
 def free_ports(count):
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Return ports at which nobody listens, and which no outgoing connection is given."""
+    ports = []
+    for port in Random().sample(LISTENING_PORTS, len(LISTENING_PORTS)):
+        with contextlib.suppress(OSError):
+            socket.create_server(("127.0.0.1", port)).close()
+            ports.append(port)
+        if len(ports) == count:
+            break
     return ports
 
 
@@ -103,6 +113,8 @@
             try:
                 _, writer = await asyncio.open_connection("127.0.0.1", self.ports[0])
             except OSError:
+                if self.task.done():
+                    self.task.result()
                 continue
             writer.close()
             return
