--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A lookup that many callers repeat, while one runner of the service goes down and up."""
+"""All routers are killed right after a second version of a runner is listed; clients take up."""
 
 import sys
 from pathlib import Path
@@ -6,27 +6,35 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
 from platform_standins import *  # noqa: E402, F403
 
-LENGTH_S = 95.0
-FLAP_AT_S = 2.0
-FLAP_FOR_S = 6.5
-FLAP_PERIOD_S = 1.4
-WORK_S = 0.09
-SLOTS = 6
-READERS = 18
-WRITERS = 18
-PAUSE_S = 0.2
-DEADLINE_MS = 4_000
-SERVED_SHARE = 0.25
-"""A kind of request that is served less often than this share of all requests is starved."""
+ROUTERS = 3
+STREAMS = 24
+EVENTS = 60
+EVENT_INTERVAL_S = 0.2
+DEADLINE_MS = 15_000
+KILL_AFTER_S = 0.0
+DOWN_S = 1.0
+IN_TOUCH_S = 3.0
+MIN_TAKEN_UP = 12
+GOES_ON_SHARE = 0.5
 
 
 async def work(runner, method, target, headers, reader, writer) -> bool:
     await read_body(reader, headers)
     request_id = runner.note_run(headers)
-    async with runner.slot:
-        await asyncio.sleep(WORK_S)
-    body = b"answer to " + request_id.encode()
-    writer.write(runner.head(request_id, len(body)) + body)
+    after = int(headers.get("last-event-id", "0"))
+    head = {
+        REQUEST_ID: request_id,
+        SIGNATURE: "sig",
+        "Content-Type": "text/event-stream",
+        "Transfer-Encoding": "chunked",
+    }
+    writer.write(format_message("HTTP/1.1 200 OK", head))
+    for number in range(after + 1, EVENTS + 1):
+        event = f"id: {number}\ndata: {number} {runner.version}\n\n".encode()
+        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        await writer.drain()
+        await asyncio.sleep(EVENT_INTERVAL_S)
+    writer.write(b"0\r\n\r\n")
     return True
 
 
@@ -38,27 +46,36 @@
         store,
         3,
         [
-            route("lookup", "order-app", "safe", maxAttempts=2, timeoutMs=2_000),
-            route("confirm", "order-app", "unsafe", timeoutMs=2_000),
+            route(
+                "quote",
+                "lm-pool",
+                "streaming",
+                sticky=True,
+                resumable=True,
+                maxAttempts=2,
+                gapTargetMs=300,
+                targetLatencyMs=400,
+            )
+        ],
+        [
+            {
+                "name": "lm-pool",
+                "maxConnections": 360,
+                "engine": {"slots": 64, "kvCapacityTokens": 614405},
+            }
         ],
-        [{"name": "order-app", "maxConnections": 96}],
     )
-    starts = 0
 
-    async def start_runner(number: int) -> Runner:
-        nonlocal starts
-        starts += 1
+    async def start_runner(number: int, version: str) -> None:
         host = f"127.{subnet}.2.{number + 1}"
-        runner = Runner(
-            store, record, f"i-{number}-{starts}", "order-app", host, 8080, work, SLOTS
-        )
-        runner.slot = asyncio.Semaphore(SLOTS)
+        runner = Runner(store, record, f"i-{number}", "lm-pool", host, 8080, work, 64)
+        runner.version = version
         await runner.start()
-        record(f"runner {runner.instance} is up")
-        return runner
+        record(f"runner i-{number} of version {version} registers")
 
-    runners = [await start_runner(number) for number in range(3)]
-    for number in range(2):
+    for number in range(3):
+        await start_runner(number, "v1")
+    for number in range(ROUTERS):
         ip = f"127.{subnet}.1.{number + 1}"
         routers.append(
             Router(record, temporary, f"front-{number}", ip, f"127.{subnet}.4.1:8223")
@@ -67,71 +84,92 @@
     for router in routers:
         if not await router.wait_ready():
             return None
-    await asyncio.sleep(2)
-
-    started = now()
-    counts: dict[str, dict[int, int]] = {"lookup": {}, "confirm": {}}
-    by_interval: dict[tuple[int, str], dict[int, int]] = {}
-
-    async def caller(kind: str, number: int) -> None:
-        serial = 0
-        while now() - started < LENGTH_S:
-            serial += 1
-            request_id = f"{kind}-{number}-{serial}"
-            status = 0
-            try:
-                client = Client(routers[number % 2].ip)
-                await client.open()
-                if kind == "lookup":
-                    client.send(
-                        "GET", "/lookup/coils-today", request_id, b"", DEADLINE_MS
-                    )
-                else:
-                    client.send(
-                        "POST",
-                        "/confirm/order",
-                        request_id,
-                        request_id.encode(),
-                        DEADLINE_MS,
-                    )
-                answer = await asyncio.wait_for(client.read(), DEADLINE_MS / 1000 + 1)
-                status = answer.status if answer.whole else 0
-                client.close()
-            except (OSError, TimeoutError):
-                pass
-            record(f"{request_id} answered {status}")
-            counts[kind][status] = counts[kind].get(status, 0) + 1
-            interval = by_interval.setdefault(
-                (int((now() - started) // 5) * 5, kind), {}
-            )
-            interval[status] = interval.get(status, 0) + 1
-            await asyncio.sleep(PAUSE_S)
-
-    async def flap() -> None:
-        await asyncio.sleep(FLAP_AT_S)
-        end = now() + FLAP_FOR_S
-        while now() < end:
-            runners[0].crash()
-            record(f"runner {runners[0].instance} is down")
-            await asyncio.sleep(FLAP_PERIOD_S / 2)
-            store.delete("servers", runners[0].instance)
-            runners[0] = await start_runner(0)
-            await asyncio.sleep(FLAP_PERIOD_S / 2)
-
-    callers = [caller("lookup", number) for number in range(READERS)]
-    callers += [caller("confirm", number) for number in range(WRITERS)]
+    await asyncio.sleep(
+        20
+    )  # The routers have listed version v1 alone for longer than a stream lasts.
+
+    def send(client, name, number, **more) -> None:
+        client.send(
+            "POST",
+            "/quote/x",
+            name,
+            b"question %d" % number,
+            DEADLINE_MS,
+            X_Medlarridge_Model="m",
+            X_Medlarridge_Token_Usage="710,300",
+            X_Medlarridge_Prompt_Prefix=f"a1:100,{number:x}c:610",
+            **more,
+        )
+
+    async def begin(number: int) -> tuple[str, int] | None:
+        """Begin a stream; return its id and last event when the connection has broken."""
+        client = Client(routers[number % ROUTERS].ip)
+        await client.open()
+        name = f"first-{number}"
+        send(client, name, number)
+        last, buffer = 0, b""
+        until = now() + (6 if trouble else 2)
+        try:
+            while now() < until:
+                data = await asyncio.wait_for(client.reader.read(4096), 6)
+                if not data:
+                    break
+                buffer += data
+                ids = [part.split(b"\n")[0] for part in buffer.split(b"id: ")[1:]]
+                complete = buffer.count(b"\n\n")
+                last = int(ids[complete - 1]) if complete else 0
+        except (OSError, TimeoutError, ValueError):
+            pass
+        client.close()
+        record(f"{name} has events up to {last}")
+        return (name, last) if last else None
+
+    async def take_up(number: int, name: str, last: int) -> bool:
+        client = Client(routers[(number + 1) % ROUTERS].ip)
+        await client.open()
+        send(client, f"again-{number}", number, Last_Event_Id=str(last), Resumes=name)
+        head = await asyncio.wait_for(read_head(client.reader), 10)
+        goes_on = head is not None and " 200 " in head[0]
+        record(f"again-{number} takes up {name} after {last}: {head and head[0]}")
+        client.close()
+        return goes_on
+
+    async def begin_new(number: int) -> bool:
+        client = Client(routers[number % ROUTERS].ip)
+        await client.open()
+        send(client, f"new-{number}", 100 + number)
+        head = await asyncio.wait_for(read_head(client.reader), 10)
+        client.close()
+        return head is not None and " 200 " in head[0]
+
+    streams = [asyncio.create_task(begin(number)) for number in range(STREAMS)]
+    await asyncio.sleep(1.5)
     if trouble:
-        callers.append(flap())
-    await asyncio.gather(*callers)
-
-    for (begin, kind), statuses in sorted(by_interval.items()):
-        record(f"sent from {begin} s on, {kind}: {statuses}")
-    sent = {kind: sum(statuses.values()) for kind, statuses in counts.items()}
-    served = {kind: statuses.get(200, 0) for kind, statuses in counts.items()}
-    share = {kind: served[kind] / sent[kind] for kind in counts}
-    share_of_all = sum(served.values()) / sum(sent.values())
-    record(f"served: {served} of {sent}; shares {share}, of all {share_of_all:.3f}")
-    return all(each >= SERVED_SHARE * share_of_all for each in share.values())
+        await start_runner(3, "v2")
+        await asyncio.sleep(KILL_AFTER_S)
+        for router in routers:
+            router.signal(signal.SIGKILL)
+        for router in routers:
+            await router.process.wait()
+        await asyncio.sleep(DOWN_S)
+        for router in routers:
+            await router.start(first=False)
+        for router in routers:
+            if not await router.wait_ready():
+                return None
+        await asyncio.sleep(IN_TOUCH_S + 0.3)
+    begun = [each for each in await asyncio.gather(*streams) if each is not None]
+    new = await asyncio.gather(*(begin_new(number) for number in range(STREAMS)))
+    taken = await asyncio.gather(
+        *(take_up(number, name, last) for number, (name, last) in enumerate(begun))
+    )
+    share_new, share_taken = sum(new) / len(new), sum(taken) / max(len(taken), 1)
+    record(
+        f"new streams that begin: {sum(new)} of {len(new)}; taken up: {sum(taken)} of {len(taken)}"
+    )
+    if len(taken) < MIN_TAKEN_UP:
+        return None
+    return share_taken >= GOES_ON_SHARE * share_new
 
 
 run_case(case, str(Path(__file__).resolve().parent))
--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -260,6 +260,7 @@
         self.slots, self.zone = slots, zone
         self.receive_buffer = receive_buffer
         self.state = "ready"
+        self.version = "v1"
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.running: dict[str, int] = {}
@@ -285,7 +286,7 @@
                 "service": self.service,
                 "address": f"{self.host}:{self.port}",
                 "zone": self.zone,
-                "version": "v1",
+                "version": self.version,
                 "slots": self.slots,
                 "state": self.state,
                 "coldRemainingMs": 0,
@@ -683,9 +684,11 @@
         host: str,
         slots: int = 6,
         queue: int = 24,
+        advertised: str | None = None,
     ) -> None:
         self.store, self.record, self.instance = store, record, instance
         self.service, self.host, self.slots, self.queue = service, host, slots, queue
+        self.advertised = advertised or host
         self.sequence = 0
         self.runs: list[str] = []
 
@@ -718,7 +721,7 @@
                 self.instance,
                 {
                     "service": self.service,
-                    "address": f"{self.host}:8080",
+                    "address": f"{self.advertised}:8080",
                     "zone": "zone-a",
                     "version": "v1",
                     "slots": self.slots,
@@ -751,3 +754,63 @@
         if self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
+
+
+class MachineLink:
+    """The link to a runner's machine, which can be lost after the runner has ended."""
+
+    def __init__(self, host: str, target: str) -> None:
+        self.host, self.target = host, target
+        self.fillers: list[socket.socket] = []
+
+    async def start(self) -> None:
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.setblocking(False)
+        self.listener.bind((self.host, 8080))
+        self.listener.listen(64)
+        self.accepting = asyncio.create_task(self.accept())
+        self.tasks: set[asyncio.Task] = set()
+
+    async def accept(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            sock, _ = await loop.sock_accept(self.listener)
+            task = asyncio.create_task(self.relay(sock))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def relay(self, sock: socket.socket) -> None:
+        reader, writer = await asyncio.open_connection(sock=sock)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(self.target, 8080)
+        except OSError:
+            reset(writer)
+            return
+        forward = asyncio.create_task(self.pump(reader, far_writer))
+        await self.pump(far_reader, writer)
+        forward.cancel()
+
+    async def pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Pass bytes on, and the end of the connection as it came."""
+        try:
+            while data := await reader.read(65536):
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except ConnectionError:
+            reset(writer)
+
+    async def lose(self) -> None:
+        """Let new connections hang from now on, as to a machine that is gone."""
+        self.accepting.cancel()
+        await asyncio.sleep(0)
+        self.listener.listen(0)
+        for _ in range(4):
+            filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            filler.setblocking(False)
+            filler.connect_ex((self.host, 8080))
+            self.fillers.append(filler)
+        await asyncio.sleep(0.05)
